--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+GO ?= go
+FUZZTIME ?= 30s
+ADDR ?= 127.0.0.1:8080
+
+.PHONY: run test lint measure bench fuzz capacity build
+
+build:
+	$(GO) build ./...
+
+run:
+	$(GO) run ./cmd/corianderlever demo -addr $(ADDR)
+
+lint:
+	@files=$$(gofmt -l .); if [ -n "$$files" ]; then echo "gofmt would change: $$files"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+test: lint
+	$(GO) test -race -timeout 8m ./...
+
+measure:
+	$(GO) run ./internal/cmd/measure
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+capacity:
+	$(GO) run ./internal/cmd/capacity
