--- /dev/null
+++ b/kernel/kernel.go
@@ -0,0 +1,187 @@
+// Package kernel is the small core of the daemon: services register by name,
+// find each other by name and typed interface, start in dependency order and
+// stop in reverse order.
+package kernel
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Errors returned by the kernel.
+var (
+	// ErrDuplicate reports two services with one name.
+	ErrDuplicate = errors.New("kernel: duplicate service")
+	// ErrMissing reports a service that is required but not registered.
+	ErrMissing = errors.New("kernel: missing service")
+	// ErrCycle reports services that require each other.
+	ErrCycle = errors.New("kernel: dependency cycle")
+	// ErrType reports a service that lacks the requested interface.
+	ErrType = errors.New("kernel: service has another type")
+)
+
+// Service is what registers with a kernel. The lifecycle interfaces below are optional.
+type Service interface {
+	// Name is the name by which other services find this one.
+	Name() string
+}
+
+// Requirer names the services that must start before this one.
+type Requirer interface {
+	Requires() []string
+}
+
+// Provisioner looks up the services it uses. It is called in dependency order.
+type Provisioner interface {
+	Provision(k *Kernel) error
+}
+
+// Validator checks itself after provisioning and before any service starts.
+type Validator interface {
+	Validate() error
+}
+
+// Starter begins work. Start returns once the service is usable; ctx bounds
+// the start only, background work ends with Stop.
+type Starter interface {
+	Start(ctx context.Context) error
+}
+
+// Stopper ends work gracefully within ctx.
+type Stopper interface {
+	Stop(ctx context.Context) error
+}
+
+// Kernel holds the registered services. It is set up by one goroutine.
+type Kernel struct {
+	services map[string]Service
+	names    []string // registration order, which breaks ties in the start order
+	started  []Service
+}
+
+// New returns an empty kernel.
+func New() *Kernel {
+	return &Kernel{services: make(map[string]Service)}
+}
+
+// Register adds a service under its name.
+func (k *Kernel) Register(services ...Service) error {
+	for _, s := range services {
+		name := s.Name()
+		if _, ok := k.services[name]; ok {
+			return errors.Wrapf(ErrDuplicate, "%q", name)
+		}
+		k.services[name] = s
+		k.names = append(k.names, name)
+	}
+	return nil
+}
+
+// Lookup returns the service called name as a T.
+func Lookup[T any](k *Kernel, name string) (T, error) {
+	var zero T
+	s, ok := k.services[name]
+	if !ok {
+		return zero, errors.Wrapf(ErrMissing, "%q", name)
+	}
+	t, ok := s.(T)
+	if !ok {
+		return zero, errors.Wrapf(ErrType, "%q is %T", name, s)
+	}
+	return t, nil
+}
+
+// Start provisions and validates all services, then starts them, each in
+// dependency order. If one fails, those already started are stopped.
+func (k *Kernel) Start(ctx context.Context) error {
+	order, err := k.order()
+	if err != nil {
+		return err
+	}
+	if err := k.prepare(order); err != nil {
+		return err
+	}
+	for _, s := range order {
+		if st, ok := s.(Starter); ok {
+			if err := st.Start(ctx); err != nil {
+				err = errors.Wrapf(err, "start %q", s.Name())
+				return errors.CombineErrors(err, k.Stop(ctx))
+			}
+		}
+		k.started = append(k.started, s)
+	}
+	return nil
+}
+
+func (k *Kernel) prepare(order []Service) error {
+	for _, s := range order {
+		if p, ok := s.(Provisioner); ok {
+			if err := p.Provision(k); err != nil {
+				return errors.Wrapf(err, "provision %q", s.Name())
+			}
+		}
+	}
+	for _, s := range order {
+		if v, ok := s.(Validator); ok {
+			if err := v.Validate(); err != nil {
+				return errors.Wrapf(err, "validate %q", s.Name())
+			}
+		}
+	}
+	return nil
+}
+
+// Stop stops the started services in reverse order and returns all errors.
+func (k *Kernel) Stop(ctx context.Context) error {
+	var all error
+	for _, s := range slices.Backward(k.started) {
+		if st, ok := s.(Stopper); ok {
+			if err := st.Stop(ctx); err != nil {
+				all = errors.CombineErrors(all, errors.Wrapf(err, "stop %q", s.Name()))
+			}
+		}
+	}
+	k.started = nil
+	return all
+}
+
+// order sorts the services so that each follows those it requires.
+func (k *Kernel) order() ([]Service, error) {
+	var order []Service
+	done := make(map[string]bool)
+	var path []string
+	var visit func(name, by string) error
+	visit = func(name, by string) error {
+		if done[name] {
+			return nil
+		}
+		if slices.Contains(path, name) {
+			return errors.Wrapf(ErrCycle, "%s -> %s", strings.Join(path, " -> "), name)
+		}
+		s, ok := k.services[name]
+		if !ok {
+			return errors.Wrapf(ErrMissing, "%q, required by %q", name, by)
+		}
+		path = append(path, name)
+		if r, ok := s.(Requirer); ok {
+			for _, dep := range r.Requires() {
+				if err := visit(dep, name); err != nil {
+					return err
+				}
+			}
+		}
+		path = path[:len(path)-1]
+		done[name] = true
+		order = append(order, s)
+		return nil
+	}
+	for _, name := range k.names {
+		if err := visit(name, ""); err != nil {
+			return nil, err
+		}
+	}
+	return order, nil
+}
--- /dev/null
+++ b/resource/codec.go
@@ -0,0 +1,164 @@
+package resource
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"io"
+	"reflect"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+)
+
+// Resource is one declared resource. Spec points to the type of its Kind.
+type Resource struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+	Spec any    `json:"spec"`
+}
+
+// Key identifies a resource within a configuration.
+type Key struct {
+	Kind Kind
+	Name string
+}
+
+// Key returns the identity of r.
+func (r Resource) Key() Key { return Key{r.Kind, r.Name} }
+
+// newSpec returns a pointer to an empty spec of the kind.
+func newSpec(kind Kind) (any, error) {
+	switch kind {
+	case KindModel:
+		return new(Model), nil
+	case KindVersion:
+		return &Version{State: VersionServing}, nil
+	case KindCascade:
+		return new(Cascade), nil
+	case KindTeam:
+		return &Team{Weight: 1}, nil
+	case KindRank:
+		return new(Rank), nil
+	case KindEndpoint:
+		return &Endpoint{State: EndpointActive, Concurrency: 8}, nil
+	case KindService:
+		return new(Service), nil
+	case KindRollout:
+		return &Rollout{State: RolloutRunning}, nil
+	case KindTerms:
+		return new(Terms), nil
+	}
+	return nil, errors.Wrapf(ErrInvalid, "unknown kind %q", kind)
+}
+
+// Kinds returns all kinds.
+func Kinds() []Kind {
+	return []Kind{KindModel, KindVersion, KindCascade, KindTeam, KindRank,
+		KindEndpoint, KindService, KindRollout, KindTerms}
+}
+
+// UnmarshalJSON decodes the spec by kind and refuses unknown fields.
+func (r *Resource) UnmarshalJSON(data []byte) error {
+	var raw struct {
+		Kind Kind            `json:"kind"`
+		Name string          `json:"name"`
+		Spec json.RawMessage `json:"spec"`
+	}
+	if err := strictJSON(data, &raw); err != nil {
+		return err
+	}
+	spec, err := newSpec(raw.Kind)
+	if err != nil {
+		return err
+	}
+	if len(raw.Spec) > 0 {
+		if err := strictJSON(raw.Spec, spec); err != nil {
+			return errors.Wrapf(err, "%s %q", raw.Kind, raw.Name)
+		}
+	}
+	*r = Resource{Kind: raw.Kind, Name: raw.Name, Spec: spec}
+	return nil
+}
+
+func strictJSON(data []byte, into any) error {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		return errors.Mark(errors.Wrap(err, "decode JSON"), ErrInvalid)
+	}
+	return nil
+}
+
+// UnmarshalYAML decodes the spec by kind and refuses unknown fields.
+func (r *Resource) UnmarshalYAML(unmarshal func(any) error) error {
+	var head struct {
+		Kind Kind   `json:"kind"`
+		Name string `json:"name"`
+		Spec any    `json:"spec"`
+	}
+	if err := unmarshal(&head); err != nil {
+		return err
+	}
+	spec, err := newSpec(head.Kind)
+	if err != nil {
+		return err
+	}
+	// The second pass decodes into the typed spec, so that errors carry the
+	// line and the field. The struct is built by reflection because the type
+	// of the field depends on the kind.
+	typ := reflect.StructOf([]reflect.StructField{
+		{Name: "Kind", Type: reflect.TypeFor[Kind](), Tag: `json:"kind"`},
+		{Name: "Name", Type: reflect.TypeFor[string](), Tag: `json:"name"`},
+		{Name: "Spec", Type: reflect.TypeOf(spec), Tag: `json:"spec"`},
+	})
+	doc := reflect.New(typ)
+	doc.Elem().Field(2).Set(reflect.ValueOf(spec))
+	if err := unmarshal(doc.Interface()); err != nil {
+		return err
+	}
+	if got := doc.Elem().Field(2); !got.IsNil() {
+		spec = got.Interface()
+	}
+	*r = Resource{Kind: head.Kind, Name: head.Name, Spec: spec}
+	return nil
+}
+
+// ParseYAML reads a stream of YAML documents, one resource each.
+func ParseYAML(in io.Reader) ([]Resource, error) {
+	dec := yaml.NewDecoder(in, yaml.Strict())
+	var out []Resource
+	for {
+		var r Resource
+		err := dec.Decode(&r)
+		if errors.Is(err, io.EOF) {
+			return out, nil
+		}
+		if err != nil {
+			return nil, errors.Mark(errors.Wrapf(err, "document %d", len(out)+1), ErrInvalid)
+		}
+		if r.Kind == "" {
+			continue // an empty document between separators
+		}
+		out = append(out, r)
+	}
+}
+
+// FormatYAML writes resources as a stream of YAML documents.
+func FormatYAML(out io.Writer, resources []Resource) error {
+	enc := yaml.NewEncoder(out)
+	for _, r := range resources {
+		if err := enc.Encode(r); err != nil {
+			return errors.Wrap(err, "encode YAML")
+		}
+	}
+	return errors.Wrap(enc.Close(), "encode YAML")
+}
+
+// Sort orders resources by kind and name.
+func Sort(resources []Resource) {
+	slices.SortFunc(resources, func(a, b Resource) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+}
--- /dev/null
+++ b/resource/resource_test.go
@@ -0,0 +1,79 @@
+package resource
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+)
+
+const validYAML = `kind: Model
+name: small
+spec:
+  description: cheap
+---
+kind: Version
+name: small-1
+spec: {model: small, input_cost: 1, output_cost: 2}
+---
+kind: Rank
+name: urgent
+spec: {priority: 0, floor: 0.5, deadline: 2s, max_wait: 500ms, default: true}
+`
+
+// Guards against a codec that drops or changes fields between YAML and JSON.
+func TestCodecRoundTrip(t *testing.T) {
+	list, err := ParseYAML(strings.NewReader(validYAML))
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := json.Marshal(list)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var back []Resource
+	if err := json.Unmarshal(data, &back); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(list, back); diff != "" {
+		t.Errorf("JSON round trip (-want +got):\n%s", diff)
+	}
+	var out strings.Builder
+	if err := FormatYAML(&out, list); err != nil {
+		t.Fatal(err)
+	}
+	again, err := ParseYAML(strings.NewReader(out.String()))
+	if err != nil {
+		t.Fatalf("%v in\n%s", err, out.String())
+	}
+	if diff := cmp.Diff(list, again); diff != "" {
+		t.Errorf("YAML round trip (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against accepting resources that would fail on the request path.
+func TestInvalidIsRefused(t *testing.T) {
+	cases := map[string]struct{ yaml, want string }{
+		"unknown field": {"kind: Model\nname: a\nspec: {descr: x}\n", "descr"},
+		"unknown kind":  {"kind: Modle\nname: a\n", "Modle"},
+		"unknown model": {"kind: Version\nname: v\nspec: {model: nope}\n", "nope"},
+		"bad name":      {"kind: Model\nname: A B\n", "name"},
+		"duplicate":     {"kind: Model\nname: a\n---\nkind: Model\nname: a\n", "twice"},
+		"host name":     {"kind: Service\nname: s\n---\nkind: Endpoint\nname: e\nspec: {address: 'localhost:1', failure_domain: a, service: s}\n", "address"},
+		"floors":        {"kind: Rank\nname: a\nspec: {floor: 0.6, deadline: 1s, max_wait: 1s}\n---\nkind: Rank\nname: b\nspec: {floor: 0.6, deadline: 1s, max_wait: 1s}\n", "floors"},
+		"bad duration":  {"kind: Rank\nname: a\nspec: {deadline: soon, max_wait: 1s}\n", "soon"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			list, err := ParseYAML(strings.NewReader(c.yaml))
+			if err == nil {
+				_, err = NewSnapshot(1, list)
+			}
+			if !errors.Is(err, ErrInvalid) || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("error %v, want ErrInvalid that names %q", err, c.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/resource/snapshot.go
@@ -0,0 +1,179 @@
+package resource
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Snapshot is one revision of the configuration, indexed for the request
+// path. It is immutable and safe for concurrent use.
+type Snapshot struct {
+	// Revision rises by one with each accepted change.
+	Revision int64
+
+	resources []Resource
+	Models    map[string]*Model
+	Versions  map[string]*Version
+	Cascades  map[string]*Cascade
+	Teams     map[string]*Team
+	Ranks     map[string]*Rank
+	Endpoints map[string]*Endpoint
+	Services  map[string]*Service
+	Rollouts  map[string]*Rollout
+	// Terms is never nil.
+	Terms *Terms
+
+	byModel     map[string][]string // version names of a model, sorted
+	byVersion   map[string][]string // endpoint names by declared version, sorted
+	byService   map[string][]string // endpoint names by service, sorted
+	teamByKey   map[string]string   // hex key hash to team
+	ranked      []string            // rank names, most urgent first
+	defaultRank string
+}
+
+// NewSnapshot checks the resources as a whole and indexes them.
+func NewSnapshot(revision int64, resources []Resource) (*Snapshot, error) {
+	s := &Snapshot{
+		Revision:  revision,
+		resources: slices.Clone(resources),
+		Models:    make(map[string]*Model),
+		Versions:  make(map[string]*Version),
+		Cascades:  make(map[string]*Cascade),
+		Teams:     make(map[string]*Team),
+		Ranks:     make(map[string]*Rank),
+		Endpoints: make(map[string]*Endpoint),
+		Services:  make(map[string]*Service),
+		Rollouts:  make(map[string]*Rollout),
+		Terms:     new(Terms),
+		byModel:   make(map[string][]string),
+		byVersion: make(map[string][]string),
+		byService: make(map[string][]string),
+		teamByKey: make(map[string]string),
+	}
+	Sort(s.resources)
+	if err := s.index(); err != nil {
+		return nil, err
+	}
+	if err := s.validate(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Resources returns a copy of the list, ordered by kind and name.
+func (s *Snapshot) Resources() []Resource { return slices.Clone(s.resources) }
+
+// TeamForKey returns the team that owns a bearer key. The final comparison
+// takes constant time; the map is indexed by a hash, so its timing says
+// nothing useful about the key.
+func (s *Snapshot) TeamForKey(key string) (string, bool) {
+	sum := sha256.Sum256([]byte(key))
+	hash := hex.EncodeToString(sum[:])
+	team, ok := s.teamByKey[hash]
+	if !ok {
+		return "", false
+	}
+	for _, h := range s.Teams[team].KeyHashes {
+		if subtle.ConstantTimeCompare([]byte(h), []byte(hash)) == 1 {
+			return team, true
+		}
+	}
+	return "", false
+}
+
+// Allowed reports whether the team may use the version at all.
+func (s *Snapshot) Allowed(team, version string) bool {
+	t, v := s.Teams[team], s.Versions[version]
+	if t == nil || v == nil || !slices.Contains(t.Models, v.Model) {
+		return false
+	}
+	return len(t.Versions) == 0 || slices.Contains(t.Versions, version)
+}
+
+// MayServe reports whether the version may receive new work of the team.
+func (s *Snapshot) MayServe(team, version string) bool {
+	return s.Allowed(team, version) && s.Versions[version].State != VersionWithdrawn
+}
+
+// VersionsOf returns the names of all versions of a model.
+func (s *Snapshot) VersionsOf(model string) []string { return s.byModel[model] }
+
+// PickVersion chooses the version of a model for new work of the team. hash
+// spreads requests over the steps of a roll-out; the same hash keeps its
+// version while the step stands.
+func (s *Snapshot) PickVersion(team, model string, hash uint64) (string, bool) {
+	for _, name := range sortedKeys(s.Rollouts) {
+		r := s.Rollouts[name]
+		if r.Model != model {
+			continue
+		}
+		if v, ok := s.rolloutVersion(team, r, hash); ok {
+			return v, true
+		}
+	}
+	// Without a roll-out the last serving version by name is the newest.
+	for _, state := range []VersionState{VersionServing, VersionSuspect} {
+		for _, v := range slices.Backward(s.byModel[model]) {
+			if s.Versions[v].State == state && s.Allowed(team, v) {
+				return v, true
+			}
+		}
+	}
+	return "", false
+}
+
+// shareBuckets is the resolution of roll-out shares.
+const shareBuckets = 10000
+
+func (s *Snapshot) rolloutVersion(team string, r *Rollout, hash uint64) (string, bool) {
+	first, second := r.From, r.To
+	if hash%shareBuckets < uint64(r.Share()*shareBuckets) {
+		first, second = r.To, r.From
+	}
+	for _, v := range []string{first, second} {
+		if s.Versions[v].State == VersionServing && s.Allowed(team, v) {
+			return v, true
+		}
+	}
+	return "", false
+}
+
+// Share returns the share of new work that goes to the new version.
+func (r *Rollout) Share() float64 {
+	switch r.State {
+	case RolloutDone:
+		return 1
+	case RolloutRolledBack:
+		return 0
+	}
+	return r.Steps[min(r.Step, len(r.Steps)-1)]
+}
+
+// EndpointsForVersion returns the names of active endpoints that declare the version.
+func (s *Snapshot) EndpointsForVersion(version string) []string { return s.byVersion[version] }
+
+// EndpointsForService returns the names of active endpoints of a plain service.
+func (s *Snapshot) EndpointsForService(service string) []string { return s.byService[service] }
+
+// RankNames returns the ranks, most urgent first.
+func (s *Snapshot) RankNames() []string { return s.ranked }
+
+// RankFor returns the rank a team's request gets: the asked one if the team
+// may use it, the default when none is asked.
+func (s *Snapshot) RankFor(team, asked string) (string, bool) {
+	if asked == "" {
+		asked = s.defaultRank
+	}
+	if _, ok := s.Ranks[asked]; !ok {
+		return "", false
+	}
+	allowed := s.Teams[team].Ranks
+	return asked, len(allowed) == 0 || slices.Contains(allowed, asked)
+}
+
+// HashKey is the hash by which requests and sessions are spread over versions.
+func HashKey(key string) uint64 { return xxhash.Sum64String(key) }
