--- /dev/null
+++ b/api/api.go
@@ -0,0 +1,210 @@
+// Package api defines the messages between callers and entry hosts.
+package api
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"hash"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Outcome tells whether a request has run, so that its caller knows whether
+// a repeat is safe.
+type Outcome string
+
+// The outcomes of a request.
+const (
+	// OutcomeNotRun: no endpoint has run or will run the request.
+	OutcomeNotRun Outcome = "not_run"
+	// OutcomeRun: the request has run.
+	OutcomeRun Outcome = "run"
+	// OutcomeUnknown: the request may have run.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Header names that callers and entry hosts use.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderRequestID      = "X-Request-Id"
+	HeaderRank           = "X-Rank"
+	HeaderSession        = "X-Session"
+	HeaderKind           = "X-Request-Kind"
+	HeaderOutcome        = "X-Outcome"
+)
+
+// Codes of errors.
+const (
+	CodeUnauthorized   = "unauthorized"
+	CodeForbidden      = "forbidden"
+	CodeMalformed      = "malformed_request"
+	CodeTooLarge       = "body_too_large"
+	CodeSlowClient     = "client_too_slow"
+	CodeUnknownModel   = "unknown_model"
+	CodeUnknownService = "unknown_service"
+	CodeUnknownRank    = "unknown_rank"
+	CodeBadSession     = "bad_session"
+	CodeBadKey         = "bad_idempotency_key"
+	CodeOverloaded     = "overloaded"
+	CodeDeadline       = "deadline_exceeded"
+	CodeUnavailable    = "unavailable"
+	CodeNotClaimed     = "not_claimed"
+	CodeAlreadyRun     = "already_run"
+	CodeCrashing       = "request_crashes_endpoints"
+	CodeFailed         = "endpoint_failed"
+	CodeConflict       = "conflict"
+	CodeInvalid        = "invalid_resource"
+)
+
+// Error is the body of every refusal.
+type Error struct {
+	// Status is the HTTP status; it is not part of the body.
+	Status int `json:"-"`
+	// Code is one of the Code constants.
+	Code string `json:"code"`
+	// Message explains the error to a person.
+	Message string `json:"message"`
+	// Outcome tells whether the request has run.
+	Outcome Outcome `json:"outcome"`
+	// RetryAfterMS is the time in milliseconds after which a repeat makes sense.
+	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+	// RequestID identifies the request in logs and in the bill.
+	RequestID string `json:"request_id,omitempty"`
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s (outcome %s)", e.Code, e.Message, e.Outcome)
+}
+
+// ErrorBody wraps an Error in a response.
+type ErrorBody struct {
+	Error *Error `json:"error"`
+}
+
+// WriteError sends e as a response.
+func WriteError(w http.ResponseWriter, e *Error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(HeaderOutcome, string(e.Outcome))
+	if e.RetryAfterMS > 0 {
+		retry := time.Duration(e.RetryAfterMS) * time.Millisecond
+		w.Header().Set("Retry-After", strconv.Itoa(int((retry+time.Second-1)/time.Second)))
+	}
+	w.WriteHeader(e.Status)
+	// The status is already sent, so a failed write can only be seen by the peer.
+	_ = json.NewEncoder(w).Encode(ErrorBody{Error: e})
+}
+
+// Message is one message of a conversation.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// ChatRequest is the body of POST /v1/chat/completions.
+type ChatRequest struct {
+	// Model is the name of a model or a cascade, or "auto".
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages"`
+	MaxTokens int       `json:"max_tokens,omitempty"`
+	Stream    bool      `json:"stream,omitempty"`
+	// Temperature, TopP and User are passed on to the engine.
+	Temperature *float64 `json:"temperature,omitempty"`
+	TopP        *float64 `json:"top_p,omitempty"`
+	User        string   `json:"user,omitempty"`
+}
+
+// Usage counts tokens.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// Choice is one alternative of an answer; there is always exactly one.
+type Choice struct {
+	Index        int      `json:"index"`
+	Message      *Message `json:"message,omitempty"`
+	Delta        *Message `json:"delta,omitempty"`
+	FinishReason string   `json:"finish_reason,omitempty"`
+}
+
+// Receipt says how the request was served. It comes with the whole answer.
+type Receipt struct {
+	RequestID string `json:"request_id"`
+	// Version is the version that produced the answer.
+	Version string `json:"version"`
+	// Tokens and Digest let the caller check that the answer is whole.
+	Tokens int    `json:"tokens"`
+	Digest string `json:"digest"`
+	// Cost is the billed cost in price units.
+	Cost float64 `json:"cost"`
+	// Session is a signed token that keeps the version for later requests.
+	Session string `json:"session,omitempty"`
+	// SessionMoved is set when the session's version was withdrawn.
+	SessionMoved bool `json:"session_moved,omitempty"`
+	// MovedFrom is the version that the session had before it was moved.
+	MovedFrom string `json:"moved_from,omitempty"`
+}
+
+// ChatResponse is a whole answer, or one event of a streamed answer.
+type ChatResponse struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+	Receipt *Receipt `json:"receipt,omitempty"`
+}
+
+// SessionRequest is the body of POST /v1/sessions.
+type SessionRequest struct {
+	Model string `json:"model"`
+}
+
+// SessionResponse answers POST /v1/sessions.
+type SessionResponse struct {
+	Session string `json:"session"`
+	Model   string `json:"model"`
+	Version string `json:"version"`
+}
+
+// EntryAddress is one address that callers may use.
+type EntryAddress struct {
+	Address       string  `json:"address"`
+	FailureDomain string  `json:"failure_domain"`
+	Weight        float64 `json:"weight"`
+}
+
+// EntriesResponse answers GET /v1/entries.
+type EntriesResponse struct {
+	Entries []EntryAddress `json:"entries"`
+	TTLMS   int64          `json:"ttl_ms"`
+}
+
+// Digest computes the digest of an answer token by token.
+type Digest struct {
+	h hash.Hash64
+}
+
+// NewDigest starts the digest of the answer to a request. The request id is
+// part of it, so that the answer to another request never matches.
+func NewDigest(requestID string) *Digest {
+	d := &Digest{h: xxhash.New()}
+	d.Add(requestID)
+	return d
+}
+
+// Add appends a piece of the answer. How the text is cut into pieces does not
+// change the digest.
+func (d *Digest) Add(text string) {
+	// A hash never returns an error.
+	_, _ = d.h.Write([]byte(text))
+}
+
+// Sum returns the digest as hex.
+func (d *Digest) Sum() string { return hex.EncodeToString(d.h.Sum(nil)) }
--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,251 @@
+// Package client calls corianderlever for programs written in Go. It follows
+// the list of entry hosts, repeats only what is safe to repeat, and checks
+// that each answer is whole and belongs to its request.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/corianderlever/corianderlever/api"
+)
+
+// Errors of the client.
+var (
+	// ErrNoEntry reports that no entry host could be reached.
+	ErrNoEntry = errors.New("client: no entry host reachable")
+	// ErrIncomplete reports an answer that is not whole.
+	ErrIncomplete = errors.New("client: incomplete answer")
+	// ErrForeign reports an answer that belongs to another request.
+	ErrForeign = errors.New("client: answer of another request")
+)
+
+// Defaults of Options.
+const (
+	defaultAttempts = 5
+	maxReplyBytes   = 16 << 20
+)
+
+// Options configure a Client.
+type Options struct {
+	// Seeds are entry addresses to start from, host:port.
+	Seeds []string
+	// Key is the team's bearer key.
+	Key string
+	// Scheme is http or https; empty means http.
+	Scheme string
+	// HTTP is the client to use; nil means one with default settings.
+	HTTP *http.Client
+	// Attempts bounds the tries of one request; zero means 5.
+	Attempts int
+}
+
+// Client calls entry hosts. It is safe for concurrent use.
+type Client struct {
+	opts    Options
+	entries *entryList
+}
+
+// New returns a client.
+func New(opts Options) *Client {
+	if opts.Scheme == "" {
+		opts.Scheme = "http"
+	}
+	if opts.HTTP == nil {
+		opts.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}}
+	}
+	if opts.Attempts <= 0 {
+		opts.Attempts = defaultAttempts
+	}
+	return &Client{opts: opts, entries: newEntryList(opts)}
+}
+
+// Request carries what goes into the headers of a request.
+type Request struct {
+	// ID is the idempotency key; empty means a new UUIDv7. A program that may
+	// crash and repeat a request must choose and remember the key itself.
+	ID string
+	// Rank is the rank of the request; empty means the default.
+	Rank string
+	// Kind labels the kind of request for the choice of models.
+	Kind string
+	// Session is a session token.
+	Session string
+}
+
+func (r *Request) complete() error {
+	if r.ID != "" {
+		return nil
+	}
+	id, err := uuid.NewV7()
+	if err != nil {
+		return errors.Wrap(err, "client: new request id")
+	}
+	r.ID = id.String()
+	return nil
+}
+
+// Chat asks for a whole answer.
+func (c *Client) Chat(ctx context.Context, meta Request, body api.ChatRequest) (api.ChatResponse, error) {
+	if err := meta.complete(); err != nil {
+		return api.ChatResponse{}, err
+	}
+	body.Stream = false
+	var out api.ChatResponse
+	err := c.repeat(ctx, meta, "/v1/chat/completions", body, func(resp *http.Response) error {
+		out = api.ChatResponse{}
+		if err := decode(resp, &out); err != nil {
+			return err
+		}
+		if len(out.Choices) != 1 || out.Choices[0].Message == nil {
+			return ErrIncomplete
+		}
+		return verify(meta.ID, out.Receipt, out.Choices[0].Message.Content)
+	})
+	return out, err
+}
+
+// verify checks an answer's text against its receipt.
+func verify(id string, receipt *api.Receipt, text string) error {
+	if receipt == nil {
+		return ErrIncomplete
+	}
+	if receipt.RequestID != id {
+		return errors.Wrapf(ErrForeign, "id %q instead of %q", receipt.RequestID, id)
+	}
+	digest := api.NewDigest(id)
+	digest.Add(text)
+	if digest.Sum() != receipt.Digest {
+		return errors.Wrap(ErrIncomplete, "digest differs")
+	}
+	return nil
+}
+
+// Reply is the reply of a plain service.
+type Reply struct {
+	Status int
+	Body   []byte
+	// Repeat is set when the reply was stored by an earlier run.
+	Repeat bool
+}
+
+// Call runs an operation of a plain service. A repeat with the same id never
+// runs a non-idempotent operation twice.
+func (c *Client) Call(ctx context.Context, meta Request, service, operation string, body any) (Reply, error) {
+	if err := meta.complete(); err != nil {
+		return Reply{}, err
+	}
+	var out Reply
+	err := c.repeat(ctx, meta, "/v1/services/"+service+"/"+operation, body, func(resp *http.Response) error {
+		if id := resp.Header.Get(api.HeaderRequestID); id != meta.ID {
+			return errors.Wrapf(ErrForeign, "id %q instead of %q", id, meta.ID)
+		}
+		data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+		out = Reply{Status: resp.StatusCode, Body: data, Repeat: resp.Header.Get("X-Repeat") != ""}
+		return errors.Wrap(err, "client: read reply")
+	})
+	return out, err
+}
+
+// NewSession starts a session on a model.
+func (c *Client) NewSession(ctx context.Context, model string) (api.SessionResponse, error) {
+	var meta Request
+	if err := meta.complete(); err != nil {
+		return api.SessionResponse{}, err
+	}
+	var out api.SessionResponse
+	err := c.repeat(ctx, meta, "/v1/sessions", api.SessionRequest{Model: model}, func(resp *http.Response) error {
+		return decode(resp, &out)
+	})
+	return out, err
+}
+
+func decode(resp *http.Response, into any) error {
+	dec := json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes))
+	return errors.Wrap(dec.Decode(into), "client: decode reply")
+}
+
+// repeat sends a request until it succeeds, fails for good, or the attempts
+// are used up. Every try carries the same key: the router bills it once and
+// runs a non-idempotent operation at most once.
+func (c *Client) repeat(ctx context.Context, meta Request, path string, body any, read func(*http.Response) error) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "client: encode request")
+	}
+	try := func() (struct{}, error) {
+		err := c.once(ctx, meta, path, data, read)
+		return struct{}{}, retryable(err)
+	}
+	_, err = backoff.Retry(ctx, try, backoff.WithMaxTries(uint(c.opts.Attempts)), backoff.WithMaxElapsedTime(0))
+	return err
+}
+
+// retryable marks the errors after which a repeat makes no sense or is not safe.
+func retryable(err error) error {
+	var refused *api.Error
+	if !errors.As(err, &refused) {
+		return err
+	}
+	switch refused.Code {
+	case api.CodeOverloaded, api.CodeUnavailable, api.CodeNotClaimed, api.CodeFailed:
+		if refused.Outcome == api.OutcomeRun {
+			return backoff.Permanent(err)
+		}
+		if refused.RetryAfterMS > 0 {
+			return &backoff.RetryAfterError{Duration: time.Duration(refused.RetryAfterMS) * time.Millisecond}
+		}
+		return err
+	}
+	return backoff.Permanent(err)
+}
+
+func (c *Client) once(ctx context.Context, meta Request, path string, body []byte, read func(*http.Response) error) error {
+	addr, err := c.entries.pick(ctx)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.opts.Scheme+"://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "client: build request")
+	}
+	// Without GetBody the transport does not repeat the request on its own.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+c.opts.Key)
+	req.Header.Set(api.HeaderIdempotencyKey, meta.ID)
+	setOptional(req.Header, api.HeaderRank, meta.Rank)
+	setOptional(req.Header, api.HeaderKind, meta.Kind)
+	setOptional(req.Header, api.HeaderSession, meta.Session)
+	resp, err := c.opts.HTTP.Do(req)
+	if err != nil {
+		c.entries.failed(addr)
+		return errors.Wrap(err, "client: send request")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusBadRequest {
+		var refused api.ErrorBody
+		if err := decode(resp, &refused); err == nil && refused.Error != nil {
+			refused.Error.Status = resp.StatusCode
+			return refused.Error
+		}
+		if resp.Header.Get(api.HeaderRequestID) == "" {
+			return errors.Newf("client: status %d", resp.StatusCode)
+		}
+	}
+	return read(resp)
+}
+
+func setOptional(h http.Header, name, value string) {
+	if value != "" {
+		h.Set(name, value)
+	}
+}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,168 @@
+// Package config holds the settings of a daemon: defaults, parsing and checks.
+package config
+
+import (
+	"log/slog"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/corianderlever/corianderlever/resource"
+)
+
+// ErrInvalid reports settings that fail a check.
+var ErrInvalid = errors.New("config: invalid settings")
+
+// Settings are the settings of one entry host.
+type Settings struct {
+	// Host is the unique name of the host.
+	Host string `json:"host"`
+	// FailureDomain and Region locate the host.
+	FailureDomain string `json:"failure_domain"`
+	Region        string `json:"region"`
+	// Listen are the addresses to listen on.
+	Listen Listen `json:"listen"`
+	// Advertise are the addresses others use; empty means the listen addresses.
+	Advertise Listen `json:"advertise"`
+	// Peers are peer addresses of other hosts to join through.
+	Peers []string `json:"peers"`
+	// Platform locates the outside services.
+	Platform Platform `json:"platform"`
+	// ClusterKey authenticates entry hosts to each other.
+	ClusterKey Secret `json:"cluster_key"`
+	// OperatorKeyHashes are hex SHA-256 hashes of operators' bearer keys.
+	OperatorKeyHashes []string `json:"operator_key_hashes"`
+	// Sessions configures session tokens.
+	Sessions Sessions `json:"sessions"`
+	// TLS configures encryption; absent means plain connections.
+	TLS *TLS `json:"tls"`
+	// Limits bound what one host accepts.
+	Limits Limits `json:"limits"`
+	// Drain bounds the graceful shutdown.
+	Drain Drain `json:"drain"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"log_level"`
+}
+
+// Listen is a pair of addresses, each an IP number and a port.
+type Listen struct {
+	// Entry serves callers, operators and metrics.
+	Entry string `json:"entry"`
+	// Peer serves the other entry hosts.
+	Peer string `json:"peer"`
+}
+
+// Platform locates the platform's services by URL.
+type Platform struct {
+	// KV is the key-value service.
+	KV string `json:"kv"`
+	// Rating is the service that rates answers; empty means none.
+	Rating string `json:"rating"`
+	// RatingsPerSecond is the rate the rating service accepts from this host.
+	RatingsPerSecond float64 `json:"ratings_per_second"`
+	// WeightLoadsPerMinute is the rate of loads the weight store accepts.
+	WeightLoadsPerMinute float64 `json:"weight_loads_per_minute"`
+}
+
+// Secret is a value given directly or by a file.
+type Secret struct {
+	Value string `json:"value"`
+	File  string `json:"file"`
+}
+
+// Read returns the secret's bytes without surrounding white space.
+func (s Secret) Read() ([]byte, error) {
+	if s.File == "" {
+		return []byte(s.Value), nil
+	}
+	data, err := os.ReadFile(s.File)
+	return []byte(strings.TrimSpace(string(data))), errors.Wrap(err, "config: read secret")
+}
+
+// Sessions configures session tokens.
+type Sessions struct {
+	// TTL is the time a session may be idle.
+	TTL resource.Duration `json:"ttl"`
+	// Keys verify tokens; the first also signs.
+	Keys []SessionKey `json:"keys"`
+}
+
+// SessionKey is one signing key.
+type SessionKey struct {
+	ID     string `json:"id"`
+	Secret Secret `json:"secret"`
+}
+
+// TLS names the files of the certificate, its key, and the authorities that
+// peers are checked against. The files are read again when they change.
+type TLS struct {
+	Cert string `json:"cert"`
+	Key  string `json:"key"`
+	CA   string `json:"ca"`
+}
+
+// Limits bound what one host accepts.
+type Limits struct {
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes int64 `json:"max_body_bytes"`
+	// BodyTimeout bounds the time in which a client must send its body.
+	BodyTimeout resource.Duration `json:"body_timeout"`
+	// WriteTimeout bounds the time in which a client must accept an event.
+	WriteTimeout resource.Duration `json:"write_timeout"`
+	// MaxWaiting bounds the requests that wait for admission.
+	MaxWaiting int `json:"max_waiting"`
+}
+
+// Drain bounds the graceful shutdown.
+type Drain struct {
+	// Timeout bounds the time for running work to finish.
+	Timeout resource.Duration `json:"timeout"`
+	// EntryTTL is the time for which callers keep the entry list.
+	EntryTTL resource.Duration `json:"entry_ttl"`
+}
+
+// Default returns the settings that a file starts from.
+func Default() Settings {
+	return Settings{
+		Listen:   Listen{Entry: "127.0.0.1:8080", Peer: "127.0.0.1:7080"},
+		Platform: Platform{RatingsPerSecond: 20, WeightLoadsPerMinute: 6},
+		Sessions: Sessions{TTL: resource.Duration(24 * time.Hour)},
+		Limits: Limits{
+			MaxBodyBytes: 4 << 20,
+			BodyTimeout:  resource.Duration(10 * time.Second),
+			WriteTimeout: resource.Duration(10 * time.Second),
+			MaxWaiting:   10000,
+		},
+		Drain: Drain{
+			Timeout:  resource.Duration(2 * time.Minute),
+			EntryTTL: resource.Duration(2 * time.Second),
+		},
+		LogLevel: "info",
+	}
+}
+
+// EntryAddress returns the entry address that others use.
+func (s Settings) EntryAddress() string {
+	if s.Advertise.Entry != "" {
+		return s.Advertise.Entry
+	}
+	return s.Listen.Entry
+}
+
+// PeerAddress returns the peer address that others use.
+func (s Settings) PeerAddress() string {
+	if s.Advertise.Peer != "" {
+		return s.Advertise.Peer
+	}
+	return s.Listen.Peer
+}
+
+// Level returns the log level.
+func (s Settings) Level() slog.Level {
+	var level slog.Level
+	// Validate has checked the text; the zero level is info.
+	_ = level.UnmarshalText([]byte(s.LogLevel))
+	return level
+}
--- /dev/null
+++ b/dispatch/resolve.go
@@ -0,0 +1,127 @@
+package dispatch
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/corianderlever/corianderlever/api"
+	"github.com/corianderlever/corianderlever/resource"
+	"github.com/corianderlever/corianderlever/session"
+)
+
+// target says on what a request may run.
+type target struct {
+	rankName string
+	rank     *resource.Rank
+	// versions are the allowed versions, at most one for each model.
+	versions []string
+	// quality is the share of answers that must be good enough; zero when the
+	// caller named one model.
+	quality float64
+	// pin is set when the caller sent a session token.
+	pin session.Pin
+	// movedFrom is the withdrawn version of the session.
+	movedFrom string
+}
+
+// resolve checks the request against the configuration in force.
+func (d *Dispatcher) resolve(req ChatRequest) (target, error) {
+	snap := d.Config.Current()
+	if !d.Config.Fresh() {
+		return target{}, refusal(http.StatusServiceUnavailable, api.CodeUnavailable,
+			"this host cannot confirm that its configuration is current")
+	}
+	t, err := resolveRank(snap, req.Team, req.Rank)
+	if err != nil {
+		return t, err
+	}
+	if req.Session != "" {
+		return d.resolvePin(snap, req, t)
+	}
+	return resolveModels(snap, req, t)
+}
+
+func resolveRank(snap *resource.Snapshot, team, asked string) (target, error) {
+	name, ok := snap.RankFor(team, asked)
+	if name == "" || snap.Ranks[name] == nil {
+		return target{}, refusal(http.StatusBadRequest, api.CodeUnknownRank, "unknown rank %q", asked)
+	}
+	if !ok {
+		return target{}, refusal(http.StatusForbidden, api.CodeForbidden, "team %q may not use rank %q", team, name)
+	}
+	return target{rankName: name, rank: snap.Ranks[name]}, nil
+}
+
+// resolvePin keeps a session on its version. Only the withdrawal of the
+// version moves a session.
+func (d *Dispatcher) resolvePin(snap *resource.Snapshot, req ChatRequest, t target) (target, error) {
+	pin, err := d.Signer.Verify(req.Team, req.Session)
+	if err != nil {
+		return t, refusal(http.StatusBadRequest, api.CodeBadSession, "%v", err)
+	}
+	if req.Body.Model != pin.Model && req.Body.Model != resource.ModelAuto && req.Body.Model != "" {
+		return t, refusal(http.StatusBadRequest, api.CodeBadSession, "the session is for model %q", pin.Model)
+	}
+	t.pin = pin
+	if snap.MayServe(req.Team, pin.Version) {
+		t.versions = []string{pin.Version}
+		return t, nil
+	}
+	v, ok := snap.PickVersion(req.Team, pin.Model, resource.HashKey(pin.ID))
+	if !ok {
+		return t, refusal(http.StatusForbidden, api.CodeForbidden, "no version of model %q is allowed and serving", pin.Model)
+	}
+	t.movedFrom = pin.Version
+	t.pin.Version = v
+	t.versions = []string{v}
+	return t, nil
+}
+
+func resolveModels(snap *resource.Snapshot, req ChatRequest, t target) (target, error) {
+	models, quality, err := wantedModels(snap, req)
+	if err != nil {
+		return t, err
+	}
+	t.quality = quality
+	hash := resource.HashKey(req.ID)
+	for _, m := range models {
+		if v, ok := snap.PickVersion(req.Team, m, hash); ok {
+			t.versions = append(t.versions, v)
+		}
+	}
+	if len(t.versions) == 0 {
+		return t, refusal(http.StatusForbidden, api.CodeForbidden, "no version of %q is allowed and serving", req.Body.Model)
+	}
+	return t, nil
+}
+
+// wantedModels turns the model name of a request into models. "auto" means
+// the first cascade by name if there is one, else all models of the team.
+func wantedModels(snap *resource.Snapshot, req ChatRequest) ([]string, float64, error) {
+	name := req.Body.Model
+	if snap.Models[name] != nil {
+		return []string{name}, 0, nil
+	}
+	if c := snap.Cascades[name]; c != nil {
+		return c.Models, c.QualityTarget, nil
+	}
+	if name != resource.ModelAuto && name != "" {
+		return nil, 0, refusal(http.StatusNotFound, api.CodeUnknownModel, "unknown model %q", name)
+	}
+	for _, c := range sortedCascades(snap) {
+		if slices.ContainsFunc(c.Models, func(m string) bool { return slices.Contains(snap.Teams[req.Team].Models, m) }) {
+			return c.Models, c.QualityTarget, nil
+		}
+	}
+	return snap.Teams[req.Team].Models, 0, nil
+}
+
+func sortedCascades(snap *resource.Snapshot) []*resource.Cascade {
+	var out []*resource.Cascade
+	for _, r := range snap.Resources() {
+		if c, ok := r.Spec.(*resource.Cascade); ok {
+			out = append(out, c)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,262 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/corianderlever/corianderlever/api"
+)
+
+const (
+	// maxEventBytes bounds one server-sent event of an engine.
+	maxEventBytes = 1 << 20
+	// maxReplyBytes bounds the reply of a plain service.
+	maxReplyBytes = 4 << 20
+	// maxErrorBytes bounds how much of an error reply is read.
+	maxErrorBytes = 4 << 10
+)
+
+// errIncomplete reports an answer that ended before its final event.
+var errIncomplete = errors.New("answer ended early")
+
+// errCrossed reports an event that belongs to another attempt.
+var errCrossed = errors.New("event of another attempt")
+
+// Client calls endpoints. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+	// probe uses connections of its own, so that a probe never waits on a
+	// connection that has gone silent.
+	probe *http.Client
+}
+
+// NewClient returns a client that uses the transport; nil means a default one.
+func NewClient(transport *http.Transport) *Client {
+	if transport == nil {
+		transport = &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}
+	}
+	fresh := transport.Clone()
+	fresh.DisableKeepAlives = true
+	return &Client{
+		http:  &http.Client{Transport: transport},
+		probe: &http.Client{Transport: fresh},
+	}
+}
+
+// CloseIdle closes idle connections.
+func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
+
+// Generate runs one attempt and calls onToken for each token in order. It
+// returns the final event once the whole answer has arrived.
+func (c *Client) Generate(ctx context.Context, addr string, req GenerateRequest, onToken func(Event) error) (Final, error) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return Final{}, notRun(errors.Wrap(err, "encode request"))
+	}
+	resp, err := c.post(ctx, "http://"+addr+"/v1/generate", body, func(h http.Header) {
+		h.Set(HeaderAttemptID, req.Attempt)
+	})
+	if err != nil {
+		return Final{}, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return Final{}, statusError(resp)
+	}
+	return readEvents(resp.Body, req, onToken)
+}
+
+// readEvents checks that each event belongs to the attempt and follows the
+// one before it, so that late or crossed data never reaches a caller.
+func readEvents(body io.Reader, req GenerateRequest, onToken func(Event) error) (Final, error) {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	next := req.ResumeFrom
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		var ev Event
+		if err := json.Unmarshal([]byte(data), &ev); err != nil {
+			return Final{}, lost(errors.Wrap(err, "decode event"))
+		}
+		if ev.Attempt != req.Attempt {
+			return Final{}, lost(errors.Wrapf(errCrossed, "%q", ev.Attempt))
+		}
+		if ev.Final != nil {
+			if ev.Final.Tokens != next {
+				return Final{}, lost(errors.Wrapf(errIncomplete, "%d of %d tokens", next, ev.Final.Tokens))
+			}
+			return *ev.Final, nil
+		}
+		if ev.Index != next {
+			return Final{}, lost(errors.Wrapf(errIncomplete, "token %d after %d", ev.Index, next-1))
+		}
+		next++
+		if err := onToken(ev); err != nil {
+			return Final{}, &Error{Outcome: api.OutcomeRun, Err: err}
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return Final{}, lost(err)
+	}
+	return Final{}, lost(errIncomplete)
+}
+
+// Reply is the reply of a plain service.
+type Reply struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Call runs one operation of a plain service.
+func (c *Client) Call(ctx context.Context, addr, service, operation, attempt, key string, body []byte) (Reply, error) {
+	url := "http://" + addr + "/v1/services/" + service + "/" + operation
+	resp, err := c.post(ctx, url, body, func(h http.Header) {
+		h.Set(HeaderAttemptID, attempt)
+		if key != "" {
+			h.Set(api.HeaderIdempotencyKey, key)
+		}
+	})
+	if err != nil {
+		return Reply{}, err
+	}
+	defer resp.Body.Close()
+	if got := resp.Header.Get(HeaderAttemptID); got != "" && got != attempt {
+		return Reply{}, lost(errors.Wrapf(errCrossed, "%q", got))
+	}
+	if resp.StatusCode >= http.StatusInternalServerError || resp.StatusCode == http.StatusTooManyRequests {
+		return Reply{}, statusError(resp)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	if err != nil {
+		return Reply{}, lost(err)
+	}
+	if len(data) > maxReplyBytes {
+		return Reply{}, &Error{Outcome: api.OutcomeRun, Err: errors.Newf("reply over %d bytes", maxReplyBytes)}
+	}
+	return Reply{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: data}, nil
+}
+
+// post sends a request. An error says not_run only when no connection was
+// obtained, so that not a single byte can have reached the endpoint.
+func (c *Client) post(ctx context.Context, url string, body []byte, set func(http.Header)) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, notRun(err)
+	}
+	// Without GetBody the transport never sends the request a second time on
+	// its own; it would otherwise repeat one that has an Idempotency-Key.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	if deadline, ok := ctx.Deadline(); ok {
+		req.Header.Set(HeaderDeadlineMS, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	}
+	set(req.Header)
+	resp, err := c.http.Do(req)
+	switch {
+	case err == nil:
+		return resp, nil
+	case connected.Load():
+		return nil, lost(err)
+	default:
+		return nil, notRun(err)
+	}
+}
+
+func notRun(err error) *Error { return &Error{Outcome: api.OutcomeNotRun, Err: err} }
+
+func lost(err error) *Error { return &Error{Outcome: api.OutcomeUnknown, Lost: true, Err: err} }
+
+// statusError turns an error reply into an Error. Only the endpoint itself
+// can say that a request it received has not run.
+func statusError(resp *http.Response) *Error {
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	e := &Error{
+		Outcome: api.OutcomeUnknown,
+		Status:  resp.StatusCode,
+		Busy:    resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable,
+		Err:     errors.Newf("status %d: %s", resp.StatusCode, bytes.TrimSpace(text)),
+	}
+	if o := api.Outcome(resp.Header.Get(api.HeaderOutcome)); o == api.OutcomeNotRun || o == api.OutcomeRun {
+		e.Outcome = o
+	}
+	if s, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
+		e.RetryAfter = time.Duration(s) * time.Second
+	}
+	return e
+}
+
+// Load asks for the load report.
+func (c *Client) Load(ctx context.Context, addr string) (LoadReport, error) {
+	var out LoadReport
+	err := c.get(ctx, "http://"+addr+"/v1/load", &out)
+	return out, err
+}
+
+// CacheEvents asks for the cache events after a sequence number.
+func (c *Client) CacheEvents(ctx context.Context, addr string, after int64) ([]CacheEvent, error) {
+	var out []CacheEvent
+	err := c.get(ctx, "http://"+addr+"/v1/cache/events?after="+strconv.FormatInt(after, 10), &out)
+	return out, err
+}
+
+// Probe asks on a new connection whether an attempt is running and how far it is.
+func (c *Client) Probe(ctx context.Context, addr, attempt string) (AttemptStatus, error) {
+	var out AttemptStatus
+	err := c.get(ctx, "http://"+addr+"/v1/attempts/"+attempt, &out)
+	return out, err
+}
+
+func (c *Client) get(ctx context.Context, url string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return errors.Wrap(err, "engine: build request")
+	}
+	resp, err := c.probe.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "engine: get")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return statusError(resp)
+	}
+	dec := json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes))
+	return errors.Wrap(dec.Decode(into), "engine: decode reply")
+}
+
+// SendOrder sends an order. A lost reply is an error of outcome unknown; the
+// sender reads back with Load.
+func (c *Client) SendOrder(ctx context.Context, addr string, order Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return errors.Wrap(err, "engine: encode order")
+	}
+	resp, err := c.post(ctx, "http://"+addr+"/v1/orders", body, func(http.Header) {})
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusPreconditionFailed:
+		return ErrFenced
+	}
+	return errors.Wrapf(ErrOrder, "status %d", resp.StatusCode)
+}
--- /dev/null
+++ b/engine/fakeengine/control.go
@@ -0,0 +1,106 @@
+package fakeengine
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/corianderlever/corianderlever/engine"
+)
+
+// BlockBytes is the length of prompt text that one prefix block covers.
+const BlockBytes = 256
+
+// Blocks returns the hashes of the prefix blocks of a prompt. Each hash
+// covers the whole prompt up to the end of its block.
+func Blocks(prompt string) []uint64 {
+	var out []uint64
+	for end := BlockBytes; end <= len(prompt); end += BlockBytes {
+		out = append(out, xxhash.Sum64String(prompt[:end]))
+	}
+	return out
+}
+
+// touch puts the blocks of a prompt into the cache and returns the number of
+// tokens that were found there.
+func (e *Endpoint) touch(prompt string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	cached, unbroken := 0, true
+	for _, block := range Blocks(prompt) {
+		if _, ok := e.cache.Get(block); ok {
+			if unbroken {
+				cached++
+			}
+			continue
+		}
+		unbroken = false
+		e.cache.Add(block, struct{}{})
+		e.events = append(e.events, engine.CacheEvent{Sequence: int64(len(e.events) + 1), Block: block})
+	}
+	return cached * countTokens(prompt) * BlockBytes / max(len(prompt), 1)
+}
+
+// order obeys an order, unless it checks fencing and the number is old.
+func (e *Endpoint) order(w http.ResponseWriter, r *http.Request) {
+	var order engine.Order
+	if !readJSON(w, r, &order) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.opts.ChecksFencing && order.Fencing < e.fencing {
+		refuse(w, http.StatusPreconditionFailed, "old fencing number")
+		return
+	}
+	e.fencing = max(e.fencing, order.Fencing)
+	switch order.Kind {
+	case engine.OrderLoad:
+		if !slices.Contains(e.versions, order.Version) {
+			e.versions = append(e.versions, order.Version)
+		}
+	case engine.OrderUnload:
+		e.versions = slices.DeleteFunc(slices.Clone(e.versions), func(v string) bool { return v == order.Version })
+	case engine.OrderRole:
+		e.role = order.Role
+	default:
+		refuse(w, http.StatusBadRequest, "unknown order")
+		return
+	}
+	writeJSON(w, struct{}{})
+}
+
+// Role returns the role that the last order set.
+func (e *Endpoint) Role() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.role
+}
+
+// Versions returns the versions that are loaded.
+func (e *Endpoint) Versions() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.versions)
+}
+
+// RateRequest is the body of POST /v1/rate.
+type RateRequest struct {
+	RequestID string `json:"request_id"`
+	Answer    string `json:"answer"`
+}
+
+// RateResponse answers POST /v1/rate.
+type RateResponse struct {
+	Passed bool `json:"passed"`
+}
+
+func rate(w http.ResponseWriter, r *http.Request) {
+	var req RateRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	writeJSON(w, RateResponse{Passed: strings.HasPrefix(req.Answer, goodAnswer)})
+}
--- /dev/null
+++ b/entry/chat.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/corianderlever/corianderlever/api"
+	"github.com/corianderlever/corianderlever/dispatch"
+)
+
+const (
+	objectCompletion = "chat.completion"
+	objectChunk      = "chat.completion.chunk"
+	roleAssistant    = "assistant"
+	streamEnd        = "data: [DONE]\n\n"
+)
+
+func (h *Handler) chat(w http.ResponseWriter, r *http.Request) {
+	team, id, body, err := h.begin(w, r)
+	if err != nil {
+		writeFailure(w, id, err)
+		return
+	}
+	req := dispatch.ChatRequest{
+		ID: id, Team: team,
+		Rank:    r.Header.Get(api.HeaderRank),
+		Kind:    r.Header.Get(api.HeaderKind),
+		Session: r.Header.Get(api.HeaderSession),
+	}
+	if err := parse(body, &req.Body); err != nil {
+		writeFailure(w, id, err)
+		return
+	}
+	if len(req.Body.Messages) == 0 || req.Body.MaxTokens < 0 {
+		writeFailure(w, id, refuse(http.StatusBadRequest, api.CodeMalformed, "messages must not be empty and max_tokens not negative"))
+		return
+	}
+	w.Header().Set(api.HeaderRequestID, id)
+	if req.Body.Stream {
+		h.stream(w, r, req)
+		return
+	}
+	answer, err := h.opts.Dispatcher.Chat(r.Context(), req, func(string) error { return nil })
+	if err != nil {
+		writeFailure(w, id, err)
+		return
+	}
+	writeJSON(w, api.ChatResponse{
+		ID: id, Object: objectCompletion, Model: answer.Receipt.Version,
+		Choices: []api.Choice{{Message: &api.Message{Role: roleAssistant, Content: answer.Text}, FinishReason: answer.FinishReason}},
+		Usage:   &answer.Usage, Receipt: &answer.Receipt,
+	})
+}
+
+// stream sends the answer as server-sent events. The status line is sent with
+// the first token, so that a refusal before it is a plain error.
+func (h *Handler) stream(w http.ResponseWriter, r *http.Request, req dispatch.ChatRequest) {
+	out := &eventWriter{w: w, rc: http.NewResponseController(w), timeout: h.opts.WriteTimeout}
+	answer, err := h.opts.Dispatcher.Chat(r.Context(), req, func(text string) error {
+		return out.send(api.ChatResponse{
+			ID: req.ID, Object: objectChunk,
+			Choices: []api.Choice{{Delta: &api.Message{Role: roleAssistant, Content: text}}},
+		})
+	})
+	if err != nil {
+		h.streamFailure(out, req.ID, err)
+		return
+	}
+	err = out.send(api.ChatResponse{
+		ID: req.ID, Object: objectChunk, Model: answer.Receipt.Version,
+		Choices: []api.Choice{{Delta: &api.Message{}, FinishReason: answer.FinishReason}},
+		Usage:   &answer.Usage, Receipt: &answer.Receipt,
+	})
+	if err == nil {
+		err = out.raw(streamEnd)
+	}
+	if err != nil {
+		h.opts.Logger.Info("client left before the end of its answer", "request", req.ID, "error", err)
+	}
+}
+
+// streamFailure reports an error. Once tokens have been sent it can only be
+// an event; the missing receipt tells the client that the answer is not whole.
+func (h *Handler) streamFailure(out *eventWriter, id string, err error) {
+	if !out.started {
+		writeFailure(out.w, id, err)
+		return
+	}
+	var e *api.Error
+	if !errors.As(err, &e) {
+		e = &api.Error{Code: api.CodeFailed, Message: err.Error(), Outcome: api.OutcomeUnknown}
+	}
+	e.RequestID = id
+	if err := out.send(api.ErrorBody{Error: e}); err != nil {
+		h.opts.Logger.Info("client left before the end of its answer", "request", id, "error", err)
+	}
+}
+
+// eventWriter writes server-sent events.
+type eventWriter struct {
+	w       http.ResponseWriter
+	rc      *http.ResponseController
+	timeout time.Duration
+	started bool
+}
+
+func (e *eventWriter) send(v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return errors.Wrap(err, "entry: encode event")
+	}
+	return e.raw("data: " + string(data) + "\n\n")
+}
+
+func (e *eventWriter) raw(text string) error {
+	if !e.started {
+		e.w.Header().Set("Content-Type", "text/event-stream")
+		e.w.Header().Set("Cache-Control", "no-store")
+		e.started = true
+	}
+	if err := e.rc.SetWriteDeadline(time.Now().Add(e.timeout)); err != nil {
+		return errors.Wrap(err, "entry: set write deadline")
+	}
+	if _, err := e.w.Write([]byte(text)); err != nil {
+		return errors.Wrap(err, "entry: write event")
+	}
+	return errors.Wrap(e.rc.Flush(), "entry: flush event")
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,181 @@
+// Package entry is the HTTP interface of an entry host towards callers.
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/corianderlever/corianderlever/api"
+	"github.com/corianderlever/corianderlever/dispatch"
+	"github.com/corianderlever/corianderlever/resource"
+	"github.com/corianderlever/corianderlever/session"
+)
+
+// Dispatcher serves the requests that the handler has checked.
+type Dispatcher interface {
+	Chat(ctx context.Context, req dispatch.ChatRequest, sink dispatch.Sink) (dispatch.Answer, error)
+	Service(ctx context.Context, req dispatch.ServiceRequest) (dispatch.ServiceAnswer, error)
+	NewSession(team, model string) (string, session.Pin, error)
+}
+
+// Config is where the handler reads the configuration in force.
+type Config interface {
+	Current() *resource.Snapshot
+}
+
+// Options configure a Handler.
+type Options struct {
+	Dispatcher Dispatcher
+	Config     Config
+	// Entries answers GET /v1/entries.
+	Entries func() api.EntriesResponse
+	// Ready reports whether the host accepts new work.
+	Ready func() bool
+	// MaxBodyBytes bounds request bodies.
+	MaxBodyBytes int64
+	// BodyTimeout bounds the time a client may take to send its body.
+	BodyTimeout time.Duration
+	// WriteTimeout bounds the time a client may take to accept one event.
+	WriteTimeout time.Duration
+	Logger       *slog.Logger
+}
+
+// Handler serves callers.
+type Handler struct {
+	opts Options
+	mux  *http.ServeMux
+}
+
+// New returns a handler.
+func New(opts Options) *Handler {
+	h := &Handler{opts: opts, mux: http.NewServeMux()}
+	h.mux.HandleFunc("POST /v1/chat/completions", h.chat)
+	h.mux.HandleFunc("POST /v1/services/{service}/{operation}", h.service)
+	h.mux.HandleFunc("POST /v1/sessions", h.newSession)
+	h.mux.HandleFunc("GET /v1/entries", h.entries)
+	h.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	h.mux.HandleFunc("GET /readyz", h.readyz)
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
+
+func (h *Handler) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !h.opts.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (h *Handler) entries(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, h.opts.Entries())
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means the client is gone; there is nobody to tell.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func refuse(status int, code, format string, args ...any) *api.Error {
+	return &api.Error{Status: status, Code: code, Message: errors.Newf(format, args...).Error(), Outcome: api.OutcomeNotRun}
+}
+
+// writeFailure sends an error. An error of unknown type says nothing about
+// the outcome, so it is reported as unknown.
+func writeFailure(w http.ResponseWriter, id string, err error) {
+	var e *api.Error
+	if !errors.As(err, &e) {
+		e = &api.Error{Status: http.StatusInternalServerError, Code: api.CodeFailed, Message: err.Error(), Outcome: api.OutcomeUnknown}
+	}
+	e.RequestID = id
+	w.Header().Set(api.HeaderRequestID, id)
+	api.WriteError(w, e)
+}
+
+// authenticate returns the team of the bearer key.
+func (h *Handler) authenticate(r *http.Request) (string, error) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return "", refuse(http.StatusUnauthorized, api.CodeUnauthorized, "the Authorization header must hold a bearer key")
+	}
+	team, ok := h.opts.Config.Current().TeamForKey(key)
+	if !ok {
+		return "", refuse(http.StatusUnauthorized, api.CodeUnauthorized, "unknown bearer key")
+	}
+	return team, nil
+}
+
+// begin authenticates, reads the body and fixes the request's id.
+func (h *Handler) begin(w http.ResponseWriter, r *http.Request) (team, id string, body []byte, err error) {
+	id = r.Header.Get(api.HeaderIdempotencyKey)
+	if id == "" {
+		id = uuid.NewString()
+	}
+	if len(id) > maxKeyBytes {
+		return "", "", nil, refuse(http.StatusBadRequest, api.CodeBadKey, "the idempotency key is longer than %d bytes", maxKeyBytes)
+	}
+	team, err = h.authenticate(r)
+	if err != nil {
+		return "", id, nil, err
+	}
+	body, err = h.readBody(w, r)
+	return team, id, body, err
+}
+
+// maxKeyBytes bounds idempotency keys.
+const maxKeyBytes = 128
+
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	rc := http.NewResponseController(w)
+	if err := rc.SetReadDeadline(time.Now().Add(h.opts.BodyTimeout)); err != nil {
+		return nil, errors.Wrap(err, "entry: set read deadline")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.opts.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, refuse(http.StatusRequestEntityTooLarge, api.CodeTooLarge, "the body is larger than %d bytes", h.opts.MaxBodyBytes)
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return nil, refuse(http.StatusRequestTimeout, api.CodeSlowClient, "the body did not arrive within %v", h.opts.BodyTimeout)
+	case err != nil:
+		return nil, refuse(http.StatusBadRequest, api.CodeMalformed, "the body broke off: %v", err)
+	}
+	// The deadline must not end a connection that waits for its answer.
+	return body, errors.Wrap(rc.SetReadDeadline(time.Time{}), "entry: clear read deadline")
+}
+
+func parse(body []byte, into any) error {
+	if err := json.Unmarshal(body, into); err != nil {
+		return refuse(http.StatusBadRequest, api.CodeMalformed, "malformed JSON: %v", err)
+	}
+	return nil
+}
+
+func (h *Handler) newSession(w http.ResponseWriter, r *http.Request) {
+	team, id, body, err := h.begin(w, r)
+	if err != nil {
+		writeFailure(w, id, err)
+		return
+	}
+	var req api.SessionRequest
+	if err := parse(body, &req); err != nil {
+		writeFailure(w, id, err)
+		return
+	}
+	token, pin, err := h.opts.Dispatcher.NewSession(team, req.Model)
+	if err != nil {
+		writeFailure(w, id, err)
+		return
+	}
+	writeJSON(w, api.SessionResponse{Session: token, Model: pin.Model, Version: pin.Version})
+}
