Add the operators' interface and leverctl

Cause: operators steer the system only by declared resources. Change: admin HTTP server and client (list, apply with expected revision, watch, status, history, bill, explain) and the leverctl commands on top of them.

--- /dev/null
+++ b/admin/server.go
@@ -0,0 +1,245 @@
+package admin
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/corianderlever/corianderlever/api"
+	"github.com/corianderlever/corianderlever/resource"
+)
+
+// ErrUnavailable reports that a change cannot be accepted now; it had no effect.
+var ErrUnavailable = errors.New("admin: configuration store unavailable")
+
+// ConflictError reports that another operator changed the configuration first.
+type ConflictError struct {
+	// Revision is the revision in force.
+	Revision int64
+	// Differences are those since the revision the operator had seen.
+	Differences []Difference
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return "admin: the configuration has changed meanwhile"
+}
+
+// Backend is what the handler needs from the rest of the host.
+type Backend interface {
+	// Current returns the configuration in force.
+	Current() *resource.Snapshot
+	// Apply changes the configuration. It returns a *ConflictError, an error
+	// that wraps resource.ErrInvalid, or one that wraps ErrUnavailable.
+	Apply(ctx context.Context, req ApplyRequest) (int64, error)
+	// Changed returns a channel that is closed when a newer revision than the
+	// given one is in force.
+	Changed(revision int64) <-chan struct{}
+	// Status lists the hosts with their revisions.
+	Status() StatusResponse
+	// History lists accepted changes, newest first.
+	History(ctx context.Context) ([]HistoryEntry, error)
+	// Bill sums the bill of a period by the named columns.
+	Bill(ctx context.Context, from, to time.Time, by []string) (BillResponse, error)
+	// Explain returns what this host decided about a request.
+	Explain(ctx context.Context, request string) (Explanation, bool)
+}
+
+// maxBodyBytes bounds an apply request.
+const maxBodyBytes = 8 << 20
+
+// Handler serves operators.
+type Handler struct {
+	backend   Backend
+	keyHashes []string
+	logger    *slog.Logger
+	mux       *http.ServeMux
+}
+
+// NewHandler returns a handler that accepts the bearer keys with the given
+// hex SHA-256 hashes.
+func NewHandler(backend Backend, keyHashes []string, logger *slog.Logger) *Handler {
+	h := &Handler{backend: backend, keyHashes: keyHashes, logger: logger, mux: http.NewServeMux()}
+	h.mux.HandleFunc("GET /admin/v1/resources", h.list)
+	h.mux.HandleFunc("POST /admin/v1/apply", h.apply)
+	h.mux.HandleFunc("GET /admin/v1/watch", h.watch)
+	h.mux.HandleFunc("GET /admin/v1/status", h.status)
+	h.mux.HandleFunc("GET /admin/v1/history", h.history)
+	h.mux.HandleFunc("GET /admin/v1/bill", h.bill)
+	h.mux.HandleFunc("GET /admin/v1/explain/{id}", h.explain)
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !h.authorized(r) {
+		refuse(w, http.StatusUnauthorized, api.CodeUnauthorized, "unknown operator key")
+		return
+	}
+	h.mux.ServeHTTP(w, r)
+}
+
+func (h *Handler) authorized(r *http.Request) bool {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	sum := sha256.Sum256([]byte(key))
+	hash := []byte(hex.EncodeToString(sum[:]))
+	found := 0
+	for _, known := range h.keyHashes {
+		found |= subtle.ConstantTimeCompare([]byte(known), hash)
+	}
+	return ok && found == 1
+}
+
+func refuse(w http.ResponseWriter, status int, code, message string) {
+	api.WriteError(w, &api.Error{Status: status, Code: code, Message: message, Outcome: api.OutcomeNotRun})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means the operator's client is gone.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (h *Handler) list(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusOK, selectResources(h.backend.Current(), r))
+}
+
+func selectResources(snap *resource.Snapshot, r *http.Request) ListResponse {
+	kind, name := r.URL.Query().Get("kind"), r.URL.Query().Get("name")
+	out := ListResponse{Revision: snap.Revision, Resources: []resource.Resource{}}
+	for _, res := range snap.Resources() {
+		if (kind == "" || strings.EqualFold(string(res.Kind), kind)) && (name == "" || res.Name == name) {
+			out.Resources = append(out.Resources, res)
+		}
+	}
+	return out
+}
+
+func (h *Handler) apply(w http.ResponseWriter, r *http.Request) {
+	var req ApplyRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&req); err != nil {
+		refuse(w, http.StatusBadRequest, api.CodeInvalid, err.Error())
+		return
+	}
+	snap := h.backend.Current()
+	merged := Merge(snap.Resources(), req.Set, req.Delete)
+	diffs := Compare(snap.Resources(), merged)
+	if req.DryRun {
+		if _, err := resource.NewSnapshot(snap.Revision, merged); err != nil {
+			refuse(w, http.StatusBadRequest, api.CodeInvalid, err.Error())
+			return
+		}
+		writeJSON(w, http.StatusOK, ApplyResponse{Revision: snap.Revision, Differences: diffs})
+		return
+	}
+	revision, err := h.backend.Apply(r.Context(), req)
+	if err != nil {
+		h.applyFailure(w, err)
+		return
+	}
+	h.logger.InfoContext(r.Context(), "configuration accepted", "revision", revision, "author", req.Author, "changes", len(diffs))
+	writeJSON(w, http.StatusOK, ApplyResponse{Revision: revision, Differences: diffs})
+}
+
+func (h *Handler) applyFailure(w http.ResponseWriter, err error) {
+	var conflict *ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		writeJSON(w, http.StatusConflict, Conflict{Message: conflict.Error(), Revision: conflict.Revision, Differences: conflict.Differences})
+	case errors.Is(err, resource.ErrInvalid):
+		refuse(w, http.StatusBadRequest, api.CodeInvalid, err.Error())
+	case errors.Is(err, ErrUnavailable):
+		refuse(w, http.StatusServiceUnavailable, api.CodeUnavailable, err.Error())
+	default:
+		api.WriteError(w, &api.Error{Status: http.StatusInternalServerError, Code: api.CodeFailed, Message: err.Error(), Outcome: api.OutcomeUnknown})
+	}
+}
+
+// watch sends a ListResponse as one line of JSON for each revision in force.
+func (h *Handler) watch(w http.ResponseWriter, r *http.Request) {
+	rc := http.NewResponseController(w)
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	enc := json.NewEncoder(w)
+	for {
+		snap := h.backend.Current()
+		if err := enc.Encode(selectResources(snap, r)); err != nil {
+			return
+		}
+		if err := rc.Flush(); err != nil {
+			return
+		}
+		select {
+		case <-h.backend.Changed(snap.Revision):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (h *Handler) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, h.backend.Status())
+}
+
+func (h *Handler) history(w http.ResponseWriter, r *http.Request) {
+	list, err := h.backend.History(r.Context())
+	if err != nil {
+		refuse(w, http.StatusServiceUnavailable, api.CodeUnavailable, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (h *Handler) bill(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	from, err := parseTime(q.Get("from"), time.Now().UTC().AddDate(0, 0, -1))
+	if err == nil {
+		var to time.Time
+		if to, err = parseTime(q.Get("to"), time.Now().UTC().Add(time.Minute)); err == nil {
+			h.sendBill(w, r, from, to)
+			return
+		}
+	}
+	refuse(w, http.StatusBadRequest, api.CodeInvalid, err.Error())
+}
+
+func (h *Handler) sendBill(w http.ResponseWriter, r *http.Request, from, to time.Time) {
+	var by []string
+	if text := r.URL.Query().Get("by"); text != "" {
+		by = strings.Split(text, ",")
+	}
+	bill, err := h.backend.Bill(r.Context(), from, to, by)
+	switch {
+	case errors.Is(err, resource.ErrInvalid):
+		refuse(w, http.StatusBadRequest, api.CodeInvalid, err.Error())
+	case err != nil:
+		refuse(w, http.StatusServiceUnavailable, api.CodeUnavailable, err.Error())
+	default:
+		writeJSON(w, http.StatusOK, bill)
+	}
+}
+
+func parseTime(text string, fallback time.Time) (time.Time, error) {
+	if text == "" {
+		return fallback, nil
+	}
+	t, err := time.Parse(time.RFC3339, text)
+	return t, errors.Wrap(err, "admin: time")
+}
+
+func (h *Handler) explain(w http.ResponseWriter, r *http.Request) {
+	e, ok := h.backend.Explain(r.Context(), r.PathValue("id"))
+	if !ok {
+		refuse(w, http.StatusNotFound, "unknown_request", "no host remembers this request")
+		return
+	}
+	writeJSON(w, http.StatusOK, e)
+}
--- /dev/null
+++ b/ctl/ctl.go
@@ -0,0 +1,230 @@
+// Package ctl is the operators' command line.
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/corianderlever/corianderlever/admin"
+	"github.com/corianderlever/corianderlever/resource"
+)
+
+// ErrUsage reports wrong arguments.
+var ErrUsage = errors.New("usage error")
+
+// envPrefix precedes the environment variables that set flags.
+const envPrefix = "LEVERCTL"
+
+// callTimeout bounds one call to a host, other than a watch.
+const callTimeout = 30 * time.Second
+
+// command holds what all commands share.
+type command struct {
+	addr   string
+	key    string
+	author string
+	out    io.Writer
+}
+
+// Run runs the command line and returns its error.
+func Run(ctx context.Context, args []string, out io.Writer) error {
+	return New(out).ParseAndRun(ctx, args)
+}
+
+// New returns the root command, which writes to out.
+func New(out io.Writer) *ffcli.Command {
+	c := &command{out: out}
+	fs := flag.NewFlagSet("leverctl", flag.ContinueOnError)
+	fs.StringVar(&c.addr, "addr", "http://127.0.0.1:8080", "URL of an entry host")
+	fs.StringVar(&c.key, "key", "", "operator's bearer key")
+	fs.StringVar(&c.author, "author", os.Getenv("USER"), "name recorded with changes")
+	return &ffcli.Command{
+		Name: "leverctl", ShortUsage: "leverctl [flags] <command> [arguments]", FlagSet: fs,
+		ShortHelp:   "Declares resources and follows them.",
+		Options:     []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+		Subcommands: c.commands(),
+	}
+}
+
+func (c *command) commands() []*ffcli.Command {
+	return []*ffcli.Command{
+		c.simple("get", "get KIND NAME", "Shows one resource as YAML.", 2, c.get),
+		c.simple("list", "list [KIND]", "Lists resources.", -1, c.list),
+		c.applyCommand("apply", "Applies resources from a YAML file, all or nothing.", false),
+		c.applyCommand("diff", "Shows what apply would change.", true),
+		c.simple("delete", "delete KIND NAME", "Deletes a resource.", 2, c.delete),
+		c.simple("watch", "watch [KIND [NAME]]", "Follows changes until interrupted.", -1, c.watch),
+		c.simple("status", "status", "Shows which hosts have which revision in force.", 0, c.status),
+		c.simple("history", "history", "Lists accepted changes.", 0, c.history),
+		c.simple("rollout", "rollout (halt|resume|back) NAME", "Steers a roll-out.", 2, c.rollout),
+		c.simple("withdraw", "withdraw VERSION", "Withdraws a version: it receives no new work.", 1, c.withdraw),
+		c.billCommand(),
+		c.simple("explain", "explain REQUEST_ID", "Shows what was decided about a request and why.", 1, c.explain),
+	}
+}
+
+// simple returns a command that takes n arguments, or any number if n is negative.
+func (c *command) simple(name, usage, help string, n int, run func(context.Context, *admin.Client, []string) error) *ffcli.Command {
+	return &ffcli.Command{
+		Name: name, ShortUsage: "leverctl " + usage, ShortHelp: help,
+		Exec: func(ctx context.Context, args []string) error {
+			if n >= 0 && len(args) != n {
+				return errors.Wrapf(ErrUsage, "leverctl %s", usage)
+			}
+			return run(ctx, c.client(), args)
+		},
+	}
+}
+
+func (c *command) client() *admin.Client { return admin.NewClient(c.addr, c.key, nil) }
+
+func (c *command) get(ctx context.Context, cl *admin.Client, args []string) error {
+	list, err := cl.List(ctx, args[0], args[1])
+	if err != nil {
+		return err
+	}
+	if len(list.Resources) == 0 {
+		return errors.Newf("%s %q not found", args[0], args[1])
+	}
+	return resource.FormatYAML(c.out, list.Resources)
+}
+
+func (c *command) list(ctx context.Context, cl *admin.Client, args []string) error {
+	kind, _ := kindAndName(args)
+	list, err := cl.List(ctx, kind, "")
+	if err != nil {
+		return err
+	}
+	return c.table(func(w io.Writer) {
+		fmt.Fprintf(w, "KIND\tNAME\tREVISION %d\n", list.Revision)
+		for _, r := range list.Resources {
+			fmt.Fprintf(w, "%s\t%s\t%s\n", r.Kind, r.Name, summary(r))
+		}
+	})
+}
+
+// summary is a short JSON form of a resource's fields.
+func summary(r resource.Resource) string {
+	const width = 100
+	data, err := json.Marshal(r.Spec)
+	if err != nil {
+		return err.Error()
+	}
+	if len(data) > width {
+		return string(data[:width]) + "..."
+	}
+	return string(data)
+}
+
+func (c *command) table(fill func(io.Writer)) error {
+	w := tabwriter.NewWriter(c.out, 0, 4, 2, ' ', 0)
+	fill(w)
+	return errors.Wrap(w.Flush(), "write table")
+}
+
+func kindAndName(args []string) (kind, name string) {
+	if len(args) > 0 {
+		kind = args[0]
+	}
+	if len(args) > 1 {
+		name = args[1]
+	}
+	return kind, name
+}
+
+func (c *command) watch(ctx context.Context, cl *admin.Client, args []string) error {
+	kind, name := kindAndName(args)
+	var last *admin.ListResponse
+	return cl.Watch(ctx, kind, name, func(list admin.ListResponse) error {
+		if last == nil {
+			fmt.Fprintf(c.out, "revision %d: %d resources\n", list.Revision, len(list.Resources))
+		} else {
+			fmt.Fprintf(c.out, "revision %d:\n", list.Revision)
+			c.printDifferences(admin.Compare(last.Resources, list.Resources))
+		}
+		last = &list
+		return nil
+	})
+}
+
+func (c *command) printDifferences(list []admin.Difference) {
+	for _, d := range list {
+		fmt.Fprintf(c.out, "%s %s %s\n", d.Action, d.Kind, d.Name)
+		if d.Action == admin.ActionChange {
+			fmt.Fprintln(c.out, indent(d.Diff))
+		}
+	}
+}
+
+func indent(text string) string {
+	return "  " + strings.ReplaceAll(strings.TrimRight(text, "\n"), "\n", "\n  ")
+}
+
+func (c *command) status(ctx context.Context, cl *admin.Client, _ []string) error {
+	st, err := cl.Status(ctx)
+	if err != nil {
+		return err
+	}
+	return c.table(func(w io.Writer) {
+		fmt.Fprintf(w, "HOST\tDOMAIN\tSTATE\tREVISION\tENTRY\t(as seen by %s, fresh=%t)\n", st.Host, st.Fresh)
+		for _, h := range st.Hosts {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", h.Host, h.FailureDomain, h.State, h.Revision, h.Entry)
+		}
+	})
+}
+
+func (c *command) history(ctx context.Context, cl *admin.Client, _ []string) error {
+	list, err := cl.History(ctx)
+	if err != nil {
+		return err
+	}
+	return c.table(func(w io.Writer) {
+		fmt.Fprintln(w, "REVISION\tTIME\tAUTHOR\tCHANGED")
+		for _, e := range list {
+			var names []string
+			for _, k := range e.Changed {
+				names = append(names, string(k.Kind)+"/"+k.Name)
+			}
+			fmt.Fprintf(w, "%d\t%s\t%s\t%s\n", e.Revision, e.Time.Format(time.RFC3339), e.Author, strings.Join(names, " "))
+		}
+	})
+}
+
+// explain asks every host of the status list, because only the host that
+// served a request remembers it.
+func (c *command) explain(ctx context.Context, cl *admin.Client, args []string) error {
+	found, err := cl.Explain(ctx, args[0])
+	if err != nil {
+		st, statusErr := cl.Status(ctx)
+		if statusErr != nil {
+			return errors.CombineErrors(err, statusErr)
+		}
+		for _, h := range st.Hosts {
+			other := admin.NewClient("http://"+h.Entry, c.key, nil)
+			if found, err = other.Explain(ctx, args[0]); err == nil {
+				break
+			}
+		}
+	}
+	if err != nil {
+		return err
+	}
+	data, err := json.MarshalIndent(found, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "format explanation")
+	}
+	_, err = fmt.Fprintln(c.out, string(data))
+	return err
+}
--- a/resource/codec.go
+++ b/resource/codec.go
@@ -21,8 +21,8 @@
 
 // Key identifies a resource within a configuration.
 type Key struct {
-	Kind Kind
-	Name string
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
 }
 
 // Key returns the identity of r.
