--- /dev/null
+++ b/certs/certs.go
@@ -0,0 +1,158 @@
+// Package certs provides TLS configurations whose certificate and authorities
+// are read again from their files when these change.
+package certs
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+)
+
+// ErrInvalid reports certificate files that cannot be used.
+var ErrInvalid = errors.New("certs: unusable file")
+
+// checkInterval is the shortest time between two looks at the files, so that
+// handshakes under load do not read the file system each time.
+const checkInterval = time.Second
+
+// Files names PEM files.
+type Files struct {
+	Cert string
+	Key  string
+	// CA holds the authorities that the other side is checked against; empty
+	// means that servers ask for no certificate and clients use the system's.
+	CA string
+}
+
+// Reloader keeps the newest usable certificate.
+type Reloader struct {
+	files  Files
+	clock  clockwork.Clock
+	logger *slog.Logger
+
+	mu      sync.Mutex
+	checked time.Time
+	stamp   [3]time.Time
+	cert    *tls.Certificate
+	pool    *x509.CertPool
+}
+
+// New reads the files.
+func New(files Files, clock clockwork.Clock, logger *slog.Logger) (*Reloader, error) {
+	r := &Reloader{files: files, clock: clock, logger: logger, checked: clock.Now()}
+	stamp, err := r.stat()
+	if err != nil {
+		return nil, err
+	}
+	if err := r.read(); err != nil {
+		return nil, err
+	}
+	r.stamp = stamp
+	return r, nil
+}
+
+func (r *Reloader) stat() ([3]time.Time, error) {
+	var out [3]time.Time
+	for i, name := range []string{r.files.Cert, r.files.Key, r.files.CA} {
+		if name == "" {
+			continue
+		}
+		info, err := os.Stat(name)
+		if err != nil {
+			return out, errors.Mark(errors.Wrap(err, "certs: stat"), ErrInvalid)
+		}
+		out[i] = info.ModTime()
+	}
+	return out, nil
+}
+
+func (r *Reloader) read() error {
+	cert, err := tls.LoadX509KeyPair(r.files.Cert, r.files.Key)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "certs: load key pair"), ErrInvalid)
+	}
+	var pool *x509.CertPool
+	if r.files.CA != "" {
+		pem, err := os.ReadFile(r.files.CA)
+		if err != nil {
+			return errors.Mark(errors.Wrap(err, "certs: read authorities"), ErrInvalid)
+		}
+		pool = x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(pem) {
+			return errors.Wrapf(ErrInvalid, "no certificate in %s", r.files.CA)
+		}
+	}
+	r.cert, r.pool = &cert, pool
+	return nil
+}
+
+// current returns the newest certificate. While the files are unusable, as
+// between the writes of a certificate and its key, the old one stays.
+func (r *Reloader) current() (*tls.Certificate, *x509.CertPool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	if now.Sub(r.checked) < checkInterval {
+		return r.cert, r.pool
+	}
+	r.checked = now
+	stamp, err := r.stat()
+	if err == nil && stamp == r.stamp {
+		return r.cert, r.pool
+	}
+	if err == nil {
+		err = r.read()
+	}
+	if err != nil {
+		r.logger.Error("certificate not reloaded", "cert", r.files.Cert, "error", err)
+		return r.cert, r.pool
+	}
+	r.stamp = stamp
+	r.logger.Info("certificate reloaded", "cert", r.files.Cert)
+	return r.cert, r.pool
+}
+
+// Server returns the configuration of a server. mutual makes it demand a
+// certificate signed by the authorities.
+func (r *Reloader) Server(mutual bool) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			cert, pool := r.current()
+			c := &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{*cert}, NextProtos: []string{"h2", "http/1.1"}}
+			if mutual {
+				c.ClientAuth, c.ClientCAs = tls.RequireAndVerifyClientCert, pool
+			}
+			return c, nil
+		},
+	}
+}
+
+// Client returns the configuration of a client with the authorities as they
+// are now. The caller asks again for each connection.
+func (r *Reloader) Client() *tls.Config {
+	_, pool := r.current()
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		RootCAs:    pool,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			cert, _ := r.current()
+			return cert, nil
+		},
+	}
+}
+
+// DialTLS opens a verified connection; it fits http.Transport.DialTLSContext.
+func (r *Reloader) DialTLS(ctx context.Context, network, addr string) (net.Conn, error) {
+	dialer := tls.Dialer{Config: r.Client()}
+	conn, err := dialer.DialContext(ctx, network, addr)
+	return conn, errors.Wrap(err, "certs: dial")
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/corianderlever/corianderlever/api"
 	"github.com/corianderlever/corianderlever/engine"
@@ -66,16 +67,20 @@
 	Signer  *session.Signer
 	Clock   clockwork.Clock
 	Logger  *slog.Logger
+	// Registry receives the metrics.
+	Registry prometheus.Registerer
 }
 
 // Dispatcher serves requests. It is safe for concurrent use.
 type Dispatcher struct {
 	Options
+	traces  *traces
+	metrics *metrics
 }
 
 // New returns a dispatcher.
 func New(opts Options) *Dispatcher {
-	return &Dispatcher{Options: opts}
+	return &Dispatcher{Options: opts, traces: newTraces(opts.Clock), metrics: newMetrics(opts.Registry)}
 }
 
 func refusal(status int, code, format string, args ...any) *api.Error {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/corianderlever/corianderlever/api"
 	"github.com/corianderlever/corianderlever/client"
@@ -47,7 +48,7 @@
 		t.Fatal(err)
 	}
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
-	d := dispatch.New(dispatch.Options{Config: staticConfig{snap}, Engines: engine.NewClient(nil), Signer: signer, Clock: clock, Logger: logger})
+	d := dispatch.New(dispatch.Options{Config: staticConfig{snap}, Engines: engine.NewClient(nil), Signer: signer, Clock: clock, Logger: logger, Registry: prometheus.NewRegistry()})
 	h := entry.New(entry.Options{
 		Dispatcher: d, Config: staticConfig{snap}, Logger: logger,
 		Entries:      func() api.EntriesResponse { return api.EntriesResponse{} },
--- /dev/null
+++ b/rating/rating.go
@@ -0,0 +1,65 @@
+// Package rating is the client of the platform's service that rates answers.
+package rating
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
+)
+
+// ErrLimited reports that the service's rate limit leaves no room now.
+var ErrLimited = errors.New("rating: rate limit reached")
+
+// Client rates answers within a rate limit.
+type Client struct {
+	url     string
+	http    *http.Client
+	limiter *rate.Limiter
+}
+
+// New returns a client of the service at the URL. perSecond is the rate that
+// the service accepts from this host.
+func New(url string, perSecond float64, hc *http.Client) *Client {
+	if hc == nil {
+		hc = &http.Client{Timeout: 10 * time.Second}
+	}
+	burst := max(int(perSecond), 1)
+	return &Client{url: url, http: hc, limiter: rate.NewLimiter(rate.Limit(perSecond), burst)}
+}
+
+type request struct {
+	RequestID string `json:"request_id"`
+	Answer    string `json:"answer"`
+}
+
+// Rate reports whether an answer is good enough.
+func (c *Client) Rate(ctx context.Context, requestID, answer string) (bool, error) {
+	if !c.limiter.Allow() {
+		return false, ErrLimited
+	}
+	body, err := json.Marshal(request{RequestID: requestID, Answer: answer})
+	if err != nil {
+		return false, errors.Wrap(err, "rating: encode request")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url+"/v1/rate", bytes.NewReader(body))
+	if err != nil {
+		return false, errors.Wrap(err, "rating: build request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return false, errors.Wrap(err, "rating: send request")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return false, errors.Newf("rating: status %d", resp.StatusCode)
+	}
+	var out struct {
+		Passed bool `json:"passed"`
+	}
+	return out.Passed, errors.Wrap(json.NewDecoder(resp.Body).Decode(&out), "rating: decode reply")
+}
