Let the stand-in engine report sent tokens and queue progress to probes

Cause: silence can only be told from slowness when a probe knows what was sent. Change: attempt status with progress (queue turns included) and sent tokens; a silenced connection keeps producing, as an engine does whose tokens get lost on the way. Conclusion: the silence watch can be tested on the live path.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -85,8 +85,11 @@
 // AttemptStatus answers a probe about a running attempt.
 type AttemptStatus struct {
 	Running bool `json:"running"`
-	// Progress is the number of tokens produced so far.
-	Progress int `json:"progress"`
+	// Progress counts the work done for the attempt, turns in the engine's
+	// queue included. It moves as long as the attempt is not stuck.
+	Progress uint64 `json:"progress"`
+	// Sent is the number of tokens written to the connection so far.
+	Sent uint64 `json:"sent"`
 }
 
 // OrderKind names an order to an engine.
--- a/engine/fakeengine/fakeengine.go
+++ b/engine/fakeengine/fakeengine.go
@@ -61,6 +61,14 @@
 	Body      string
 }
 
+// attemptState is what a probe can ask about an attempt. Until it runs, the
+// steps of the whole engine count as its progress.
+type attemptState struct {
+	running bool
+	base    uint64
+	sent    uint64
+}
+
 // Endpoint is a running stand-in.
 type Endpoint struct {
 	opts  Options
@@ -71,7 +79,8 @@
 	server   *http.Server
 	addr     string
 	runs     []Run
-	progress map[string]int
+	attempts map[string]*attemptState
+	steps    uint64
 	waiting  int
 	versions []string
 	role     string
@@ -90,7 +99,7 @@
 	e := &Endpoint{
 		opts:     opts,
 		slots:    make(chan struct{}, opts.Capacity),
-		progress: make(map[string]int),
+		attempts: make(map[string]*attemptState),
 		versions: slices.Clone(opts.Versions),
 		quality:  make(map[string]float64),
 		silent:   make(chan struct{}),
@@ -207,8 +216,11 @@
 	_ = json.NewEncoder(w).Encode(v) // the caller sees a broken reply
 }
 
-// enter waits for a free slot.
-func (e *Endpoint) enter(ctx context.Context) bool {
+// enter registers the attempt and waits for a free slot.
+func (e *Endpoint) enter(ctx context.Context, attempt string) bool {
+	e.mu.Lock()
+	e.attempts[attempt] = &attemptState{}
+	e.mu.Unlock()
 	e.count(1)
 	defer e.count(-1)
 	select {
@@ -234,13 +246,13 @@
 		refuse(w, http.StatusNotFound, "version not loaded")
 		return
 	}
-	if !e.enter(r.Context()) {
+	defer e.end(req.Attempt)
+	if !e.enter(r.Context(), req.Attempt) {
 		return
 	}
 	defer func() { <-e.slots }()
 	prompt := promptOf(req.Messages)
 	silent := e.begin(Run{Attempt: req.Attempt, Version: req.Version, Body: prompt})
-	defer e.end(req.Attempt)
 	if strings.Contains(prompt, CrashMarker) {
 		e.crash()
 		return
@@ -256,12 +268,17 @@
 	for i := req.ResumeFrom; i <= len(words); i++ {
 		select {
 		case <-time.After(e.opts.TokenDelay):
-		case <-silent:
-			<-r.Context().Done()
-			return
 		case <-r.Context().Done():
 			return
 		}
+		if isClosed(silent) {
+			// The engine goes on and believes that its tokens arrive.
+			e.advance(req.Attempt)
+			if i == len(words) {
+				<-r.Context().Done()
+			}
+			continue
+		}
 		ev := engine.Event{Attempt: req.Attempt, Index: i}
 		if i < len(words) {
 			ev.Token = words[i]
@@ -282,6 +299,15 @@
 	}
 }
 
+func isClosed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
+
 func promptOf(messages []api.Message) string {
 	var b strings.Builder
 	for _, m := range messages {
@@ -335,20 +361,25 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.runs = append(e.runs, run)
-	e.progress[run.Attempt] = 0
+	if st := e.attempts[run.Attempt]; st != nil {
+		st.running, st.base = true, e.steps
+	}
 	return e.silent
 }
 
 func (e *Endpoint) advance(attempt string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.progress[attempt]++
+	e.steps++
+	if st := e.attempts[attempt]; st != nil {
+		st.sent++
+	}
 }
 
 func (e *Endpoint) end(attempt string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	delete(e.progress, attempt)
+	delete(e.attempts, attempt)
 }
 
 // crash breaks all connections, as an engine process that dies does, and
@@ -373,14 +404,14 @@
 	if !readJSON(w, r, &body) {
 		return
 	}
-	if !e.enter(r.Context()) {
+	attempt := r.Header.Get(engine.HeaderAttemptID)
+	defer e.end(attempt)
+	if !e.enter(r.Context(), attempt) {
 		return
 	}
 	defer func() { <-e.slots }()
-	attempt := r.Header.Get(engine.HeaderAttemptID)
 	key := r.Header.Get(api.HeaderIdempotencyKey)
 	silent := e.begin(Run{Attempt: attempt, Service: service, Operation: operation, Key: key, Body: fmt.Sprint(body)})
-	defer e.end(attempt)
 	select {
 	case <-time.After(e.opts.CallDelay):
 	case <-silent:
@@ -402,8 +433,16 @@
 func (e *Endpoint) attempt(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	progress, ok := e.progress[r.PathValue("id")]
-	writeJSON(w, engine.AttemptStatus{Running: ok, Progress: progress})
+	st, ok := e.attempts[r.PathValue("id")]
+	if !ok {
+		writeJSON(w, engine.AttemptStatus{})
+		return
+	}
+	progress := e.steps
+	if st.running {
+		progress = st.base + st.sent
+	}
+	writeJSON(w, engine.AttemptStatus{Running: true, Progress: progress, Sent: st.sent})
 }
 
 func (e *Endpoint) cacheEvents(w http.ResponseWriter, r *http.Request) {
