--- /dev/null
+++ b/limiter/example_test.go
@@ -0,0 +1,29 @@
+package limiter_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/corianderlever/corianderlever/limiter"
+)
+
+func ExampleCrashGuard() {
+	clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+	guard := limiter.NewCrashGuard(clock)
+	const bad = limiter.Hash(7)
+
+	guard.Crashed("engine-1", []limiter.Hash{bad, 8})
+	fmt.Println(guard.Admit(bad).Admission == limiter.AdmitWait)
+	clock.Advance(limiter.CrashSpread)
+	fmt.Println(guard.Admit(bad).Admission == limiter.AdmitProbation)
+	guard.Crashed("engine-2", []limiter.Hash{bad})
+	fmt.Println(guard.Admit(bad).Admission == limiter.AdmitRefuse)
+	fmt.Println(guard.Admit(8).Admission == limiter.AdmitFree)
+	// Output:
+	// true
+	// true
+	// true
+	// true
+}
--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,236 @@
+package limiter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"github.com/corianderlever/corianderlever/limiter"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// Guards against more than 1.1 attempts per request in any minute that ends at
+// a retry, whatever the traffic and with every attempt failing.
+func TestRetryBudgetHoldsOverAnyMinute(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClockAt(epoch)
+		budget := limiter.NewRetryBudget(clock)
+		var requests, retries []time.Time
+		within := func(times []time.Time) int {
+			n := 0
+			for _, at := range times {
+				if clock.Now().Sub(at) < time.Minute {
+					n++
+				}
+			}
+			return n
+		}
+		steps := rapid.IntRange(1, 60).Draw(t, "steps")
+		for range steps {
+			clock.Advance(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "ms")) * time.Millisecond)
+			for range rapid.IntRange(0, 60).Draw(t, "requests") {
+				budget.Request()
+				requests = append(requests, clock.Now())
+			}
+			for range 20 {
+				if !budget.TryRetry() {
+					break
+				}
+				retries = append(retries, clock.Now())
+				if 10*within(retries) > within(requests) {
+					t.Fatalf("%d retries for %d requests", within(retries), within(requests))
+				}
+			}
+		}
+	})
+}
+
+// Guards against a budget that is stricter than stated and never retries.
+func TestRetryBudgetAllowsItsShare(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(epoch)
+	budget := limiter.NewRetryBudget(clock)
+	retries := 0
+	for range 12_000 { // two minutes of 100 requests/s
+		clock.Advance(10 * time.Millisecond)
+		budget.Request()
+		if budget.TryRetry() {
+			retries++
+		}
+	}
+	if retries < 1190 || retries > 1200 {
+		t.Fatalf("%d retries for 12000 requests, want almost 1200", retries)
+	}
+}
+
+// Guards against ejecting more than the capped share, and against an ejected
+// endpoint that never returns or returns at full weight at once.
+func TestEjectorCapAndSlowReturn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClockAt(epoch)
+		ejector := limiter.NewEjector(clock)
+		n := rapid.IntRange(1, 12).Draw(t, "endpoints")
+		ids := make([]string, n)
+		for i := range ids {
+			ids[i] = string(rune('a' + i))
+		}
+		ejector.SetEndpoints(ids)
+		limit := n * 34 / 100
+		if n >= 2 {
+			limit = max(1, limit)
+		}
+		for range rapid.IntRange(1, 300).Draw(t, "reports") {
+			id := rapid.SampledFrom(ids).Draw(t, "endpoint")
+			before := ejector.Weight(id)
+			outcome := rapid.SampledFrom([]limiter.Outcome{limiter.OutcomeError, limiter.OutcomeError, limiter.OutcomeOK}).Draw(t, "outcome")
+			ejector.Report(id, outcome)
+			if got := ejector.Ejected(); got > limit {
+				t.Fatalf("%d of %d ejected, cap %d", got, n, limit)
+			}
+			if before > 0 && !ejector.Allowed(id) {
+				if outcome != limiter.OutcomeError {
+					t.Fatalf("ejected by a success")
+				}
+			}
+			step := rapid.SampledFrom([]time.Duration{0, 10 * time.Millisecond, time.Second, 6 * time.Second}).Draw(t, "step")
+			clock.Advance(step)
+			if before == 0 && ejector.Allowed(id) && ejector.Weight(id) > 0.5 {
+				t.Fatalf("weight %v right after the ejection", ejector.Weight(id))
+			}
+		}
+		clock.Advance(2 * time.Minute)
+		for _, id := range ids {
+			if ejector.Weight(id) != 1 {
+				t.Fatalf("%s does not return", id)
+			}
+		}
+	})
+}
+
+// Guards against an endpoint that fails constantly and is never ejected.
+func TestEjectorEjects(t *testing.T) {
+	ejector := limiter.NewEjector(clockwork.NewFakeClockAt(epoch))
+	ejector.SetEndpoints([]string{"a", "b", "c"})
+	for range 5 {
+		ejector.Report("a", limiter.OutcomeError)
+	}
+	if ejector.Allowed("a") || !ejector.Allowed("b") {
+		t.Fatal("want a ejected and b allowed")
+	}
+}
+
+// Guards against a limit that is exceeded, that ignores a rise in latency or
+// errors, or that stays low after the cause is gone.
+func TestConcurrencyFollowsLatencyAndErrors(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(epoch)
+	c := limiter.NewConcurrency(clock, limiter.ConcurrencyConfig{Initial: 20, Min: 2, Max: 40})
+	run := func(rounds int, latency time.Duration, outcome limiter.Outcome) int {
+		for range rounds {
+			taken := 0
+			for c.TryAcquire() {
+				taken++
+			}
+			if taken != c.Limit() || c.InFlight() != taken {
+				t.Fatalf("took %d places of %d", taken, c.Limit())
+			}
+			clock.Advance(250 * time.Millisecond)
+			for range taken {
+				c.Release(latency, outcome)
+			}
+		}
+		return c.Limit()
+	}
+	normal := run(100, 100*time.Millisecond, limiter.OutcomeOK)
+	slow := run(40, time.Second, limiter.OutcomeOK)
+	if normal != 40 || slow > normal/2 {
+		t.Fatalf("limit %d at normal and %d at 10 times the latency", normal, slow)
+	}
+	again := run(100, 100*time.Millisecond, limiter.OutcomeOK)
+	failing := run(30, 0, limiter.OutcomeError)
+	if again != 40 || failing != 2 {
+		t.Fatalf("limit %d after recovery and %d under errors", again, failing)
+	}
+	if got := run(1000, 3*time.Second, limiter.OutcomeOK); got > 20 {
+		t.Fatalf("limit %d under a standing queue: the base latency followed it", got)
+	}
+}
+
+// Guards against silent connections found later than 5 s after the last byte,
+// and against cutting an answer that is only slow, for any arrival of bytes.
+func TestSilenceWatch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := epoch
+		w := limiter.NewSilenceWatch(now)
+		silentFrom := epoch.Add(time.Duration(rapid.IntRange(0, 30_000).Draw(t, "silent")) * time.Millisecond)
+		gap := time.Duration(rapid.IntRange(50, 20_000).Draw(t, "gap")) * time.Millisecond
+		kind := rapid.SampledFrom([]string{"gone", "stuck", "unsent", "unreachable"}).Draw(t, "kind")
+		lost := rapid.IntRange(0, 2).Draw(t, "lost") // one probe of a round may be lost
+		var sent, progress uint64
+		lastByte, probes := now, 0
+		for {
+			now = now.Add(10 * time.Millisecond)
+			silent := now.After(silentFrom)
+			if !silent || kind == "unsent" {
+				progress++
+			}
+			if now.Sub(lastByte) >= gap {
+				lastByte = now
+				sent++
+				if !silent {
+					w.Received(now, 1)
+				}
+			}
+			action := w.Poll(now)
+			if action == limiter.SilenceProbe {
+				probes++
+				reachable := !(silent && kind == "unreachable") && probes%3 != lost
+				answer := limiter.ProbeAnswer{Running: !(silent && kind == "gone"), Progress: progress, Sent: sent}
+				if reachable {
+					action = w.Answered(now, answer)
+				}
+			}
+			if action == limiter.SilenceGiveUp {
+				if !silent {
+					t.Fatalf("a slow answer was cut after %v", now.Sub(epoch))
+				}
+				return
+			}
+			bound := 5 * time.Second
+			if kind == "unsent" {
+				bound += gap // the fault shows only when the next token is sent
+			}
+			if now.Sub(silentFrom) > bound {
+				t.Fatalf("%s not detected %v after the fault", kind, now.Sub(silentFrom))
+			}
+		}
+	})
+}
+
+func BenchmarkRetryBudget(b *testing.B) {
+	budget := limiter.NewRetryBudget(clockwork.NewRealClock())
+	b.ReportAllocs()
+	for b.Loop() {
+		budget.Request()
+		budget.TryRetry()
+	}
+}
+
+func BenchmarkConcurrency(b *testing.B) {
+	c := limiter.NewConcurrency(clockwork.NewRealClock(), limiter.ConcurrencyConfig{Initial: 8, Max: 64})
+	b.ReportAllocs()
+	for b.Loop() {
+		c.TryAcquire()
+		c.Release(time.Millisecond, limiter.OutcomeOK)
+	}
+}
+
+func BenchmarkCrashGuardAdmit(b *testing.B) {
+	guard := limiter.NewCrashGuard(clockwork.NewRealClock())
+	guard.Crashed("a", []limiter.Hash{1, 2, 3})
+	b.ReportAllocs()
+	for b.Loop() {
+		guard.Admit(4)
+	}
+}
