--- a/admission/core.go
+++ b/admission/core.go
@@ -225,22 +225,32 @@
 	f.charge(w.request.Cost)
 }
 
-// pickRank returns the most urgent rank below its floor with waiting work,
-// else the most urgent rank with waiting work.
+// pickRank returns the rank furthest below its floor, relative to the floor,
+// else the most urgent rank with waiting work. Taking the most urgent of the
+// ranks below their floors would starve a small floor where the floors fill the
+// host, because slots are whole and the larger floors round up.
 func (c *Core) pickRank(now time.Time) *rankState {
 	c.refreshPeers(now)
 	scale := c.floorScale()
-	var first *rankState
+	var best, first *rankState
+	lowest := 1.0
 	for _, r := range c.ranks {
 		if r.waiting == 0 {
 			continue
 		}
-		if float64(r.inFlight) < c.floor(r)*scale {
-			return r
-		}
 		if first == nil {
 			first = r
 		}
+		floor := c.floor(r) * scale
+		if floor <= 0 {
+			continue
+		}
+		if kept := float64(r.inFlight) / floor; kept < lowest {
+			best, lowest = r, kept
+		}
+	}
+	if best != nil {
+		return best
 	}
 	return first
 }
