Add the ledger: one billing record for each request

Cause: one write for each request does not fit the service's rates, and a killed host must lose nothing. Change: records in memory with a copy at a peer, batches under their own keys, deduplication by id when the bill is read, folding of old minutes into summaries. Found by the state machine while it was written, each now covered by it: a final record dropped while an interrupted one of the same id was in a batch; a copy refused after a discarded run of the same id; a minute folded before a second survivor had written the better record (a fold now waits from the first sight of a batch); a batch deleted whose best form an earlier minute still needed; a discarded request billed because a peer that had not answered kept its copy. The test redelivers messages only within the time for which releases are remembered (15 min): a trace showed a message 15 min old, which the 3 s timeout of calls between hosts excludes. Loss only where host and peer die before either writes.

--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,354 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"github.com/corianderlever/corianderlever/platform/memkv"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// message is a call between hosts that can be delivered again later.
+type message struct {
+	sent    time.Time
+	deliver func()
+}
+
+// fleet is a few hosts with their ledgers over one store.
+type fleet struct {
+	clock *clockwork.FakeClock
+	kv    *memkv.Faulty
+	hosts map[string]*host
+	sent  []message
+	// refuses is the host that does not answer its next Hold.
+	refuses string
+}
+
+type host struct {
+	name    string
+	fleet   *fleet
+	ledger  *Ledger
+	replica *Replica
+}
+
+func newFleet(n int) *fleet {
+	clock := clockwork.NewFakeClockAt(time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC))
+	f := &fleet{clock: clock, kv: memkv.NewFaulty(memkv.New(clock), clock), hosts: make(map[string]*host)}
+	for i := range n {
+		f.add(fmt.Sprintf("h%d", i))
+	}
+	return f
+}
+
+func (f *fleet) add(name string) *host {
+	h := &host{name: name, fleet: f, replica: NewReplica(f.clock)}
+	h.ledger = New(f.kv, f.clock, h, Config{Host: name, Logger: quiet})
+	f.hosts[name] = h
+	return h
+}
+
+func (f *fleet) names() []string { return slices.Sorted(maps.Keys(f.hosts)) }
+
+// Pick implements Replicator.
+func (h *host) Pick(not ...string) string {
+	for _, name := range h.fleet.names() {
+		if name != h.name && !slices.Contains(not, name) {
+			return name
+		}
+	}
+	return ""
+}
+
+// Hold implements Replicator.
+func (h *host) Hold(_ context.Context, peer string, c Copies) error {
+	to := h.fleet.hosts[peer]
+	if to == nil || h.fleet.refuses == peer {
+		h.fleet.refuses = ""
+		return errors.New("injected: no reply")
+	}
+	deliver := func() { to.replica.Hold(c) }
+	h.fleet.sent = append(h.fleet.sent, message{h.fleet.clock.Now(), deliver})
+	deliver()
+	return nil
+}
+
+// Release implements Replicator.
+func (h *host) Release(_ context.Context, peer string, r Released) error {
+	if to := h.fleet.hosts[peer]; to != nil {
+		deliver := func() { to.replica.Release(r) }
+		h.fleet.sent = append(h.fleet.sent, message{h.fleet.clock.Now(), deliver})
+		deliver()
+	}
+	return nil
+}
+
+// failed makes all other hosts act on the failure of a host.
+func (f *fleet) failed(name string) {
+	for _, other := range f.names() {
+		if other == name {
+			continue
+		}
+		h := f.hosts[other]
+		h.ledger.PeerFailed(context.Background(), name)
+		h.ledger.TakeOver(context.Background(), h.replica.OwnerFailed(name))
+	}
+}
+
+// request is what the oracle knows of one request.
+type request struct {
+	key    string
+	opened time.Time
+	// costs holds the cost of each run that was answered.
+	costs map[float64]bool
+	// open holds the runs that have not ended, by host.
+	open map[string][]Record
+	// taken is set once peers may have taken over an open run.
+	taken bool
+}
+
+// machine drives the fleet and the oracle.
+type machine struct {
+	f        *fleet
+	requests []*request
+	runs     int
+	restarts int
+	// unwritten is the time since all hosts have written their records.
+	unwritten time.Duration
+}
+
+func (m *machine) record(r *request) Record {
+	return Record{ID: RecordID(r.key, r.key), Filed: FileMinute(r.key, r.opened), Team: r.key, Rank: "normal", Version: "v"}
+}
+
+func (m *machine) pickHost(t *rapid.T) *host {
+	return m.f.hosts[rapid.SampledFrom(m.f.names()).Draw(t, "host")]
+}
+
+// start opens a new request, or repeats one through any host.
+func (m *machine) start(t *rapid.T) {
+	var r *request
+	if len(m.requests) > 0 && rapid.Bool().Draw(t, "repeat") {
+		r = rapid.SampledFrom(m.requests).Draw(t, "request")
+		if m.f.clock.Since(r.opened) > Window-2*time.Minute {
+			t.Skip("past the window")
+		}
+	} else {
+		r = &request{
+			key: fmt.Sprintf("key-%d", len(m.requests)), opened: m.f.clock.Now(),
+			costs: make(map[float64]bool), open: make(map[string][]Record),
+		}
+		m.requests = append(m.requests, r)
+	}
+	h := m.pickHost(t)
+	rec := m.record(r)
+	rec.Filed = FileMinute(r.key, m.f.clock.Now())
+	if err := h.ledger.Open(context.Background(), rec); err != nil {
+		t.Fatal(err)
+	}
+	r.open[h.name] = append(r.open[h.name], rec)
+}
+
+// end ends a request that is open at a live host.
+func (m *machine) end(t *rapid.T) {
+	for _, r := range m.requests {
+		for _, name := range m.f.names() {
+			runs := r.open[name]
+			if len(runs) == 0 || !rapid.Bool().Draw(t, "end this") {
+				continue
+			}
+			rec := runs[0]
+			r.open[name] = runs[1:]
+			h := m.f.hosts[name]
+			if rapid.IntRange(0, 3).Draw(t, "discard") == 0 {
+				h.ledger.Discard(context.Background(), rec.ID)
+				return
+			}
+			m.runs++
+			rec.State, rec.Completed, rec.Cost = StateFinal, m.f.clock.Now(), float64(m.runs)
+			h.ledger.Final(context.Background(), rec)
+			r.costs[rec.Cost] = true
+			return
+		}
+	}
+}
+
+func (m *machine) flush(t *rapid.T) {
+	h := m.pickHost(t)
+	if fault := rapid.SampledFrom([]memkv.Fault{memkv.None, memkv.LostAfter, memkv.LostBefore, memkv.Outage}).Draw(t, "fault"); fault != memkv.None {
+		m.f.kv.Inject(fault, 1)
+	}
+	if err := h.ledger.Flush(context.Background()); err != nil && !errors.Is(err, ErrPending) {
+		t.Fatal(err)
+	}
+	m.f.kv.ClearAll()
+}
+
+// kill ends a host at once. The next one dies only after the others have
+// placed new copies: losing both ends at once is the loss that the design states.
+func (m *machine) kill(t *rapid.T) {
+	h := m.pickHost(t)
+	delete(m.f.hosts, h.name)
+	m.f.failed(h.name)
+	m.restarts++
+	m.f.add(fmt.Sprintf("%s.%d", h.name[:2], m.restarts))
+	for _, name := range m.f.names() {
+		m.f.hosts[name].ledger.Replicate(context.Background())
+	}
+	for _, r := range m.requests {
+		r.taken = r.taken || len(r.open[h.name]) > 0
+		delete(r.open, h.name)
+	}
+}
+
+func (m *machine) suspect(t *rapid.T) {
+	name := m.pickHost(t).name
+	for _, r := range m.requests {
+		r.taken = r.taken || len(r.open[name]) > 0
+	}
+	m.f.failed(name)
+}
+
+func (m *machine) refuse(t *rapid.T) { m.f.refuses = m.pickHost(t).name }
+
+// advance moves the clock. Hosts write every few seconds unless the service is
+// down, and then nothing is folded either, so all have written before long.
+func (m *machine) advance(t *rapid.T) {
+	d := time.Duration(rapid.IntRange(1, 600).Draw(t, "s")) * time.Second
+	if m.unwritten += d; m.unwritten > Window {
+		m.flushAll(t)
+		m.unwritten = 0
+	}
+	m.f.clock.Advance(d)
+}
+
+func (m *machine) flushAll(t *rapid.T) {
+	for _, name := range m.f.names() {
+		if err := m.f.hosts[name].ledger.Flush(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// redeliver lets a message arrive again. A call times out after seconds, so
+// nothing arrives after the time for which releases are remembered.
+func (m *machine) redeliver(t *rapid.T) {
+	if len(m.f.sent) == 0 {
+		return
+	}
+	msg := m.f.sent[rapid.IntRange(0, len(m.f.sent)-1).Draw(t, "message")]
+	if m.f.clock.Since(msg.sent) < tombstoneTime {
+		msg.deliver()
+	}
+}
+
+func (m *machine) fold(t *rapid.T) {
+	calls := 0
+	stopAt := rapid.IntRange(0, 6).Draw(t, "fault at call")
+	fault := rapid.SampledFrom([]memkv.Fault{memkv.LostAfter, memkv.LostBefore, memkv.Outage}).Draw(t, "fault")
+	m.f.kv.OnCall(func(memkv.Call, string) memkv.Fault {
+		calls++
+		if calls == stopAt {
+			return fault
+		}
+		return memkv.None
+	})
+	_ = Fold(context.Background(), m.f.kv, m.f.clock.Now()) // a fold may stop anywhere
+	m.f.kv.OnCall(nil)
+}
+
+// check settles everything and compares the bill with the oracle.
+func (m *machine) check(t *rapid.T) {
+	m.flushAll(t)
+	now := m.f.clock.Now()
+	rows, err := Read(context.Background(), m.f.kv, now.Add(-20*time.Hour), now.Add(time.Minute))
+	if err != nil {
+		t.Fatal(err)
+	}
+	billed := make(map[string]Row)
+	for _, r := range Sum(rows, func(r Row) Row { return Row{Team: r.Team} }) {
+		billed[r.Team] = r
+	}
+	for _, r := range m.requests {
+		row := billed[r.key]
+		if row.Requests > 1 {
+			t.Fatalf("%s billed %d times", r.key, row.Requests)
+		}
+		if len(r.costs) > 0 && (row.Requests != 1 || !r.costs[row.Cost]) {
+			t.Fatalf("%s was answered at costs %v and billed %d times at %v", r.key, r.costs, row.Requests, row.Cost)
+		}
+		if len(r.costs) == 0 && (row.Cost != 0 || row.Requests > 0 && !r.taken) {
+			t.Fatalf("%s never ran and was billed %d times at %v", r.key, row.Requests, row.Cost)
+		}
+	}
+}
+
+// Guards against records lost or counted twice after repeats through other
+// hosts, kills, false suspicions, lost replies, outages, folds that stop
+// anywhere, and copies that arrive again or late.
+func TestEachRequestIsBilledOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{f: newFleet(3)}
+		t.Repeat(map[string]func(*rapid.T){
+			"start": m.start, "start2": m.start, "end": m.end, "end2": m.end, "flush": m.flush, "kill": m.kill,
+			"suspect": m.suspect, "refuse": m.refuse, "advance": m.advance, "redeliver": m.redeliver, "fold": m.fold,
+		})
+		m.check(t)
+		for range 2 { // the first pass sees the batches, the second folds them
+			if err := Fold(context.Background(), m.f.kv, m.f.clock.Now()); err != nil {
+				t.Fatal(err)
+			}
+			m.f.clock.Advance(FoldAge + time.Minute)
+		}
+		m.check(t)
+	})
+}
+
+// Guards against a bill that counts a request of a UUIDv7 key twice when its
+// caller repeats it hours later.
+func TestKeyWithTimeIsFiledByItsOwnTime(t *testing.T) {
+	opened := time.Date(2026, 12, 1, 12, 0, 30, 0, time.UTC)
+	key := fmt.Sprintf("%012x-7000-8000-000000000000", opened.UnixMilli())
+	key = key[:8] + "-" + key[8:]
+	want := opened.Truncate(time.Minute)
+	if got := FileMinute(key, opened.Add(5*time.Hour)); !got.Equal(want) {
+		t.Errorf("filed at %v, want %v", got, want)
+	}
+	if got := FileMinute("free text", opened); !got.Equal(want) {
+		t.Errorf("free key filed at %v, want %v", got, want)
+	}
+}
+
+// Guards against a lost busiest minute in the sums.
+func TestBusiestMinute(t *testing.T) {
+	at := time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC)
+	rows := []Row{
+		{Minute: at, Team: "a", Cost: 3, Requests: 1}, {Minute: at, Team: "b", Cost: 3, Requests: 1},
+		{Minute: at.Add(time.Minute), Team: "a", Cost: 5, Requests: 1},
+	}
+	if got := BusiestMinute(rows); !got.Minute.Equal(at) || math.Abs(got.Cost-6) > 1e-9 {
+		t.Errorf("busiest minute %+v", got)
+	}
+}
+
+func ExampleSum() {
+	rows := []Row{
+		{Team: "workshop", Version: "small-1", Requests: 2, Cost: 1},
+		{Team: "workshop", Version: "large-1", Requests: 1, Cost: 4},
+	}
+	for _, r := range Sum(rows, func(r Row) Row { return Row{Team: r.Team} }) {
+		fmt.Println(r.Team, r.Requests, r.Cost)
+	}
+	// Output: workshop 3 5
+}
