lease: hold a role by lease with a fencing number

Cause: allocator, placement, folding and roll-out control each need one acting host, and orders of a paused host must be recognisable as old. Change: Holder takes role/<name>, renews it four times a lease time, counts validity from before the call less a margin, recognises its own write by a random id after a lost reply, and releases only after running actions ended. Mutations caught: no margin and no check after the action (TestOneHolder), old attempt adopted (TestOldAttempt), lease counted from the reply (TestSlowReply), own write not recognised (TestRecognisesOwnWrite), released during an action (TestRun).

--- /dev/null
+++ b/lease/example_test.go
@@ -0,0 +1,30 @@
+package lease_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/corianderlever/corianderlever/lease"
+	"github.com/corianderlever/corianderlever/platform/memkv"
+)
+
+func Example() {
+	clock := clockwork.NewRealClock()
+	h := lease.New(memkv.New(clock), clock, rand.New(rand.NewPCG(1, 2)), lease.Config{Role: "placement", Host: "a"})
+	err := h.Guard(context.Background(), func(context.Context, int64) error { return nil })
+	fmt.Println(err)
+	// Output: lease: role not held
+}
+
+func BenchmarkToken(b *testing.B) {
+	clock := clockwork.NewRealClock()
+	h := lease.New(memkv.New(clock), clock, rand.New(rand.NewPCG(1, 2)), lease.Config{Role: "placement", Host: "a"})
+	b.ReportAllocs()
+	for b.Loop() {
+		h.Token()
+	}
+}
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,283 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/platform/memkv"
+)
+
+var bg = context.Background()
+
+// candidate is one host with its own clock and its own faulty path to the store.
+type candidate struct {
+	*Holder
+	clock *clockwork.FakeClock
+	kv    *memkv.Faulty
+}
+
+// fenced is a resource that refuses orders with an old fencing number.
+type fenced struct{ highest int64 }
+
+func (f *fenced) order(fencing int64) bool {
+	ok := fencing >= f.highest
+	f.highest = max(f.highest, fencing)
+	return ok
+}
+
+// slowReplies lets time pass between the effect of a lease call and its reply.
+type slowReplies struct {
+	platform.KV
+	after func()
+}
+
+func (s slowReplies) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	defer s.after()
+	return s.KV.GrantLease(ctx, ttl)
+}
+
+func (s slowReplies) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+	defer s.after()
+	return s.KV.KeepAlive(ctx, id)
+}
+
+type world struct {
+	delay      time.Duration
+	store      *clockwork.FakeClock
+	candidates []*candidate
+	resource   fenced
+	fencing    int64
+	holder     *candidate
+}
+
+func newWorld(n int) *world {
+	w := &world{store: clockwork.NewFakeClock()}
+	store := memkv.New(w.store)
+	for i := range n {
+		c := &candidate{clock: clockwork.NewFakeClock(), kv: memkv.NewFaulty(store, w.store)}
+		cfg := Config{Role: "allocator", Host: fmt.Sprint("h", i), Logger: slog.New(slog.DiscardHandler)}
+		slow := slowReplies{KV: c.kv, after: func() { w.advance(w.delay) }}
+		c.Holder = New(slow, c.clock, rand.New(rand.NewPCG(1, uint64(i))), cfg)
+		w.candidates = append(w.candidates, c)
+	}
+	return w
+}
+
+// advance moves all clocks; the clock of candidate i runs i*5% slow.
+func (w *world) advance(d time.Duration) {
+	w.store.Advance(d)
+	for i, c := range w.candidates {
+		c.clock.Advance(d - d*time.Duration(i)/20)
+	}
+}
+
+// check is the oracle: one valid holder at most, and fencing that only rises.
+func (w *world) check(rt *rapid.T) {
+	var valid *candidate
+	for _, c := range w.candidates {
+		tok, ok := c.Token()
+		if !ok {
+			continue
+		}
+		if valid != nil {
+			rt.Fatalf("two valid holders: %s and %s", valid.cfg.Host, c.cfg.Host)
+		}
+		valid = c
+		if tok.Fencing < w.fencing || tok.Fencing == w.fencing && w.holder != c {
+			rt.Fatalf("fencing %d of %s after %d", tok.Fencing, c.cfg.Host, w.fencing)
+		}
+		w.fencing, w.holder = tok.Fencing, c
+	}
+}
+
+// TestOneHolder guards against two hosts that act for one role at a time, a
+// fencing number that falls or repeats, and a late action of a paused holder
+// that the resource accepts or that Guard reports as good.
+func TestOneHolder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(3)
+		pick := rapid.SampledFrom(w.candidates)
+		seconds := rapid.IntRange(1, 12)
+		stepOthers := func(paused *candidate) {
+			for _, c := range w.candidates {
+				if c != paused {
+					c.step(bg)
+				}
+			}
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"":     w.check,
+			"step": func(rt *rapid.T) { pick.Draw(rt, "host").step(bg) },
+			"advance": func(rt *rapid.T) {
+				w.advance(time.Duration(seconds.Draw(rt, "s")) * time.Second)
+			},
+			"clock jump": func(rt *rapid.T) {
+				pick.Draw(rt, "host").clock.Advance(time.Duration(seconds.Draw(rt, "s")) * time.Second)
+			},
+			"fault": func(rt *rapid.T) {
+				fault := rapid.SampledFrom([]memkv.Fault{memkv.Outage, memkv.LostAfter, memkv.LostBefore, memkv.StaleReads}).Draw(rt, "fault")
+				pick.Draw(rt, "host").kv.Inject(fault, rapid.IntRange(1, 4).Draw(rt, "calls"))
+			},
+			"slow replies": func(rt *rapid.T) {
+				w.delay = time.Duration(rapid.IntRange(0, 9).Draw(rt, "s")) * time.Second
+			},
+			"release": func(rt *rapid.T) { pick.Draw(rt, "host").release(bg) },
+			"act, perhaps paused": func(rt *rapid.T) {
+				c, pause := pick.Draw(rt, "host"), seconds.Draw(rt, "s")
+				others := rapid.Bool().Draw(rt, "others step")
+				late := false
+				err := c.Guard(bg, func(_ context.Context, fencing int64) error {
+					for range pause {
+						w.advance(time.Second)
+						if others {
+							stepOthers(c)
+							w.check(rt)
+						}
+						late = late || w.holder != c
+						if w.holder != c {
+							w.resource.order(w.fencing)
+						}
+					}
+					if accepted := w.resource.order(fencing); accepted && late {
+						rt.Fatalf("late order of %s accepted", c.cfg.Host)
+					}
+					return nil
+				})
+				if late && !errors.Is(err, ErrLeaseLapsed) {
+					rt.Fatalf("Guard returned %v after the role moved", err)
+				}
+				if _, ok := c.Token(); !ok && err == nil {
+					rt.Fatalf("Guard returned nil without a valid lease")
+				}
+			},
+		})
+		w.delay = 0
+		for _, c := range w.candidates {
+			c.kv.ClearAll()
+		}
+		w.settle(rt)
+	})
+}
+
+// settle expects that a holder appears once the faults are over.
+func (w *world) settle(rt *rapid.T) {
+	for range 40 {
+		w.advance(time.Second)
+		for _, c := range w.candidates {
+			c.step(bg)
+		}
+		w.check(rt)
+	}
+	if _, ok := w.holder.Token(); !ok {
+		rt.Fatal("no holder after the faults ended")
+	}
+}
+
+// TestRecognisesOwnWrite guards against a holder that leaves its own role
+// unused for a lease time because the reply of its write was lost.
+func TestRecognisesOwnWrite(t *testing.T) {
+	w := newWorld(1)
+	c := w.candidates[0]
+	c.kv.OnCall(func(call memkv.Call, _ string) memkv.Fault {
+		if call == memkv.CallCompareAndSwap {
+			return memkv.LostAfter
+		}
+		return memkv.None
+	})
+	c.step(bg)
+	if tok, ok := c.Token(); !ok || tok.Fencing != 1 {
+		t.Fatalf("token %v %v", tok, ok)
+	}
+}
+
+// TestOldAttempt guards against a holder that takes its own earlier write,
+// which the store keeps under an older lease, for its present attempt.
+func TestOldAttempt(t *testing.T) {
+	w := newWorld(1)
+	c := w.candidates[0]
+	c.kv.Inject(memkv.StaleReads, memkv.Always) // reads show the role as free
+	c.kv.OnCall(func(call memkv.Call, _ string) memkv.Fault {
+		if call == memkv.CallCompareAndSwap {
+			return memkv.LostAfter
+		}
+		return memkv.None
+	})
+	c.step(bg)
+	w.advance(DefaultTTL / 2)
+	c.step(bg) // a second attempt, refused because of the first
+	c.kv.ClearAll()
+	c.step(bg)
+	if tok, ok := c.Token(); ok && tok.ValidUntil.After(c.clock.Now().Add(DefaultTTL/2)) {
+		t.Fatalf("token %v outlasts the lease of the first attempt", tok)
+	}
+}
+
+// TestSlowReply guards against a lease counted from the reply: the store
+// counts it from the call.
+func TestSlowReply(t *testing.T) {
+	w := newWorld(1)
+	c := w.candidates[0]
+	w.delay = DefaultMargin
+	for range 2 { // grant, then renewal
+		called := c.clock.Now()
+		c.step(bg)
+		if tok, _ := c.Token(); !tok.ValidUntil.Equal(called.Add(DefaultTTL - DefaultMargin)) {
+			t.Fatalf("token %v for a call at %v", tok, called)
+		}
+	}
+}
+
+// sleepClock reports each time that Run goes to sleep.
+type sleepClock struct {
+	*clockwork.FakeClock
+	asleep chan struct{}
+}
+
+func (c sleepClock) After(d time.Duration) <-chan time.Time {
+	ch := c.FakeClock.After(d)
+	c.asleep <- struct{}{}
+	return ch
+}
+
+// TestRun guards against a Run that does not renew, that keeps the role after
+// its context ended, or that gives it back while an action still runs.
+func TestRun(t *testing.T) {
+	w := newWorld(2)
+	a, b := w.candidates[0], w.candidates[1]
+	clock := sleepClock{a.clock, make(chan struct{}, 8)}
+	a.Holder = New(a.kv, clock, a.rng, a.cfg)
+	ctx, cancel := context.WithCancel(bg)
+	done := make(chan error)
+	go func() { done <- a.Run(ctx) }()
+	for range 12 { // longer than one lease
+		<-clock.asleep
+		w.advance(DefaultTTL / renewalsPerTTL)
+	}
+	<-clock.asleep
+	err := a.Guard(bg, func(ctx context.Context, _ int64) error {
+		cancel()
+		<-ctx.Done()
+		if b.step(bg); b.current() != nil {
+			t.Error("role given away while an action runs")
+		}
+		return nil
+	})
+	if !errors.Is(err, ErrLeaseLapsed) {
+		t.Errorf("Guard across the release: %v", err)
+	}
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if b.step(bg); b.current() == nil {
+		t.Fatal("role not given back")
+	}
+}
