claim: at-most-once claims agreed in batches

Cause: a booking must run at most once although hosts die, replies get lost and callers repeat through other hosts.

--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,273 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/platform/memkv"
+)
+
+// TestAtMostOnce guards against a second run of a key, whatever happens
+// between hosts that claim it together: lost replies, outage, stale reads,
+// pauses between read and write, kills, clock skew, removed pages; and against
+// claims that are never undone although nothing ran.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(3)
+		index := rapid.IntRange(0, 2)
+		rt.Repeat(map[string]func(*rapid.T){
+			"claim": func(rt *rapid.T) {
+				h, n := w.hosts[index.Draw(rt, "host")], rapid.IntRange(0, 3).Draw(rt, "key")
+				if o, err := h.begin(w.keys[n]); err == nil {
+					h.ops = append(h.ops, &tracked{o, w.keys[n], n})
+					h.keys[n] = true
+				}
+			},
+			"settle": func(rt *rapid.T) {
+				h := w.hosts[index.Draw(rt, "host")]
+				w.flush(h)
+				w.collect(rt, h, rapid.IntRange(0, 3).Draw(rt, "abandon") == 0)
+			},
+			"race": func(rt *rapid.T) {
+				h, other := w.hosts[index.Draw(rt, "host")], w.hosts[index.Draw(rt, "other")]
+				if h != other {
+					h.hook.before = func() { w.flush(other); w.collect(rt, other, false) }
+				}
+			},
+			"pause between read and write": func(rt *rapid.T) {
+				h, other := w.hosts[index.Draw(rt, "host")], w.hosts[index.Draw(rt, "other")]
+				hours := rapid.SampledFrom([]int{0, 1, 1, 25}).Draw(rt, "hours")
+				if h == other {
+					return
+				}
+				h.hook.before = func() {
+					w.flush(other)
+					w.collect(rt, other, false)
+					w.clock.Advance(time.Duration(hours) * time.Hour)
+					_ = other.Sweep(bg)
+				}
+			},
+			"leave": func(rt *rapid.T) {
+				h := w.hosts[index.Draw(rt, "host")]
+				if len(h.ops) > 0 && len(h.ops[0].done) == 0 {
+					ctx, cancel := context.WithCancel(bg)
+					cancel()
+					o := h.ops[0]
+					h.ops = h.ops[1:]
+					if _, err := h.await(ctx, o.op); err == nil {
+						rt.Fatal("a caller that left got an outcome")
+					}
+				}
+			},
+			"kill": func(rt *rapid.T) {
+				i := index.Draw(rt, "host")
+				for n := range w.hosts[i].keys {
+					w.stuck[n] = true
+				}
+				w.start(i)
+			},
+			"fault": func(rt *rapid.T) {
+				fault := rapid.SampledFrom([]memkv.Fault{memkv.Outage, memkv.LostAfter, memkv.LostBefore, memkv.StaleReads}).Draw(rt, "fault")
+				calls := rapid.SampledFrom([]int{1, 2, 3, 100}).Draw(rt, "calls")
+				w.hosts[index.Draw(rt, "host")].kv.Inject(fault, calls)
+			},
+			"tidy": func(rt *rapid.T) { w.hosts[index.Draw(rt, "host")].Tidy() },
+			"sweep": func(rt *rapid.T) {
+				w.clock.Advance(rapid.SampledFrom([]time.Duration{time.Second, time.Second, time.Minute, 12 * time.Hour}).Draw(rt, "d"))
+				_ = w.hosts[index.Draw(rt, "host")].Sweep(bg)
+			},
+		})
+		w.settleAll(rt)
+	})
+}
+
+// settleAll expects, once the faults are over, that a key that never ran and
+// that no killed host held can be claimed, and that an expired page is gone.
+func (w *world) settleAll(rt *rapid.T) {
+	for _, h := range w.hosts {
+		h.kv.ClearAll()
+		h.hook.before = nil
+	}
+	for _, h := range w.hosts {
+		w.flush(h)
+		w.collect(rt, h, false)
+		h.Tidy()
+	}
+	for n, key := range w.keys {
+		h := w.hosts[0]
+		o, err := h.begin(key)
+		if errors.Is(err, ErrTooOld) {
+			continue
+		}
+		w.flush(h)
+		if out := <-o.done; out.result.Won != (w.runs[n] == 0) && !w.stuck[n] {
+			rt.Fatalf("key %d: won %v (%v) after %d runs", n, out.result.Won, out.err, w.runs[n])
+		}
+	}
+	w.clock.Advance(Retention + removalSlack + 2*window)
+	if err := w.hosts[1].Sweep(bg); err != nil {
+		rt.Fatal(err)
+	}
+	left, _, _ := w.store.List(bg, keyPrefix)
+	if w.clock.Since(w.began) < sweepDepth && len(left) > 0 {
+		rt.Fatalf("%d expired pages left", len(left))
+	}
+}
+
+// TestUncertainClaim guards against a won claim reported as a repeat because
+// its reply was lost, against a claim that stays in the store although its
+// caller was told not_run, and against a write that arrives after the undo.
+func TestUncertainClaim(t *testing.T) {
+	w := newWorld(2)
+	a, b := w.hosts[0], w.hosts[1]
+	claim := func(h *host, n int) outcome {
+		o, err := h.begin(w.keys[n])
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.flush(h)
+		return <-o.done
+	}
+	a.kv.Inject(memkv.LostAfter, 1)
+	if out := claim(a, 0); !out.result.Won {
+		t.Fatalf("reply lost: %+v", out)
+	}
+	for n, fault := range map[int]memkv.Fault{1: memkv.LostAfter, 2: memkv.LostBefore} {
+		lost := false
+		a.kv.OnCall(func(call memkv.Call, _ string) memkv.Fault {
+			if lost {
+				return memkv.Outage
+			}
+			lost = call == memkv.CallCompareAndSwap
+			if lost {
+				return fault
+			}
+			return memkv.None
+		})
+		place, _ := a.locate(w.keys[n])
+		before, _ := w.store.Get(bg, place.page)
+		if out := claim(a, n); !errors.Is(out.err, ErrNotClaimed) {
+			t.Fatalf("%s, then outage: %+v", fault, out)
+		}
+		a.kv.ClearAll()
+		a.Tidy()
+		if _, err := w.store.CompareAndSwap(bg, place.page, before.Revision, nil, 0); !errors.Is(err, platform.ErrConflict) {
+			t.Fatalf("%s: a late write is accepted: %v", fault, err)
+		}
+		if out := claim(b, n); !out.result.Won {
+			t.Fatalf("%s: repeat after not_run: %+v", fault, out)
+		}
+	}
+}
+
+// TestPauseOverRemoval guards against a second run by a host that read an
+// absent page, stalled until the page had come and gone, and then wrote it.
+func TestPauseOverRemoval(t *testing.T) {
+	w := newWorld(2)
+	a, b := w.hosts[0], w.hosts[1]
+	o, _ := a.begin(w.keys[0])
+	a.hook.before = func() {
+		ob, _ := b.begin(w.keys[0])
+		w.flush(b)
+		if out := <-ob.done; !out.result.Won {
+			t.Errorf("first claim: %v", out)
+		}
+		w.clock.Advance(Retention + removalSlack + 2*window)
+		_ = b.Sweep(bg)
+	}
+	w.flush(a)
+	if out := <-o.done; !errors.Is(out.err, ErrTooOld) {
+		t.Fatalf("claim after the removal: %+v", out)
+	}
+}
+
+// TestKeys guards against a key whose age is unknown, a repeat past the
+// retention, and two requests taken for one.
+func TestKeys(t *testing.T) {
+	w := newWorld(1)
+	now, c := w.clock.Now(), w.hosts[0]
+	for name, k := range map[string]struct {
+		key  Key
+		want error
+	}{
+		"v4":     {Key{IdempotencyKey: uuid.NewString()}, ErrBadKey},
+		"text":   {Key{IdempotencyKey: "x"}, ErrBadKey},
+		"old":    {keyAt(now.Add(-Retention-time.Second), 1), ErrTooOld},
+		"future": {keyAt(now.Add(time.Hour), 1), ErrBadKey},
+		"good":   {keyAt(now.Add(-Retention+time.Second), 1), nil},
+	} {
+		if _, err := c.begin(k.key); !errors.Is(err, k.want) {
+			t.Errorf("%s: %v, want %v", name, err, k.want)
+		}
+	}
+	a, _ := Key{Team: "ab", Service: "c", IdempotencyKey: w.keys[0].IdempotencyKey}.ID()
+	b, _ := Key{Team: "a", Service: "bc", IdempotencyKey: w.keys[0].IdempotencyKey}.ID()
+	if a == b {
+		t.Error("different requests share an id")
+	}
+}
+
+// TestBatch guards against a compare-and-swap for each claim instead of one
+// for each page of a batch.
+func TestBatch(t *testing.T) {
+	w := newWorld(1)
+	var ops []*op
+	for n := range 200 {
+		o, _ := w.hosts[0].begin(keyAt(w.clock.Now(), byte(n)))
+		ops = append(ops, o)
+	}
+	w.flush(w.hosts[0])
+	for _, o := range ops {
+		if out := <-o.done; !out.result.Won {
+			t.Fatalf("%+v", out)
+		}
+	}
+	if n := w.hosts[0].kv.Counts()[memkv.CallCompareAndSwap]; n > shards {
+		t.Fatalf("%d writes for one window", n)
+	}
+}
+
+// TestConcurrentClaims guards against data races between callers and against
+// two winners among hosts that claim at the same moment.
+func TestConcurrentClaims(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	kv := memkv.NewFaulty(memkv.New(clock), clock)
+	var hosts []*Claimer
+	for i := range 3 {
+		hosts = append(hosts, New(kv, clock, rand.New(rand.NewPCG(1, uint64(i))), fmt.Sprint(i), quiet))
+	}
+	const keys = 40
+	var won [keys]atomic.Int64
+	var wg sync.WaitGroup
+	for n := range keys {
+		key := keyAt(clock.Now(), byte(n))
+		for _, h := range hosts {
+			wg.Go(func() {
+				r, err := h.Claim(bg, key)
+				if err != nil {
+					t.Error(err)
+				}
+				if r.Won {
+					won[n].Add(1)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	for n := range won {
+		if won[n].Load() != 1 {
+			t.Errorf("key %d won %d times", n, won[n].Load())
+		}
+	}
+}
