membership: add heartbeats, suspicion, incarnations and the entry list

Cause: hosts are replaced at any time and callers, configuration and roles need a list of the living ones without a consensus group of our own.

Change: Table holds the merge rules and no I/O; Membership pings three hosts of a shuffled pass every 500 ms, probes again directly and through two others before suspicion, and removes after a further 1.5 s. A suspected host refutes by raising its incarnation. Hearsay against a host that answered within the last second goes to that host instead of being spread, so that a host that returns from a cut does not remove the others. Signals of other parts travel with the heartbeats.

Changes are queued under the table's lock since they could reach subscribers out of order.

--- /dev/null
+++ b/membership/membership.go
@@ -0,0 +1,291 @@
+package membership
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/corianderlever/corianderlever/peer"
+)
+
+// Registrar takes the handlers of this host; *peer.Server is one.
+type Registrar interface {
+	Handle(method string, h peer.Handler)
+}
+
+// Options configure a Membership.
+type Options struct {
+	// Self gives Host, PeerAddress, EntryAddress, FailureDomain and Region;
+	// the other fields are set by New.
+	Self Member
+	// Seeds are peer addresses (IP:port) from the settings. The host's own
+	// address may be among them.
+	Seeds []string
+	// Lister, if set, gives further addresses to ping.
+	Lister HostLister
+	// Caller makes the calls.
+	Caller peer.Caller
+	// Registrar takes the handlers of this package.
+	Registrar Registrar
+	// Clock defaults to the real clock.
+	Clock clockwork.Clock
+	// Rand draws the order of the pings. It is used under a lock.
+	Rand *rand.Rand
+	// Logger defaults to slog.Default.
+	Logger *slog.Logger
+	// EntryTTL is the time for which callers may keep the entry list.
+	EntryTTL time.Duration
+}
+
+// Membership keeps the list of entry hosts. It is safe for concurrent use.
+type Membership struct {
+	opts Options
+	log  *slog.Logger
+	kick chan struct{}
+
+	mu        sync.Mutex
+	table     *Table
+	ring      []string            // hosts still to be pinged in this pass
+	probing   map[string]struct{} // hosts with a probe under way
+	hints     map[string]struct{} // further addresses to ping
+	lastSync  time.Time
+	lastRetry time.Time
+
+	signals signals
+	events  events
+}
+
+// New checks the options, registers the handlers and returns a membership
+// that knows only its own host until Run.
+func New(opts Options) (*Membership, error) {
+	if opts.Caller == nil || opts.Registrar == nil || opts.Rand == nil {
+		return nil, errors.Wrap(ErrOptions, "Caller, Registrar and Rand are required")
+	}
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
+	if opts.Logger == nil {
+		opts.Logger = slog.Default()
+	}
+	if opts.EntryTTL == 0 {
+		opts.EntryTTL = DefaultEntryTTL
+	}
+	now := opts.Clock.Now()
+	self := opts.Self
+	self.Started, self.Incarnation = now.UnixNano(), now.UnixNano()
+	self.State, self.ConfigRevision, self.AgeMS = Alive, 0, 0
+	if err := self.validate(); err != nil {
+		return nil, errors.Mark(err, ErrOptions)
+	}
+	m := &Membership{
+		opts:    opts,
+		log:     opts.Logger.With("component", "membership"),
+		kick:    make(chan struct{}, 1),
+		table:   NewTable(now, self),
+		probing: make(map[string]struct{}),
+		hints:   make(map[string]struct{}),
+	}
+	for _, addr := range opts.Seeds {
+		if _, err := netip.ParseAddrPort(addr); err != nil {
+			return nil, errors.Wrapf(ErrOptions, "seed %q is not IP:port", addr)
+		}
+		if addr != self.PeerAddress {
+			m.hints[addr] = struct{}{}
+		}
+	}
+	m.signals.log = m.log
+	opts.Registrar.Handle(MethodPing, m.handlePing)
+	opts.Registrar.Handle(MethodProbe, m.handleProbe)
+	return m, nil
+}
+
+// Run sends heartbeats until ctx ends. After Leave it then tells a few peers
+// that the host is gone.
+func (m *Membership) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if m.opts.Lister != nil {
+		wg.Go(func() { m.listHosts(ctx) })
+	}
+	ticker := m.opts.Clock.NewTicker(DefaultInterval)
+	defer ticker.Stop()
+	for {
+		m.round(ctx, &wg)
+		select {
+		case <-ctx.Done():
+			m.farewell(ctx, &wg)
+			return nil
+		case <-ticker.Chan():
+		case <-m.kick:
+		}
+	}
+}
+
+// Members returns all known members and the host itself, ordered by host.
+func (m *Membership) Members() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Members(m.opts.Clock.Now())
+}
+
+// Self returns the host's own record.
+func (m *Membership) Self() Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Self()
+}
+
+// SetConfigRevision sets the revision that heartbeats carry.
+func (m *Membership) SetConfigRevision(revision int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.SetConfigRevision(revision)
+}
+
+// Leave marks the host as leaving and tells peers at once. Run goes on
+// answering until its context ends.
+func (m *Membership) Leave() {
+	m.change(func(now time.Time) []Member {
+		m.table.Leave(now)
+		return []Member{m.table.Self()}
+	})
+	select {
+	case m.kick <- struct{}{}:
+	default:
+	}
+}
+
+// HasMajority reports whether this host reaches more than half of the members
+// it knows; see Table.HasMajority.
+func (m *Membership) HasMajority() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	strangers := 0
+	for _, addr := range m.opts.Seeds {
+		if !m.table.knowsAddress(addr) {
+			strangers++
+		}
+	}
+	return m.table.HasMajority(m.opts.Clock.Now(), strangers)
+}
+
+// Entries returns the list for GET /v1/entries.
+func (m *Membership) Entries(now time.Time) EntryList {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Entries(now, m.opts.EntryTTL)
+}
+
+// OnChange registers f, which is called in order for each change of state,
+// incarnation or address of a member. It must not block.
+func (m *Membership) OnChange(f func(Member)) { m.events.register(f) }
+
+// change runs f on the table and reports the changes that f returns. They are
+// queued under the table's lock, so that subscribers see them in order.
+func (m *Membership) change(f func(now time.Time) []Member) {
+	m.mu.Lock()
+	changed := f(m.opts.Clock.Now())
+	m.events.push(changed)
+	m.mu.Unlock()
+	for _, c := range changed {
+		m.log.Info("member changed", "host", c.Host, "state", c.State,
+			"incarnation", c.Incarnation, "address", c.PeerAddress)
+	}
+	m.events.drain()
+}
+
+// one turns the result of a table method into a list.
+func one(m Member, changed bool) []Member {
+	if !changed {
+		return nil
+	}
+	return []Member{m}
+}
+
+// listPeriod spaces requests to the platform's host list, which lags anyway.
+const listPeriod = 10 * time.Second
+
+// maxHints bounds the addresses taken from the host list.
+const maxHints = 4096
+
+func (m *Membership) listHosts(ctx context.Context) {
+	for {
+		hosts, err := m.opts.Lister.ListHosts(ctx)
+		if err != nil {
+			m.log.Warn("host list not read", "err", err)
+		} else {
+			m.setHints(hosts)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.opts.Clock.After(listPeriod):
+		}
+	}
+}
+
+// setHints replaces the addresses of the host list and keeps the seeds.
+func (m *Membership) setHints(hosts []HostHint) {
+	hints := make(map[string]struct{})
+	for _, addr := range m.opts.Seeds {
+		hints[addr] = struct{}{}
+	}
+	for _, h := range hosts {
+		if _, err := netip.ParseAddrPort(h.PeerAddress); err == nil && len(hints) < maxHints {
+			hints[h.PeerAddress] = struct{}{}
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(hints, m.table.Self().PeerAddress)
+	m.hints = hints
+}
+
+// events delivers changes in order, one at a time and outside other locks.
+type events struct {
+	mu       sync.Mutex
+	subs     []func(Member)
+	queue    []Member
+	draining bool
+}
+
+func (e *events) register(f func(Member)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.subs = append(e.subs, f)
+}
+
+func (e *events) push(changed []Member) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.queue = append(e.queue, changed...)
+}
+
+// drain delivers the queue unless another goroutine is already doing so.
+func (e *events) drain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.draining {
+		return
+	}
+	e.draining = true
+	for len(e.queue) > 0 {
+		next := e.queue[0]
+		e.queue = e.queue[1:]
+		subs := e.subs
+		e.mu.Unlock()
+		for _, f := range subs {
+			f(next)
+		}
+		e.mu.Lock()
+	}
+	e.draining = false
+}
--- /dev/null
+++ b/membership/ping.go
@@ -0,0 +1,128 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+)
+
+// Methods of this package.
+const (
+	// MethodPing exchanges own records, observations and signals.
+	MethodPing = "membership.Ping"
+	// MethodProbe asks a host to ping another one.
+	MethodProbe = "membership.Probe"
+)
+
+const (
+	// maxObservations keeps heartbeats small; changes of more hosts at once
+	// take a few heartbeats more.
+	maxObservations = 8
+	// maxReceived bounds the observations taken from one message.
+	maxReceived = 8192
+	// syncPeriod spaces exchanges of the whole table, which repair what was
+	// lost in spreading.
+	syncPeriod = time.Minute
+)
+
+// message is a ping and also its answer.
+type message struct {
+	From         Member                     `json:"from"`
+	Sync         bool                       `json:"sync,omitempty"`
+	Observations []Member                   `json:"obs,omitempty"`
+	Signals      map[string]json.RawMessage `json:"sig,omitempty"`
+}
+
+type probeRequest struct {
+	Address string `json:"address"`
+}
+
+// compose builds the message to a host. whole asks for the whole table.
+func (m *Membership) compose(to string, whole bool) message {
+	now := m.opts.Clock.Now()
+	out := message{Signals: m.signals.collect(now)}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out.From = m.table.viewSelf(now)
+	out.Observations = m.table.Observations(now, to, maxObservations)
+	if whole {
+		out.Observations = append(out.Observations, m.table.Members(now)...)
+	}
+	return out
+}
+
+// take merges a received message.
+func (m *Membership) take(msg message) error {
+	if err := msg.From.validate(); err != nil {
+		return err
+	}
+	if len(msg.Observations) > maxReceived {
+		return errors.Wrapf(ErrMessage, "%d observations", len(msg.Observations))
+	}
+	m.change(func(now time.Time) []Member {
+		changed := one(m.table.Contact(now, msg.From))
+		for _, o := range msg.Observations {
+			if o.validate() == nil {
+				changed = append(changed, one(m.table.Merge(now, o))...)
+			}
+		}
+		return changed
+	})
+	if msg.From.Host != m.opts.Self.Host {
+		m.signals.deliver(msg.From, msg.Signals)
+	}
+	return nil
+}
+
+func (m *Membership) handlePing(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var msg message
+	if err := json.Unmarshal(params, &msg); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "decode ping"), ErrMessage)
+	}
+	if err := m.take(msg); err != nil {
+		return nil, err
+	}
+	return m.compose(msg.From.Host, msg.Sync), nil
+}
+
+func (m *Membership) handleProbe(ctx context.Context, _ string, params json.RawMessage) (any, error) {
+	var req probeRequest
+	if err := json.Unmarshal(params, &req); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "decode probe"), ErrMessage)
+	}
+	return m.ping(ctx, "", req.Address)
+}
+
+// ping exchanges messages with addr and returns the record of the host there.
+func (m *Membership) ping(ctx context.Context, host, addr string) (Member, error) {
+	ctx, cancel := clockwork.WithTimeout(ctx, m.opts.Clock, DefaultProbeTimeout)
+	defer cancel()
+	out := m.compose(host, false)
+	out.Sync = m.wantSync()
+	var answer message
+	if err := m.opts.Caller.Call(ctx, addr, MethodPing, out, &answer); err != nil {
+		return Member{}, err
+	}
+	if err := m.take(answer); err != nil {
+		return Member{}, err
+	}
+	if out.Sync {
+		m.synced()
+	}
+	return answer.From, nil
+}
+
+func (m *Membership) wantSync() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lastSync.IsZero() || m.opts.Clock.Since(m.lastSync) >= syncPeriod
+}
+
+func (m *Membership) synced() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lastSync = m.opts.Clock.Now()
+}
--- /dev/null
+++ b/membership/table_test.go
@@ -0,0 +1,129 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+func drawMember(t *rapid.T, label string) Member {
+	return Member{
+		Host:           "h",
+		PeerAddress:    rapid.SampledFrom([]string{"10.0.0.1:1", "10.0.0.2:1"}).Draw(t, label+" address"),
+		Started:        rapid.Int64Range(1, 3).Draw(t, label+" start"),
+		Incarnation:    rapid.Int64Range(1, 4).Draw(t, label+" incarnation"),
+		State:          State(rapid.IntRange(int(Alive), int(Left)).Draw(t, label+" state")),
+		ConfigRevision: rapid.Int64Range(0, 3).Draw(t, label+" revision"),
+		AgeMS:          rapid.Int64Range(0, 3).Draw(t, label+" age"),
+	}
+}
+
+// Guards against merge rules whose result depends on the order or number of
+// messages, and against incarnations that fall.
+func TestJoinIsASemilattice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawMember(t, "a"), drawMember(t, "b"), drawMember(t, "c")
+		check := func(rule string, x, y Member) {
+			if diff := cmp.Diff(x, y); diff != "" {
+				t.Fatalf("%s (-left +right):\n%s", rule, diff)
+			}
+		}
+		check("commutative", Join(a, b), Join(b, a))
+		check("associative", Join(Join(a, b), c), Join(a, Join(b, c)))
+		check("idempotent", Join(a, a), a)
+		check("repeated", Join(Join(a, b), b), Join(a, b))
+		if got := Join(a, b); got.Incarnation != max(a.Incarnation, b.Incarnation) {
+			t.Fatalf("incarnation %d of %d and %d", got.Incarnation, a.Incarnation, b.Incarnation)
+		}
+	})
+}
+
+var t0 = time.Unix(1_000_000, 0)
+
+func other(host string, state State) Member {
+	return Member{Host: host, PeerAddress: "10.0.0.9:1", EntryAddress: "10.0.0.9:2", Started: 5, Incarnation: 5, State: state}
+}
+
+// Guards against a returning host, which suspects everybody, having living
+// hosts removed elsewhere: hearsay against a host in contact goes to that host.
+func TestContactOutweighsHearsay(t *testing.T) {
+	table := NewTable(t0, other("self", Alive))
+	table.Contact(t0, other("a", Alive))
+	table.Merge(t0.Add(time.Second/2), other("a", Failed))
+	if got := table.Members(t0)[0].State; got != Alive {
+		t.Errorf("state %v right after contact, want alive", got)
+	}
+	if obs := table.Observations(t0, "a", 1); len(obs) != 1 || obs[0].State != Failed {
+		t.Errorf("the accused is not told: %v", obs)
+	}
+	table.Merge(t0.Add(3*time.Second), other("a", Failed))
+	if got := table.Members(t0)[0].State; got != Failed {
+		t.Errorf("state %v long after contact, want failed", got)
+	}
+}
+
+// Guards against a paused host removing all others when it resumes.
+func TestPauseExcusesOthers(t *testing.T) {
+	table := NewTable(t0, other("self", Alive))
+	table.Contact(t0, other("a", Alive))
+	table.Silent(t0.Add(time.Second/2), "a")
+	table.Tick(t0.Add(time.Second / 2))
+	if changed := table.Tick(t0.Add(20 * time.Second)); len(changed) != 0 {
+		t.Errorf("after a pause: %v", changed)
+	}
+	table.Tick(t0.Add(20*time.Second + 750*time.Millisecond))
+	if changed := table.Tick(t0.Add(21*time.Second + 500*time.Millisecond)); len(changed) != 1 || changed[0].State != Failed {
+		t.Errorf("a silent host is not removed after the pause: %v", changed)
+	}
+}
+
+// Guards against dead records that circulate for ever or count too long, and
+// against callers being sent to hosts that have long been leaving.
+func TestRetentionAndListing(t *testing.T) {
+	table := NewTable(t0, Member{Host: "self", PeerAddress: "10.0.0.1:1"})
+	dead := other("a", Failed)
+	dead.AgeMS = DefaultFailedRetention.Milliseconds()
+	if _, ok := table.Merge(t0, dead); ok {
+		t.Error("a record past its retention was taken")
+	}
+	dead.AgeMS /= 2
+	table.Merge(t0, dead)
+	if table.HasMajority(t0, 0) {
+		t.Error("a failed member is not counted")
+	}
+	end := t0.Add(DefaultFailedRetention / 2)
+	table.Tick(end)
+	if len(table.Members(end)) != 1 || !table.HasMajority(end, 0) {
+		t.Error("a failed member outlives its retention")
+	}
+	table.Merge(end, other("b", Leaving))
+	if n := len(table.Entries(end.Add(MaxLeavingListed), time.Second).Entries); n != 1 {
+		t.Errorf("%d entries while the last host begins to leave, want 1", n)
+	}
+	if n := len(table.Entries(end.Add(MaxLeavingListed+time.Millisecond), time.Second).Entries); n != 0 {
+		t.Errorf("%d entries after the limit, want 0", n)
+	}
+	table.Merge(end, other("c", Alive))
+	if e := table.Entries(end, time.Second).Entries; len(e) != 1 || e[0].Host != "c" {
+		t.Errorf("entries %v, want only the live host", e)
+	}
+}
+
+// Guards against a replacement that stays unknown because its predecessor's
+// clock, and so its incarnation, was ahead.
+func TestReplacementBehindPredecessor(t *testing.T) {
+	ahead := other("a", Alive)
+	ahead.Started, ahead.Incarnation = 9, 9
+	table, replacement := NewTable(t0, other("self", Alive)), NewTable(t0, other("a", Alive))
+	table.Contact(t0, ahead)
+	table.Contact(t0, replacement.Self())
+	for _, m := range table.Observations(t0, "a", 1) {
+		replacement.Merge(t0, m)
+	}
+	table.Contact(t0, replacement.Self())
+	if got := table.Members(t0)[0]; got.Started != 5 || got.Incarnation != 10 {
+		t.Errorf("the replacement is known as %+v", got)
+	}
+}
