Add the rollout package and its measurement

Cause: a version that turns bad must be found from few, late ratings spread over hosts, with a bounded false alarm rate, and roll-outs must survive the death of their controller.

Change: a mixture of Shiryaev-Roberts statistics per version and kind with a threshold derived from the false alarm rate, a learned reference, graded limits on requests and raised rating shares under suspicion, recovery from a 1% trickle, pooling by per-host counts, and a pure step controller.

--- /dev/null
+++ b/rollout/controller.go
@@ -0,0 +1,166 @@
+package rollout
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Phase is the state of a roll-out.
+type Phase string
+
+// The phases of a roll-out.
+const (
+	PhaseRunning    Phase = "running"
+	PhaseHalted     Phase = "halted"
+	PhaseDone       Phase = "done"
+	PhaseRolledBack Phase = "rolled_back"
+)
+
+// Spec is the roll-out as the configuration has it.
+type Spec struct {
+	// Steps are rising shares of new work for the new version; the last is 1.
+	Steps []float64
+	// StepDuration is the shortest time on one step.
+	StepDuration time.Duration
+	// Step is the index of the step in force.
+	Step int
+	// Phase is the state; empty means running.
+	Phase Phase
+}
+
+// Progress is what the holder of the controller role knows about the step.
+type Progress struct {
+	// Since is when this step came into force, or when the present holder
+	// first saw it. A new holder thereby waits the step's time again.
+	Since time.Time
+	// Rated is the number of rated answers of the new version since then.
+	Rated uint64
+	// Suspect tells that a class of the new version is suspect.
+	Suspect bool
+	// Suspicion is the highest suspicion of any class of the new version.
+	Suspicion float64
+}
+
+// ActionKind is what to do with a roll-out.
+type ActionKind string
+
+// The actions.
+const (
+	ActionNothing  ActionKind = "nothing"
+	ActionAdvance  ActionKind = "advance"
+	ActionHalt     ActionKind = "halt"
+	ActionRollBack ActionKind = "roll_back"
+	ActionFinish   ActionKind = "finish"
+)
+
+// Action is a decision of the controller. It is applied to the specification it
+// was made for, by compare-and-swap on the configuration's revision.
+type Action struct {
+	// Kind is what to do.
+	Kind ActionKind
+	// FromStep is the step in force when the decision was made.
+	FromStep int
+	// Reason says why.
+	Reason string
+}
+
+const (
+	// MinRated is the least number of rated answers on a step before it
+	// advances: a version that fell from 0.9 to 0.5 is found within that many.
+	MinRated = 100
+	// maxSuspicion holds a step until the evidence decides either way.
+	maxSuspicion = 0.3
+	// stallFactor is the number of step durations without a decision after
+	// which the roll-out halts for an operator to see.
+	stallFactor = 10
+)
+
+// Decide returns what to do now. It depends on its arguments only, so when a
+// host dies between deciding and writing, the next one decides the same from
+// the same configuration.
+func Decide(s Spec, p Progress, now time.Time) (Action, error) {
+	if err := s.validate(); err != nil {
+		return Action{}, err
+	}
+	action := func(kind ActionKind, format string, args ...any) (Action, error) {
+		return Action{Kind: kind, FromStep: s.Step, Reason: fmt.Sprintf(format, args...)}, nil
+	}
+	if s.Phase == PhaseDone || s.Phase == PhaseRolledBack {
+		return action(ActionNothing, "roll-out is %s", s.Phase)
+	}
+	if p.Suspect {
+		return action(ActionRollBack, "new version is suspect on step %d", s.Step)
+	}
+	if s.Phase == PhaseHalted {
+		return action(ActionNothing, "halted until an operator resumes")
+	}
+	elapsed := now.Sub(p.Since)
+	switch {
+	case elapsed < s.StepDuration:
+		return action(ActionNothing, "step %d has run %s of %s", s.Step, elapsed, s.StepDuration)
+	case p.Rated < MinRated && elapsed >= stallFactor*s.StepDuration:
+		return action(ActionHalt, "only %d rated answers on step %d after %s", p.Rated, s.Step, elapsed)
+	case p.Rated < MinRated:
+		return action(ActionNothing, "%d of %d rated answers on step %d", p.Rated, MinRated, s.Step)
+	case p.Suspicion >= maxSuspicion && elapsed >= stallFactor*s.StepDuration:
+		return action(ActionHalt, "suspicion %.2f on step %d after %s", p.Suspicion, s.Step, elapsed)
+	case p.Suspicion >= maxSuspicion:
+		return action(ActionNothing, "suspicion %.2f on step %d", p.Suspicion, s.Step)
+	case s.Step == len(s.Steps)-1:
+		return action(ActionFinish, "last step passed with %d rated answers", p.Rated)
+	}
+	return action(ActionAdvance, "step %d passed with %d rated answers", s.Step, p.Rated)
+}
+
+// Apply returns the specification after the action. An action made for another
+// step or for a roll-out that has ended changes nothing, so a repeated write
+// has no second effect.
+func (s Spec) Apply(a Action) Spec {
+	ended := s.Phase == PhaseDone || s.Phase == PhaseRolledBack
+	if ended || a.FromStep != s.Step {
+		return s
+	}
+	switch a.Kind {
+	case ActionAdvance:
+		if s.Phase != PhaseHalted && s.Step < len(s.Steps)-1 {
+			s.Step++
+		}
+	case ActionHalt:
+		s.Phase = PhaseHalted
+	case ActionRollBack:
+		s.Phase = PhaseRolledBack
+	case ActionFinish:
+		if s.Phase != PhaseHalted {
+			s.Phase = PhaseDone
+		}
+	case ActionNothing:
+	}
+	return s
+}
+
+// Share returns the share of new work that the new version gets.
+func (s Spec) Share() float64 {
+	switch {
+	case s.Phase == PhaseRolledBack || s.validate() != nil:
+		return 0
+	case s.Phase == PhaseDone:
+		return 1
+	}
+	return s.Steps[s.Step]
+}
+
+func (s Spec) validate() error {
+	if s.Step < 0 || s.Step >= len(s.Steps) {
+		return errors.Wrapf(ErrInvalid, "step %d of %d", s.Step, len(s.Steps))
+	}
+	previous := 0.0
+	for _, share := range s.Steps {
+		if !(share > previous && share <= 1) {
+			return errors.Wrapf(ErrInvalid, "steps %v do not rise to 1", s.Steps)
+		}
+		previous = share
+	}
+	return nil
+}
--- /dev/null
+++ b/rollout/detector_test.go
@@ -0,0 +1,254 @@
+package rollout
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(0, 0)
+
+func newDetector(host string, incarnation int64) *Detector {
+	return NewDetector(Config{Host: host, Incarnation: incarnation}, clockwork.NewFakeClockAt(epoch))
+}
+
+func feed(d *Detector, seed uint64, n int, rate float64) {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	for range n {
+		d.Observe("v", "k", rnd.Float64() < rate)
+	}
+}
+
+// TestRatiosAreValid guards against a likelihood ratio with a mean over one on
+// a good version, which would void the false alarm rate, and against a batch
+// that counts for more than its answers one by one.
+func TestRatiosAreValid(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		reference := rapid.Float64Range(lowestRate, 1-lowestRate).Draw(t, "reference")
+		rate := rapid.Float64Range(reference, 1).Draw(t, "true rate")
+		var s statistic
+		s.setReference(reference)
+		for i, f := range s.ratios {
+			if mean := rate*f.pass + (1-rate)*f.fail; mean > 1+1e-9 {
+				t.Fatalf("fall %v: mean ratio %v", falls[i].size, mean)
+			}
+		}
+		weights := 0.0
+		for _, f := range falls {
+			weights += f.weight
+		}
+		if weights > 1+1e-9 {
+			t.Fatalf("weights sum to %v", weights)
+		}
+		pass, fail := rapid.Uint64Range(0, 50).Draw(t, "pass"), rapid.Uint64Range(0, 50).Draw(t, "fail")
+		f := s.ratios[rapid.IntRange(0, len(falls)-1).Draw(t, "fall")]
+		batch, single := advance(0, f, pass, fail), float64(pass+fail)
+		for range pass {
+			single *= f.pass
+		}
+		for range fail {
+			single *= f.fail
+		}
+		if batch > single*(1+1e-6)+1e-300 {
+			t.Fatalf("batch %v over %v", batch, single)
+		}
+	})
+	if got := (Config{}).Threshold(); got != 10000*7200 {
+		t.Errorf("threshold %v does not follow from 10,000 hours of 7,200 ratings", got)
+	}
+}
+
+// TestFallAndRecovery guards against a fall that is not found, a good version
+// made suspect, and a suspect version that never returns or returns while bad.
+func TestFallAndRecovery(t *testing.T) {
+	for seed := range uint64(20) {
+		d := newDetector("a", 1)
+		if err := d.Declare("v", 0.9, ""); err != nil {
+			t.Fatal(err)
+		}
+		feed(d, seed, 20000, 0.9)
+		if s := d.State("v", "k"); s.Suspect || s.Reference < 0.88 || s.Reference > 0.91 {
+			t.Fatalf("seed %d: good version %+v", seed, s)
+		}
+		feed(d, seed+100, 120, 0.5)
+		if !d.State("v", "k").Suspect || d.Share("v", "k") != 0.01 || d.RatingShare("v", "k", 0.1) != 1 {
+			t.Fatalf("seed %d: not suspect after 120 answers at 0.5", seed)
+		}
+		feed(d, seed+200, 300, 0.5)
+		if v := d.Verdicts(); len(v) != 1 || !v[0].Suspect {
+			t.Fatalf("seed %d: returned while bad: %+v", seed, v)
+		}
+		feed(d, seed+300, 400, 0.9)
+		// Chance suspicion may limit a good version a little, so the share
+		// need not be 1.
+		if d.State("v", "k").Suspect || d.Share("v", "k") < heldShare {
+			t.Fatalf("seed %d: still suspect after 400 good answers", seed)
+		}
+	}
+}
+
+// TestPredecessorIsTheReference guards against a version in roll-out that is
+// tested against its own bad rate or the declared one.
+func TestPredecessorIsTheReference(t *testing.T) {
+	d := newDetector("a", 1)
+	if err := d.Declare("v2", 0.5, "v"); err != nil {
+		t.Fatal(err)
+	}
+	feed(d, 1, 20000, 0.9)
+	d.Observe("v2", "k", true)
+	if r := d.State("v2", "k").Reference; r < 0.88 || r > 0.91 {
+		t.Errorf("reference %v, the predecessor has 0.9", r)
+	}
+	if err := d.Declare("v2", 2, ""); !errors.Is(err, ErrInvalid) {
+		t.Errorf("pass rate 2: %v", err)
+	}
+}
+
+// TestReferenceLags guards against a fall that is learned as normal before the
+// 4,000 answers in which it must be found are over, to within one block.
+func TestReferenceLags(t *testing.T) {
+	var r reference
+	for range 20000 {
+		r.observe(1, 0)
+	}
+	before, _ := r.rate()
+	for range 3500 {
+		r.observe(0, 1)
+	}
+	if after, ok := r.rate(); !ok || after != before {
+		t.Errorf("reference moved from %v to %v within the lag", before, after)
+	}
+}
+
+// TestReferenceOfAJoiningHost guards against a host that learns nothing from
+// the first summary of another, which carries all answers since its start.
+func TestReferenceOfAJoiningHost(t *testing.T) {
+	a, b := newDetector("a", 1), newDetector("b", 1)
+	feed(a, 1, 25000, 0.9)
+	if err := b.Merge(a.Export()); err != nil {
+		t.Fatal(err)
+	}
+	if r := b.State("v", "k").Reference; r < 0.88 || r > 0.91 {
+		t.Errorf("reference %v after 25,000 answers at 0.9", r)
+	}
+}
+
+// delivered is the oracle's record of what a host knows of another.
+type delivered struct {
+	incarnation int64
+	rated       uint64
+}
+
+// TestPoolingCountsOnce guards against answers counted twice or lost when
+// summaries are repeated, late, relayed or follow a restart, and against hosts
+// that disagree about verdicts after an exchange.
+func TestPoolingCountsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const hosts = 3
+		var list [hosts]*Detector
+		var known [hosts]map[string]delivered
+		var total [hosts]uint64
+		for i := range list {
+			list[i], known[i] = newDetector(fmt.Sprint(i), 1), map[string]delivered{}
+		}
+		var sent []Summary
+		host := rapid.IntRange(0, hosts-1)
+		merge := func(to int, s Summary) {
+			if err := list[to].Merge(s); err != nil {
+				t.Fatal(err)
+			}
+			k, rated := known[to][s.Host], uint64(0)
+			if s.Host == fmt.Sprint(to) || s.Incarnation < k.incarnation {
+				return
+			}
+			for _, cell := range s.Cells {
+				rated = cell.Pass + cell.Fail
+			}
+			if s.Incarnation > k.incarnation {
+				k = delivered{incarnation: s.Incarnation}
+			}
+			if rated > k.rated {
+				total[to] += rated - k.rated
+				k.rated = rated
+			}
+			known[to][s.Host] = k
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"observe": func(t *rapid.T) {
+				h, passed := host.Draw(t, "host"), rapid.Bool().Draw(t, "passed")
+				for range rapid.IntRange(1, 40).Draw(t, "n") {
+					list[h].Observe("v", "k", passed)
+					total[h]++
+				}
+			},
+			"export": func(t *rapid.T) { sent = append(sent, list[host.Draw(t, "host")].Export()) },
+			"merge": func(t *rapid.T) {
+				if len(sent) == 0 {
+					t.Skip("nothing sent")
+				}
+				merge(host.Draw(t, "to"), rapid.SampledFrom(sent).Draw(t, "summary"))
+			},
+			"restart": func(t *rapid.T) {
+				h := host.Draw(t, "host")
+				list[h] = newDetector(fmt.Sprint(h), list[h].cfg.Incarnation+1)
+				known[h], total[h] = map[string]delivered{}, 0
+			},
+			"": func(t *rapid.T) {
+				for h, d := range list {
+					if got := d.State("v", "k").Rated; got != total[h] {
+						t.Fatalf("host %d counts %d answers, want %d", h, got, total[h])
+					}
+				}
+			},
+		})
+		for from := range list {
+			for to := range list {
+				merge(to, list[from].Export())
+				for _, stale := range sent {
+					merge(to, stale)
+				}
+			}
+		}
+		for h, d := range list {
+			if got := d.State("v", "k").Rated; got != total[h] {
+				t.Fatalf("host %d counts %d answers after stale summaries, want %d", h, got, total[h])
+			}
+		}
+		// A batch that arrives in the exchange may itself decide; what is left
+		// to spread is the verdict alone.
+		for range 2 * hosts {
+			for from := range list {
+				for to := range list {
+					merge(to, list[from].Export())
+				}
+			}
+		}
+		for h := range list {
+			if a, b := list[0].State("v", "k").Suspect, list[h].State("v", "k").Suspect; a != b {
+				t.Fatalf("hosts 0 and %d disagree: %v and %v", h, a, b)
+			}
+		}
+	})
+}
+
+func BenchmarkObserve(b *testing.B) {
+	d := newDetector("a", 1)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		d.Observe("v", "k", i%10 != 0)
+	}
+}
+
+func BenchmarkShare(b *testing.B) {
+	d := newDetector("a", 1)
+	d.Observe("v", "k", true)
+	b.ReportAllocs()
+	for b.Loop() {
+		d.Share("v", "k")
+	}
+}
