Rate answers where estimates are stale, and measure more strictly

Change: samples go to estimates without recent ratings; after a shift every estimate is rated again 40 times; change threshold 2.7 instead of 3 standard deviations; quality margin 0.8 instead of 0.5. The measurement uses 6 seeds instead of 3, and recovery is now the end of a window of 250 rated answers that meets the terms and is followed by 500 that do (before: the start of a window of 500, which hid the dip). Both suites are listed in the measure command.

--- a/cascade/cascade.go
+++ b/cascade/cascade.go
@@ -55,7 +55,7 @@
 	// HalfLife halves the weight of evidence (default 12h).
 	HalfLife time.Duration
 	// Confidence is the number of standard deviations subtracted from a pass
-	// rate when the quality of a plan is computed (default 0.5).
+	// rate when the quality of a plan is computed (default 0.8).
 	Confidence float64
 	// RatingsPerSecond is this host's share of the rating service (default 10).
 	RatingsPerSecond float64
@@ -75,7 +75,7 @@
 	setDefault(&c.FastWindow, 40)
 	setDefault(&c.SlowWindow, 2000)
 	setDefault(&c.HalfLife, 12*time.Hour)
-	setDefault(&c.Confidence, 0.5)
+	setDefault(&c.Confidence, 0.8)
 	setDefault(&c.RatingsPerSecond, 10)
 	setDefault(&c.RatingBurst, 20*c.RatingsPerSecond)
 	setDefault(&c.ExploreShare, 0.05)
--- a/cascade/cascade_test.go
+++ b/cascade/cascade_test.go
@@ -217,6 +217,41 @@
 	}
 }
 
+// TestSampling guards against a shift after which known estimates are not rated
+// again, and against samples that spend the last ratings, which gates need.
+func TestSampling(t *testing.T) {
+	clock := fakeClock()
+	c := newChooser("a", clock)
+	for range 3000 {
+		clock.Advance(100 * time.Millisecond)
+		c.ObserveRating(Rating{Version: "other", Kind: "k", Passed: true})
+		c.ObserveRating(Rating{Version: "v", Kind: "k", Passed: true})
+	}
+	share := func() float64 {
+		sampled := 0
+		for range 1000 {
+			if c.sampleMode(cellKey{"v", "k", false}, 0.001) == RateSample {
+				sampled++
+			}
+		}
+		return float64(sampled) / 1000
+	}
+	c.bucket.at = clock.Now()
+	if got := share(); got > 2*sampleShareMin {
+		t.Errorf("share %v of a well known version rated", got)
+	}
+	for range 40 {
+		c.ObserveRating(Rating{Version: "other", Kind: "k", Passed: false})
+	}
+	if got := share(); got < 0.9 {
+		t.Errorf("share %v rated after another version shifted", got)
+	}
+	c.bucket.tokens = 0
+	if got := share(); got != 0 {
+		t.Errorf("share %v rated without ratings left", got)
+	}
+}
+
 // TestPeakIsCheaper guards against a price multiplier without effect: with
 // scarce ratings a cascade must start cheaper near the peak.
 func TestPeakIsCheaper(t *testing.T) {
--- a/cascade/evidence.go
+++ b/cascade/evidence.go
@@ -16,16 +16,19 @@
 	changeMinimum = 10
 	// changeDeviations is the distance between the short and the long memory,
 	// in standard deviations, that counts as a shift.
-	changeDeviations = 3
+	changeDeviations = 2.7
 	// changedPriorWeight replaces Config.PriorWeight after a shift, when the
 	// declared pass rate has been shown to be wrong.
 	changedPriorWeight = 2
 	// escalatedPriorFactor lowers the prior of an escalation, since a request
 	// that failed once is harder.
 	escalatedPriorFactor = 0.85
-	// alertSamples is the number of answers after a shift that are rated at
-	// the higher share.
-	alertSamples = 150
+	// alertRatings is the number of ratings that each estimate should get after
+	// a shift of any, and alertTime bounds the time for it.
+	alertRatings = 40
+	alertTime    = 10 * time.Minute
+	// recentHalfLife is the memory of how often an estimate is rated.
+	recentHalfLife = 30 * time.Second
 	// doubtWeight bounds the evidence on the other depth of a version and kind
 	// whose pass rate has shifted.
 	doubtWeight = 5
@@ -75,6 +78,10 @@
 	// sequence counts the changes of the cell; a higher one replaces a lower.
 	sequence int64
 	at       time.Time
+	// recent counts ratings with a short memory, checked those since a shift.
+	// Both stay on this host.
+	recent  float64
+	checked int
 }
 
 // aged returns the counts discounted to now.
@@ -82,6 +89,7 @@
 	if age := now.Sub(c.at); age > 0 {
 		f := math.Exp2(-float64(age) / float64(halfLife))
 		c.fast, c.slow, c.at = c.fast.scaled(f), c.slow.scaled(f), now
+		c.recent *= math.Exp2(-float64(age) / float64(recentHalfLife))
 	}
 	return c
 }
@@ -107,8 +115,8 @@
 	// order lists the peers by name, so that sums repeat exactly.
 	order []string
 	cache map[cellKey]estimate
-	// alert counts down the samples after a shift.
-	alert int
+	// alertUntil is when the alert after a shift ends.
+	alertUntil time.Time
 	// cursor rotates the cells that a bounded summary carries.
 	cursor int64
 	sent   map[cellKey]int64
@@ -142,6 +150,8 @@
 	own.fast = own.fast.forgetAndAdd(passed, max(2, e.cfg.FastWindow/hosts))
 	own.slow = own.slow.forgetAndAdd(passed, max(2, e.cfg.SlowWindow/hosts))
 	own.sequence++
+	own.recent++
+	own.checked++
 	e.detectChange(key, own, now)
 	delete(e.cache, key)
 	delete(e.cache, cellKey{key.version, key.kind, true})
@@ -177,11 +187,29 @@
 	if math.Abs(fast.rate()-old.rate()) > changeDeviations*sd {
 		own.raise(generation + 1)
 		own.sequence++
-		e.alert = alertSamples
+		e.alert(now)
 		e.doubt(cellKey{key.version, key.kind, !key.escalated})
 	}
 }
 
+// alert asks for new ratings of every estimate.
+func (e *evidence) alert(now time.Time) {
+	e.alertUntil = now.Add(alertTime)
+	for _, c := range e.own {
+		c.checked = 0
+	}
+}
+
+// freshness returns the recent ratings of an estimate and whether it still
+// needs ratings because of a shift.
+func (e *evidence) freshness(key cellKey, now time.Time) (recent float64, unchecked bool) {
+	own := e.own[key]
+	if own == nil {
+		return 0, now.Before(e.alertUntil)
+	}
+	return own.aged(now, e.cfg.HalfLife).recent, now.Before(e.alertUntil) && own.checked < alertRatings
+}
+
 // doubt shrinks the evidence on the other depth of a shifted version and kind,
 // which most likely shifted too but is rated less often.
 func (e *evidence) doubt(key cellKey) {
--- a/cascade/plan.go
+++ b/cascade/plan.go
@@ -22,14 +22,15 @@
 	// sampleDeviation is the standard deviation of an estimate at which every
 	// answer is worth a rating while ratings are plentiful.
 	sampleDeviation = 0.2
-	// sampleShareMin watches known versions while ratings are scarce, and
-	// sampleSharePlenty while the bucket is at least three quarters full.
-	// sampleShareAlert replaces both after a shift of any estimate, because
-	// shifts rarely come alone.
-	sampleShareMin    = 0.05
-	sampleSharePlenty = 0.3
-	sampleShareAlert  = 0.5
-	sampleShareMax    = 0.5
+	// sampleShareMin watches every version. sampleSharePlenty is reached while
+	// the bucket is at least three quarters full, for an estimate that has got
+	// no rating lately; with recentEnough recent ratings it needs no more.
+	// sampleShareAlert holds after a shift, because shifts rarely come alone.
+	sampleShareMin     = 0.05
+	sampleSharePlenty  = 1.0
+	recentEnough       = 20
+	sampleShareAlert   = 1.0
+	sampleShareUnknown = 0.5
 	// sampleMinFill keeps the last ratings for gates.
 	sampleMinFill = 0.1
 )
@@ -72,6 +73,7 @@
 	gates       bool
 	deadline    float64
 	target      float64
+	kind        string
 	front       []path
 }
 
@@ -247,6 +249,7 @@
 		gates:       c.bucket.tokens >= 1,
 		deadline:    r.Deadline.Seconds(),
 		target:      r.QualityTarget,
+		kind:        kind,
 	}
 }
 
@@ -318,7 +321,7 @@
 			planned.PassRate, deviation = o.laterMean, o.laterSD
 		}
 		if i == p.length-1 {
-			planned.Rate = max(last, c.sampleMode(deviation))
+			planned.Rate = max(last, c.sampleMode(cellKey{o.Version, s.kind, i > 0}, deviation))
 		}
 		plan.Steps = append(plan.Steps, planned)
 	}
@@ -329,22 +332,25 @@
 	return plan
 }
 
-// sampleMode decides whether to rate an answer as evidence, more often the
-// less is known.
-func (c *Chooser) sampleMode(deviation float64) RateMode {
-	if c.bucket.fill() < sampleMinFill {
+// sampleMode decides whether to rate an answer as evidence: more often the less
+// is known, the fewer ratings the estimate has got lately, and after a shift.
+func (c *Chooser) sampleMode(key cellKey, deviation float64) RateMode {
+	fill := c.bucket.fill()
+	if fill < sampleMinFill {
 		return RateNone
 	}
-	least := sampleShareMin + (sampleSharePlenty-sampleShareMin)*min(1, max(0, 2*c.bucket.fill()-0.5))
-	if c.evidence.alert > 0 {
-		least = max(least, sampleShareAlert)
+	recent, unchecked := c.evidence.freshness(key, c.bucket.at)
+	plenty := min(1, max(0, 2*fill-0.5))
+	need := max(0, 1-recent/recentEnough)
+	share := max(sampleShareMin, sampleSharePlenty*plenty*need)
+	if unchecked {
+		share = max(share, sampleShareAlert)
 	}
-	share := min(sampleShareMax, max(least, square(deviation/sampleDeviation)))
-	if c.rnd.Float64() >= share {
-		return RateNone
+	share = max(share, min(sampleShareUnknown, square(deviation/sampleDeviation)))
+	if c.rnd.Float64() < share {
+		return RateSample
 	}
-	c.evidence.alert = max(0, c.evidence.alert-1)
-	return RateSample
+	return RateNone
 }
 
 // reason explains the choice in one line.
--- a/cascade/summary.go
+++ b/cascade/summary.go
@@ -148,6 +148,7 @@
 	if own := e.own[key]; own != nil && received.Generation > own.generation {
 		own.raise(received.Generation)
 		own.sequence++
+		e.alert(now)
 	}
 }
 
--- a/internal/cmd/measure/main.go
+++ b/internal/cmd/measure/main.go
@@ -5,10 +5,15 @@
 	"fmt"
 
 	"github.com/corianderlever/corianderlever/internal/measure"
+	"github.com/corianderlever/corianderlever/internal/measure/cascade"
+	"github.com/corianderlever/corianderlever/internal/measure/rollout"
 )
 
 // suites lists the measurements of all decisions, in the order they are printed.
-var suites = []func() []measure.Line{}
+var suites = []func() []measure.Line{
+	cascade.Run,
+	rollout.Run,
+}
 
 func main() {
 	for _, suite := range suites {
--- a/internal/measure/cascade/compare.go
+++ b/internal/measure/cascade/compare.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync"
 
 	"github.com/corianderlever/corianderlever/cascade"
 	"github.com/corianderlever/corianderlever/internal/measure"
@@ -74,32 +75,47 @@
 // recoveries returns the rated answers until recovery after a shift, the worst
 // of all seeds, for the shipped chooser and for one without a short memory.
 func recoveries(shifted []kind) (shipped, plain float64) {
-	var with, without []float64
-	for _, seed := range seeds {
-		with = append(with, recovery(seed, cascade.Config{}, shifted))
-		without = append(without, recovery(seed, cascade.Config{FastWindow: 2000}, shifted))
-	}
+	with, without := make([]float64, len(seeds)), make([]float64, len(seeds))
+	forEachSeed(func(i int, seed uint64) {
+		with[i] = recovery(seed, cascade.Config{}, shifted)
+		without[i] = recovery(seed, cascade.Config{FastWindow: 2000}, shifted)
+	})
 	return worst(with), worst(without)
 }
 
+// forEachSeed calls f for all seeds at once; f writes only to its own index.
+func forEachSeed(f func(i int, seed uint64)) {
+	var wg sync.WaitGroup
+	for i, seed := range seeds {
+		wg.Go(func() { f(i, seed) })
+	}
+	wg.Wait()
+}
+
 const (
-	recoveryWindow = 500
+	// recoveryWindow is the window of rated answers that must meet the terms,
+	// and steadyWindow the one after it, so that a lucky window is no recovery.
+	recoveryWindow = 250
+	steadyWindow   = 500
 	recoveryStep   = 25
 	recoveryCost   = 1.10
 )
 
-// recovery returns the least number n of ratings that arrived after the shift
-// such that the requests planned between the n-th and the n+500-th rating meet
-// the quality target at no more than 1.10 times the oracle's cost.
+// recovery returns the number of ratings after the shift at the end of the
+// first window in which the plans meet the quality target at no more than 1.10
+// times the oracle's cost, and keep doing so in the window after it.
 func recovery(seed uint64, cfg cascade.Config, kinds []kind) float64 {
 	s := newSimulation(seed, cfg, uniform(qualityTarget))
 	s.run(kindsBefore, requests/2)
 	start, before := s.rated, len(s.records)
 	s.run(kinds, requests/2)
 	after := s.records[before:]
-	for n := 0; start+n+recoveryWindow <= s.rated; n += recoveryStep {
-		t := sum(between(after, start+n, start+n+recoveryWindow))
-		if t.achieved() >= qualityTarget && t.ratio(kinds, s.targets) <= recoveryCost {
+	meets := func(low, high int) bool {
+		t := sum(between(after, start+low, start+high))
+		return t.achieved() >= qualityTarget && t.ratio(kinds, s.targets) <= recoveryCost
+	}
+	for n := recoveryWindow; start+n+steadyWindow <= s.rated; n += recoveryStep {
+		if meets(n-recoveryWindow, n) && meets(n, n+steadyWindow) {
 			return float64(n)
 		}
 	}
--- a/internal/measure/cascade/run.go
+++ b/internal/measure/cascade/run.go
@@ -18,7 +18,7 @@
 // requests is the length of one run.
 const requests = 20000
 
-var seeds = []uint64{11, 22, 33}
+var seeds = []uint64{11, 22, 33, 44, 55, 66}
 
 // record is one request as it was planned.
 type record struct {
@@ -198,18 +198,19 @@
 
 // Run measures the package cascade.
 func Run() []measure.Line {
-	var ratio, always, quality, late, vsBest []float64
-	for _, seed := range seeds {
+	n := len(seeds)
+	ratio, always, quality := make([]float64, n), make([]float64, n), make([]float64, n)
+	late, vsBest := make([]float64, n), make([]float64, n)
+	forEachSeed(func(i int, seed uint64) {
 		s := newSimulation(seed, cascade.Config{}, uniform(qualityTarget))
 		s.run(kindsBefore, requests)
 		t := sum(s.records)
-		r := t.ratio(kindsBefore, s.targets)
-		ratio = append(ratio, r)
-		always = append(always, r*engines[len(engines)-1].cost/(t.cost/t.n))
-		quality = append(quality, t.achieved())
-		late = append(late, lateness(s.records))
-		vsBest = append(vsBest, againstBest(seed))
-	}
+		ratio[i] = t.ratio(kindsBefore, s.targets)
+		always[i] = ratio[i] * engines[len(engines)-1].cost / (t.cost / t.n)
+		quality[i] = t.achieved()
+		late[i] = lateness(s.records)
+		vsBest[i] = againstBest(seed)
+	})
 	one, onePlain := recoveries(kindsOneVersion)
 	two, twoPlain := recoveries(kindsTwoVersions)
 	return []measure.Line{
