--- a/limiter/crash.go
+++ b/limiter/crash.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"math/bits"
 	"slices"
 	"sync"
 	"time"
@@ -12,10 +13,6 @@
 	// CrashRefusal is how long a hash is refused after its last crash, and how
 	// long a mark is kept.
 	CrashRefusal = 10 * time.Minute
-	// CrashSpread is the time crash marks need to reach every host. Until it
-	// has passed a suspect does not run again and its failure is not reported
-	// to the caller, so a repeat meets hosts that know the mark.
-	CrashSpread = 1500 * time.Millisecond
 	// sameCrash is the difference in time up to which two reports about one
 	// endpoint mean one crash: hosts notice a crash at different times.
 	sameCrash = 5 * time.Second
@@ -30,6 +27,13 @@
 	maxProven = 16384
 )
 
+// SpreadTime returns the time crash marks need to reach all of so many hosts
+// when each host passes them on to three others per period. The rounds for a
+// doubling per round, and one more, leave room for messages that overlap.
+func SpreadTime(hosts int, period time.Duration) time.Duration {
+	return time.Duration(bits.Len(uint(max(1, hosts)))+1) * period
+}
+
 // Hash is the content hash of a request and the version it asks for.
 type Hash uint64
 
@@ -73,8 +77,9 @@
 // suspect is what is known about one hash. Merging takes the union of the
 // crashes and the latest success.
 type suspect struct {
-	crashes []crash // by time, at most crashLimit
-	cleared int64   // time of the last success; earlier crashes do not count
+	crashes []crash   // by time, at most crashLimit
+	cleared int64     // time of the last success; earlier crashes do not count
+	changed time.Time // on this host
 }
 
 func (s *suspect) latest() int64 {
@@ -91,18 +96,24 @@
 // endpoint, so a second crash points at one of them. Two crashes refuse a
 // hash; the crashes it explains then no longer count against the others.
 type CrashGuard struct {
-	clock clockwork.Clock
+	clock  clockwork.Clock
+	spread time.Duration
 
 	mu        sync.Mutex
 	suspects  map[Hash]*suspect
+	lastSent  Hash    // position of the gossip rotation
 	explained []crash // crashes of refused hashes, bounded by expiry
 	proven    *provenSet
 }
 
-// NewCrashGuard returns a guard without marks.
-func NewCrashGuard(clock clockwork.Clock) *CrashGuard {
+// NewCrashGuard returns a guard without marks. The spread is the time marks
+// need to reach every host, see SpreadTime. Until it has passed a suspect does
+// not run again, and the caller is to get no answer (see Hold), so that a
+// repeat meets only hosts that know the mark.
+func NewCrashGuard(clock clockwork.Clock, spread time.Duration) *CrashGuard {
 	return &CrashGuard{
 		clock:    clock,
+		spread:   spread,
 		suspects: make(map[Hash]*suspect),
 		proven:   newProvenSet(maxProven),
 	}
@@ -125,12 +136,25 @@
 		return Verdict{}
 	}
 	verdict := Verdict{Admission: AdmitProbation, Avoid: s.crashes[0].Endpoint}
-	if ready := last.Add(CrashSpread); now.Before(ready) {
+	if ready := last.Add(g.spread); now.Before(ready) {
 		verdict.Admission, verdict.Until = AdmitWait, ready
 	}
 	return verdict
 }
 
+// Hold returns the time before which the caller must not learn that its
+// request failed or is refused; it is zero if the request is no suspect. A
+// caller who repeats at once would otherwise outrun the marks.
+func (g *CrashGuard) Hold(hash Hash) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.find(hash, g.clock.Now())
+	if s == nil || len(s.crashes) == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(s.latest()).Add(g.spread)
+}
+
 // Crashed records that an endpoint crashed while it ran these requests of this
 // host. A crash is an endpoint that failed all its connections at once or
 // restarted; a fault of one connection is none.
@@ -141,7 +165,7 @@
 	c := crash{Endpoint: endpoint, At: now.UnixMilli()}
 	for _, hash := range running {
 		if !g.proven.contains(hash, now) {
-			g.mark(hash, c)
+			g.mark(hash, c, now)
 		}
 	}
 	g.tidy(now)
@@ -154,7 +178,7 @@
 	now := g.clock.Now()
 	g.proven.add(hash, now)
 	if s := g.find(hash, now); s != nil {
-		s.clear(now.UnixMilli())
+		s.clear(now.UnixMilli(), now)
 	}
 }
 
@@ -175,7 +199,7 @@
 	return nil
 }
 
-func (g *CrashGuard) mark(hash Hash, c crash) {
+func (g *CrashGuard) mark(hash Hash, c crash, now time.Time) {
 	s := g.suspects[hash]
 	if s == nil {
 		s = &suspect{}
@@ -184,19 +208,23 @@
 	if c.At <= s.cleared {
 		return
 	}
-	s.add(c)
+	if !s.add(c) {
+		return
+	}
+	s.changed = now
 	if len(s.crashes) >= crashLimit {
 		g.explain(s)
 	}
 }
 
-// add inserts a crash unless it is known. Of two reports of one crash the
+// add inserts a crash and reports whether it says anything new. Of two reports of one crash the
 // later stays, so that a success between them does not clear the crash.
-func (s *suspect) add(c crash) {
+func (s *suspect) add(c crash) bool {
 	for i := range s.crashes {
 		if s.crashes[i].same(c) {
+			newer := c.At > s.crashes[i].At
 			s.crashes[i].At = max(s.crashes[i].At, c.At)
-			return
+			return newer
 		}
 	}
 	s.crashes = append(s.crashes, c)
@@ -207,10 +235,14 @@
 		// Two are enough to refuse; the latest ones decide for how long.
 		s.crashes = s.crashes[len(s.crashes)-crashLimit:]
 	}
+	return slices.Contains(s.crashes, c)
 }
 
-func (s *suspect) clear(at int64) {
-	s.cleared = max(s.cleared, at)
+func (s *suspect) clear(at int64, now time.Time) {
+	if at <= s.cleared {
+		return
+	}
+	s.cleared, s.changed = at, now
 	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return c.At <= s.cleared })
 }
 
--- a/limiter/marks.go
+++ b/limiter/marks.go
@@ -11,9 +11,14 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
-// maxGossip bounds the marks of one message; the newest are sent. At about 60
-// bytes a mark, one message is at most 8 KB, and the marks of one crash fit.
-const maxGossip = 128
+const (
+	// maxFresh bounds the marks of one message that changed lately. At about 60
+	// bytes a mark it covers the requests of several crashed endpoints.
+	maxFresh = 128
+	// maxOlder is the number of other marks in a message, taken in rotation for
+	// hosts that have started since: below 400 bytes.
+	maxOlder = 6
+)
 
 // mark is the form of a suspect between hosts. The hash is text because JSON
 // numbers lose precision beyond 53 bits.
@@ -23,20 +28,45 @@
 	Cleared int64   `json:"ok,omitempty"`
 }
 
-// Marks returns the newest marks for the next gossip message.
+// Marks returns the marks for the next gossip message: those that changed
+// within twice the spread time, refused hashes first, and a few older ones.
 func (g *CrashGuard) Marks() (json.RawMessage, error) {
 	g.mu.Lock()
-	g.tidy(g.clock.Now())
-	marks := make([]mark, 0, len(g.suspects))
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	g.tidy(now)
+	var fresh, older []mark
 	for hash, s := range g.suspects {
-		marks = append(marks, mark{Hash: hash, Crashes: slices.Clone(s.crashes), Cleared: s.cleared})
+		m := mark{Hash: hash, Crashes: s.crashes, Cleared: s.cleared}
+		if now.Sub(s.changed) <= 2*g.spread {
+			fresh = append(fresh, m)
+		} else {
+			older = append(older, m)
+		}
 	}
-	g.mu.Unlock()
-	slices.SortFunc(marks, compareMark)
-	if len(marks) > maxGossip {
-		marks = marks[:maxGossip]
+	slices.SortFunc(fresh, compareMark)
+	fresh = fresh[:min(len(fresh), maxFresh)]
+	return json.Marshal(append(fresh, g.rotate(older)...))
+}
+
+// rotate returns the next few marks in the order of their hashes.
+func (g *CrashGuard) rotate(older []mark) []mark {
+	if len(older) <= maxOlder {
+		return older
 	}
-	return json.Marshal(marks)
+	slices.SortFunc(older, func(a, b mark) int { return cmp.Compare(a.Hash, b.Hash) })
+	next, _ := slices.BinarySearchFunc(older, g.lastSent, func(m mark, h Hash) int {
+		if m.Hash <= h {
+			return -1
+		}
+		return 1
+	})
+	sent := make([]mark, 0, maxOlder)
+	for i := range maxOlder {
+		sent = append(sent, older[(next+i)%len(older)])
+	}
+	g.lastSent = sent[maxOlder-1].Hash
+	return sent
 }
 
 // ObserveMarks merges the marks of another host. Merging is idempotent, and
@@ -49,27 +79,27 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	// A mark from the future would outlive its time; clocks differ by less.
-	latest := now.Add(sameCrash).UnixMilli()
 	for _, m := range marks[:min(len(marks), maxMarks)] {
-		g.merge(m, latest)
+		g.merge(m, now)
 	}
 	g.tidy(now)
 	return nil
 }
 
-func (g *CrashGuard) merge(m mark, latest int64) {
+func (g *CrashGuard) merge(m mark, now time.Time) {
+	// A mark from the future would outlive its time; clocks differ by less.
+	latest := now.Add(sameCrash).UnixMilli()
 	if m.Cleared > 0 && m.Cleared <= latest {
 		s := g.suspects[m.Hash]
 		if s == nil {
 			s = &suspect{}
 			g.suspects[m.Hash] = s
 		}
-		s.clear(m.Cleared)
+		s.clear(m.Cleared, now)
 	}
 	for _, c := range m.Crashes {
 		if c.At <= latest {
-			g.mark(m.Hash, c)
+			g.mark(m.Hash, c, now)
 		}
 	}
 }
--- a/limiter/retry.go
+++ b/limiter/retry.go
@@ -8,17 +8,22 @@
 )
 
 const (
-	// retryShareNum/retryShareDen is the number of retries allowed per request; with the first
-	// attempt it gives the stated bound of 1.1 attempts per request.
-	retryShareNum, retryShareDen = 1, 10
-	// retryBucket is the resolution of the sliding window.
-	retryBucket = 100 * time.Millisecond
-	// retryWindowBuckets cover one minute.
-	retryWindowBuckets = 600
-	// retryPaceBuckets cover the last 10 s. Retries are paced over this shorter
-	// time too, so that the credit of a busy minute is not spent at once when
-	// an outage begins, after which traffic may fall.
-	retryPaceBuckets = 100
+	// retryShareNum/retryShareDen is the number of retries allowed per request;
+	// with the first attempt it gives the stated bound of 1.1 attempts.
+	retryShareNum, retryShareDen = 10, 100
+	// paceShareNum/paceShareDen applies over the last retryPace. The credit of
+	// a busy minute is thus not spent at once when an outage begins: if the
+	// traffic falls after that, the minutes that follow stay in bounds too.
+	paceShareNum, paceShareDen = 9, 100
+	retryPace                  = 2 * time.Second
+	// retryFloor is the time in which one retry is allowed at any pace, or hosts
+	// with few requests could never retry. The minute's bound applies to it.
+	retryFloor = 10 * time.Second
+	// retryBucket is the resolution of the sliding windows.
+	retryBucket        = 100 * time.Millisecond
+	retryWindowBuckets = int64(time.Minute / retryBucket)
+	retryPaceBuckets   = int64(retryPace / retryBucket)
+	retryFloorBuckets  = int64(retryFloor / retryBucket)
 )
 
 type retryCount struct {
@@ -26,6 +31,11 @@
 	retries  int
 }
 
+// within reports whether one more retry keeps the share num/den.
+func (c retryCount) within(num, den int) bool {
+	return (c.retries+1)*den <= c.requests*num
+}
+
 // RetryBudget allows retries as a share of the requests of the sliding minute
 // that ends at the retry: attempts stay at most 1.1 per request, also when
 // every attempt fails.
@@ -38,6 +48,7 @@
 	current int64
 	minute  retryCount
 	pace    retryCount
+	floor   int // retries within retryFloor
 }
 
 // NewRetryBudget returns an empty budget.
@@ -60,37 +71,31 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance()
-	if !withinShare(b.minute) {
+	if !b.minute.within(retryShareNum, retryShareDen) {
 		return false
 	}
-	// One retry in 10 s is allowed at any rate of requests, or hosts with few
-	// requests could never retry. The minute's bound applies nevertheless.
-	if b.pace.retries > 0 && !withinShare(b.pace) {
+	if b.floor > 0 && !b.pace.within(paceShareNum, paceShareDen) {
 		return false
 	}
 	b.at(b.current).retries++
 	b.minute.retries++
 	b.pace.retries++
+	b.floor++
 	return true
 }
 
-// withinShare reports whether one more retry keeps the share.
-func withinShare(c retryCount) bool {
-	return (c.retries+1)*retryShareDen <= c.requests*retryShareNum
-}
-
 func (b *RetryBudget) at(bucket int64) *retryCount {
 	return &b.ring[bucket%int64(len(b.ring))]
 }
 
 // advance moves the windows to the current bucket. The oldest bucket lies only
-// partly in the window: its retries still count and its requests do not, so
+// partly in the minute: its retries still count and its requests do not, so
 // rounding never allows a retry too many.
 func (b *RetryBudget) advance() {
 	now := max(b.current, int64(b.clock.Since(b.start)/retryBucket))
 	if now-b.current > retryWindowBuckets {
 		b.ring = [retryWindowBuckets + 1]retryCount{}
-		b.minute, b.pace = retryCount{}, retryCount{}
+		b.minute, b.pace, b.floor = retryCount{}, retryCount{}, 0
 		b.current = now
 		return
 	}
@@ -111,4 +116,7 @@
 		b.pace.requests -= b.at(left).requests
 		b.pace.retries -= b.at(left).retries
 	}
+	if left := b.current - retryFloorBuckets; left >= 0 {
+		b.floor -= b.at(left).retries
+	}
 }
--- a/limiter/silence.go
+++ b/limiter/silence.go
@@ -8,10 +8,10 @@
 	// SilenceTimeout is the time without a byte after which the probing starts.
 	SilenceTimeout = 3 * time.Second
 	// ProbeTimeout is how long one probe may take. Late answers are ignored.
-	ProbeTimeout = 500 * time.Millisecond
-	// probeInterval is the time between the starts of two probes. Three fit in
-	// before the decision, so that one lost probe does not cut a slow answer.
-	probeInterval = 700 * time.Millisecond
+	ProbeTimeout = 400 * time.Millisecond
+	// probeInterval is the time between the starts of two probes. Four fit in
+	// before the decision and two answers suffice, so two may be lost.
+	probeInterval = 450 * time.Millisecond
 	// silenceLimit is the time after the last sign of life (a byte, or progress
 	// between two answers) at which the connection is given up. It includes
 	// the last probe's timeout and stays within the bound of 5 s.
