Keep learning and testing once memory bounds are reached

Cause: on a long-lived host the bounds on classes, hosts and cells were reached by versions and hosts long gone. New versions were then neither tested nor learned, and hosts that had dropped and re-created a class were ignored by those that remembered its higher counts.

Change: the least recently used class, host or cell is dropped instead; counts carry a start and cells a host-wide sequence, so that a re-created one is taken in; suspect classes are kept; Detector.Retain forgets withdrawn versions.

Mutations: newest dropped first, suspect dropped, new hosts ignored, start ignored (TestBoundsKeepTesting); newest dropped first, new cells ignored, sequence per cell (TestBoundsKeepLearning).

Conclusion: memory stays bounded without losing new versions.

--- a/cascade/cascade_test.go
+++ b/cascade/cascade_test.go
@@ -217,6 +217,45 @@
 	}
 }
 
+// TestBoundsKeepLearning guards against a long-lived host that learns nothing
+// about new versions, its own or another host's, once its bounds are reached.
+func TestBoundsKeepLearning(t *testing.T) {
+	clock := fakeClock()
+	a, b, late := newChooser("a", clock), newChooser("b", clock), newChooser("c", clock)
+	for i := range maxOwnCells + 100 {
+		clock.Advance(time.Second)
+		a.ObserveRating(Rating{Version: fmt.Sprint(i), Kind: "k", Passed: true})
+		if i == 0 {
+			if err := late.Merge(a.Export()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := b.Merge(a.Export()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// Version 0 was dropped; what is learned of it again must arrive.
+	a.ObserveRating(Rating{Version: "0", Kind: "k"})
+	summary := a.Export()
+	if err := errors.CombineErrors(b.Merge(summary), late.Merge(summary)); err != nil {
+		t.Fatal(err)
+	}
+	if _, slow, _ := late.evidence.pool(cellKey{"0", "k", false}, clock.Now()); slow.Fail != 1 {
+		t.Errorf("a host that kept the dropped cell knows %+v", slow)
+	}
+	for name, c := range map[string]*Chooser{"a": a, "b": b} {
+		for _, version := range []string{"0", "500", fmt.Sprint(maxOwnCells + 99)} {
+			_, slow, _ := c.evidence.pool(cellKey{version, "k", false}, clock.Now())
+			if math.Abs(slow.n()-1) > 0.1 || version == "0" && slow.Fail != 1 {
+				t.Errorf("host %s knows %+v of version %s", name, slow, version)
+			}
+		}
+	}
+	if len(a.evidence.own) > maxOwnCells || len(b.evidence.peers["a"].cells) > maxOwnCells {
+		t.Errorf("%d own and %d peer cells", len(a.evidence.own), len(b.evidence.peers["a"].cells))
+	}
+}
+
 // TestSampling guards against a shift after which known estimates are not rated
 // again, and against samples that spend the last ratings, which gates need.
 func TestSampling(t *testing.T) {
--- a/cascade/evidence.go
+++ b/cascade/evidence.go
@@ -75,7 +75,7 @@
 	// generation counts the shifts seen. Long memories of an older
 	// generation are ignored in favour of the short ones.
 	generation int
-	// sequence counts the changes of the cell; a higher one replaces a lower.
+	// sequence rises with every change; a higher one replaces a lower.
 	sequence int64
 	at       time.Time
 	// recent counts ratings with a short memory, checked those since a shift.
@@ -117,6 +117,9 @@
 	cache map[cellKey]estimate
 	// alertUntil is when the alert after a shift ends.
 	alertUntil time.Time
+	// sequence is the last one given to a cell. It is shared by all cells, so a
+	// cell that was dropped and rated again still replaces its earlier state.
+	sequence int64
 	// cursor rotates the cells that a bounded summary carries.
 	cursor int64
 	sent   map[cellKey]int64
@@ -149,7 +152,7 @@
 	hosts := float64(1 + len(e.peers))
 	own.fast = own.fast.forgetAndAdd(passed, max(2, e.cfg.FastWindow/hosts))
 	own.slow = own.slow.forgetAndAdd(passed, max(2, e.cfg.SlowWindow/hosts))
-	own.sequence++
+	own.sequence = e.nextSequence()
 	own.recent++
 	own.checked++
 	e.detectChange(key, own, now)
@@ -157,20 +160,16 @@
 	delete(e.cache, cellKey{key.version, key.kind, true})
 }
 
+func (e *evidence) nextSequence() int64 {
+	e.sequence++
+	return e.sequence
+}
+
 // makeRoom drops the least recently rated cell when the bound is reached.
 func (e *evidence) makeRoom() {
-	if len(e.own) < maxOwnCells {
-		return
-	}
-	var oldest cellKey
-	var at time.Time
-	for key, c := range e.own {
-		if at.IsZero() || c.at.Before(at) {
-			oldest, at = key, c.at
-		}
+	if len(e.own) >= maxOwnCells {
+		delete(e.sent, dropOldest(e.own, func(c *cell) time.Time { return c.at }))
 	}
-	delete(e.own, oldest)
-	delete(e.sent, oldest)
 }
 
 // detectChange compares the pooled short memory with the pooled long one and
@@ -186,7 +185,7 @@
 	sd := math.Sqrt(p * (1 - p) * (1/fast.n() + 1/old.n()))
 	if math.Abs(fast.rate()-old.rate()) > changeDeviations*sd {
 		own.raise(generation + 1)
-		own.sequence++
+		own.sequence = e.nextSequence()
 		e.alert(now)
 		e.doubt(cellKey{key.version, key.kind, !key.escalated})
 	}
@@ -222,7 +221,7 @@
 		other.slow = other.slow.scaled(doubtWeight / n)
 		other.fast = other.slow
 	}
-	other.sequence++
+	other.sequence = e.nextSequence()
 	delete(e.cache, key)
 }
 
--- a/cascade/summary.go
+++ b/cascade/summary.go
@@ -137,9 +137,12 @@
 func (e *evidence) mergeCell(peer *peerEvidence, received SummaryCell, now time.Time) {
 	key := cellKey{received.Version, received.Kind, received.Escalated}
 	known, ok := peer.cells[key]
-	if ok && received.Sequence <= known.sequence || !ok && len(peer.cells) >= maxOwnCells {
+	if ok && received.Sequence <= known.sequence {
 		return
 	}
+	if !ok && len(peer.cells) >= maxOwnCells {
+		dropOldest(peer.cells, func(c cell) time.Time { return c.at })
+	}
 	peer.cells[key] = cell{
 		fast: received.Fast, slow: received.Slow,
 		generation: received.Generation, sequence: received.Sequence,
@@ -147,11 +150,26 @@
 	}
 	if own := e.own[key]; own != nil && received.Generation > own.generation {
 		own.raise(received.Generation)
-		own.sequence++
+		own.sequence = e.nextSequence()
 		e.alert(now)
 	}
 }
 
+// dropOldest removes the cell that was rated the longest time ago. Cells of the
+// same time are dropped in the order of their keys.
+func dropOldest[C any](cells map[cellKey]C, at func(C) time.Time) cellKey {
+	var oldest cellKey
+	var since time.Time
+	for key, c := range cells {
+		t := at(c)
+		if since.IsZero() || t.Before(since) || t.Equal(since) && compareKeys(key, oldest) < 0 {
+			oldest, since = key, t
+		}
+	}
+	delete(cells, oldest)
+	return oldest
+}
+
 // expire drops hosts that have sent nothing for peerTime.
 func (e *evidence) expire(now time.Time) {
 	for host, peer := range e.peers {
--- a/rollout/detector.go
+++ b/rollout/detector.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -43,6 +44,9 @@
 	recovery  float64
 	ratios    factors
 	sent      int64
+	// used orders the classes by their last answer, and start tells one
+	// lifetime of the class on this host from the next.
+	used, start int64
 }
 
 // declaration is what the configuration says about a version.
@@ -62,6 +66,8 @@
 	classes  map[classKey]*class
 	peers    map[string]*peer
 	cursor   int64
+	// uses counts answers and summaries, to find what was unused longest.
+	uses int64
 }
 
 // NewDetector returns a Detector.
@@ -116,18 +122,50 @@
 	d.apply(c, pass, fail)
 }
 
-// class returns the class, creating it unless the bound is reached.
+// class returns the class. It creates it if needed and drops the least recently
+// used class when the bound is reached, so that new versions are always tested.
+// It returns nil only if all classes are suspect.
 func (d *Detector) class(key classKey) *class {
 	c := d.classes[key]
-	if c == nil && len(d.classes) < maxClasses {
-		c = &class{key: key}
+	if c == nil {
+		if len(d.classes) >= maxClasses && !d.dropClass() {
+			return nil
+		}
+		c = &class{key: key, start: d.uses}
 		c.verdict.Version, c.verdict.Kind = key.version, key.kind
 		d.classes[key] = c
 		c.test.setReference(d.referenceOf(c))
 	}
+	d.uses++
+	c.used = d.uses
 	return c
 }
 
+func (d *Detector) dropClass() bool {
+	var oldest *class
+	for _, c := range d.classes {
+		if !c.verdict.Suspect && (oldest == nil || c.used < oldest.used) {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(d.classes, oldest.key)
+	return true
+}
+
+// Retain forgets all versions that are no longer in the configuration.
+func (d *Detector) Retain(keep func(version string) bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	maps.DeleteFunc(d.declared, func(version string, _ declaration) bool { return !keep(version) })
+	maps.DeleteFunc(d.classes, func(key classKey, _ *class) bool { return !keep(key.version) })
+	for _, p := range d.peers {
+		maps.DeleteFunc(p.counts, func(key classKey, _ count) bool { return !keep(key.version) })
+	}
+}
+
 // referenceOf returns the pass rate a good class has.
 func (d *Detector) referenceOf(c *class) float64 {
 	declared := d.declared[c.key.version]
--- a/rollout/detector_test.go
+++ b/rollout/detector_test.go
@@ -138,6 +138,57 @@
 	}
 }
 
+// TestBoundsKeepTesting guards against a long-lived host that stops testing new
+// versions, or hearing new hosts, once its memory bounds are reached, and
+// against a verdict dropped to make room.
+func TestBoundsKeepTesting(t *testing.T) {
+	d, other := newDetector("a", 1), newDetector("b", 1)
+	fail := func(version string) {
+		for range 60 {
+			d.Observe(version, "k", false)
+		}
+	}
+	pass := func(n int) {
+		for range n {
+			d.Observe("again", "k", true)
+		}
+		if err := other.Merge(d.Export()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	pass(5)
+	fail("first")
+	for i := range maxClasses + 10 {
+		d.Observe(fmt.Sprint("v", i), "k", true)
+	}
+	fail("last")
+	for _, version := range []string{"first", "last"} {
+		if !d.State(version, "k").Suspect {
+			t.Errorf("version %q is not suspect", version)
+		}
+	}
+	if pass(3); other.State("again", "k").Rated != 8 {
+		t.Errorf("another host counts %d answers of a class that was dropped in between, want 8", other.State("again", "k").Rated)
+	}
+	newest := fmt.Sprint("v", maxClasses+9)
+	if d.State("v0", "k").Rated != 0 || d.State(newest, "k").Rated != 1 {
+		t.Error("dropped a class that was used lately")
+	}
+	for i := range maxPeers + 10 {
+		s := Summary{Host: fmt.Sprint("h", i), Cells: []SummaryCell{{Version: "w", Kind: "k", Pass: 1}}}
+		if err := d.Merge(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := d.State("w", "k").Rated; got != maxPeers+10 || len(d.classes) > maxClasses || len(d.peers) > maxPeers {
+		t.Errorf("%d answers, %d classes, %d hosts", got, len(d.classes), len(d.peers))
+	}
+	d.Retain(func(version string) bool { return version == "last" })
+	if d.State("first", "k").Suspect || !d.State("last", "k").Suspect || len(d.classes) != 1 {
+		t.Errorf("%d classes after Retain", len(d.classes))
+	}
+}
+
 // delivered is the oracle's record of what a host knows of another.
 type delivered struct {
 	incarnation int64
--- a/rollout/summary.go
+++ b/rollout/summary.go
@@ -31,6 +31,9 @@
 	// Pass and Fail count the host's own rated answers.
 	Pass uint64 `json:"p"`
 	Fail uint64 `json:"f"`
+	// Start identifies the start of the counts. It rises when a class that was
+	// dropped for want of room is counted again from zero.
+	Start int64 `json:"b,omitempty"`
 	// Epoch, Suspect, Fall and Reference are the latest verdict.
 	Epoch     int64   `json:"e,omitempty"`
 	Suspect   bool    `json:"s,omitempty"`
@@ -42,9 +45,14 @@
 type peer struct {
 	incarnation int64
 	counts      map[classKey]count
+	// used orders the hosts by their last summary.
+	used int64
 }
 
-type count struct{ pass, fail uint64 }
+type count struct {
+	start      int64
+	pass, fail uint64
+}
 
 // Export returns this host's summary: suspicious classes first, then those
 // sent the longest time ago.
@@ -70,7 +78,7 @@
 		d.cursor++
 		c.sent = d.cursor
 		s.Cells = append(s.Cells, SummaryCell{
-			Version: c.key.version, Kind: c.key.kind, Pass: c.pass, Fail: c.fail,
+			Version: c.key.version, Kind: c.key.kind, Pass: c.pass, Fail: c.fail, Start: c.start,
 			Epoch: c.verdict.Epoch, Suspect: c.verdict.Suspect,
 			Fall: c.verdict.Fall, Reference: c.verdict.Reference,
 		})
@@ -89,13 +97,18 @@
 		return nil
 	}
 	p := d.peers[s.Host]
-	if p == nil && len(d.peers) >= maxPeers || p != nil && s.Incarnation < p.incarnation {
+	if p != nil && s.Incarnation < p.incarnation {
 		return nil
 	}
+	if p == nil && len(d.peers) >= maxPeers {
+		d.dropPeer()
+	}
 	if p == nil || s.Incarnation > p.incarnation {
 		p = &peer{incarnation: s.Incarnation, counts: make(map[classKey]count)}
 		d.peers[s.Host] = p
 	}
+	d.uses++
+	p.used = d.uses
 	for _, cell := range s.Cells {
 		if c := d.class(classKey{cell.Version, cell.Kind}); c != nil {
 			d.mergeVerdict(c, cell)
@@ -105,6 +118,19 @@
 	return nil
 }
 
+// dropPeer forgets the host that was silent longest. The bound is above the
+// size of the fleet, so that host has left; were it to return with the same
+// incarnation, its answers would count again.
+func (d *Detector) dropPeer() {
+	silent := ""
+	for host, p := range d.peers {
+		if silent == "" || p.used < d.peers[silent].used {
+			silent = host
+		}
+	}
+	delete(d.peers, silent)
+}
+
 func (s Summary) validate() error {
 	if s.Host == "" || len(s.Cells) > MaxSummaryCells {
 		return errors.Wrapf(ErrInvalid, "summary of %q with %d cells", s.Host, len(s.Cells))
@@ -127,9 +153,15 @@
 
 func (d *Detector) mergeCounts(p *peer, c *class, cell SummaryCell) {
 	known := p.counts[c.key]
+	if cell.Start > known.start {
+		known = count{start: cell.Start}
+	}
+	if cell.Start < known.start {
+		return
+	}
 	if cell.Pass < known.pass || cell.Fail < known.fail || cell.Pass+cell.Fail == known.pass+known.fail {
 		return
 	}
-	p.counts[c.key] = count{cell.Pass, cell.Fail}
+	p.counts[c.key] = count{cell.Start, cell.Pass, cell.Fail}
 	d.apply(c, cell.Pass-known.pass, cell.Fail-known.fail)
 }
