--- a/cascade/cascade_test.go
+++ b/cascade/cascade_test.go
@@ -223,7 +223,7 @@
 	clock := fakeClock()
 	a, b, late := newChooser("a", clock), newChooser("b", clock), newChooser("c", clock)
 	for i := range maxOwnCells + 100 {
-		clock.Advance(time.Second)
+		clock.Advance(100 * time.Millisecond)
 		a.ObserveRating(Rating{Version: fmt.Sprint(i), Kind: "k", Passed: true})
 		if i == 0 {
 			if err := late.Merge(a.Export()); err != nil {
