--- a/config/config.go
+++ b/config/config.go
@@ -101,6 +101,9 @@
 	Cert string `json:"cert"`
 	Key  string `json:"key"`
 	CA   string `json:"ca"`
+	// PeerName is the DNS name that the certificates of all hosts carry,
+	// because hosts are addressed by IP number.
+	PeerName string `json:"peer_name"`
 }
 
 // Limits bound what one host accepts.
--- a/config/load.go
+++ b/config/load.go
@@ -213,5 +213,8 @@
 	if s.TLS.Cert == "" || s.TLS.Key == "" {
 		return bad("tls", "needs cert and key")
 	}
+	if s.TLS.PeerName == "" {
+		return bad("tls.peer_name", "must not be empty")
+	}
 	return nil
 }
--- /dev/null
+++ b/dispatch/allowance.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/corianderlever/corianderlever/api"
+)
+
+// AllowanceRequest asks whether a request may add its cost to this minute.
+type AllowanceRequest struct {
+	Rank string
+	// Worth is the value of the request in price units.
+	Worth float64
+	// Cost is the estimated cost.
+	Cost float64
+	// Deadline is when the answer must be complete.
+	Deadline time.Time
+	// Urgent marks the most urgent rank.
+	Urgent bool
+}
+
+// AllowanceDecision is the answer.
+type AllowanceDecision struct {
+	// Admit tells whether the request may go on now.
+	Admit bool
+	// Until is when to ask again; zero means the request is refused.
+	Until time.Time
+	// PriceMultiplier is the price of a cost unit now relative to the normal one.
+	PriceMultiplier float64
+	// Reason says why.
+	Reason string
+	// Settle replaces the estimated cost by the actual one. It is set when the
+	// request is admitted.
+	Settle func(actual float64)
+}
+
+// Allowance guards the busiest minute.
+type Allowance interface {
+	Decide(req AllowanceRequest) AllowanceDecision
+}
+
+// passAllowance waits until the request may add its cost to the running
+// minute, and returns the decision that admitted it.
+func (d *Dispatcher) passAllowance(ctx context.Context, trace *Trace, t target, cost float64) (AllowanceDecision, error) {
+	if d.Allowance == nil {
+		return AllowanceDecision{Admit: true, PriceMultiplier: 1, Settle: func(float64) {}}, nil
+	}
+	deadline, _ := ctx.Deadline()
+	req := AllowanceRequest{
+		Rank: t.rankName, Worth: t.rank.Worth, Cost: cost, Deadline: deadline, Urgent: t.urgent,
+	}
+	for {
+		dec := d.Allowance.Decide(req)
+		switch {
+		case dec.Admit:
+			trace.add("allowance", "admitted at price %.3f: %s", dec.PriceMultiplier, dec.Reason)
+			d.metrics.decisions.WithLabelValues("allowance", "admitted").Inc()
+			return dec, nil
+		case dec.Until.IsZero():
+			trace.add("allowance", "refused: %s", dec.Reason)
+			d.metrics.decisions.WithLabelValues("allowance", "refused").Inc()
+			return dec, refusal(http.StatusTooManyRequests, api.CodeOverloaded, "the allowance of this minute is used up: %s", dec.Reason)
+		}
+		trace.add("allowance", "deferred until %v: %s", dec.Until, dec.Reason)
+		d.metrics.decisions.WithLabelValues("allowance", "deferred").Inc()
+		if err := d.wait(ctx, dec.Until.Sub(d.Clock.Now())); err != nil {
+			return dec, refusal(http.StatusGatewayTimeout, api.CodeDeadline, "deferred past the deadline: %v", err)
+		}
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -1,10 +1,11 @@
 // Package dispatch is the path of a request: resolve what it may run on,
-// admit it, choose an endpoint, attempt, resume or retry, and bill.
+// admit it, choose an endpoint, attempt, resume or retry, escalate, and bill.
 package dispatch
 
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,9 +13,13 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/corianderlever/corianderlever/admission"
 	"github.com/corianderlever/corianderlever/api"
+	"github.com/corianderlever/corianderlever/cascade"
 	"github.com/corianderlever/corianderlever/engine"
+	"github.com/corianderlever/corianderlever/limiter"
 	"github.com/corianderlever/corianderlever/resource"
+	"github.com/corianderlever/corianderlever/rollout"
 	"github.com/corianderlever/corianderlever/session"
 )
 
@@ -26,7 +31,7 @@
 	Fresh() bool
 }
 
-// Engines runs attempts on endpoints.
+// Engines runs attempts on endpoints; *engine.Client is one.
 type Engines interface {
 	Generate(ctx context.Context, addr string, req engine.GenerateRequest, onToken func(engine.Event) error) (engine.Final, error)
 	Call(ctx context.Context, addr, service, operation, attempt, key string, body []byte) (engine.Reply, error)
@@ -60,13 +65,27 @@
 	Receipt      api.Receipt
 }
 
-// Options configure a Dispatcher.
+// Options are the parts a Dispatcher works with. All are required except
+// Rater and Allowance.
 type Options struct {
-	Config  Config
-	Engines Engines
-	Signer  *session.Signer
-	Clock   clockwork.Clock
-	Logger  *slog.Logger
+	Config   Config
+	Engines  Engines
+	Signer   *session.Signer
+	Chooser  *cascade.Chooser
+	Detector *rollout.Detector
+	Queue    *admission.Queue
+	Fleet    *Fleet
+	Retries  *limiter.RetryBudget
+	Crashes  *limiter.CrashGuard
+	Prober   Prober
+	Ledger   Ledger
+	Claims   Claims
+	// Rater rates answers; without it no answer is rated.
+	Rater Rater
+	// Allowance guards the busiest minute; without it nothing is deferred.
+	Allowance Allowance
+	Clock     clockwork.Clock
+	Logger    *slog.Logger
 	// Registry receives the metrics.
 	Registry prometheus.Registerer
 }
@@ -76,13 +95,24 @@
 	Options
 	traces  *traces
 	metrics *metrics
+	// samples bounds the ratings under way that nobody waits for.
+	samples    chan struct{}
+	background sync.WaitGroup
 }
 
 // New returns a dispatcher.
 func New(opts Options) *Dispatcher {
-	return &Dispatcher{Options: opts, traces: newTraces(opts.Clock), metrics: newMetrics(opts.Registry)}
+	return &Dispatcher{
+		Options: opts,
+		traces:  newTraces(opts.Clock),
+		metrics: newMetrics(opts.Registry),
+		samples: make(chan struct{}, maxSamples),
+	}
 }
 
+// Close waits for work in the background.
+func (d *Dispatcher) Close() { d.background.Wait() }
+
 func refusal(status int, code, format string, args ...any) *api.Error {
 	return &api.Error{
 		Status: status, Code: code, Outcome: api.OutcomeNotRun,
@@ -90,28 +120,55 @@
 	}
 }
 
+func newAttempt() string { return uuid.NewString() }
+
 // Chat serves one request and calls sink for each token.
 func (d *Dispatcher) Chat(ctx context.Context, req ChatRequest, sink Sink) (Answer, error) {
-	start := d.Clock.Now()
-	target, err := d.resolve(req)
-	if err != nil {
-		return Answer{}, err
+	r := &run{
+		d: d, req: req, sink: sink, arrived: d.Clock.Now(),
+		trace: d.traces.start(req.ID), hash: contentHash(req),
+	}
+	var answer Answer
+	var err error
+	if r.target, err = d.resolve(req); err == nil {
+		r.trace.add("resolve", "rank %s, versions %v, quality target %v", r.target.rankName, r.target.versions, r.target.quality)
+		ctx, cancel := context.WithTimeout(ctx, r.target.rank.Deadline.D())
+		defer cancel()
+		answer, err = r.serve(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, target.rank.Deadline.D())
-	defer cancel()
-	answer, err := d.run(ctx, req, target, sink)
-	d.log(ctx, req, target, answer, d.Clock.Since(start), err)
+	d.finish(ctx, r.trace, outcome{
+		id: req.ID, team: req.Team, rank: r.target.rankName, version: answer.Receipt.Version,
+		cost: answer.Receipt.Cost, took: d.Clock.Since(r.arrived), err: err,
+	})
 	return answer, err
 }
 
-func (d *Dispatcher) log(ctx context.Context, req ChatRequest, t target, a Answer, took time.Duration, err error) {
-	attrs := []any{"request", req.ID, "team", req.Team, "rank", t.rankName, "version", a.Receipt.Version,
-		"tokens", a.Receipt.Tokens, "duration", took}
-	if err != nil {
-		d.Logger.WarnContext(ctx, "request failed", append(attrs, "error", err)...)
-		return
-	}
-	d.Logger.InfoContext(ctx, "request served", attrs...)
+// outcome is how a request ended.
+type outcome struct {
+	id, team, rank, version string
+	cost                    float64
+	took                    time.Duration
+	err                     error
 }
 
-func newAttempt() string { return uuid.NewString() }
+// finish records the end of a request in log, trace and metrics.
+func (d *Dispatcher) finish(ctx context.Context, trace *Trace, o outcome) {
+	team, rank := class(d.Config.Current(), o.team, o.rank)
+	code := "ok"
+	attrs := []any{"request", o.id, "team", o.team, "rank", o.rank, "version", o.version, "cost", o.cost, "duration", o.took}
+	if o.err != nil {
+		var refused *api.Error
+		code = api.CodeFailed
+		if errors.As(o.err, &refused) {
+			code = refused.Code
+		}
+		trace.add("end", "%v", o.err)
+		d.Logger.WarnContext(ctx, "request refused", append(attrs, "code", code, "error", o.err)...)
+	} else {
+		trace.add("end", "served by %s at cost %.4f", o.version, o.cost)
+		d.Logger.InfoContext(ctx, "request served", attrs...)
+		observe(d.metrics.latency, team, rank, o.took)
+		d.metrics.cost.WithLabelValues(team, rank).Observe(o.cost)
+	}
+	d.metrics.requests.WithLabelValues(team, rank, code).Inc()
+}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -2,78 +2,232 @@
 
 import (
 	"context"
-	"io"
-	"log/slog"
-	"net/http/httptest"
+	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-	"github.com/prometheus/client_golang/prometheus"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
 
 	"github.com/corianderlever/corianderlever/api"
 	"github.com/corianderlever/corianderlever/client"
-	"github.com/corianderlever/corianderlever/daemon/demo"
-	"github.com/corianderlever/corianderlever/dispatch"
-	"github.com/corianderlever/corianderlever/engine"
-	"github.com/corianderlever/corianderlever/entry"
-	"github.com/corianderlever/corianderlever/resource"
-	"github.com/corianderlever/corianderlever/session"
+	"github.com/corianderlever/corianderlever/engine/fakeengine"
+	"github.com/corianderlever/corianderlever/platform/memkv"
 )
 
-type staticConfig struct{ snap *resource.Snapshot }
-
-func (c staticConfig) Current() *resource.Snapshot { return c.snap }
-func (c staticConfig) Fresh() bool                 { return true }
+func refusedAs(t *testing.T, err error, code string, outcome api.Outcome) {
+	t.Helper()
+	var refused *api.Error
+	if !errors.As(err, &refused) || refused.Code != code || refused.Outcome != outcome {
+		t.Errorf("error %v, want code %s with outcome %s", err, code, outcome)
+	}
+}
 
-// Guards against a broken path from the client through the entry to an engine.
+// Guards against a broken path from the client through the entry to an
+// engine, and against a bill that differs from the receipts.
 func TestWholePath(t *testing.T) {
-	endpoints, err := demo.StartEndpoints(2)
+	r := newRig(t, 2)
+	ctx := context.Background()
+	whole, err := r.client.Chat(ctx, client.Request{}, chat("small", "draft a letter"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer endpoints.Close()
-	list, err := demo.Resources(endpoints)
+	if whole.Receipt.Version != "small-2" || whole.Receipt.Cost <= 0 {
+		t.Errorf("receipt %+v, want the newest version and a cost", whole.Receipt)
+	}
+	var text strings.Builder
+	streamed, err := r.client.Stream(ctx, client.Request{}, chat("small", "draft a letter"), func(s string) error {
+		text.WriteString(s)
+		return nil
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	snap, err := resource.NewSnapshot(1, list)
+	if text.String() != whole.Choices[0].Message.Content {
+		t.Errorf("streamed %q, whole %q", text.String(), whole.Choices[0].Message.Content)
+	}
+	if got, want := r.bill().Cost, whole.Receipt.Cost+streamed.Receipt.Cost; got-want > 1e-9 || want-got > 1e-9 {
+		t.Errorf("billed %v, receipts say %v", got, want)
+	}
+}
+
+// Guards against a request that is billed twice when its caller repeats it.
+func TestRepeatIsBilledOnce(t *testing.T) {
+	r := newRig(t, 2)
+	id := uuid.Must(uuid.NewV7()).String()
+	for range 3 {
+		if _, err := r.client.Chat(context.Background(), client.Request{ID: id}, chat("small", "x")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := r.bill(); got.Requests != 1 {
+		t.Errorf("billed %d times", got.Requests)
+	}
+}
+
+// Guards against a cascade that never escalates, or that returns the poor
+// answer after the better one.
+func TestCascadeEscalatesPoorAnswers(t *testing.T) {
+	r := newRig(t, 2)
+	poor := 0
+	for i := range 40 {
+		resp, err := r.client.Chat(context.Background(), client.Request{Kind: "letter"}, chat("letters", fmt.Sprint("letter ", i)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.HasPrefix(resp.Choices[0].Message.Content, "Poor:") {
+			poor++
+		}
+	}
+	// The declared quality target is 0.9; 40 answers at 0.9 have at most 9 poor
+	// ones with a probability of over 0.99.
+	if poor > 9 {
+		t.Errorf("%d of 40 answers are poor", poor)
+	}
+	used := make(map[string]bool)
+	for _, e := range r.endpoints.Engines {
+		for _, run := range e.Runs() {
+			used[run.Version] = true
+		}
+	}
+	if !used["large-1"] || !used["small-2"] {
+		t.Errorf("versions used %v, want a cheap and an expensive one", used)
+	}
+}
+
+// Guards against a lost or doubled token when an engine dies in the middle of
+// a stream.
+func TestStreamResumesAfterCrash(t *testing.T) {
+	r := newRig(t, 2)
+	want, err := r.client.Chat(context.Background(), client.Request{}, chat("small", "long letter"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	clock := clockwork.NewRealClock()
-	signer, err := session.NewSigner(clock, time.Hour, []session.Key{{ID: "k", Secret: []byte(strings.Repeat("s", session.MinKeyBytes))}})
+	var text strings.Builder
+	var once sync.Once
+	_, err = r.client.Stream(context.Background(), client.Request{}, chat("small", "long letter"), func(s string) error {
+		text.WriteString(s)
+		if len(text.String()) > 40 {
+			once.Do(func() { r.killBusyEngine() })
+		}
+		return nil
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
-	d := dispatch.New(dispatch.Options{Config: staticConfig{snap}, Engines: engine.NewClient(nil), Signer: signer, Clock: clock, Logger: logger, Registry: prometheus.NewRegistry()})
-	h := entry.New(entry.Options{
-		Dispatcher: d, Config: staticConfig{snap}, Logger: logger,
-		Entries:      func() api.EntriesResponse { return api.EntriesResponse{} },
-		Ready:        func() bool { return true },
-		MaxBodyBytes: 1 << 20, BodyTimeout: time.Second, WriteTimeout: time.Second,
+	if text.String() != want.Choices[0].Message.Content {
+		t.Errorf("resumed %q, want %q", text.String(), want.Choices[0].Message.Content)
+	}
+}
+
+// killBusyEngine restarts the engine that ran the last request.
+func (r *rig) killBusyEngine() {
+	most := r.endpoints.Engines[0]
+	for _, e := range r.endpoints.Engines {
+		if runs := e.Runs(); len(runs) > 0 && e.Running() > 0 {
+			most = e
+		}
+	}
+	if err := most.Restart(); err != nil {
+		r.t.Error(err)
+	}
+}
+
+// Guards against a silent connection that is never given up.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	r := newRig(t, 2)
+	var once sync.Once
+	start := time.Now()
+	_, err := r.client.Stream(context.Background(), client.Request{Rank: "normal"}, chat("small", "x"), func(string) error {
+		once.Do(func() {
+			for _, e := range r.endpoints.Engines {
+				e.Silence()
+			}
+		})
+		return nil
 	})
-	server := httptest.NewServer(h)
-	defer server.Close()
-	c := client.New(client.Options{Seeds: []string{strings.TrimPrefix(server.URL, "http://")}, Key: demo.TeamKey})
-	body := api.ChatRequest{Model: "small", Messages: []api.Message{{Role: "user", Content: "draft a letter"}}}
-	whole, err := c.Chat(context.Background(), client.Request{}, body)
+	if err != nil {
+		t.Fatalf("after %v: %v", time.Since(start), err)
+	}
+}
+
+// Guards against a request that crashes engine after engine through its
+// caller's repeats.
+func TestCrashingRequestIsStopped(t *testing.T) {
+	r := newRig(t, 3)
+	var last error
+	for range 4 {
+		_, last = r.client.Chat(context.Background(), client.Request{}, chat("small", fakeengine.CrashMarker))
+	}
+	refusedAs(t, last, api.CodeCrashing, api.OutcomeNotRun)
+	crashes := 0
+	for _, e := range r.endpoints.Engines {
+		crashes += e.Crashes()
+	}
+	if crashes > 2 {
+		t.Errorf("%d crashes, at most 2 are allowed", crashes)
+	}
+	if _, err := r.client.Chat(context.Background(), client.Request{}, chat("small", "innocent")); err != nil {
+		t.Errorf("an innocent request: %v", err)
+	}
+}
+
+// Guards against a booking that runs twice: on a repeat, with an unknown
+// claim, or without a key.
+func TestBookingRunsAtMostOnce(t *testing.T) {
+	r := newRig(t, 1)
+	ctx := context.Background()
+	id := uuid.Must(uuid.NewV7()).String()
+	body := map[string]any{"rim": 4}
+	first, err := r.client.Call(ctx, client.Request{ID: id}, "booking", "book", body)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if whole.Receipt.Version != "small-2" || whole.Receipt.Cost <= 0 {
-		t.Errorf("receipt %+v, want the newest version and a cost", whole.Receipt)
+	again, err := r.client.Call(ctx, client.Request{ID: id}, "booking", "book", body)
+	if err != nil || !again.Repeat || string(again.Body) != string(first.Body) {
+		t.Errorf("repeat: %s repeat=%t, %v; want the first answer %s", again.Body, again.Repeat, err, first.Body)
 	}
-	var text strings.Builder
-	if _, err := c.Stream(context.Background(), client.Request{}, body, func(s string) error {
-		text.WriteString(s)
-		return nil
-	}); err != nil {
+	_, err = r.client.Call(ctx, client.Request{ID: "not-a-uuid"}, "booking", "book", body)
+	refusedAs(t, err, api.CodeBadKey, api.OutcomeNotRun)
+	r.kv.Inject(memkv.Outage, memkv.Always)
+	_, err = r.client.Call(ctx, client.Request{}, "booking", "book", body)
+	refusedAs(t, err, api.CodeNotClaimed, api.OutcomeNotRun)
+	if _, err := r.client.Call(ctx, client.Request{}, "booking", "lookup", body); err != nil {
+		t.Errorf("a lookup during an outage of the store: %v", err)
+	}
+	r.kv.ClearAll()
+	if runs := len(r.endpoints.Desk.Runs()); runs != 2 { // one booking, one lookup
+		t.Errorf("the desk ran %d calls, want 2", runs)
+	}
+	if got := r.bill().Requests; got != 2 {
+		t.Errorf("billed %d requests, want 2", got)
+	}
+}
+
+// Guards against a host that serves while it cannot confirm its configuration.
+func TestStaleHostRefuses(t *testing.T) {
+	r := newRig(t, 1)
+	r.config.stale.Store(true)
+	_, err := r.client.Chat(context.Background(), client.Request{}, chat("small", "x"))
+	refusedAs(t, err, api.CodeUnavailable, api.OutcomeNotRun)
+}
+
+// Guards against decisions that cannot be explained afterwards.
+func TestExplain(t *testing.T) {
+	r := newRig(t, 1)
+	resp, err := r.client.Chat(context.Background(), client.Request{}, chat("letters", "x"))
+	if err != nil {
 		t.Fatal(err)
 	}
-	if text.String() != whole.Choices[0].Message.Content {
-		t.Errorf("streamed %q, whole %q", text.String(), whole.Choices[0].Message.Content)
+	e, ok := r.d.Explain(resp.ID)
+	if !ok {
+		t.Fatal("no explanation")
+	}
+	for _, want := range []string{"resolve", "plan", "admission", "endpoint", "end"} {
+		if !strings.Contains(fmt.Sprint(e.Steps), want) {
+			t.Errorf("no step %q in %v", want, e.Steps)
+		}
 	}
 }
--- /dev/null
+++ b/dispatch/fleet.go
@@ -0,0 +1,293 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/corianderlever/corianderlever/balance"
+	"github.com/corianderlever/corianderlever/engine"
+	"github.com/corianderlever/corianderlever/limiter"
+	"github.com/corianderlever/corianderlever/resource"
+)
+
+// maxLimitFactor bounds the adaptive limit of an endpoint relative to its
+// declared concurrency.
+const maxLimitFactor = 2
+
+// Fleet is what one host knows of the endpoints it uses. It is safe for
+// concurrent use.
+type Fleet struct {
+	clock   clockwork.Clock
+	picker  *balance.Picker
+	ejector *limiter.Ejector
+
+	mu        sync.Mutex
+	endpoints map[string]*endpointState
+	// freed is closed and replaced whenever a place becomes free.
+	freed chan struct{}
+	// onCapacity is told the number of requests the endpoints take at once.
+	onCapacity func(float64)
+}
+
+// endpointState is one endpoint as this host sees it.
+type endpointState struct {
+	spec  *resource.Endpoint
+	limit *limiter.Concurrency
+	// loaded are the versions of the last load report; nil without one.
+	loaded  []string
+	leaving bool
+	running map[string]*runningAttempt
+}
+
+type runningAttempt struct {
+	hash limiter.Hash
+	// blamed is set when the attempt was part of a recorded crash.
+	blamed bool
+}
+
+// NewFleet returns a fleet without endpoints. onCapacity may be nil.
+func NewFleet(clock clockwork.Clock, random *rand.Rand, failureDomain string, onCapacity func(float64)) *Fleet {
+	if onCapacity == nil {
+		onCapacity = func(float64) {}
+	}
+	return &Fleet{
+		clock:      clock,
+		picker:     balance.NewPicker(clock, random, balance.DefaultConfig(failureDomain)),
+		ejector:    limiter.NewEjector(clock),
+		endpoints:  make(map[string]*endpointState),
+		freed:      make(chan struct{}),
+		onCapacity: onCapacity,
+	}
+}
+
+// ServiceVersion is the name under which the endpoints of a plain service are
+// chosen, as if the service were a version.
+func ServiceVersion(service string) string { return "service:" + service }
+
+// ApplyConfig takes over the endpoints of a configuration; use selects those
+// of this host's subset.
+func (f *Fleet) ApplyConfig(snap *resource.Snapshot, use func(name string) bool) {
+	f.mu.Lock()
+	next := make(map[string]*endpointState)
+	for name, spec := range snap.Endpoints {
+		if spec.State == resource.EndpointLeaving || !use(name) {
+			continue
+		}
+		st := f.endpoints[name]
+		if st == nil || st.spec.Address != spec.Address || st.spec.Concurrency != spec.Concurrency {
+			st = &endpointState{running: make(map[string]*runningAttempt), limit: newLimit(f.clock, spec)}
+		}
+		st.spec = spec
+		next[name] = st
+	}
+	f.endpoints = next
+	f.mu.Unlock()
+	f.refresh()
+}
+
+func newLimit(clock clockwork.Clock, spec *resource.Endpoint) *limiter.Concurrency {
+	return limiter.NewConcurrency(clock, limiter.ConcurrencyConfig{
+		Initial: spec.Concurrency, Min: 1, Max: spec.Concurrency * maxLimitFactor,
+	})
+}
+
+// refresh hands the usable endpoints to the parts that choose among them.
+func (f *Fleet) refresh() {
+	f.mu.Lock()
+	var list []balance.Endpoint
+	var names []string
+	capacity := 0
+	for name, st := range f.endpoints {
+		if st.leaving {
+			continue
+		}
+		list = append(list, balance.Endpoint{
+			ID: name, FailureDomain: st.spec.FailureDomain, Versions: st.versions(), Concurrency: st.spec.Concurrency,
+		})
+		names = append(names, name)
+		capacity += st.limit.Limit()
+	}
+	f.mu.Unlock()
+	slices.SortFunc(list, func(a, b balance.Endpoint) int { return cmpString(a.ID, b.ID) })
+	slices.Sort(names)
+	f.picker.SetEndpoints(list)
+	f.ejector.SetEndpoints(names)
+	for _, name := range names {
+		f.picker.SetWeight(name, f.ejector.Weight(name))
+	}
+	f.onCapacity(float64(capacity))
+	f.notify()
+}
+
+func cmpString(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// versions are the declared ones that the engine has loaded.
+func (st *endpointState) versions() []string {
+	if st.spec.Service != "" {
+		return []string{ServiceVersion(st.spec.Service)}
+	}
+	if st.loaded == nil {
+		return st.spec.Versions
+	}
+	return slices.DeleteFunc(slices.Clone(st.spec.Versions), func(v string) bool { return !slices.Contains(st.loaded, v) })
+}
+
+// Addresses returns the addresses of all endpoints in use by name.
+func (f *Fleet) Addresses() map[string]string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]string)
+	for name, st := range f.endpoints {
+		out[name] = st.spec.Address
+	}
+	return out
+}
+
+// ObserveLoad takes in a load report.
+func (f *Fleet) ObserveLoad(name string, r engine.LoadReport) {
+	at := f.clock.Now().Add(-time.Duration(r.AgeMS) * time.Millisecond)
+	f.picker.ObserveReport(balance.Report{Endpoint: name, At: at, Running: r.Running, Waiting: r.Waiting})
+	f.mu.Lock()
+	st := f.endpoints[name]
+	changed := st != nil && (st.leaving != r.Leaving || !slices.Equal(st.loaded, r.Versions))
+	if changed {
+		st.leaving, st.loaded = r.Leaving, r.Versions
+	}
+	f.mu.Unlock()
+	if changed {
+		f.refresh()
+	}
+}
+
+// ObserveCache takes in cache events of an endpoint.
+func (f *Fleet) ObserveCache(name string, events []engine.CacheEvent) {
+	for _, ev := range events {
+		out := balance.CacheEvent{Endpoint: name, Sequence: uint64(ev.Sequence)}
+		if ev.Evicted {
+			out.Removed = []uint64{ev.Block}
+		} else {
+			out.Added = []uint64{ev.Block}
+		}
+		f.picker.ObserveCacheEvent(out)
+	}
+}
+
+func (f *Fleet) notify() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.freed)
+	f.freed = make(chan struct{})
+}
+
+// place is the right to run one attempt at an endpoint.
+type place struct {
+	fleet    *Fleet
+	state    *endpointState
+	endpoint string
+	addr     string
+	reason   balance.Reason
+	cached   int
+	attempt  string
+	started  time.Time
+}
+
+// acquire chooses an endpoint with a free place and waits if all are full.
+func (f *Fleet) acquire(ctx context.Context, version string, prefix []uint64, exclude []string, hash limiter.Hash) (*place, error) {
+	for {
+		f.mu.Lock()
+		freed := f.freed
+		f.mu.Unlock()
+		p, full, err := f.tryAcquire(version, prefix, exclude, hash)
+		if err == nil {
+			return p, nil
+		}
+		if !full {
+			return nil, err
+		}
+		select {
+		case <-freed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// tryAcquire reports full when an endpoint exists but has no free place.
+func (f *Fleet) tryAcquire(version string, prefix []uint64, exclude []string, hash limiter.Hash) (p *place, full bool, err error) {
+	exclude = slices.Clone(exclude)
+	for {
+		choice, err := f.picker.Pick(balance.Request{Version: version, Prefix: prefix, Exclude: exclude})
+		if err != nil {
+			return nil, full, err
+		}
+		f.mu.Lock()
+		st := f.endpoints[choice.Endpoint]
+		f.mu.Unlock()
+		if st == nil || !st.limit.TryAcquire() {
+			full = full || st != nil
+			exclude = append(exclude, choice.Endpoint)
+			continue
+		}
+		return f.start(choice, st, prefix, hash), false, nil
+	}
+}
+
+func (f *Fleet) start(choice balance.Choice, st *endpointState, prefix []uint64, hash limiter.Hash) *place {
+	p := &place{
+		fleet: f, state: st, endpoint: choice.Endpoint, addr: st.spec.Address, reason: choice.Reason,
+		cached: choice.Cached, attempt: newAttempt(), started: f.clock.Now(),
+	}
+	f.picker.Started(choice.Endpoint, prefix)
+	f.mu.Lock()
+	st.running[p.attempt] = &runningAttempt{hash: hash}
+	f.mu.Unlock()
+	return p
+}
+
+// done gives the place back. firstToken is the time to the first token.
+func (p *place) done(outcome limiter.Outcome, firstToken time.Duration) {
+	took := time.Duration(0)
+	if outcome == limiter.OutcomeOK {
+		took = p.fleet.clock.Since(p.started)
+	}
+	p.state.limit.Release(firstToken, outcome)
+	p.fleet.picker.Finished(p.endpoint, took)
+	p.fleet.ejector.Report(p.endpoint, outcome)
+	p.fleet.picker.SetWeight(p.endpoint, p.fleet.ejector.Weight(p.endpoint))
+	p.fleet.mu.Lock()
+	delete(p.state.running, p.attempt)
+	p.fleet.mu.Unlock()
+	p.fleet.notify()
+}
+
+// crashed returns the hashes that ran on the endpoint when the attempt was
+// lost, and false if an attempt lost earlier has already reported this crash.
+func (p *place) crashed() ([]limiter.Hash, bool) {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	own := p.state.running[p.attempt]
+	if own == nil || own.blamed {
+		return nil, false
+	}
+	var out []limiter.Hash
+	for _, r := range p.state.running {
+		if !r.blamed {
+			r.blamed = true
+			out = append(out, r.hash)
+		}
+	}
+	return out, true
+}
--- /dev/null
+++ b/dispatch/rate.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/corianderlever/corianderlever/cascade"
+)
+
+// Rater rates answers; *rating.Client is one.
+type Rater interface {
+	Rate(ctx context.Context, requestID, answer string) (passed bool, err error)
+}
+
+const (
+	// sampleTimeout bounds the rating of an answer that nobody waits for.
+	sampleTimeout = 10 * time.Second
+	// maxSamples bounds the ratings under way that nobody waits for.
+	maxSamples = 64
+)
+
+// rate has an answer rated and feeds the estimates and the detector.
+func (d *Dispatcher) rate(ctx context.Context, req ChatRequest, version string, escalated bool, text string) (bool, error) {
+	passed, err := d.Rater.Rate(ctx, req.ID, text)
+	if err != nil {
+		return false, err
+	}
+	d.Chooser.ObserveRating(cascade.Rating{Version: version, Kind: req.Kind, Escalated: escalated, Passed: passed})
+	d.Detector.Observe(version, req.Kind, passed)
+	return passed, nil
+}
+
+// rateLater has an answer rated in the background. Beyond maxSamples under
+// way the answer stays unrated.
+func (d *Dispatcher) rateLater(req ChatRequest, version string, escalated bool, text string) {
+	if d.Rater == nil {
+		return
+	}
+	select {
+	case d.samples <- struct{}{}:
+	default:
+		return
+	}
+	d.background.Go(func() {
+		defer func() { <-d.samples }()
+		ctx, cancel := context.WithTimeout(context.Background(), sampleTimeout)
+		defer cancel()
+		if _, err := d.rate(ctx, req, version, escalated, text); err != nil {
+			d.metrics.decisions.WithLabelValues("sample_rating", "missing").Inc()
+			return
+		}
+		d.metrics.decisions.WithLabelValues("sample_rating", "rated").Inc()
+	})
+}
--- a/dispatch/resolve.go
+++ b/dispatch/resolve.go
@@ -18,6 +18,8 @@
 	// quality is the share of answers that must be good enough; zero when the
 	// caller named one model.
 	quality float64
+	// urgent marks the most urgent rank.
+	urgent bool
 	// pin is set when the caller sent a session token.
 	pin session.Pin
 	// movedFrom is the withdrawn version of the session.
@@ -38,7 +40,7 @@
 	if req.Session != "" {
 		return d.resolvePin(snap, req, t)
 	}
-	return resolveModels(snap, req, t)
+	return d.resolveModels(snap, req, t)
 }
 
 func resolveRank(snap *resource.Snapshot, team, asked string) (target, error) {
@@ -49,7 +51,7 @@
 	if !ok {
 		return target{}, refusal(http.StatusForbidden, api.CodeForbidden, "team %q may not use rank %q", team, name)
 	}
-	return target{rankName: name, rank: snap.Ranks[name]}, nil
+	return target{rankName: name, rank: snap.Ranks[name], urgent: name == snap.RankNames()[0]}, nil
 }
 
 // resolvePin keeps a session on its version. Only the withdrawal of the
@@ -67,7 +69,7 @@
 		t.versions = []string{pin.Version}
 		return t, nil
 	}
-	v, ok := snap.PickVersion(req.Team, pin.Model, resource.HashKey(pin.ID))
+	v, ok := d.pickVersion(snap, req.Team, pin.Model, req.Kind, resource.HashKey(pin.ID))
 	if !ok {
 		return t, refusal(http.StatusForbidden, api.CodeForbidden, "no version of model %q is allowed and serving", pin.Model)
 	}
@@ -77,7 +79,7 @@
 	return t, nil
 }
 
-func resolveModels(snap *resource.Snapshot, req ChatRequest, t target) (target, error) {
+func (d *Dispatcher) resolveModels(snap *resource.Snapshot, req ChatRequest, t target) (target, error) {
 	models, quality, err := wantedModels(snap, req)
 	if err != nil {
 		return t, err
@@ -85,7 +87,7 @@
 	t.quality = quality
 	hash := resource.HashKey(req.ID)
 	for _, m := range models {
-		if v, ok := snap.PickVersion(req.Team, m, hash); ok {
+		if v, ok := d.pickVersion(snap, req.Team, m, req.Kind, hash); ok {
 			t.versions = append(t.versions, v)
 		}
 	}
@@ -95,6 +97,31 @@
 	return t, nil
 }
 
+// suspectBuckets is the resolution of the share that a suspect version keeps.
+const suspectBuckets = 10000
+
+// pickVersion chooses the version of a model for new work. A version that the
+// detector suspects keeps only a share, the rest goes to another version of
+// the model if there is one.
+func (d *Dispatcher) pickVersion(snap *resource.Snapshot, team, model, kind string, hash uint64) (string, bool) {
+	picked, ok := snap.PickVersion(team, model, hash)
+	if !ok {
+		return "", false
+	}
+	share := d.Detector.Share(picked, kind)
+	// The hash is mixed once more, because its remainder has chosen the step
+	// of a roll-out already.
+	if share >= 1 || float64(hash>>20%suspectBuckets) < share*suspectBuckets {
+		return picked, true
+	}
+	for _, v := range slices.Backward(snap.VersionsOf(model)) {
+		if v != picked && snap.MayServe(team, v) && d.Detector.Share(v, kind) >= 1 {
+			return v, true
+		}
+	}
+	return picked, true
+}
+
 // wantedModels turns the model name of a request into models. "auto" means
 // the first cascade by name if there is one, else all models of the team.
 func wantedModels(snap *resource.Snapshot, req ChatRequest) ([]string, float64, error) {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -2,104 +2,352 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"strings"
+	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/corianderlever/corianderlever/admission"
 	"github.com/corianderlever/corianderlever/api"
+	"github.com/corianderlever/corianderlever/cascade"
 	"github.com/corianderlever/corianderlever/engine"
+	"github.com/corianderlever/corianderlever/limiter"
 	"github.com/corianderlever/corianderlever/resource"
 )
 
-// maxAttempts bounds the attempts of one step.
-const maxAttempts = 3
-
-// run tries the versions of the target until one answers.
-func (d *Dispatcher) run(ctx context.Context, req ChatRequest, t target, sink Sink) (Answer, error) {
-	a := &attempt{d: d, req: req, target: t, version: t.versions[0], sink: sink}
-	var last error
-	for range maxAttempts {
-		final, err := a.once(ctx)
-		if err == nil {
-			return a.answer(final)
+// run is the state of one chat request while it is served.
+type run struct {
+	d       *Dispatcher
+	req     ChatRequest
+	target  target
+	trace   *Trace
+	sink    Sink
+	arrived time.Time
+	hash    limiter.Hash
+	bill    *bill
+
+	// streamed is set once a token has been passed on, after which another
+	// version cannot take over.
+	streamed bool
+	// reached is set once an endpoint may have received an attempt.
+	reached bool
+}
+
+// contentHash identifies what a request asks for, without its id, so that a
+// repeat under another id is recognised.
+func contentHash(req ChatRequest) limiter.Hash {
+	h := xxhash.New()
+	for _, m := range req.Body.Messages {
+		// A hash never returns an error.
+		_, _ = h.WriteString(m.Role + "\x00" + m.Content + "\x00")
+	}
+	return limiter.Hash(h.Sum64())
+}
+
+// serve runs the phases of a request in order.
+func (r *run) serve(ctx context.Context) (Answer, error) {
+	if err := r.d.passCrashGuard(ctx, r.trace, r.hash); err != nil {
+		return Answer{}, err
+	}
+	allowed, err := r.d.passAllowance(ctx, r.trace, r.target, r.expectedCost())
+	if err != nil {
+		return Answer{}, err
+	}
+	answer, err := r.serveAllowed(ctx, allowed.PriceMultiplier)
+	cost := 0.0
+	if r.bill != nil {
+		cost = r.bill.cost
+	}
+	allowed.Settle(cost)
+	answer.Receipt.Cost = cost
+	return answer, err
+}
+
+// serveAllowed plans, admits, runs and bills the request.
+func (r *run) serveAllowed(ctx context.Context, price float64) (Answer, error) {
+	plan, err := r.plan(price)
+	if err != nil {
+		return Answer{}, err
+	}
+	grant, err := r.d.admit(ctx, r.trace, r.req.Team, r.target, plan.Cost, r.expected(plan))
+	if err != nil {
+		return Answer{}, err
+	}
+	defer func() {
+		cost := 0.0
+		if r.bill != nil {
+			cost = r.bill.cost
 		}
-		last = err
-		if ctx.Err() != nil {
-			break
+		grant.Release(cost)
+	}()
+	if r.bill, err = r.d.openBill(ctx, r.req.ID, r.req.Team, r.target.rankName); err != nil {
+		return Answer{}, err
+	}
+	answer, err := r.execute(ctx, plan)
+	r.bill.close(ctx, r.reached, err == nil)
+	return answer, err
+}
+
+// expected is the running time that the plan needs, as far as it is known.
+func (r *run) expected(plan cascade.Plan) time.Duration {
+	return min(plan.P95, r.target.rank.Deadline.D()/2)
+}
+
+// expectedTokens is the length of answer to expect when the request does not
+// bound it.
+const expectedTokens = 256
+
+func (r *run) answerTokens() int {
+	if n := r.req.Body.MaxTokens; n > 0 && n < expectedTokens {
+		return n
+	}
+	return expectedTokens
+}
+
+// bytesPerToken converts the length of a prompt to tokens.
+const bytesPerToken = 4
+
+func (r *run) promptTokens() int {
+	n := 0
+	for _, m := range r.req.Body.Messages {
+		n += len(m.Content)
+	}
+	return n / bytesPerToken
+}
+
+// expectedCost is the estimated cost with the cheapest version.
+func (r *run) expectedCost() float64 {
+	snap := r.d.Config.Current()
+	best := -1.0
+	for _, v := range r.target.versions {
+		if c := Cost(snap.Versions[v], r.promptTokens(), r.answerTokens()); best < 0 || c < best {
+			best = c
 		}
 	}
-	return Answer{}, a.failure(last)
+	return max(best, 0)
 }
 
-// attempt is the state of one answer over its attempts.
-type attempt struct {
-	d       *Dispatcher
-	req     ChatRequest
-	target  target
-	version string
-	sink    Sink
+// plan asks the chooser for the versions to try.
+func (r *run) plan(price float64) (cascade.Plan, error) {
+	snap := r.d.Config.Current()
+	req := cascade.Request{
+		Kind:            r.req.Kind,
+		QualityTarget:   r.target.quality,
+		Deadline:        r.target.rank.Deadline.D() - r.d.Clock.Since(r.arrived),
+		PriceMultiplier: price,
+	}
+	for _, name := range r.target.versions {
+		v := snap.Versions[name]
+		if v == nil {
+			continue
+		}
+		req.Candidates = append(req.Candidates, cascade.Candidate{
+			Version: name, Cost: Cost(v, r.promptTokens(), r.answerTokens()), PriorPassRate: v.PassRate,
+		})
+	}
+	plan, err := r.d.Chooser.Plan(req)
+	if err != nil {
+		return plan, refusal(http.StatusServiceUnavailable, api.CodeUnavailable, "no plan: %v", err)
+	}
+	r.trace.add("plan", "%s", plan.Explain())
+	r.d.metrics.decisions.WithLabelValues("plan", planResult(plan)).Inc()
+	return plan, nil
+}
 
-	text   strings.Builder
-	tokens int
-	ran    bool
+func planResult(plan cascade.Plan) string {
+	if len(plan.Steps) > 1 {
+		return "cascade"
+	}
+	return "single"
 }
 
-// once runs one attempt, continuing where the earlier ones ended.
-func (a *attempt) once(ctx context.Context) (engine.Final, error) {
-	snap := a.d.Config.Current()
-	if !a.d.Config.Fresh() || !snap.MayServe(a.req.Team, a.version) {
-		return engine.Final{}, errors.New("version is no longer allowed or serving")
+// execute tries the steps of the plan until an answer is good enough.
+func (r *run) execute(ctx context.Context, plan cascade.Plan) (Answer, error) {
+	var lastErr error
+	for i, step := range plan.Steps {
+		last := i == len(plan.Steps)-1
+		gated := step.Rate == cascade.RateGate && !last && r.d.Rater != nil
+		answer, err := r.step(ctx, step, gated)
+		if err != nil {
+			lastErr = err
+			r.trace.add("step", "version %s failed: %v", step.Version, err)
+			if r.streamed || ctx.Err() != nil {
+				break
+			}
+			continue
+		}
+		if gated && r.escalate(ctx, plan, i, answer) {
+			continue
+		}
+		if gated {
+			if err := r.pass(answer.Text); err != nil {
+				return answer, err
+			}
+		}
+		if step.Rate == cascade.RateSample {
+			r.d.rateLater(r.req, step.Version, i > 0, answer.Text)
+		}
+		return answer, nil
+	}
+	return Answer{}, r.failure(lastErr)
+}
+
+// pass hands text to the caller.
+func (r *run) pass(text string) error {
+	r.streamed = true
+	return r.sink(text)
+}
+
+// step gets one version's whole answer. A gated answer is held back until it
+// has been rated.
+func (r *run) step(ctx context.Context, step cascade.Step, gated bool) (Answer, error) {
+	started := r.d.Clock.Now()
+	a := &attempts{run: r, version: step.Version, held: gated}
+	final, err := a.generate(ctx)
+	r.bill.add(step.Version, final, a.tokens, r.promptTokens())
+	if err != nil {
+		return Answer{}, err
+	}
+	r.d.Chooser.ObserveLatency(step.Version, r.d.Clock.Since(started))
+	return a.answer(final)
+}
+
+// escalate rates an answer and tells whether the plan goes on.
+func (r *run) escalate(ctx context.Context, plan cascade.Plan, i int, answer Answer) bool {
+	step := plan.Steps[i]
+	outcome := r.gate(ctx, step, i > 0, answer.Text)
+	remaining := r.target.rank.Deadline.D() - r.d.Clock.Since(r.arrived)
+	goOn := plan.Escalate(i, outcome, remaining)
+	r.trace.add("rating", "version %s rated %s, escalate=%t", step.Version, outcomeName(outcome), goOn)
+	r.d.metrics.decisions.WithLabelValues("rating", outcomeName(outcome)).Inc()
+	return goOn
+}
+
+func outcomeName(o cascade.Outcome) string {
+	switch o {
+	case cascade.OutcomePassed:
+		return "passed"
+	case cascade.OutcomeFailed:
+		return "failed"
+	}
+	return "missing"
+}
+
+func (r *run) gate(ctx context.Context, step cascade.Step, escalated bool, text string) cascade.Outcome {
+	start := r.d.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, step.RatingTimeout)
+	defer cancel()
+	passed, err := r.d.rate(ctx, r.req, step.Version, escalated, text)
+	r.d.Chooser.ObserveGate(r.d.Clock.Since(start), err == nil)
+	switch {
+	case err != nil:
+		return cascade.OutcomeMissing
+	case passed:
+		return cascade.OutcomePassed
+	}
+	return cascade.OutcomeFailed
+}
+
+// failure turns the last error into a refusal. It says not_run only if no
+// endpoint can have received an attempt.
+func (r *run) failure(err error) error {
+	var refused *api.Error
+	out := refusal(http.StatusBadGateway, api.CodeFailed, "%v", err)
+	switch {
+	case errors.As(err, &refused):
+		copied := *refused
+		out = &copied
+	case errors.Is(err, context.DeadlineExceeded):
+		out.Status, out.Code = http.StatusGatewayTimeout, api.CodeDeadline
+	case !r.reached:
+		out.Status, out.Code = http.StatusServiceUnavailable, api.CodeUnavailable
+	}
+	if r.reached {
+		out.Outcome = api.OutcomeUnknown
 	}
-	names := snap.EndpointsForVersion(a.version)
-	if len(names) == 0 {
-		return engine.Final{}, errors.Newf("no endpoint serves version %q", a.version)
+	return out
+}
+
+// admit waits in the admission queue.
+func (d *Dispatcher) admit(ctx context.Context, trace *Trace, team string, t target, cost float64, expected time.Duration) (*admission.Grant, error) {
+	deadline, _ := ctx.Deadline()
+	grant, err := d.Queue.Acquire(ctx, admission.Request{
+		Rank: t.rankName, Team: team, Cost: cost, Deadline: deadline, Expected: expected,
+	})
+	if err != nil {
+		trace.add("admission", "%v", err)
+		d.metrics.decisions.WithLabelValues("admission", "refused").Inc()
+		return nil, admissionRefusal(err)
 	}
-	addr := snap.Endpoints[names[rand.IntN(len(names))]].Address
-	greq := engine.GenerateRequest{
-		Attempt: newAttempt(), Version: a.version, Messages: a.req.Body.Messages,
-		MaxTokens: a.req.Body.MaxTokens, ResumeFrom: a.tokens, Prefix: a.text.String(),
-		Priority: a.target.rank.Priority, Temperature: a.req.Body.Temperature,
-		TopP: a.req.Body.TopP, User: a.req.Body.User,
+	trace.add("admission", "admitted after %v", grant.Waited)
+	d.metrics.decisions.WithLabelValues("admission", "admitted").Inc()
+	snap := d.Config.Current()
+	teamLabel, rankLabel := class(snap, team, t.rankName)
+	observe(d.metrics.wait, teamLabel, rankLabel, grant.Waited)
+	return grant, nil
+}
+
+func admissionRefusal(err error) error {
+	out := refusal(http.StatusTooManyRequests, api.CodeOverloaded, "%v", err)
+	var refused *admission.Refused
+	if errors.As(err, &refused) {
+		out.RetryAfterMS = refused.RetryAfter.Milliseconds()
 	}
-	final, err := a.d.Engines.Generate(ctx, addr, greq, a.token)
-	var failed *engine.Error
-	if !errors.As(err, &failed) || failed.Outcome != api.OutcomeNotRun {
-		a.ran = true
+	if errors.Is(err, admission.ErrDeadline) {
+		out.Status, out.Code = http.StatusGatewayTimeout, api.CodeDeadline
 	}
-	return final, err
+	return out
+}
+
+// attempts is the state of one version's answer over its attempts.
+type attempts struct {
+	*run
+	version string
+	// held keeps tokens back until the answer has been rated.
+	held   bool
+	text   strings.Builder
+	tokens int
 }
 
-func (a *attempt) token(ev engine.Event) error {
+func (a *attempts) token(ev engine.Event) error {
 	a.tokens++
 	a.text.WriteString(ev.Token)
-	return a.sink(ev.Token)
+	if a.tokens == 1 {
+		a.firstToken()
+	}
+	if a.held {
+		return nil
+	}
+	return a.pass(ev.Token)
+}
+
+func (a *attempts) firstToken() {
+	team, rank := class(a.d.Config.Current(), a.req.Team, a.target.rankName)
+	observe(a.d.metrics.firstToken, team, rank, a.d.Clock.Since(a.arrived))
 }
 
-func (a *attempt) answer(final engine.Final) (Answer, error) {
-	v := a.d.Config.Current().Versions[a.version]
+// answer makes the caller's answer, with the receipt by which it can check it.
+func (a *attempts) answer(final engine.Final) (Answer, error) {
 	digest := api.NewDigest(a.req.ID)
 	digest.Add(a.text.String())
 	out := Answer{
 		Text: a.text.String(), FinishReason: final.FinishReason,
-		Usage: api.Usage{PromptTokens: final.PromptTokens, CompletionTokens: final.Tokens, TotalTokens: final.PromptTokens + final.Tokens},
-		Receipt: api.Receipt{
-			RequestID: a.req.ID, Version: a.version, Tokens: final.Tokens, Digest: digest.Sum(),
-			Cost: Cost(v, final.PromptTokens, final.Tokens),
+		Usage: api.Usage{
+			PromptTokens: final.PromptTokens, CompletionTokens: final.Tokens,
+			TotalTokens: final.PromptTokens + final.Tokens,
 		},
+		Receipt: api.Receipt{RequestID: a.req.ID, Version: a.version, Tokens: final.Tokens, Digest: digest.Sum()},
 	}
 	if a.target.pin.ID == "" {
 		return out, nil
 	}
 	token, err := a.d.Signer.Sign(a.target.pin)
-	if err != nil {
-		return out, err
-	}
 	out.Receipt.Session = token
 	out.Receipt.SessionMoved = a.target.movedFrom != ""
 	out.Receipt.MovedFrom = a.target.movedFrom
-	return out, nil
+	return out, err
 }
 
 // tokensPerPrice is the number of tokens that a version's costs refer to.
@@ -112,12 +360,3 @@
 	}
 	return (v.InputCost*float64(input) + v.OutputCost*float64(output)) / tokensPerPrice
 }
-
-func (a *attempt) failure(err error) error {
-	out := refusal(http.StatusServiceUnavailable, api.CodeFailed, "%v", err)
-	out.RequestID = a.req.ID
-	if a.ran {
-		out.Outcome = api.OutcomeUnknown
-	}
-	return out
-}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -2,18 +2,28 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/corianderlever/corianderlever/api"
+	"github.com/corianderlever/corianderlever/balance"
+	"github.com/corianderlever/corianderlever/claim"
 	"github.com/corianderlever/corianderlever/engine"
+	"github.com/corianderlever/corianderlever/limiter"
 	"github.com/corianderlever/corianderlever/resource"
 	"github.com/corianderlever/corianderlever/session"
 )
 
+// Claims makes non-idempotent requests run at most once; *claim.Claimer is one.
+type Claims interface {
+	Claim(ctx context.Context, key claim.Key) (claim.Result, error)
+	Complete(ctx context.Context, key claim.Key, answer claim.Answer) error
+	Abandon(ctx context.Context, key claim.Key) error
+}
+
 // ServiceRequest is one call of a plain service.
 type ServiceRequest struct {
 	ID   string
@@ -35,53 +45,224 @@
 	Repeat bool
 }
 
-// NewSession starts a session of the team on the model's current version.
-func (d *Dispatcher) NewSession(team, model string) (string, session.Pin, error) {
-	snap := d.Config.Current()
-	if snap.Models[model] == nil {
-		return "", session.Pin{}, refusal(http.StatusNotFound, api.CodeUnknownModel, "unknown model %q", model)
-	}
-	pin := session.New(team, model, "")
-	v, ok := snap.PickVersion(team, model, resource.HashKey(pin.ID))
-	if !ok {
-		return "", session.Pin{}, refusal(http.StatusForbidden, api.CodeForbidden, "no version of model %q is allowed and serving", model)
-	}
-	pin.Version = v
-	token, err := d.Signer.Sign(pin)
-	return token, pin, err
+// call is the state of one service request while it is served.
+type call struct {
+	d      *Dispatcher
+	req    ServiceRequest
+	op     resource.Operation
+	target target
+	trace  *Trace
+	bill   *bill
+	// reached is set once an endpoint may have received an attempt.
+	reached bool
 }
 
 // Service runs one call of a plain service.
 func (d *Dispatcher) Service(ctx context.Context, req ServiceRequest) (ServiceAnswer, error) {
-	snap := d.Config.Current()
-	if !d.Config.Fresh() {
+	arrived := d.Clock.Now()
+	c := &call{d: d, req: req, trace: d.traces.start(req.ID)}
+	answer, err := c.resolveAndServe(ctx)
+	cost := 0.0
+	if c.bill != nil {
+		cost = c.bill.cost
+	}
+	d.finish(ctx, c.trace, outcome{
+		id: req.ID, team: req.Team, rank: c.target.rankName, version: ServiceVersion(req.Service),
+		cost: cost, took: d.Clock.Since(arrived), err: err,
+	})
+	return answer, err
+}
+
+func (c *call) resolveAndServe(ctx context.Context) (ServiceAnswer, error) {
+	snap := c.d.Config.Current()
+	if !c.d.Config.Fresh() {
 		return ServiceAnswer{}, refusal(http.StatusServiceUnavailable, api.CodeUnavailable, "this host cannot confirm that its configuration is current")
 	}
-	svc := snap.Services[req.Service]
-	if svc == nil {
-		return ServiceAnswer{}, refusal(http.StatusNotFound, api.CodeUnknownService, "unknown service %q", req.Service)
+	if err := c.resolve(snap); err != nil {
+		return ServiceAnswer{}, err
 	}
-	op, ok := svc.Operation(req.Operation)
-	if !ok {
-		return ServiceAnswer{}, refusal(http.StatusNotFound, api.CodeUnknownService, "unknown operation %q of service %q", req.Operation, req.Service)
+	ctx, cancel := context.WithTimeout(ctx, c.target.rank.Deadline.D())
+	defer cancel()
+	grant, err := c.d.admit(ctx, c.trace, c.req.Team, c.target, max(c.op.Cost, 1), 0)
+	if err != nil {
+		return ServiceAnswer{}, err
+	}
+	defer func() { grant.Release(max(c.op.Cost, 1)) }()
+	if c.op.Idempotent {
+		return c.runBilled(ctx)
+	}
+	return c.runClaimed(ctx)
+}
+
+func (c *call) resolve(snap *resource.Snapshot) error {
+	svc := snap.Services[c.req.Service]
+	if svc == nil {
+		return refusal(http.StatusNotFound, api.CodeUnknownService, "unknown service %q", c.req.Service)
 	}
-	if !slices.Contains(snap.Teams[req.Team].Services, req.Service) {
-		return ServiceAnswer{}, refusal(http.StatusForbidden, api.CodeForbidden, "team %q may not call service %q", req.Team, req.Service)
+	var ok bool
+	if c.op, ok = svc.Operation(c.req.Operation); !ok {
+		return refusal(http.StatusNotFound, api.CodeUnknownService, "unknown operation %q of service %q", c.req.Operation, c.req.Service)
 	}
-	_ = op
-	names := snap.EndpointsForService(req.Service)
-	if len(names) == 0 {
-		return ServiceAnswer{}, refusal(http.StatusServiceUnavailable, api.CodeUnavailable, "no endpoint of service %q", req.Service)
+	if !slices.Contains(snap.Teams[c.req.Team].Services, c.req.Service) {
+		return refusal(http.StatusForbidden, api.CodeForbidden, "team %q may not call service %q", c.req.Team, c.req.Service)
 	}
-	addr := snap.Endpoints[names[rand.IntN(len(names))]].Address
-	reply, err := d.Engines.Call(ctx, addr, req.Service, req.Operation, newAttempt(), req.Key, req.Body)
+	var err error
+	c.target, err = resolveRank(snap, c.req.Team, c.req.Rank)
+	return err
+}
+
+// runClaimed runs a non-idempotent operation if its claim can be agreed.
+func (c *call) runClaimed(ctx context.Context) (ServiceAnswer, error) {
+	key := claim.Key{Team: c.req.Team, Service: c.req.Service, Operation: c.req.Operation, IdempotencyKey: c.req.Key}
+	result, err := c.d.Claims.Claim(ctx, key)
 	if err != nil {
-		out := refusal(http.StatusBadGateway, api.CodeFailed, "%v", err)
-		var failed *engine.Error
-		if errors.As(err, &failed) {
-			out.Outcome = failed.Outcome
+		c.trace.add("claim", "%v", err)
+		return ServiceAnswer{}, claimRefusal(err)
+	}
+	if !result.Won {
+		return c.repeat(result)
+	}
+	c.trace.add("claim", "won")
+	answer, err := c.runBilled(ctx)
+	// The caller may have left; the claim must be settled all the same.
+	ctx = context.WithoutCancel(ctx)
+	switch {
+	case err == nil:
+		stored := claim.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}
+		if err := c.d.Claims.Complete(ctx, key, stored); err != nil {
+			c.d.Logger.WarnContext(ctx, "answer not stored for repeats", "request", c.req.ID, "error", err)
+		}
+	case !c.reached:
+		if err := c.d.Claims.Abandon(ctx, key); err != nil {
+			c.d.Logger.WarnContext(ctx, "claim not given up yet", "request", c.req.ID, "error", err)
 		}
+	}
+	return answer, err
+}
+
+// repeat answers a request whose key has been claimed before.
+func (c *call) repeat(result claim.Result) (ServiceAnswer, error) {
+	if result.Answer == nil {
+		c.trace.add("claim", "repeat of a request at host %s whose answer is unknown", result.Host)
+		out := refusal(http.StatusConflict, api.CodeAlreadyRun, "a request with this key has been started before; its answer is not known")
+		out.Outcome = api.OutcomeUnknown
 		return ServiceAnswer{}, out
 	}
-	return ServiceAnswer{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}, nil
+	c.trace.add("claim", "repeat of an answered request")
+	return ServiceAnswer{
+		Status: result.Answer.Status, ContentType: result.Answer.ContentType, Body: result.Answer.Body, Repeat: true,
+	}, nil
+}
+
+func claimRefusal(err error) error {
+	switch {
+	case errors.Is(err, claim.ErrBadKey):
+		return refusal(http.StatusBadRequest, api.CodeBadKey, "this operation needs an Idempotency-Key that is a current UUIDv7")
+	case errors.Is(err, claim.ErrTooOld):
+		out := refusal(http.StatusConflict, api.CodeBadKey, "the Idempotency-Key is older than %v", claim.Retention)
+		out.Outcome = api.OutcomeUnknown
+		return out
+	}
+	return refusal(http.StatusServiceUnavailable, api.CodeNotClaimed, "the request could not be claimed: %v", err)
+}
+
+// runBilled runs the operation and bills it.
+func (c *call) runBilled(ctx context.Context) (ServiceAnswer, error) {
+	var err error
+	if c.bill, err = c.d.openBill(ctx, c.req.ID, c.req.Team, c.target.rankName); err != nil {
+		return ServiceAnswer{}, err
+	}
+	c.bill.record.Model = c.req.Service
+	reply, err := c.attempts(ctx)
+	if err == nil {
+		c.bill.cost = c.op.Cost
+	}
+	c.bill.close(ctx, c.reached, err == nil)
+	return ServiceAnswer{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}, err
+}
+
+// attempts tries endpoints. After an attempt that may have run, only an
+// idempotent operation is tried again.
+func (c *call) attempts(ctx context.Context) (engine.Reply, error) {
+	c.d.Retries.Request()
+	var exclude []string
+	for n := 1; ; n++ {
+		reply, endpoint, err := c.once(ctx, exclude)
+		if err == nil {
+			return reply, nil
+		}
+		exclude = append(exclude, endpoint)
+		var refused *api.Error
+		safe := c.op.Idempotent || !c.reached
+		if errors.As(err, &refused) || !safe || ctx.Err() != nil || n >= maxAttempts || !c.d.Retries.TryRetry() {
+			return engine.Reply{}, c.failure(err)
+		}
+		c.trace.add("retry", "after: %v", err)
+	}
+}
+
+// once runs one attempt and returns the endpoint it was made at.
+func (c *call) once(ctx context.Context, exclude []string) (engine.Reply, string, error) {
+	if c.op.Timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.op.Timeout.D())
+		defer cancel()
+	}
+	p, err := c.d.Fleet.acquire(ctx, ServiceVersion(c.req.Service), nil, exclude, 0)
+	if errors.Is(err, balance.ErrNoEndpoint) && len(exclude) > 0 {
+		p, err = c.d.Fleet.acquire(ctx, ServiceVersion(c.req.Service), nil, nil, 0)
+	}
+	if err != nil {
+		return engine.Reply{}, "", refusal(http.StatusServiceUnavailable, api.CodeUnavailable, "no endpoint of service %q: %v", c.req.Service, err)
+	}
+	snap := c.d.Config.Current()
+	if spec := snap.Endpoints[p.endpoint]; spec == nil || spec.Address != p.addr || !c.d.Config.Fresh() {
+		p.done(limiter.OutcomeIgnored, 0)
+		return engine.Reply{}, p.endpoint, errors.Newf("endpoint %q has left", p.endpoint)
+	}
+	c.trace.add("endpoint", "%s, attempt %s", p.endpoint, p.attempt)
+	started := c.d.Clock.Now()
+	reply, err := c.d.Engines.Call(ctx, p.addr, c.req.Service, c.req.Operation, p.attempt, c.req.Key, c.req.Body)
+	c.settle(ctx, p, err, c.d.Clock.Since(started))
+	return reply, p.endpoint, err
+}
+
+func (c *call) settle(ctx context.Context, p *place, err error, took time.Duration) {
+	result, label := classify(ctx, err)
+	var failed *engine.Error
+	if !errors.As(err, &failed) || failed.Outcome != api.OutcomeNotRun {
+		c.reached = true
+	}
+	p.done(result, took)
+	c.d.metrics.attempts.WithLabelValues(label).Inc()
+}
+
+// failure turns the last error into a refusal with a true outcome.
+func (c *call) failure(err error) error {
+	var refused *api.Error
+	out := refusal(http.StatusBadGateway, api.CodeFailed, "%v", err)
+	if errors.As(err, &refused) {
+		copied := *refused
+		out = &copied
+	}
+	if c.reached {
+		out.Outcome = api.OutcomeUnknown
+	}
+	return out
+}
+
+// NewSession starts a session of the team on the model's current version.
+func (d *Dispatcher) NewSession(team, model string) (string, session.Pin, error) {
+	snap := d.Config.Current()
+	if snap.Models[model] == nil {
+		return "", session.Pin{}, refusal(http.StatusNotFound, api.CodeUnknownModel, "unknown model %q", model)
+	}
+	pin := session.New(team, model, "")
+	v, ok := d.pickVersion(snap, team, model, "", resource.HashKey(pin.ID))
+	if !ok {
+		return "", session.Pin{}, refusal(http.StatusForbidden, api.CodeForbidden, "no version of model %q is allowed and serving", model)
+	}
+	pin.Version = v
+	token, err := d.Signer.Sign(pin)
+	return token, pin, err
 }
--- /dev/null
+++ b/dispatch/silence.go
@@ -0,0 +1,90 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/corianderlever/corianderlever/api"
+	"github.com/corianderlever/corianderlever/engine"
+	"github.com/corianderlever/corianderlever/limiter"
+)
+
+// errSilent is the cause by which an attempt on a silent connection is ended.
+var errSilent = errors.New("connection went silent")
+
+// guardedCall runs call under a context that ends when the connection goes
+// silent for good. call reports arriving tokens through received.
+func (d *Dispatcher) guardedCall(ctx context.Context, addr, attempt string, call func(ctx context.Context, received func(units int)) error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	w := &silenceGuard{d: d, addr: addr, attempt: attempt, watch: limiter.NewSilenceWatch(d.Clock.Now())}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.run(ctx, cancel)
+	}()
+	err := call(ctx, w.received)
+	cancel(nil)
+	<-done
+	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
+		return &engine.Error{Outcome: api.OutcomeUnknown, Silent: true, Err: errSilent}
+	}
+	return err
+}
+
+// silenceGuard drives a SilenceWatch for one attempt.
+type silenceGuard struct {
+	d       *Dispatcher
+	addr    string
+	attempt string
+
+	mu    sync.Mutex
+	watch *limiter.SilenceWatch
+}
+
+func (g *silenceGuard) received(units int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.watch.Received(g.d.Clock.Now(), units)
+}
+
+func (g *silenceGuard) run(ctx context.Context, cancel context.CancelCauseFunc) {
+	for {
+		g.mu.Lock()
+		next := g.watch.Next()
+		g.mu.Unlock()
+		select {
+		case <-g.d.Clock.After(next.Sub(g.d.Clock.Now())):
+		case <-ctx.Done():
+			return
+		}
+		g.mu.Lock()
+		action := g.watch.Poll(g.d.Clock.Now())
+		g.mu.Unlock()
+		if action == limiter.SilenceProbe {
+			action = g.probe(ctx)
+		}
+		if action == limiter.SilenceGiveUp {
+			g.d.Logger.Warn("silent connection given up", "endpoint", g.addr, "attempt", g.attempt)
+			cancel(errSilent)
+			return
+		}
+	}
+}
+
+// probe asks the endpoint on a new connection. A probe that fails is not
+// reported; its time simply passes.
+func (g *silenceGuard) probe(ctx context.Context) limiter.SilenceAction {
+	ctx, cancel := context.WithTimeout(ctx, limiter.ProbeTimeout)
+	defer cancel()
+	status, err := g.d.Engines.Probe(ctx, g.addr, g.attempt)
+	if err != nil {
+		return limiter.SilenceNone
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.watch.Answered(g.d.Clock.Now(), limiter.ProbeAnswer{
+		Running: status.Running, Progress: status.Progress, Sent: status.Sent,
+	})
+}
--- a/engine/fakeengine/control.go
+++ b/engine/fakeengine/control.go
@@ -104,3 +104,6 @@
 	}
 	writeJSON(w, RateResponse{Passed: strings.HasPrefix(req.Answer, goodAnswer)})
 }
+
+// Running returns the number of requests that run now.
+func (e *Endpoint) Running() int { return len(e.slots) }
--- a/resource/snapshot.go
+++ b/resource/snapshot.go
@@ -115,20 +115,33 @@
 			return v, true
 		}
 	}
-	// Without a roll-out the last serving version by name is the newest.
-	for _, state := range []VersionState{VersionServing, VersionSuspect} {
-		for _, v := range slices.Backward(s.byModel[model]) {
-			if s.Versions[v].State == state && s.Allowed(team, v) {
-				return v, true
-			}
+	return s.newestVersion(team, model, hash)
+}
+
+// newestVersion returns the last version by name that may serve. A suspect
+// version gets a trickle, by which its recovery is seen, unless it is the only one.
+func (s *Snapshot) newestVersion(team, model string, hash uint64) (string, bool) {
+	suspect := ""
+	for _, v := range slices.Backward(s.byModel[model]) {
+		if !s.MayServe(team, v) {
+			continue
+		}
+		if s.Versions[v].State == VersionServing || hash%shareBuckets < trickleBuckets {
+			return v, true
+		}
+		if suspect == "" {
+			suspect = v
 		}
 	}
-	return "", false
+	return suspect, suspect != ""
 }
 
 // shareBuckets is the resolution of roll-out shares.
 const shareBuckets = 10000
 
+// trickleBuckets is the 1% of its work that a suspect version keeps.
+const trickleBuckets = shareBuckets / 100
+
 func (s *Snapshot) rolloutVersion(team string, r *Rollout, hash uint64) (string, bool) {
 	first, second := r.From, r.To
 	if hash%shareBuckets < uint64(r.Share()*shareBuckets) {
--- a/resource/types.go
+++ b/resource/types.go
@@ -158,6 +158,9 @@
 	Idempotent bool `json:"idempotent"`
 	// Cost is the billed price units of one call.
 	Cost float64 `json:"cost,omitempty"`
+	// Timeout bounds one attempt; zero means the rank's deadline. An idempotent
+	// operation is tried elsewhere after it.
+	Timeout Duration `json:"timeout,omitempty"`
 }
 
 // Service is a plain service beside the engines.
--- a/resource/validate.go
+++ b/resource/validate.go
@@ -269,8 +269,8 @@
 		if !namePattern.MatchString(op.Name) || seen[op.Name] {
 			return invalid(r, "operations", "operation %q is malformed or declared twice", op.Name)
 		}
-		if op.Cost < 0 {
-			return invalid(r, "operations", "cost of %q must not be negative", op.Name)
+		if op.Cost < 0 || op.Timeout < 0 {
+			return invalid(r, "operations", "cost and timeout of %q must not be negative", op.Name)
 		}
 		seen[op.Name] = true
 	}
