--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,234 @@
+package placement_test
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
+	"pgregory.net/rapid"
+
+	"github.com/corianderlever/corianderlever/placement"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func drawState(t *rapid.T) placement.State {
+	s := placement.State{Memory: map[string]float64{}}
+	versions := []string{"a", "b", "c", "d", "e"}
+	for _, v := range versions {
+		s.Memory[v] = float64(rapid.IntRange(1, 10).Draw(t, "size"))
+	}
+	for i := range rapid.IntRange(1, 6).Draw(t, "engines") {
+		e := placement.Engine{ID: "e" + strconv.Itoa(i), Memory: float64(rapid.IntRange(1, 16).Draw(t, "memory")), Capacity: 10}
+		used := 0.0
+		for _, v := range rapid.Permutation(versions).Draw(t, "loaded") {
+			if used+s.Memory[v] <= e.Memory {
+				used += s.Memory[v]
+				e.Loaded = append(e.Loaded, v)
+			}
+		}
+		s.Engines = append(s.Engines, e)
+	}
+	for _, v := range versions {
+		for priority := range 3 {
+			amount := float64(rapid.IntRange(0, 20).Draw(t, "rate"))
+			s.Demands = append(s.Demands, placement.Demand{Version: v, Priority: priority, Rate: amount})
+		}
+	}
+	return s
+}
+
+// carryOut applies orders and checks what no plan may do.
+func carryOut(t *rapid.T, s placement.State, orders []placement.Order) {
+	ordered := map[string]bool{}
+	for _, o := range orders {
+		if ordered[o.Engine] {
+			t.Fatalf("two orders at once for %s", o.Engine)
+		}
+		ordered[o.Engine] = true
+		i := slices.IndexFunc(s.Engines, func(e placement.Engine) bool { return e.ID == o.Engine })
+		e := &s.Engines[i]
+		if e.Loading != "" || e.Leaving {
+			t.Fatalf("order for the busy or leaving engine %s", e.ID)
+		}
+		e.Loaded = slices.DeleteFunc(slices.Clone(e.Loaded), func(v string) bool { return slices.Contains(o.Unload, v) })
+		e.Loaded = append(e.Loaded, o.Load)
+		used := 0.0
+		for _, v := range e.Loaded {
+			used += s.Memory[v]
+		}
+		if used > e.Memory {
+			t.Fatalf("%v needs %v of %v GB", e.Loaded, used, e.Memory)
+		}
+	}
+}
+
+// Guards against orders that exceed an engine's memory, come two at a time, or
+// go on for ever under constant demand, and against urgent demand that stays
+// unserved while an engine that could load it does only less urgent work.
+func TestPlanServesUrgentDemandFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClockAt(epoch)
+		cfg := placement.DefaultConfig(10)
+		cfg.Headroom = 0
+		cfg.MovePrice = rapid.SampledFrom([]float64{0, 50}).Draw(t, "price")
+		p := placement.NewPlanner(clock, cfg, nil)
+		s := drawState(t)
+		busy := rapid.IntRange(0, len(s.Engines)-1).Draw(t, "leaving")
+		s.Engines[busy].Leaving = rapid.Bool().Draw(t, "leaves")
+		for round := 0; ; round++ {
+			clock.Advance(5 * time.Second)
+			before := urgentServed(s)
+			orders := p.Plan(s)
+			carryOut(t, s, orders)
+			if urgentServed(s) < before-1e-3 {
+				t.Fatalf("urgent work fell from %v to %v by %+v", before, urgentServed(s), orders)
+			}
+			if len(orders) == 0 && round > 20 {
+				break
+			}
+			if round > 200 {
+				t.Fatal("the plan does not settle")
+			}
+		}
+		served := placement.Served(s)
+		for i, d := range s.Demands {
+			if d.Priority > 0 || served[i] >= d.Rate-1e-3 {
+				continue
+			}
+			for _, e := range s.Engines {
+				if !e.Leaving && e.Memory >= s.Memory[d.Version] && !doesUrgentWork(s, e) {
+					t.Fatalf("%+v gets %v while %+v does less urgent work", d, served[i], e)
+				}
+			}
+		}
+	})
+}
+
+// doesUrgentWork reports whether urgent work falls when the engine is gone.
+func doesUrgentWork(s placement.State, e placement.Engine) bool {
+	without := s
+	without.Engines = slices.DeleteFunc(slices.Clone(s.Engines), func(o placement.Engine) bool { return o.ID == e.ID })
+	return urgentServed(without) < urgentServed(s)-1e-3
+}
+
+func urgentServed(s placement.State) float64 {
+	sum := 0.0
+	for i, rate := range placement.Served(s) {
+		if s.Demands[i].Priority == 0 {
+			sum += rate
+		}
+	}
+	return sum
+}
+
+// Guards against an assignment that serves less urgent work at the cost of
+// more urgent work, or more than an engine's capacity.
+func TestServedIsUrgentFirstAndWithinCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawState(t)
+		total := 0.0
+		for i, rate := range placement.Served(s) {
+			total += rate
+			if rate > s.Demands[i].Rate+1e-3 {
+				t.Fatalf("served %v of %+v", rate, s.Demands[i])
+			}
+		}
+		if total > 10*float64(len(s.Engines))+1e-3 {
+			t.Fatalf("served %v on %d engines", total, len(s.Engines))
+		}
+		urgent := s
+		urgent.Demands = slices.DeleteFunc(slices.Clone(s.Demands), func(d placement.Demand) bool { return d.Priority > 0 })
+		if got, alone := urgentServed(s), urgentServed(urgent); got < alone-1e-3 {
+			t.Fatalf("urgent work gets %v, and %v without the rest", got, alone)
+		}
+	})
+}
+
+// Guards against more loads than the weight store's rate allows, and against
+// spending the last one on work that is not urgent.
+func TestPlanKeepsTheStoreRate(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(epoch)
+	cfg := placement.DefaultConfig(10)
+	cfg.MovePrice = 0
+	p := placement.NewPlanner(clock, cfg, rate.NewLimiter(rate.Every(time.Minute), 3))
+	s := placement.State{Memory: map[string]float64{"a": 1, "b": 1}}
+	for i := range 20 {
+		s.Engines = append(s.Engines, placement.Engine{ID: strconv.Itoa(i), Memory: 2, Capacity: 1})
+	}
+	s.Demands = []placement.Demand{{Version: "a", Priority: 1, Rate: 10}}
+	if got := len(p.Plan(s)); got != 2 {
+		t.Fatalf("%d loads of less urgent work, want 2 of 3", got)
+	}
+	s.Demands = []placement.Demand{{Version: "b", Priority: 0, Rate: 10}}
+	if got := len(p.Plan(s)); got != 1 {
+		t.Fatalf("%d urgent loads, want the reserved one", got)
+	}
+	clock.Advance(2 * time.Minute)
+	if got := len(p.Plan(s)); got != 2 {
+		t.Fatalf("%d loads after two minutes, want 2", got)
+	}
+}
+
+// Guards against moves for demand that flickers below the price, against a
+// price that keeps lasting demand waiting, and against urgent demand that waits
+// for a price or a mean.
+func TestPriceOnMoves(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(epoch)
+	p := placement.NewPlanner(clock, placement.DefaultConfig(10), nil)
+	s := placement.State{
+		Memory:  map[string]float64{"a": 1, "b": 1},
+		Engines: []placement.Engine{{ID: "e", Memory: 1, Capacity: 10, Loaded: []string{"a"}}},
+	}
+	orders := 0
+	for step := range 100 {
+		clock.Advance(time.Second)
+		s.Demands = []placement.Demand{{Version: "a", Priority: 1, Rate: 2}}
+		if step%20 == 0 {
+			s.Demands = []placement.Demand{{Version: "b", Priority: 1, Rate: 9}}
+		}
+		orders += len(p.Plan(s))
+	}
+	if orders != 0 {
+		t.Fatalf("%d moves for short peaks", orders)
+	}
+	s.Demands = []placement.Demand{{Version: "b", Priority: 1, Rate: 9}}
+	for range 120 { // the half-life of the mean demand
+		clock.Advance(time.Second)
+		orders += len(p.Plan(s))
+	}
+	if orders == 0 {
+		t.Fatal("no move for lasting demand")
+	}
+	s.Demands = []placement.Demand{{Version: "b", Priority: 0, Rate: 0}}
+	p.Plan(s)
+	s.Demands[0].Rate = 0.1
+	clock.Advance(time.Second)
+	if got := p.Plan(s); len(got) != 1 {
+		t.Fatalf("%d orders for new urgent demand", len(got))
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	clock := clockwork.NewFakeClockAt(epoch)
+	s := placement.State{Memory: map[string]float64{}}
+	for v := range 10 {
+		name := strconv.Itoa(v)
+		s.Memory[name] = 30
+		for priority := range 3 {
+			s.Demands = append(s.Demands, placement.Demand{Version: name, Priority: priority, Rate: 100 * float64(v)})
+		}
+	}
+	for i := range 435 { // one failure domain of the design size
+		e := placement.Engine{ID: strconv.Itoa(i), Memory: 80, Capacity: 30, Loaded: []string{strconv.Itoa(i % 10)}}
+		s.Engines = append(s.Engines, e)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		p := placement.NewPlanner(clock, placement.DefaultConfig(30), rate.NewLimiter(1, 3))
+		p.Plan(s)
+	}
+}
