--- a/internal/cmd/measure/main.go
+++ b/internal/cmd/measure/main.go
@@ -5,10 +5,17 @@
 	"fmt"
 
 	"github.com/corianderlever/corianderlever/internal/measure"
+	"github.com/corianderlever/corianderlever/internal/measure/balance"
+	"github.com/corianderlever/corianderlever/internal/measure/limiter"
+	"github.com/corianderlever/corianderlever/internal/measure/placement"
 )
 
 // suites lists the measurements of all decisions, in the order they are printed.
-var suites = []func() []measure.Line{}
+var suites = []func() []measure.Line{
+	balance.Run,
+	limiter.Run,
+	placement.Run,
+}
 
 func main() {
 	for _, suite := range suites {
