--- a/internal/cmd/measure/main.go
+++ b/internal/cmd/measure/main.go
@@ -7,12 +7,18 @@
 	"github.com/corianderlever/corianderlever/internal/measure"
 	"github.com/corianderlever/corianderlever/internal/measure/cascade"
 	"github.com/corianderlever/corianderlever/internal/measure/rollout"
+	"github.com/corianderlever/corianderlever/internal/measure/balance"
+	"github.com/corianderlever/corianderlever/internal/measure/limiter"
+	"github.com/corianderlever/corianderlever/internal/measure/placement"
 )
 
 // suites lists the measurements of all decisions, in the order they are printed.
 var suites = []func() []measure.Line{
 	cascade.Run,
 	rollout.Run,
+	balance.Run,
+	limiter.Run,
+	placement.Run,
 }
 
 func main() {
