--- a/membership/membership.go
+++ b/membership/membership.go
@@ -168,13 +168,26 @@
 func (m *Membership) HasMajority() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	strangers := 0
+	return m.table.HasMajority(m.opts.Clock.Now(), m.strangers())
+}
+
+// Counted returns the number of members of which HasMajority is a majority,
+// this host included.
+func (m *Membership) Counted() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Counted(m.opts.Clock.Now(), m.strangers())
+}
+
+// strangers returns the number of seeds that no live member has as address.
+func (m *Membership) strangers() int {
+	n := 0
 	for _, addr := range m.opts.Seeds {
 		if !m.table.knowsAddress(addr) {
-			strangers++
+			n++
 		}
 	}
-	return m.table.HasMajority(m.opts.Clock.Now(), strangers)
+	return n
 }
 
 // Entries returns the list for GET /v1/entries.
--- a/membership/view.go
+++ b/membership/view.go
@@ -5,48 +5,50 @@
 	"time"
 )
 
-// HasMajority reports whether this host reached more than half of the members
-// it knows within the contact time, itself included. Members that left or are
-// leaving are not counted, failed ones are until they are forgotten. Until the
-// first contact, strangers is the number of further hosts that should exist.
-func (t *Table) HasMajority(now time.Time, strangers int) bool {
-	counted, unreached := 1, 0
-	live, sampled, answered := 0, 0, 0
+// Counted returns the number of members that a majority refers to, the host
+// itself included. Members that left or are leaving are not counted, failed
+// ones are until they are forgotten. Until the first contact, strangers is the
+// number of further hosts that should exist.
+func (t *Table) Counted(now time.Time, strangers int) int {
+	counted := 1
 	for _, r := range t.records {
-		reached := !r.lastContact.IsZero() && now.Sub(r.lastContact) <= DefaultContactTime
-		switch {
-		case r.State == Leaving || r.State == Left:
-			continue
-		case r.State == Failed && !reached:
-			unreached++
-		default:
-			live++
-			silent := !r.lastSilent.IsZero() && now.Sub(r.lastSilent) <= DefaultContactTime
-			if reached {
-				answered++
-			}
-			// A member that answered before and no longer does counts as
-			// sampled, even if no probe of it has ended yet.
-			if reached || silent || !r.lastContact.IsZero() && len(t.records) <= fullSample {
-				sampled++
-			}
+		if r.State != Leaving && r.State != Left {
+			counted++
 		}
-		counted++
 	}
 	if !t.everReached && now.Sub(t.started) < DefaultFailedRetention {
 		counted += strangers
-		unreached += strangers
 	}
-	if live == 0 {
-		return 2 > counted
+	return counted
+}
+
+// HasMajority reports whether this host reached more than half of the counted
+// members within the contact time, itself included.
+func (t *Table) HasMajority(now time.Time, strangers int) bool {
+	live, sampled, answered := 0, 0, 0
+	for _, r := range t.records {
+		reached := !r.lastContact.IsZero() && now.Sub(r.lastContact) <= DefaultContactTime
+		if r.State == Leaving || r.State == Left || r.State == Failed && !reached {
+			continue
+		}
+		live++
+		if reached {
+			answered++
+		}
+		silent := !r.lastSilent.IsZero() && now.Sub(r.lastSilent) <= DefaultContactTime
+		// A member that answered before and no longer does counts as sampled,
+		// even if no probe of it has ended yet.
+		if reached || silent || !r.lastContact.IsZero() && len(t.records) <= fullSample {
+			sampled++
+		}
 	}
-	if sampled == 0 {
-		return false
+	reached := 1.0
+	if sampled > 0 {
+		// In a large fleet only some members are probed within the contact
+		// time; the share of those that answered stands for all.
+		reached += float64(live) * float64(answered) / float64(sampled)
 	}
-	// In a large fleet only some members are probed within the contact time;
-	// the share of those that answered stands for all.
-	reached := 1 + float64(live)*float64(answered)/float64(sampled)
-	return 2*reached > float64(counted)
+	return 2*reached > float64(t.Counted(now, strangers))
 }
 
 // fullSample is the number of members that are all probed within the contact
