--- a/client/client.go
+++ b/client/client.go
@@ -46,6 +46,8 @@
 	HTTP *http.Client
 	// Attempts bounds the tries of one request; zero means 5.
 	Attempts int
+	// SeedsOnly keeps to the seeds instead of following the entry list.
+	SeedsOnly bool
 }
 
 // Client calls entry hosts. It is safe for concurrent use.
--- a/client/entries.go
+++ b/client/entries.go
@@ -31,7 +31,17 @@
 }
 
 func newEntryList(opts Options) *entryList {
-	return &entryList{opts: opts, avoid: make(map[string]time.Time)}
+	l := &entryList{opts: opts, avoid: make(map[string]time.Time)}
+	if opts.SeedsOnly {
+		l.useSeeds()
+	}
+	return l
+}
+
+func (l *entryList) useSeeds() {
+	for _, addr := range l.opts.Seeds {
+		l.current = append(l.current, api.EntryAddress{Address: addr, Weight: 1})
+	}
 }
 
 // failed keeps an address from being used for a while.
@@ -47,7 +57,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	if now.After(l.expires) {
+	if !l.opts.SeedsOnly && now.After(l.expires) {
 		l.refresh(ctx, now)
 	}
 	if addr, ok := l.choose(now); ok {
@@ -104,9 +114,7 @@
 		return
 	}
 	if len(l.current) == 0 {
-		for _, addr := range l.opts.Seeds {
-			l.current = append(l.current, api.EntryAddress{Address: addr, Weight: 1})
-		}
+		l.useSeeds()
 	}
 }
 
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -71,6 +72,7 @@
 		c.simple("rollout", "rollout (halt|resume|back) NAME", "Steers a roll-out.", 2, c.rollout),
 		c.simple("withdraw", "withdraw VERSION", "Withdraws a version: it receives no new work.", 1, c.withdraw),
 		c.billCommand(),
+		c.simple("newkey", "newkey", "Prints an idempotency key for a request.", 0, c.newKey),
 		c.simple("explain", "explain REQUEST_ID", "Shows what was decided about a request and why.", 1, c.explain),
 	}
 }
@@ -202,6 +204,16 @@
 	})
 }
 
+// newKey prints a UUIDv7, whose age the system can tell.
+func (c *command) newKey(context.Context, *admin.Client, []string) error {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return errors.Wrap(err, "new key")
+	}
+	_, err = fmt.Fprintln(c.out, id)
+	return err
+}
+
 // explain asks every host of the status list, because only the host that
 // served a request remembers it.
 func (c *command) explain(ctx context.Context, cl *admin.Client, args []string) error {
--- /dev/null
+++ b/daemon/base.go
@@ -0,0 +1,178 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/corianderlever/corianderlever/certs"
+	"github.com/corianderlever/corianderlever/kernel"
+	"github.com/corianderlever/corianderlever/membership"
+	"github.com/corianderlever/corianderlever/peer"
+	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/platform/httpkv"
+)
+
+// Names of the services of a host.
+const (
+	servicePlatform      = "platform"
+	serviceCerts         = "certs"
+	servicePeers         = "peers"
+	serviceMembership    = "membership"
+	serviceConfiguration = "configuration"
+	serviceLedger        = "ledger"
+	serviceClaims        = "claims"
+	serviceFleet         = "fleet"
+	serviceRoles         = "roles"
+	serviceDispatch      = "dispatch"
+	serviceEntry         = "entry"
+)
+
+// platformService provides the key-value service.
+type platformService struct {
+	base
+	kv platform.KV
+}
+
+var _ kernel.Provisioner = (*platformService)(nil)
+
+func (s *platformService) Name() string { return servicePlatform }
+
+// Provision connects to the service unless the options bring one.
+func (s *platformService) Provision(*kernel.Kernel) error {
+	s.kv = s.opts.KV
+	if s.kv == nil {
+		s.kv = httpkv.NewClient(s.opts.Settings.Platform.KV, nil)
+	}
+	return nil
+}
+
+// certsService provides TLS configurations; its reloader is nil without TLS.
+type certsService struct {
+	base
+	reloader *certs.Reloader
+}
+
+func (s *certsService) Name() string { return serviceCerts }
+
+// Provision reads the certificate files.
+func (s *certsService) Provision(*kernel.Kernel) error {
+	t := s.opts.Settings.TLS
+	if t == nil {
+		return nil
+	}
+	var err error
+	s.reloader, err = certs.New(certs.Files{Cert: t.Cert, Key: t.Key, CA: t.CA}, s.opts.Clock, s.opts.Logger)
+	return err
+}
+
+// transport returns the transport towards endpoints.
+func (s *certsService) transport() *http.Transport {
+	t := &http.Transport{MaxIdleConnsPerHost: idleConnsPerEndpoint, IdleConnTimeout: time.Minute}
+	if s.reloader != nil {
+		t.DialTLSContext = s.reloader.DialTLS
+	}
+	return t
+}
+
+// idleConnsPerEndpoint keeps connections for the usual concurrency of an engine.
+const idleConnsPerEndpoint = 64
+
+// peerService provides calls between hosts.
+type peerService struct {
+	base
+	server *peer.Server
+	client *peer.Client
+	ln     net.Listener
+}
+
+func (s *peerService) Name() string       { return servicePeers }
+func (s *peerService) Requires() []string { return []string{serviceCerts} }
+
+// Provision makes the server, on which later services register their methods.
+func (s *peerService) Provision(k *kernel.Kernel) error {
+	c, err := kernel.Lookup[*certsService](k, serviceCerts)
+	if err != nil {
+		return err
+	}
+	key, err := s.opts.Settings.ClusterKey.Read()
+	if err != nil {
+		return err
+	}
+	var serverTLS, clientTLS *tls.Config
+	if c.reloader != nil {
+		serverTLS, clientTLS = c.reloader.Server(false), c.reloader.Client()
+		clientTLS.ServerName = s.opts.Settings.TLS.PeerName
+	}
+	s.server, err = peer.NewServer(peer.ServerOptions{Key: key, TLS: serverTLS, Clock: s.opts.Clock, Logger: s.opts.Logger})
+	if err != nil {
+		return err
+	}
+	s.client, err = peer.NewClient(peer.ClientOptions{
+		Key: key, Self: s.opts.Settings.Host, TLS: clientTLS, Clock: s.opts.Clock, Logger: s.opts.Logger,
+	})
+	if err != nil {
+		return err
+	}
+	s.ln, err = net.Listen("tcp", s.opts.Settings.Listen.Peer)
+	return errors.Wrap(err, "daemon: listen for peers")
+}
+
+// Start begins to answer peers, after all services have registered their methods.
+func (s *peerService) Start(context.Context) error {
+	s.run.start(servicePeers, func(ctx context.Context) error { return s.server.Serve(ctx, s.ln) })
+	return nil
+}
+
+// Stop ends all calls.
+func (s *peerService) Stop(ctx context.Context) error {
+	return errors.CombineErrors(s.run.stop(ctx), s.client.Close())
+}
+
+// membershipService provides the list of entry hosts.
+type membershipService struct {
+	base
+	*membership.Membership
+}
+
+func (s *membershipService) Name() string       { return serviceMembership }
+func (s *membershipService) Requires() []string { return []string{servicePeers} }
+
+// Provision registers the heartbeat methods.
+func (s *membershipService) Provision(k *kernel.Kernel) error {
+	p, err := kernel.Lookup[*peerService](k, servicePeers)
+	if err != nil {
+		return err
+	}
+	set := s.opts.Settings
+	s.Membership, err = membership.New(membership.Options{
+		Self: membership.Member{
+			Host: set.Host, PeerAddress: set.PeerAddress(), EntryAddress: set.EntryAddress(),
+			FailureDomain: set.FailureDomain, Region: set.Region,
+		},
+		Seeds: set.Peers, Caller: p.client, Registrar: p.server,
+		Clock: s.opts.Clock, Rand: s.opts.newRand(), Logger: s.opts.Logger,
+		EntryTTL: set.Drain.EntryTTL.D(),
+	})
+	return err
+}
+
+// Start begins heartbeats.
+func (s *membershipService) Start(context.Context) error {
+	s.run.start(serviceMembership, s.Membership.Run)
+	return nil
+}
+
+// Stop tells a few peers that the host is gone.
+func (s *membershipService) Stop(ctx context.Context) error { return s.run.stop(ctx) }
+
+// newRand returns a source of random numbers of its own; each component
+// guards its source by its own lock.
+func (o *Options) newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(o.Rand.Uint64(), o.Rand.Uint64()))
+}
--- /dev/null
+++ b/daemon/dispatch.go
@@ -0,0 +1,253 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/corianderlever/corianderlever/allowance"
+	"github.com/corianderlever/corianderlever/balance"
+	"github.com/corianderlever/corianderlever/dispatch"
+	"github.com/corianderlever/corianderlever/engine"
+	"github.com/corianderlever/corianderlever/kernel"
+	"github.com/corianderlever/corianderlever/limiter"
+	"github.com/corianderlever/corianderlever/rating"
+	"github.com/corianderlever/corianderlever/resource"
+	"github.com/corianderlever/corianderlever/session"
+)
+
+// dispatchService serves requests.
+type dispatchService struct {
+	base
+	*dispatch.Dispatcher
+	membership *membershipService
+	config     *configurationService
+	signals    *signalService
+	engines    *engine.Client
+	fleet      *dispatch.Fleet
+	// newConfig holds the newest snapshot that is not yet applied.
+	newConfig chan *resource.Snapshot
+}
+
+func (s *dispatchService) Name() string { return serviceDispatch }
+func (s *dispatchService) Requires() []string {
+	return []string{serviceCerts, serviceMembership, serviceConfiguration, serviceLedger, serviceClaims, serviceSignals}
+}
+
+// Provision builds the dispatcher.
+func (s *dispatchService) Provision(k *kernel.Kernel) error {
+	var err error
+	if s.membership, err = kernel.Lookup[*membershipService](k, serviceMembership); err != nil {
+		return err
+	}
+	if s.config, err = kernel.Lookup[*configurationService](k, serviceConfiguration); err != nil {
+		return err
+	}
+	if s.signals, err = kernel.Lookup[*signalService](k, serviceSignals); err != nil {
+		return err
+	}
+	certs, err := kernel.Lookup[*certsService](k, serviceCerts)
+	if err != nil {
+		return err
+	}
+	ledgers, err := kernel.Lookup[*ledgerService](k, serviceLedger)
+	if err != nil {
+		return err
+	}
+	claims, err := kernel.Lookup[*claimsService](k, serviceClaims)
+	if err != nil {
+		return err
+	}
+	signer, err := newSigner(s.opts)
+	if err != nil {
+		return err
+	}
+	s.newConfig = make(chan *resource.Snapshot, 1)
+	s.engines = engine.NewClient(certs.transport())
+	s.fleet = dispatch.NewFleet(s.opts.Clock, s.opts.newRand(), s.opts.Settings.FailureDomain, s.signals.setSlots)
+	s.signals.handleProbation()
+	s.Dispatcher = dispatch.New(dispatch.Options{
+		Config: s.config.Store, Engines: s.engines, Signer: signer, Fleet: s.fleet,
+		Chooser: s.signals.chooser, Detector: s.signals.detector, Queue: s.signals.queue,
+		Retries: limiter.NewRetryBudget(s.opts.Clock), Crashes: s.signals.crashes, Prober: s.signals,
+		Ledger: ledgers.Ledger, Claims: claims, Rater: newRater(s.opts),
+		Allowance: &minuteGuard{signals: s.signals},
+		Clock:     s.opts.Clock, Logger: s.opts.Logger, Registry: s.opts.Registry,
+	})
+	s.config.Subscribe(s.offer)
+	return nil
+}
+
+// newRater returns nil without a rating service.
+func newRater(opts *Options) dispatch.Rater {
+	p := opts.Settings.Platform
+	if p.Rating == "" {
+		return nil
+	}
+	return rating.New(p.Rating, p.RatingsPerSecond, nil)
+}
+
+func newSigner(opts *Options) (*session.Signer, error) {
+	var keys []session.Key
+	for _, k := range opts.Settings.Sessions.Keys {
+		secret, err := k.Secret.Read()
+		if err != nil {
+			return nil, err
+		}
+		keys = append(keys, session.Key{ID: k.ID, Secret: secret})
+	}
+	return session.NewSigner(opts.Clock, opts.Settings.Sessions.TTL.D(), keys)
+}
+
+// offer notes a snapshot without blocking; an older one that waits is dropped.
+func (s *dispatchService) offer(snap *resource.Snapshot) {
+	for {
+		select {
+		case s.newConfig <- snap:
+			return
+		default:
+		}
+		select {
+		case <-s.newConfig:
+		default:
+		}
+	}
+}
+
+// Start begins to follow the configuration and the endpoints.
+func (s *dispatchService) Start(context.Context) error {
+	s.applyConfig(s.config.Current())
+	s.run.start("configuration users", func(ctx context.Context) error {
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case snap := <-s.newConfig:
+				s.applyConfig(snap)
+			}
+		}
+	})
+	s.run.start("endpoint reports", s.followEndpoints)
+	return nil
+}
+
+// Stop waits for ratings under way.
+func (s *dispatchService) Stop(ctx context.Context) error {
+	err := s.run.stop(ctx)
+	s.Close()
+	s.engines.CloseIdle()
+	return err
+}
+
+// applyConfig hands a configuration to all parts that depend on it.
+func (s *dispatchService) applyConfig(snap *resource.Snapshot) {
+	now := s.opts.Clock.Now()
+	if err := s.signals.queue.ApplyConfig(dispatch.AdmissionConfig(snap)); err != nil {
+		s.opts.Logger.Error("admission keeps its configuration", "revision", snap.Revision, "error", err)
+	}
+	terms := allowance.Terms{
+		PeakPrice: snap.Terms.PeakPrice, StandingPeak: snap.Terms.StandingPeak, Allowance: snap.Terms.Allowance,
+	}
+	if err := s.signals.allowance.SetTerms(now, terms); err != nil {
+		s.opts.Logger.Error("allowance keeps its terms", "revision", snap.Revision, "error", err)
+	}
+	s.signals.hasTerms.Store(snap.Terms.PeakPrice > 0)
+	s.declareVersions(snap)
+	use := s.subset(snap)
+	s.fleet.ApplyConfig(snap, func(name string) bool { return use[name] })
+	s.opts.Logger.Info("configuration in force", "revision", snap.Revision, "resources", len(snap.Resources()))
+}
+
+// declareVersions tells the detector what it tests each version against.
+func (s *dispatchService) declareVersions(snap *resource.Snapshot) {
+	predecessor := make(map[string]string)
+	for _, r := range snap.Rollouts {
+		if r.State == resource.RolloutRunning || r.State == resource.RolloutHalted {
+			predecessor[r.To] = r.From
+		}
+	}
+	for name, v := range snap.Versions {
+		if err := s.signals.detector.Declare(name, v.PassRate, predecessor[name]); err != nil {
+			s.opts.Logger.Error("version not tested", "version", name, "error", err)
+		}
+	}
+}
+
+// subsetSize bounds the endpoints of one version that a host uses, and so its
+// connections and its knowledge of caches.
+const subsetSize = 64
+
+// subset chooses this host's endpoints, version by version.
+func (s *dispatchService) subset(snap *resource.Snapshot) map[string]bool {
+	var hosts []string
+	for _, m := range s.membership.Members() {
+		if m.State.Live() {
+			hosts = append(hosts, m.Host)
+		}
+	}
+	slices.Sort(hosts)
+	use := make(map[string]bool)
+	add := func(names []string) {
+		for _, name := range balance.Subset(s.opts.Settings.Host, hosts, names, subsetSize) {
+			use[name] = true
+		}
+	}
+	for v := range snap.Versions {
+		add(snap.EndpointsForVersion(v))
+	}
+	for svc := range snap.Services {
+		add(snap.EndpointsForService(svc))
+	}
+	return use
+}
+
+const (
+	// reportInterval is the time between two questions to an endpoint.
+	reportInterval = time.Second
+	// reportTimeout bounds one question.
+	reportTimeout = 900 * time.Millisecond
+)
+
+// followEndpoints asks the endpoints for load reports and cache events.
+func (s *dispatchService) followEndpoints(ctx context.Context) error {
+	sequence := make(map[string]int64)
+	return every(ctx, s.opts.Clock, reportInterval, func() {
+		type result struct {
+			name   string
+			events []engine.CacheEvent
+		}
+		addresses := s.fleet.Addresses()
+		results := make(chan result, len(addresses))
+		for name, addr := range addresses {
+			after := sequence[name]
+			go func() { results <- result{name, s.askEndpoint(ctx, name, addr, after)} }()
+		}
+		for range addresses {
+			r := <-results
+			if n := len(r.events); n > 0 {
+				sequence[r.name] = r.events[n-1].Sequence
+			}
+		}
+	})
+}
+
+func (s *dispatchService) askEndpoint(ctx context.Context, name, addr string, after int64) []engine.CacheEvent {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := s.engines.Load(ctx, addr)
+	if err != nil {
+		s.opts.Logger.Debug("no load report", "endpoint", name, "error", err)
+		return nil
+	}
+	s.fleet.ObserveLoad(name, report)
+	if len(report.Versions) == 0 {
+		return nil
+	}
+	events, err := s.engines.CacheEvents(ctx, addr, after)
+	if err != nil {
+		s.opts.Logger.Debug("no cache events", "endpoint", name, "error", err)
+		return nil
+	}
+	s.fleet.ObserveCache(name, events)
+	return events
+}
--- /dev/null
+++ b/daemon/entry.go
@@ -0,0 +1,157 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/corianderlever/corianderlever/admin"
+	"github.com/corianderlever/corianderlever/api"
+	"github.com/corianderlever/corianderlever/entry"
+	"github.com/corianderlever/corianderlever/kernel"
+)
+
+// ErrDrainTimeout reports that running requests were cut at shutdown.
+var ErrDrainTimeout = errors.New("daemon: drain timeout passed")
+
+const (
+	// headerTimeout bounds the time a client may take to send its headers.
+	headerTimeout = 10 * time.Second
+	// idleTimeout ends unused connections of callers.
+	idleTimeout = 2 * time.Minute
+	// readyTimeout bounds the wait for the first configuration at the start.
+	readyTimeout = 5 * time.Second
+	// ttlMargin covers the way of an entry list to its caller.
+	ttlMargin = 500 * time.Millisecond
+)
+
+// entryService answers callers and operators.
+type entryService struct {
+	base
+	membership *membershipService
+	config     *configurationService
+	server     *http.Server
+	ln         net.Listener
+	leaving    atomic.Bool
+}
+
+func (s *entryService) Name() string { return serviceEntry }
+func (s *entryService) Requires() []string {
+	return []string{serviceCerts, serviceMembership, serviceConfiguration, serviceLedger, serviceDispatch, serviceRoles}
+}
+
+// Provision builds the handlers and opens the listener.
+func (s *entryService) Provision(k *kernel.Kernel) error {
+	var err error
+	if s.membership, err = kernel.Lookup[*membershipService](k, serviceMembership); err != nil {
+		return err
+	}
+	if s.config, err = kernel.Lookup[*configurationService](k, serviceConfiguration); err != nil {
+		return err
+	}
+	d, err := kernel.Lookup[*dispatchService](k, serviceDispatch)
+	if err != nil {
+		return err
+	}
+	certs, err := kernel.Lookup[*certsService](k, serviceCerts)
+	if err != nil {
+		return err
+	}
+	ledgers, err := kernel.Lookup[*ledgerService](k, serviceLedger)
+	if err != nil {
+		return err
+	}
+	backend := newAdminBackend(s.config, s.membership, ledgers, d)
+	s.server = &http.Server{
+		Handler:           s.handler(d, backend),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	}
+	s.ln, err = net.Listen("tcp", s.opts.Settings.Listen.Entry)
+	if err != nil {
+		return errors.Wrap(err, "daemon: listen for callers")
+	}
+	if certs.reloader != nil {
+		s.ln = tls.NewListener(s.ln, certs.reloader.Server(false))
+	}
+	return nil
+}
+
+func (s *entryService) handler(d *dispatchService, backend admin.Backend) http.Handler {
+	l := s.opts.Settings.Limits
+	mux := http.NewServeMux()
+	mux.Handle("/", entry.New(entry.Options{
+		Dispatcher: d.Dispatcher, Config: s.config.Store, Entries: s.entries, Ready: s.ready,
+		MaxBodyBytes: l.MaxBodyBytes, BodyTimeout: l.BodyTimeout.D(), WriteTimeout: l.WriteTimeout.D(),
+		Logger: s.opts.Logger,
+	}))
+	mux.Handle("/admin/", admin.NewHandler(backend, s.opts.Settings.OperatorKeyHashes, s.opts.Logger))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(s.opts.Registry, promhttp.HandlerOpts{}))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.leaving.Load() {
+			// Callers open their next connection to another host.
+			w.Header().Set("Connection", "close")
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (s *entryService) ready() bool { return !s.leaving.Load() && s.config.Fresh() }
+
+// entries answers GET /v1/entries. A host that is not fresh leaves itself out.
+func (s *entryService) entries() api.EntriesResponse {
+	list := s.membership.Entries(s.opts.Clock.Now())
+	out := api.EntriesResponse{TTLMS: list.TTLMS, Entries: []api.EntryAddress{}}
+	for _, e := range list.Entries {
+		if e.Host == s.opts.Settings.Host && len(list.Entries) > 1 && !s.ready() {
+			continue
+		}
+		out.Entries = append(out.Entries, api.EntryAddress{Address: e.Address, FailureDomain: e.FailureDomain, Weight: float64(e.Weight)})
+	}
+	return out
+}
+
+// Start waits for a configuration and then answers callers. Without one the
+// host starts all the same and refuses work until it has learned one.
+func (s *entryService) Start(ctx context.Context) error {
+	select {
+	case <-s.config.Ready():
+	case <-s.opts.Clock.After(readyTimeout):
+		s.opts.Logger.Warn("started without a confirmed configuration")
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "daemon: wait for configuration")
+	}
+	s.run.start(serviceEntry, func(context.Context) error {
+		if err := s.server.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return nil
+}
+
+// Stop leaves the entry list, serves until the lists given out have expired,
+// and waits for running requests.
+func (s *entryService) Stop(ctx context.Context) error {
+	s.leaving.Store(true)
+	s.membership.Leave()
+	wait := s.opts.Settings.Drain.EntryTTL.D() + ttlMargin
+	select {
+	case <-s.opts.Clock.After(wait):
+	case <-ctx.Done():
+	}
+	drain, cancel := context.WithTimeout(ctx, s.opts.Settings.Drain.Timeout.D())
+	defer cancel()
+	if err := s.server.Shutdown(drain); err != nil {
+		s.opts.Logger.Error("drain timeout passed", "timeout", s.opts.Settings.Drain.Timeout.D(), "error", err)
+		return errors.CombineErrors(ErrDrainTimeout, s.server.Close())
+	}
+	return s.run.stop(ctx)
+}
+
+func (s *entryService) address() string { return s.ln.Addr().String() }
--- /dev/null
+++ b/daemon/roles.go
@@ -0,0 +1,170 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/corianderlever/corianderlever/allowance"
+	"github.com/corianderlever/corianderlever/kernel"
+	"github.com/corianderlever/corianderlever/lease"
+	"github.com/corianderlever/corianderlever/ledger"
+	"github.com/corianderlever/corianderlever/membership"
+)
+
+// Names of the roles that one host holds at a time.
+const (
+	roleRollouts  = "rollouts"
+	roleAllocator = "allocator"
+	roleHousehold = "housekeeping"
+)
+
+// Periods of the roles' work.
+const (
+	rolloutInterval   = time.Second
+	allocateInterval  = time.Second
+	foldInterval      = 5 * time.Minute
+	claimSweepEveryth = 12 // folds between two sweeps of old claims, an hour
+)
+
+// methodGrant hands units of the running minute to a host.
+const methodGrant = "allowance.Grant"
+
+// rolesService competes for the roles and does their work while it holds them.
+type rolesService struct {
+	base
+	basics
+	config  *configurationService
+	signals *signalService
+	claims  *claimsService
+	steps   *rolloutSteward
+
+	allocator *lease.Holder
+}
+
+func (s *rolesService) Name() string { return serviceRoles }
+func (s *rolesService) Requires() []string {
+	return []string{servicePlatform, servicePeers, serviceMembership, serviceConfiguration, serviceSignals, serviceClaims}
+}
+
+// Provision looks up the services that the roles act on.
+func (s *rolesService) Provision(k *kernel.Kernel) error {
+	var err error
+	if s.basics, err = lookupBasics(k); err != nil {
+		return err
+	}
+	if s.config, err = kernel.Lookup[*configurationService](k, serviceConfiguration); err != nil {
+		return err
+	}
+	if s.signals, err = kernel.Lookup[*signalService](k, serviceSignals); err != nil {
+		return err
+	}
+	if s.claims, err = kernel.Lookup[*claimsService](k, serviceClaims); err != nil {
+		return err
+	}
+	s.steps = &rolloutSteward{opts: s.opts, config: s.config, detector: s.signals.detector}
+	s.peers.server.Handle(methodGrant, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
+		var g allowance.Grant
+		if err := json.Unmarshal(params, &g); err != nil {
+			return nil, errors.Wrap(err, "daemon: decode grant")
+		}
+		s.signals.takeGrant(g)
+		return struct{}{}, nil
+	})
+	return nil
+}
+
+func (s *rolesService) holder(role string) *lease.Holder {
+	h := lease.New(s.platform.kv, s.opts.Clock, s.opts.newRand(), lease.Config{
+		Role: role, Host: s.opts.Settings.Host, Logger: s.opts.Logger,
+	})
+	s.run.start(role, h.Run)
+	return h
+}
+
+// Start begins to compete for the roles.
+func (s *rolesService) Start(context.Context) error {
+	rollouts := s.holder(roleRollouts)
+	s.run.start("roll-out steps", func(ctx context.Context) error {
+		return every(ctx, s.opts.Clock, rolloutInterval, func() { s.guarded(ctx, rollouts, s.steps.act) })
+	})
+	s.allocator = s.holder(roleAllocator)
+	s.run.start("allocation", s.allocate)
+	household := s.holder(roleHousehold)
+	s.run.start("folding", func(ctx context.Context) error {
+		n := 0
+		return every(ctx, s.opts.Clock, foldInterval, func() {
+			n++
+			s.guarded(ctx, household, func(ctx context.Context, _ int64) error { return s.keepHouse(ctx, n) })
+		})
+	})
+	return nil
+}
+
+// Stop gives the roles up.
+func (s *rolesService) Stop(ctx context.Context) error { return s.run.stop(ctx) }
+
+// guarded runs an action of a role if this host holds it.
+func (s *rolesService) guarded(ctx context.Context, h *lease.Holder, act func(ctx context.Context, fencing int64) error) {
+	err := h.Guard(ctx, act)
+	if err != nil && !errors.Is(err, lease.ErrNotHeld) && ctx.Err() == nil {
+		s.opts.Logger.Warn("role's action failed", "error", err)
+	}
+}
+
+// keepHouse folds old minutes of the ledger and removes old claims.
+func (s *rolesService) keepHouse(ctx context.Context, n int) error {
+	if err := ledger.Fold(ctx, s.platform.kv, s.opts.Clock.Now()); err != nil {
+		return err
+	}
+	if n%claimSweepEveryth == 0 {
+		return s.claims.Sweep(ctx)
+	}
+	return nil
+}
+
+// allocate moves unused units of the running minute between hosts while this
+// host holds the role. A new holder starts with nothing: it owns only units
+// that were given up to its own fencing number.
+func (s *rolesService) allocate(ctx context.Context) error {
+	var current *allowance.Allocator
+	fence := int64(0)
+	return every(ctx, s.opts.Clock, allocateInterval, func() {
+		s.guarded(ctx, s.allocator, func(ctx context.Context, fencing int64) error {
+			if current == nil || fence != fencing {
+				current, fence = allowance.NewAllocator(fencing), fencing
+			}
+			s.signals.setFence(fencing)
+			return s.allocateOnce(ctx, current)
+		})
+	})
+}
+
+func (s *rolesService) allocateOnce(ctx context.Context, a *allowance.Allocator) error {
+	for _, r := range s.signals.takeReports() {
+		if err := a.Observe(r); err != nil {
+			return err
+		}
+	}
+	live := make(map[string]membership.Member)
+	for _, m := range s.membership.Members() {
+		if m.State == membership.Alive {
+			live[m.Host] = m
+		}
+	}
+	minute := allowance.MinuteOf(s.opts.Clock.Now())
+	grants := a.Allocate(minute, func(host string) bool { _, ok := live[host]; return ok })
+	for _, g := range grants {
+		if g.Host == s.opts.Settings.Host {
+			s.signals.takeGrant(g)
+			continue
+		}
+		// A grant that does not arrive is repeated with the next round.
+		if err := s.peers.client.Call(ctx, live[g.Host].PeerAddress, methodGrant, g, nil); err != nil {
+			s.opts.Logger.Debug("grant not delivered", "to", g.Host, "error", err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/rollouts.go
@@ -0,0 +1,118 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/corianderlever/corianderlever/configstore"
+	"github.com/corianderlever/corianderlever/resource"
+	"github.com/corianderlever/corianderlever/rollout"
+)
+
+// systemAuthor is the author of changes that the system makes itself.
+const systemAuthor = "corianderlever"
+
+// rolloutSteward moves roll-outs and writes verdicts on versions into the
+// configuration. Its own state only delays: a new holder waits a step's time again.
+type rolloutSteward struct {
+	opts     *Options
+	config   *configurationService
+	detector *rollout.Detector
+	steps    map[string]stepSeen
+}
+
+// stepSeen is when this holder first saw a step in force.
+type stepSeen struct {
+	step  int
+	since time.Time
+	// rated is the number of rated answers of the new version at that time.
+	rated uint64
+}
+
+// act makes at most one change; the next round sees its result.
+func (s *rolloutSteward) act(ctx context.Context, _ int64) error {
+	snap := s.config.Current()
+	set := s.verdicts(snap)
+	for _, r := range snap.Resources() {
+		spec, ok := r.Spec.(*resource.Rollout)
+		if !ok {
+			continue
+		}
+		changed, err := s.step(r.Name, spec)
+		if err != nil {
+			return errors.Wrapf(err, "daemon: roll-out %q", r.Name)
+		}
+		if changed != nil {
+			set = append(set, resource.Resource{Kind: resource.KindRollout, Name: r.Name, Spec: changed})
+		}
+	}
+	if len(set) == 0 {
+		return nil
+	}
+	revision, err := s.config.Apply(ctx, configstore.Change{ExpectRevision: snap.Revision, Set: set, Author: systemAuthor})
+	if errors.Is(err, configstore.ErrConflict) {
+		return nil // somebody was first; the next round decides anew
+	}
+	if err != nil {
+		return errors.Wrap(err, "daemon: write verdicts and steps")
+	}
+	s.opts.Logger.Info("verdicts and steps written", "revision", revision, "resources", len(set))
+	return nil
+}
+
+// verdicts returns the versions whose state differs from the detector's.
+func (s *rolloutSteward) verdicts(snap *resource.Snapshot) []resource.Resource {
+	var out []resource.Resource
+	for _, r := range snap.Resources() {
+		v, ok := r.Spec.(*resource.Version)
+		if !ok || v.State == resource.VersionWithdrawn {
+			continue
+		}
+		state := s.detector.Version(r.Name)
+		want := resource.VersionServing
+		if state.Suspect {
+			want = resource.VersionSuspect
+		}
+		// Without rated answers here this holder knows too little to clear a version.
+		if v.State == want || (want == resource.VersionServing && state.Rated < rollout.MinRated) {
+			continue
+		}
+		s.opts.Logger.Warn("version "+string(want), "version", r.Name, "rated", state.Rated, "suspicion", state.Suspicion)
+		changed := *v
+		changed.State = want
+		out = append(out, resource.Resource{Kind: r.Kind, Name: r.Name, Spec: &changed})
+	}
+	return out
+}
+
+// step returns the changed roll-out, or nil if there is nothing to do.
+func (s *rolloutSteward) step(name string, r *resource.Rollout) (*resource.Rollout, error) {
+	state := s.detector.Version(r.To)
+	seen := s.seen(name, r.Step, state.Rated)
+	spec := rollout.Spec{Steps: r.Steps, StepDuration: r.StepDuration.D(), Step: r.Step, Phase: rollout.Phase(r.State)}
+	action, err := rollout.Decide(spec, rollout.Progress{
+		Since: seen.since, Rated: state.Rated - min(seen.rated, state.Rated), Suspect: state.Suspect, Suspicion: state.Suspicion,
+	}, s.opts.Clock.Now())
+	if err != nil || action.Kind == rollout.ActionNothing {
+		return nil, err
+	}
+	next := spec.Apply(action)
+	s.opts.Logger.Info("roll-out "+string(action.Kind), "rollout", name, "step", next.Step, "reason", action.Reason)
+	changed := *r
+	changed.Step, changed.State, changed.Reason = next.Step, resource.RolloutState(next.Phase), action.Reason
+	return &changed, nil
+}
+
+func (s *rolloutSteward) seen(name string, step int, rated uint64) stepSeen {
+	if s.steps == nil {
+		s.steps = make(map[string]stepSeen)
+	}
+	seen, ok := s.steps[name]
+	if !ok || seen.step != step {
+		seen = stepSeen{step: step, since: s.opts.Clock.Now(), rated: rated}
+		s.steps[name] = seen
+	}
+	return seen
+}
--- /dev/null
+++ b/daemon/signals.go
@@ -0,0 +1,273 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/corianderlever/corianderlever/admission"
+	"github.com/corianderlever/corianderlever/allowance"
+	"github.com/corianderlever/corianderlever/cascade"
+	"github.com/corianderlever/corianderlever/kernel"
+	"github.com/corianderlever/corianderlever/limiter"
+	"github.com/corianderlever/corianderlever/membership"
+	"github.com/corianderlever/corianderlever/rollout"
+)
+
+const serviceSignals = "signals"
+
+// signalService holds the decisions whose evidence spreads with heartbeats.
+type signalService struct {
+	base
+	basics
+	chooser   *cascade.Chooser
+	detector  *rollout.Detector
+	queue     *admission.Queue
+	crashes   *limiter.CrashGuard
+	probation *limiter.Probation
+	allowance *allowance.Controller
+
+	// hasTerms is set while the supplier's terms are declared.
+	hasTerms atomic.Bool
+
+	mu sync.Mutex
+	// usage holds the newest report of each other host, with its arrival.
+	usage map[string]peerUsage
+	// slots is the number of requests all endpoints take at once.
+	slots float64
+	// fence is the fencing number of the allocator last heard of.
+	fence int64
+	// reports wait for the allocator.
+	reports []allowance.Report
+}
+
+type peerUsage struct {
+	at       time.Time
+	inFlight int
+}
+
+func (s *signalService) Name() string { return serviceSignals }
+func (s *signalService) Requires() []string {
+	return []string{servicePlatform, servicePeers, serviceMembership}
+}
+
+// fleetHosts is the number of hosts that the fixed bounds allow for: the time
+// for marks of crashes to reach all hosts and the rate of ratings by which
+// false alarms are counted. Both grow slowly with it, so it has room.
+const fleetHosts = 16
+
+// Provision makes the decisions and attaches their evidence to heartbeats.
+func (s *signalService) Provision(k *kernel.Kernel) error {
+	var err error
+	if s.basics, err = lookupBasics(k); err != nil {
+		return err
+	}
+	self := s.membership.Self()
+	clock, set := s.opts.Clock, s.opts.Settings
+	s.usage = make(map[string]peerUsage)
+	s.chooser = cascade.New(cascade.Config{
+		Host: self.Host, Incarnation: self.Started, RatingsPerSecond: set.Platform.RatingsPerSecond,
+	}, clock, s.opts.newRand())
+	s.detector = rollout.NewDetector(rollout.Config{
+		Host: self.Host, Incarnation: self.Started,
+		RatingsPerHour: set.Platform.RatingsPerSecond * time.Hour.Seconds() * fleetHosts,
+	}, clock)
+	s.queue = admission.New(clock, admission.Limits{
+		MaxWork: admission.DefaultLimits.MaxWork, MaxWaiting: set.Limits.MaxWaiting,
+	}, self.Host, self.Started)
+	s.crashes = limiter.NewCrashGuard(clock, limiter.SpreadTime(fleetHosts, membership.DefaultInterval))
+	s.probation = limiter.NewProbation(clock, s.crashes)
+	s.allowance, err = allowance.NewController(clock.Now(), allowance.Config{
+		Host: self.Host, Incarnation: self.Started, Members: 1,
+	}, s.opts.newRand())
+	if err != nil {
+		return err
+	}
+	s.register()
+	return nil
+}
+
+// signal attaches what produce returns and hands what arrives to consume.
+func signal[T any](s *signalService, name string, produce func() (T, bool), consume func(from membership.Member, v T) error) {
+	s.membership.RegisterSignal(name, func() json.RawMessage {
+		v, ok := produce()
+		if !ok {
+			return nil
+		}
+		data, err := json.Marshal(v)
+		if err != nil {
+			s.opts.Logger.Error("signal not sent", "signal", name, "error", err)
+			return nil
+		}
+		return data
+	}, func(from membership.Member, data json.RawMessage) {
+		var v T
+		err := json.Unmarshal(data, &v)
+		if err == nil {
+			err = consume(from, v)
+		}
+		if err != nil {
+			s.opts.Logger.Warn("signal refused", "signal", name, "from", from.Host, "error", err)
+		}
+	})
+}
+
+func (s *signalService) register() {
+	signal(s, "cascade", func() (cascade.Summary, bool) { return s.chooser.Export(), true },
+		func(_ membership.Member, v cascade.Summary) error { return s.chooser.Merge(v) })
+	signal(s, "versions", func() (rollout.Summary, bool) { return s.detector.Export(), true },
+		func(_ membership.Member, v rollout.Summary) error { return s.detector.Merge(v) })
+	signal(s, "usage", func() (admission.Usage, bool) { return s.queue.Usage(), true }, s.consumeUsage)
+	signal(s, "crashes", s.crashMarks, func(_ membership.Member, v json.RawMessage) error { return s.crashes.ObserveMarks(v) })
+	signal(s, "allowance", func() (allowance.Report, bool) {
+		return s.allowance.Report(s.opts.Clock.Now(), s.allocatorFence()), true
+	}, func(_ membership.Member, v allowance.Report) error {
+		s.onReport(v)
+		return s.allowance.ObservePeer(s.opts.Clock.Now(), v)
+	})
+}
+
+func (s *signalService) crashMarks() (json.RawMessage, bool) {
+	marks, err := s.crashes.Marks()
+	if err != nil {
+		s.opts.Logger.Error("crash marks not sent", "error", err)
+	}
+	return marks, err == nil && len(marks) > 0
+}
+
+func (s *signalService) consumeUsage(from membership.Member, u admission.Usage) error {
+	inFlight := 0
+	for _, r := range u.Ranks {
+		inFlight += r.InFlight
+	}
+	s.mu.Lock()
+	s.usage[from.Host] = peerUsage{at: s.opts.Clock.Now(), inFlight: inFlight}
+	s.mu.Unlock()
+	return s.queue.ObservePeerUsage(u)
+}
+
+// setSlots sets the number of requests all endpoints take at once.
+func (s *signalService) setSlots(slots float64) {
+	s.mu.Lock()
+	s.slots = slots
+	s.mu.Unlock()
+	s.updateCapacity()
+}
+
+// updateCapacity gives this host what the others do not use, and at least an
+// even part, so that endpoint queues stay short whichever host gets the load.
+func (s *signalService) updateCapacity() {
+	hosts := 0
+	for _, m := range s.membership.Members() {
+		if m.State.Live() {
+			hosts++
+		}
+	}
+	now := s.opts.Clock.Now()
+	s.mu.Lock()
+	used := 0
+	for host, u := range s.usage {
+		if now.Sub(u.at) > admission.PeerFreshness {
+			delete(s.usage, host)
+			continue
+		}
+		used += u.inFlight
+	}
+	capacity := max(s.slots-float64(used), s.slots/float64(max(hosts, 1)))
+	s.mu.Unlock()
+	s.queue.SetCapacity(capacity)
+	s.allowance.SetMembers(now, max(hosts, 1))
+}
+
+// capacityInterval is the time between two looks at the others' use, the
+// period of heartbeats.
+const capacityInterval = membership.DefaultInterval
+
+// Start begins to follow the others' use.
+func (s *signalService) Start(context.Context) error {
+	s.run.start(serviceSignals, func(ctx context.Context) error {
+		return every(ctx, s.opts.Clock, capacityInterval, s.updateCapacity)
+	})
+	return nil
+}
+
+// Stop ends following.
+func (s *signalService) Stop(ctx context.Context) error {
+	s.queue.Close()
+	return s.run.stop(ctx)
+}
+
+// Methods by which one host coordinates the runs of suspects.
+const (
+	methodTryStart = "limiter.TryStart"
+	methodFinish   = "limiter.Finish"
+)
+
+// probationCall is the message of both methods.
+type probationCall struct {
+	Hash     limiter.Hash `json:"hash"`
+	Endpoint string       `json:"endpoint"`
+	Crashed  bool         `json:"crashed,omitempty"`
+}
+
+// handleProbation answers other hosts' questions for runs of suspects.
+func (s *signalService) handleProbation() {
+	s.peers.server.Handle(methodTryStart, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
+		var c probationCall
+		if err := json.Unmarshal(params, &c); err != nil {
+			return nil, errors.Wrap(err, "daemon: decode probation")
+		}
+		return s.probation.TryStart(c.Hash, c.Endpoint), nil
+	})
+	s.peers.server.Handle(methodFinish, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
+		var c probationCall
+		if err := json.Unmarshal(params, &c); err != nil {
+			return nil, errors.Wrap(err, "daemon: decode probation")
+		}
+		s.probation.Finish(c.Hash, c.Endpoint, c.Crashed)
+		return struct{}{}, nil
+	})
+}
+
+// coordinator returns the host that grants the runs of a suspect: the live
+// member with the lowest name, so that all hosts ask the same one.
+func (s *signalService) coordinator() membership.Member {
+	for _, m := range s.membership.Members() {
+		if m.State == membership.Alive {
+			return m
+		}
+	}
+	return s.membership.Self()
+}
+
+// TryStart implements dispatch.Prober. Without an answer the suspect waits.
+func (s *signalService) TryStart(ctx context.Context, hash limiter.Hash, endpoint string) bool {
+	c := s.coordinator()
+	if c.Host == s.opts.Settings.Host {
+		return s.probation.TryStart(hash, endpoint)
+	}
+	granted := false
+	call := probationCall{Hash: hash, Endpoint: endpoint}
+	if err := s.peers.client.Call(ctx, c.PeerAddress, methodTryStart, call, &granted); err != nil {
+		s.opts.Logger.Warn("no answer about a suspect request", "coordinator", c.Host, "error", err)
+		return false
+	}
+	return granted
+}
+
+// Finish implements dispatch.Prober. A grant whose end is not reported expires.
+func (s *signalService) Finish(ctx context.Context, hash limiter.Hash, endpoint string, crashed bool) {
+	c := s.coordinator()
+	if c.Host == s.opts.Settings.Host {
+		s.probation.Finish(hash, endpoint, crashed)
+		return
+	}
+	call := probationCall{Hash: hash, Endpoint: endpoint, Crashed: crashed}
+	if err := s.peers.client.Call(ctx, c.PeerAddress, methodFinish, call, nil); err != nil {
+		s.opts.Logger.Warn("end of a suspect's run not reported", "coordinator", c.Host, "error", err)
+	}
+}
--- /dev/null
+++ b/daemon/state.go
@@ -0,0 +1,328 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/corianderlever/corianderlever/claim"
+	"github.com/corianderlever/corianderlever/configstore"
+	"github.com/corianderlever/corianderlever/kernel"
+	"github.com/corianderlever/corianderlever/ledger"
+	"github.com/corianderlever/corianderlever/membership"
+)
+
+// configurationService provides the resources in force.
+type configurationService struct {
+	base
+	*configstore.Store
+}
+
+func (s *configurationService) Name() string { return serviceConfiguration }
+func (s *configurationService) Requires() []string {
+	return []string{servicePlatform, servicePeers, serviceMembership}
+}
+
+// Provision registers the methods by which revisions spread.
+func (s *configurationService) Provision(k *kernel.Kernel) error {
+	d, err := lookupBasics(k)
+	if err != nil {
+		return err
+	}
+	s.Store, err = configstore.New(configstore.Options{
+		KV: d.platform.kv, Group: configstore.FromMembership(d.membership.Membership), Caller: d.peers.client,
+		Registrar: d.peers.server, Clock: s.opts.Clock, Rand: s.opts.newRand(), Logger: s.opts.Logger,
+	})
+	return err
+}
+
+// Start begins to follow the configuration.
+func (s *configurationService) Start(context.Context) error {
+	s.run.start(serviceConfiguration, s.Run)
+	return nil
+}
+
+// Stop ends following.
+func (s *configurationService) Stop(ctx context.Context) error { return s.run.stop(ctx) }
+
+// basics are the services that most others use.
+type basics struct {
+	platform   *platformService
+	peers      *peerService
+	membership *membershipService
+}
+
+func lookupBasics(k *kernel.Kernel) (basics, error) {
+	var b basics
+	var err error
+	if b.platform, err = kernel.Lookup[*platformService](k, servicePlatform); err != nil {
+		return b, err
+	}
+	if b.peers, err = kernel.Lookup[*peerService](k, servicePeers); err != nil {
+		return b, err
+	}
+	b.membership, err = kernel.Lookup[*membershipService](k, serviceMembership)
+	return b, err
+}
+
+// Methods by which hosts keep copies of each other's billing records.
+const (
+	methodHold    = "ledger.Hold"
+	methodRelease = "ledger.Release"
+)
+
+// ledgerService provides the billing records.
+type ledgerService struct {
+	base
+	basics
+	*ledger.Ledger
+	replica *ledger.Replica
+	changes chan membership.Member
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	process map[string]string // host name to its last known process
+}
+
+func (s *ledgerService) Name() string { return serviceLedger }
+func (s *ledgerService) Requires() []string {
+	return []string{servicePlatform, servicePeers, serviceMembership}
+}
+
+// memberBacklog is the number of changes of members that may wait.
+const memberBacklog = 1024
+
+// Provision registers the methods by which copies are held.
+func (s *ledgerService) Provision(k *kernel.Kernel) error {
+	var err error
+	if s.basics, err = lookupBasics(k); err != nil {
+		return err
+	}
+	s.rng = s.opts.newRand()
+	s.process = make(map[string]string)
+	s.changes = make(chan membership.Member, memberBacklog)
+	s.replica = ledger.NewReplica(s.opts.Clock)
+	s.Ledger = ledger.New(s.platform.kv, s.opts.Clock, s, ledger.Config{
+		Host: processName(s.membership.Self()), Logger: s.opts.Logger,
+	})
+	s.peers.server.Handle(methodHold, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
+		var c ledger.Copies
+		if err := json.Unmarshal(params, &c); err != nil {
+			return nil, errors.Wrap(err, "daemon: decode copies")
+		}
+		s.replica.Hold(c)
+		return struct{}{}, nil
+	})
+	s.peers.server.Handle(methodRelease, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
+		var r ledger.Released
+		if err := json.Unmarshal(params, &r); err != nil {
+			return nil, errors.Wrap(err, "daemon: decode release")
+		}
+		s.replica.Release(r)
+		return struct{}{}, nil
+	})
+	s.membership.OnChange(func(m membership.Member) {
+		select {
+		case s.changes <- m:
+		default:
+			s.opts.Logger.Error("member change dropped", "host", m.Host)
+		}
+	})
+	return nil
+}
+
+// Start begins to write batches and to follow the members.
+func (s *ledgerService) Start(context.Context) error {
+	s.run.start(serviceLedger, s.Run)
+	s.run.start("ledger members", s.followMembers)
+	return nil
+}
+
+// Stop writes what is left. Records that cannot be written stay with the
+// peers that hold copies, which write them once this host has left.
+func (s *ledgerService) Stop(ctx context.Context) error {
+	err := s.run.stop(ctx)
+	if flushErr := s.Flush(ctx); flushErr != nil {
+		s.opts.Logger.Error("ledger left to peers", "waiting", s.Stats().Waiting, "error", flushErr)
+		s.Replicate(ctx)
+	}
+	return err
+}
+
+// followMembers takes over the records of hosts that failed or left. A host
+// that comes back as another process counts as failed too.
+func (s *ledgerService) followMembers(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case m := <-s.changes:
+			now := processName(m)
+			before := s.process[m.Host]
+			s.process[m.Host] = now
+			if before != "" && before != now {
+				s.takeOver(ctx, before)
+			}
+			if m.State == membership.Failed || m.State == membership.Left {
+				s.takeOver(ctx, now)
+			}
+		}
+	}
+}
+
+func (s *ledgerService) takeOver(ctx context.Context, process string) {
+	records := s.replica.OwnerFailed(process)
+	if len(records) > 0 {
+		s.opts.Logger.Warn("billing records taken over", "from", process, "records", len(records))
+	}
+	s.PeerFailed(ctx, process)
+	s.TakeOver(ctx, records)
+}
+
+// processName identifies a process: a restarted host has lost its copies.
+func processName(m membership.Member) string {
+	return m.Host + "." + time.Unix(0, m.Started).UTC().Format("20060102T150405.000000")
+}
+
+// Pick implements ledger.Replicator: a random live host, in another failure
+// domain if there is one.
+func (s *ledgerService) Pick(not ...string) string {
+	self := s.membership.Self()
+	var near, far []string
+	for _, m := range s.membership.Members() {
+		name := processName(m)
+		if m.Host == self.Host || m.State != membership.Alive || slices.Contains(not, name) {
+			continue
+		}
+		if m.FailureDomain == self.FailureDomain {
+			near = append(near, name)
+		} else {
+			far = append(far, name)
+		}
+	}
+	if len(far) == 0 {
+		far = near
+	}
+	if len(far) == 0 {
+		return ""
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return far[s.rng.IntN(len(far))]
+}
+
+func (s *ledgerService) address(process string) (string, error) {
+	for _, m := range s.membership.Members() {
+		if processName(m) == process && m.State.Live() {
+			return m.PeerAddress, nil
+		}
+	}
+	return "", errors.Newf("daemon: %s is not a live member", process)
+}
+
+// Hold implements ledger.Replicator.
+func (s *ledgerService) Hold(ctx context.Context, process string, c ledger.Copies) error {
+	return s.call(ctx, process, methodHold, c)
+}
+
+// Release implements ledger.Replicator.
+func (s *ledgerService) Release(ctx context.Context, process string, r ledger.Released) error {
+	return s.call(ctx, process, methodRelease, r)
+}
+
+func (s *ledgerService) call(ctx context.Context, process, method string, params any) error {
+	addr, err := s.address(process)
+	if err != nil {
+		return err
+	}
+	return s.peers.client.Call(ctx, addr, method, params, nil)
+}
+
+// methodAnswer asks a host for an answer that it completed.
+const methodAnswer = "claim.Answer"
+
+// claimsService provides claims of non-idempotent requests.
+type claimsService struct {
+	base
+	basics
+	*claim.Claimer
+}
+
+func (s *claimsService) Name() string { return serviceClaims }
+func (s *claimsService) Requires() []string {
+	return []string{servicePlatform, servicePeers, serviceMembership}
+}
+
+// Provision registers the method by which hosts ask for answers.
+func (s *claimsService) Provision(k *kernel.Kernel) error {
+	var err error
+	if s.basics, err = lookupBasics(k); err != nil {
+		return err
+	}
+	s.Claimer = claim.New(s.platform.kv, s.opts.Clock, s.opts.newRand(), s.opts.Settings.Host, s.opts.Logger)
+	s.peers.server.Handle(methodAnswer, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
+		var id string
+		if err := json.Unmarshal(params, &id); err != nil {
+			return nil, errors.Wrap(err, "daemon: decode claim id")
+		}
+		answer, ok := s.Stored(id)
+		if !ok {
+			return (*claim.Answer)(nil), nil
+		}
+		return &answer, nil
+	})
+	return nil
+}
+
+// claimTidyInterval is the time between two looks at claims to give up.
+const claimTidyInterval = 10 * time.Second
+
+// Start begins to settle claims that wait for the store.
+func (s *claimsService) Start(context.Context) error {
+	s.run.start(serviceClaims, func(ctx context.Context) error {
+		return every(ctx, s.opts.Clock, claimTidyInterval, func() { s.Tidy() })
+	})
+	return nil
+}
+
+// Stop settles what waits.
+func (s *claimsService) Stop(ctx context.Context) error {
+	s.Tidy()
+	return s.run.stop(ctx)
+}
+
+// answerTimeout bounds the question for an answer at another host.
+const answerTimeout = time.Second
+
+// Claim implements dispatch.Claims. For a repeat whose answer is not stored it
+// asks the host that holds the claim.
+func (s *claimsService) Claim(ctx context.Context, key claim.Key) (claim.Result, error) {
+	result, err := s.Claimer.Claim(ctx, key)
+	if err != nil || result.Won || result.Answer != nil {
+		return result, err
+	}
+	id, err := key.ID()
+	if err != nil {
+		return result, err
+	}
+	if answer, ok := s.Stored(id); ok {
+		result.Answer = &answer
+		return result, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	for _, m := range s.membership.Members() {
+		if m.Host != result.Host || m.Host == s.opts.Settings.Host {
+			continue
+		}
+		if err := s.peers.client.Call(ctx, m.PeerAddress, methodAnswer, id, &result.Answer); err != nil {
+			s.opts.Logger.Info("answer not known at its host", "host", m.Host, "error", err)
+		}
+	}
+	return result, nil
+}
--- a/dispatch/allowance.go
+++ b/dispatch/allowance.go
@@ -10,15 +10,19 @@
 
 // AllowanceRequest asks whether a request may add its cost to this minute.
 type AllowanceRequest struct {
-	Rank string
+	Rank, Team string
 	// Worth is the value of the request in price units.
 	Worth float64
 	// Cost is the estimated cost.
 	Cost float64
 	// Deadline is when the answer must be complete.
 	Deadline time.Time
-	// Urgent marks the most urgent rank.
+	// Expected is the estimated running time.
+	Expected time.Duration
+	// Urgent marks the most urgent rank, whose work does not wait.
 	Urgent bool
+	// Deferred is set when the request was deferred before.
+	Deferred bool
 }
 
 // AllowanceDecision is the answer.
@@ -27,6 +31,8 @@
 	Admit bool
 	// Until is when to ask again; zero means the request is refused.
 	Until time.Time
+	// RetryAfter is when a repeat of a refused request has a chance.
+	RetryAfter time.Duration
 	// PriceMultiplier is the price of a cost unit now relative to the normal one.
 	PriceMultiplier float64
 	// Reason says why.
@@ -43,13 +49,13 @@
 
 // passAllowance waits until the request may add its cost to the running
 // minute, and returns the decision that admitted it.
-func (d *Dispatcher) passAllowance(ctx context.Context, trace *Trace, t target, cost float64) (AllowanceDecision, error) {
+func (d *Dispatcher) passAllowance(ctx context.Context, trace *Trace, team string, t target, cost float64) (AllowanceDecision, error) {
 	if d.Allowance == nil {
 		return AllowanceDecision{Admit: true, PriceMultiplier: 1, Settle: func(float64) {}}, nil
 	}
 	deadline, _ := ctx.Deadline()
 	req := AllowanceRequest{
-		Rank: t.rankName, Worth: t.rank.Worth, Cost: cost, Deadline: deadline, Urgent: t.urgent,
+		Rank: t.rankName, Team: team, Worth: t.rank.Worth, Cost: cost, Deadline: deadline, Urgent: t.urgent,
 	}
 	for {
 		dec := d.Allowance.Decide(req)
@@ -61,8 +67,11 @@
 		case dec.Until.IsZero():
 			trace.add("allowance", "refused: %s", dec.Reason)
 			d.metrics.decisions.WithLabelValues("allowance", "refused").Inc()
-			return dec, refusal(http.StatusTooManyRequests, api.CodeOverloaded, "the allowance of this minute is used up: %s", dec.Reason)
+			out := refusal(http.StatusTooManyRequests, api.CodeOverloaded, "the allowance of this minute is used up: %s", dec.Reason)
+			out.RetryAfterMS = dec.RetryAfter.Milliseconds()
+			return dec, out
 		}
+		req.Deferred = true
 		trace.add("allowance", "deferred until %v: %s", dec.Until, dec.Reason)
 		d.metrics.decisions.WithLabelValues("allowance", "deferred").Inc()
 		if err := d.wait(ctx, dec.Until.Sub(d.Clock.Now())); err != nil {
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -68,12 +68,12 @@
 func (a *attempts) stop(ctx context.Context, n int, progressed bool, err error) error {
 	var refused *api.Error
 	if errors.As(err, &refused) || ctx.Err() != nil || n >= maxAttempts {
-		return errors.CombineErrors(err, a.d.spreadCrash(ctx, a.hash))
+		return errors.CombineErrors(err, a.d.holdSuspect(ctx, a.hash))
 	}
 	if !a.d.Retries.TryRetry() && !progressed {
 		a.trace.add("retry", "budget used up after: %v", err)
 		a.d.metrics.decisions.WithLabelValues("retry", "refused").Inc()
-		return errors.CombineErrors(err, a.d.spreadCrash(ctx, a.hash))
+		return errors.CombineErrors(err, a.d.holdSuspect(ctx, a.hash))
 	}
 	a.trace.add("retry", "after: %v", err)
 	a.d.metrics.decisions.WithLabelValues("retry", "granted").Inc()
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/corianderlever/corianderlever/api"
 	"github.com/corianderlever/corianderlever/limiter"
 )
@@ -26,7 +28,7 @@
 		case limiter.AdmitRefuse:
 			trace.add("crash guard", "refused until %v", verdict.Until)
 			d.metrics.decisions.WithLabelValues("crash_guard", "refused").Inc()
-			return d.crashRefusal(verdict.Until)
+			return errors.CombineErrors(d.crashRefusal(verdict.Until), d.holdSuspect(ctx, hash))
 		case limiter.AdmitWait:
 			trace.add("crash guard", "waits until %v", verdict.Until)
 			if err := d.wait(ctx, verdict.Until.Sub(d.Clock.Now())); err != nil {
@@ -82,14 +84,14 @@
 	}
 }
 
-// spreadCrash holds back the failure of a fresh suspect until the marks of its
-// crash have reached all hosts, so that a repeat meets hosts that know them.
-func (d *Dispatcher) spreadCrash(ctx context.Context, hash limiter.Hash) error {
-	verdict := d.Crashes.Admit(hash)
-	if verdict.Admission != limiter.AdmitWait {
-		return nil
+// holdSuspect delays the failure or refusal of a suspect until the marks of
+// its crash have reached all hosts, so that a repeat meets hosts that know them.
+func (d *Dispatcher) holdSuspect(ctx context.Context, hash limiter.Hash) error {
+	until := d.Crashes.Hold(hash)
+	if now := d.Clock.Now(); until.After(now) {
+		return d.wait(ctx, until.Sub(now))
 	}
-	return d.wait(ctx, verdict.Until.Sub(d.Clock.Now()))
+	return nil
 }
 
 // LocalProber is a Prober for a host without peers.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -51,7 +51,7 @@
 	if err := r.d.passCrashGuard(ctx, r.trace, r.hash); err != nil {
 		return Answer{}, err
 	}
-	allowed, err := r.d.passAllowance(ctx, r.trace, r.target, r.expectedCost())
+	allowed, err := r.d.passAllowance(ctx, r.trace, r.req.Team, r.target, r.expectedCost())
 	if err != nil {
 		return Answer{}, err
 	}
--- a/internal/cmd/measure/main.go
+++ b/internal/cmd/measure/main.go
@@ -5,11 +5,11 @@
 	"fmt"
 
 	"github.com/corianderlever/corianderlever/internal/measure"
-	"github.com/corianderlever/corianderlever/internal/measure/cascade"
-	"github.com/corianderlever/corianderlever/internal/measure/rollout"
 	"github.com/corianderlever/corianderlever/internal/measure/balance"
+	"github.com/corianderlever/corianderlever/internal/measure/cascade"
 	"github.com/corianderlever/corianderlever/internal/measure/limiter"
 	"github.com/corianderlever/corianderlever/internal/measure/placement"
+	"github.com/corianderlever/corianderlever/internal/measure/rollout"
 )
 
 // suites lists the measurements of all decisions, in the order they are printed.
--- /dev/null
+++ b/rollout/version.go
@@ -0,0 +1,18 @@
+package rollout
+
+// Version returns what is known about a version over all its classes: the sum
+// of the rated answers, and the worst suspicion and verdict.
+func (d *Detector) Version(version string) State {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out State
+	for key, c := range d.classes {
+		if key.version != version {
+			continue
+		}
+		out.Rated += c.rated
+		out.Suspect = out.Suspect || c.verdict.Suspect
+		out.Suspicion = max(out.Suspicion, d.suspicion(c.test.evidence()))
+	}
+	return out
+}
