--- a/internal/cmd/measure/main.go
+++ b/internal/cmd/measure/main.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"github.com/corianderlever/corianderlever/internal/measure"
+	"github.com/corianderlever/corianderlever/internal/measure/admission"
+	"github.com/corianderlever/corianderlever/internal/measure/allowance"
 	"github.com/corianderlever/corianderlever/internal/measure/balance"
 	"github.com/corianderlever/corianderlever/internal/measure/cascade"
 	"github.com/corianderlever/corianderlever/internal/measure/limiter"
@@ -16,6 +18,8 @@
 var suites = []func() []measure.Line{
 	cascade.Run,
 	rollout.Run,
+	allowance.Run,
+	admission.Run,
 	balance.Run,
 	limiter.Run,
 	placement.Run,
