Return ejected endpoints, bill by key and content, TLS to endpoints, host list

Cause, found on reading: an ejected endpoint got no requests, and only its own answers raised its weight, so it never came back; a team could send many different requests under one key and have them billed as one; TLS did not reach endpoints and the key-value service; the platform's host list was not used. Tests: TestEjectedEndpointReturns, TestRepeatIsBilledOnce with a second content.

--- a/config/config.go
+++ b/config/config.go
@@ -58,6 +58,8 @@
 type Platform struct {
 	// KV is the key-value service.
 	KV string `json:"kv"`
+	// HostList is the list of live and leaving hosts; empty means none.
+	HostList string `json:"host_list"`
 	// Rating is the service that rates answers; empty means none.
 	Rating string `json:"rating"`
 	// RatingsPerSecond is the rate the rating service accepts from this host.
@@ -104,6 +106,8 @@
 	// PeerName is the DNS name that the certificates of all hosts carry,
 	// because hosts are addressed by IP number.
 	PeerName string `json:"peer_name"`
+	// Endpoints makes the host speak TLS to endpoints as well.
+	Endpoints bool `json:"endpoints"`
 }
 
 // Limits bound what one host accepts.
--- a/config/load.go
+++ b/config/load.go
@@ -143,6 +143,9 @@
 	if s.Platform.Rating != "" && !validURL(s.Platform.Rating) {
 		return bad("platform.rating", "%q is not an http or https URL", s.Platform.Rating)
 	}
+	if s.Platform.HostList != "" && !validURL(s.Platform.HostList) {
+		return bad("platform.host_list", "%q is not an http or https URL", s.Platform.HostList)
+	}
 	if s.Platform.RatingsPerSecond < 0 {
 		return bad("platform.ratings_per_second", "must not be negative")
 	}
--- a/daemon/base.go
+++ b/daemon/base.go
@@ -41,13 +41,18 @@
 
 var _ kernel.Provisioner = (*platformService)(nil)
 
-func (s *platformService) Name() string { return servicePlatform }
+func (s *platformService) Name() string       { return servicePlatform }
+func (s *platformService) Requires() []string { return []string{serviceCerts} }
 
 // Provision connects to the service unless the options bring one.
-func (s *platformService) Provision(*kernel.Kernel) error {
+func (s *platformService) Provision(k *kernel.Kernel) error {
 	s.kv = s.opts.KV
 	if s.kv == nil {
-		s.kv = httpkv.NewClient(s.opts.Settings.Platform.KV, nil)
+		c, err := kernel.Lookup[*certsService](k, serviceCerts)
+		if err != nil {
+			return err
+		}
+		s.kv = httpkv.NewClient(s.opts.Settings.Platform.KV, &http.Client{Transport: c.transport()})
 	}
 	return nil
 }
@@ -155,7 +160,7 @@
 			Host: set.Host, PeerAddress: set.PeerAddress(), EntryAddress: set.EntryAddress(),
 			FailureDomain: set.FailureDomain, Region: set.Region,
 		},
-		Seeds: set.Peers, Caller: p.client, Registrar: p.server,
+		Seeds: set.Peers, Lister: newHostLister(set.Platform.HostList), Caller: p.client, Registrar: p.server,
 		Clock: s.opts.Clock, Rand: s.opts.newRand(), Logger: s.opts.Logger,
 		EntryTTL: set.Drain.EntryTTL.D(),
 	})
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"time"
 
@@ -63,14 +64,14 @@
 		return err
 	}
 	s.newConfig = make(chan *resource.Snapshot, 1)
-	s.engines = engine.NewClient(certs.transport())
+	s.engines = newEngines(s.opts, certs)
 	s.fleet = dispatch.NewFleet(s.opts.Clock, s.opts.newRand(), s.opts.Settings.FailureDomain, s.signals.setSlots)
 	s.signals.handleProbation()
 	s.Dispatcher = dispatch.New(dispatch.Options{
 		Config: s.config.Store, Engines: s.engines, Signer: signer, Fleet: s.fleet,
 		Chooser: s.signals.chooser, Detector: s.signals.detector, Queue: s.signals.queue,
 		Retries: limiter.NewRetryBudget(s.opts.Clock), Crashes: s.signals.crashes, Prober: s.signals,
-		Ledger: ledgers.Ledger, Claims: claims, Rater: newRater(s.opts),
+		Ledger: ledgers.Ledger, Claims: claims, Rater: newRater(s.opts, certs),
 		Allowance: &minuteGuard{signals: s.signals},
 		Clock:     s.opts.Clock, Logger: s.opts.Logger, Registry: s.opts.Registry,
 	})
@@ -78,13 +79,21 @@
 	return nil
 }
 
+func newEngines(opts *Options, certs *certsService) *engine.Client {
+	if t := opts.Settings.TLS; t != nil && t.Endpoints {
+		return engine.NewTLSClient(certs.transport())
+	}
+	return engine.NewClient(certs.transport())
+}
+
 // newRater returns nil without a rating service.
-func newRater(opts *Options) dispatch.Rater {
+func newRater(opts *Options, certs *certsService) dispatch.Rater {
 	p := opts.Settings.Platform
 	if p.Rating == "" {
 		return nil
 	}
-	return rating.New(p.Rating, p.RatingsPerSecond, nil)
+	hc := &http.Client{Transport: certs.transport(), Timeout: ratingTimeout}
+	return rating.New(p.Rating, p.RatingsPerSecond, hc)
 }
 
 func newSigner(opts *Options) (*session.Signer, error) {
@@ -99,6 +108,9 @@
 	return session.NewSigner(opts.Clock, opts.Settings.Sessions.TTL.D(), keys)
 }
 
+// ratingTimeout bounds one rating.
+const ratingTimeout = 10 * time.Second
+
 // offer notes a snapshot without blocking; an older one that waits is dropped.
 func (s *dispatchService) offer(snap *resource.Snapshot) {
 	for {
@@ -212,6 +224,7 @@
 func (s *dispatchService) followEndpoints(ctx context.Context) error {
 	sequence := make(map[string]int64)
 	return every(ctx, s.opts.Clock, reportInterval, func() {
+		s.fleet.Refresh()
 		type result struct {
 			name   string
 			events []engine.CacheEvent
--- a/dispatch/bill.go
+++ b/dispatch/bill.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 
 	"github.com/corianderlever/corianderlever/api"
 	"github.com/corianderlever/corianderlever/engine"
@@ -24,11 +25,13 @@
 	cost   float64
 }
 
-// openBill notes the request before its first attempt.
-func (d *Dispatcher) openBill(ctx context.Context, id, team, rank string) (*bill, error) {
+// openBill notes the request before its first attempt. content is a hash of
+// what is asked: the same key with another content is another request, or a
+// team could have many requests billed as one.
+func (d *Dispatcher) openBill(ctx context.Context, id, team, rank string, content uint64) (*bill, error) {
 	now := d.Clock.Now()
 	b := &bill{d: d, record: ledger.Record{
-		ID: ledger.RecordID(team, id), Filed: ledger.FileMinute(id, now), Completed: now, Team: team, Rank: rank,
+		ID: ledger.RecordID(team, id+"\x00"+strconv.FormatUint(content, 16)), Filed: ledger.FileMinute(id, now), Completed: now, Team: team, Rank: rank,
 	}}
 	if err := d.Ledger.Open(ctx, b.record); err != nil {
 		return nil, refusal(http.StatusServiceUnavailable, api.CodeUnavailable, "the request cannot be billed now: %v", err)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -65,6 +65,13 @@
 	if got := r.bill(); got.Requests != 1 {
 		t.Errorf("billed %d times", got.Requests)
 	}
+	// The key of another request must not make this one free.
+	if _, err := r.client.Chat(context.Background(), client.Request{ID: id}, chat("small", "y")); err != nil {
+		t.Fatal(err)
+	}
+	if got := r.bill(); got.Requests != 2 {
+		t.Errorf("two contents under one key were billed as %d requests", got.Requests)
+	}
 }
 
 // Guards against a cascade that never escalates, or that returns the poor
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -87,7 +87,7 @@
 	}
 	f.endpoints = next
 	f.mu.Unlock()
-	f.refresh()
+	f.Refresh()
 }
 
 func newLimit(clock clockwork.Clock, spec *resource.Endpoint) *limiter.Concurrency {
@@ -96,8 +96,10 @@
 	})
 }
 
-// refresh hands the usable endpoints to the parts that choose among them.
-func (f *Fleet) refresh() {
+// Refresh hands the usable endpoints to the parts that choose among them. It
+// is called every second as well, because limits move and an ejected endpoint
+// returns with time.
+func (f *Fleet) Refresh() {
 	f.mu.Lock()
 	var list []balance.Endpoint
 	var names []string
@@ -168,7 +170,7 @@
 	}
 	f.mu.Unlock()
 	if changed {
-		f.refresh()
+		f.Refresh()
 	}
 }
 
--- /dev/null
+++ b/dispatch/fleet_test.go
@@ -0,0 +1,93 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/corianderlever/corianderlever/limiter"
+	"github.com/corianderlever/corianderlever/resource"
+)
+
+func testFleet(t *testing.T, clock clockwork.Clock, endpoints ...string) *Fleet {
+	t.Helper()
+	list := []resource.Resource{{Kind: resource.KindService, Name: "s", Spec: new(resource.Service)}}
+	for _, name := range endpoints {
+		list = append(list, resource.Resource{Kind: resource.KindEndpoint, Name: name, Spec: &resource.Endpoint{
+			Address: "127.0.0.1:1", FailureDomain: "a", Service: "s", Concurrency: 1, State: resource.EndpointActive,
+		}})
+	}
+	snap, err := resource.NewSnapshot(1, list)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := NewFleet(clock, rand.New(rand.NewPCG(1, 1)), "a", nil)
+	f.ApplyConfig(snap, func(string) bool { return true })
+	return f
+}
+
+// chosen counts which endpoints get the next requests.
+func chosen(t *testing.T, f *Fleet, requests int) map[string]int {
+	t.Helper()
+	out := make(map[string]int)
+	for range requests {
+		p, err := f.acquire(context.Background(), ServiceVersion("s"), nil, nil, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out[p.endpoint]++
+		p.done(limiter.OutcomeOK, time.Millisecond)
+	}
+	return out
+}
+
+// Guards against an ejected endpoint that never gets work again: only its own
+// answers used to update its weight, and it got no requests.
+func TestEjectedEndpointReturns(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	f := testFleet(t, clock, "bad", "good", "other", "third")
+	for f.ejector.Allowed("bad") {
+		p, err := f.acquire(context.Background(), ServiceVersion("s"), nil, []string{"good", "other", "third"}, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.done(limiter.OutcomeError, 0)
+	}
+	if n := chosen(t, f, 20)["bad"]; n != 0 {
+		t.Fatalf("the ejected endpoint got %d requests", n)
+	}
+	clock.Advance(time.Hour)
+	f.Refresh()
+	if n := chosen(t, f, 200)["bad"]; n == 0 {
+		t.Error("the endpoint got no request an hour after its ejection")
+	}
+}
+
+// Guards against waiters that sleep on after a place has become free.
+func TestWaiterGetsTheFreedPlace(t *testing.T) {
+	f := testFleet(t, clockwork.NewRealClock(), "only")
+	first, err := f.acquire(context.Background(), ServiceVersion("s"), nil, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := make(chan error, 1)
+	go func() {
+		p, err := f.acquire(context.Background(), ServiceVersion("s"), nil, nil, 0)
+		if err == nil {
+			p.done(limiter.OutcomeOK, time.Millisecond)
+		}
+		got <- err
+	}()
+	first.done(limiter.OutcomeOK, time.Millisecond)
+	select {
+	case err := <-got:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the waiter never got the place")
+	}
+}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -82,7 +82,7 @@
 		}
 		grant.Release(cost)
 	}()
-	if r.bill, err = r.d.openBill(ctx, r.req.ID, r.req.Team, r.target.rankName); err != nil {
+	if r.bill, err = r.d.openBill(ctx, r.req.ID, r.req.Team, r.target.rankName, uint64(r.hash)); err != nil {
 		return Answer{}, err
 	}
 	answer, err := r.execute(ctx, plan)
--- a/engine/client.go
+++ b/engine/client.go
@@ -35,22 +35,29 @@
 
 // Client calls endpoints. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	scheme string
+	http   *http.Client
 	// probe uses connections of its own, so that a probe never waits on a
 	// connection that has gone silent.
 	probe *http.Client
 }
 
 // NewClient returns a client that uses the transport; nil means a default one.
-func NewClient(transport *http.Transport) *Client {
+func NewClient(transport *http.Transport) *Client { return newClient(transport, "http") }
+
+// NewTLSClient returns a client that speaks TLS by the transport's settings.
+func NewTLSClient(transport *http.Transport) *Client { return newClient(transport, "https") }
+
+func newClient(transport *http.Transport, scheme string) *Client {
 	if transport == nil {
 		transport = &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}
 	}
 	fresh := transport.Clone()
 	fresh.DisableKeepAlives = true
 	return &Client{
-		http:  &http.Client{Transport: transport},
-		probe: &http.Client{Transport: fresh},
+		scheme: scheme,
+		http:   &http.Client{Transport: transport},
+		probe:  &http.Client{Transport: fresh},
 	}
 }
 
@@ -64,7 +71,7 @@
 	if err != nil {
 		return Final{}, notRun(errors.Wrap(err, "encode request"))
 	}
-	resp, err := c.post(ctx, "http://"+addr+"/v1/generate", body, func(h http.Header) {
+	resp, err := c.post(ctx, c.scheme+"://"+addr+"/v1/generate", body, func(h http.Header) {
 		h.Set(HeaderAttemptID, req.Attempt)
 	})
 	if err != nil {
@@ -124,7 +131,7 @@
 
 // Call runs one operation of a plain service.
 func (c *Client) Call(ctx context.Context, addr, service, operation, attempt, key string, body []byte) (Reply, error) {
-	url := "http://" + addr + "/v1/services/" + service + "/" + operation
+	url := c.scheme + "://" + addr + "/v1/services/" + service + "/" + operation
 	resp, err := c.post(ctx, url, body, func(h http.Header) {
 		h.Set(HeaderAttemptID, attempt)
 		if key != "" {
@@ -205,21 +212,21 @@
 // Load asks for the load report.
 func (c *Client) Load(ctx context.Context, addr string) (LoadReport, error) {
 	var out LoadReport
-	err := c.get(ctx, "http://"+addr+"/v1/load", &out)
+	err := c.get(ctx, c.scheme+"://"+addr+"/v1/load", &out)
 	return out, err
 }
 
 // CacheEvents asks for the cache events after a sequence number.
 func (c *Client) CacheEvents(ctx context.Context, addr string, after int64) ([]CacheEvent, error) {
 	var out []CacheEvent
-	err := c.get(ctx, "http://"+addr+"/v1/cache/events?after="+strconv.FormatInt(after, 10), &out)
+	err := c.get(ctx, c.scheme+"://"+addr+"/v1/cache/events?after="+strconv.FormatInt(after, 10), &out)
 	return out, err
 }
 
 // Probe asks on a new connection whether an attempt is running and how far it is.
 func (c *Client) Probe(ctx context.Context, addr, attempt string) (AttemptStatus, error) {
 	var out AttemptStatus
-	err := c.get(ctx, "http://"+addr+"/v1/attempts/"+attempt, &out)
+	err := c.get(ctx, c.scheme+"://"+addr+"/v1/attempts/"+attempt, &out)
 	return out, err
 }
 
@@ -247,7 +254,7 @@
 	if err != nil {
 		return errors.Wrap(err, "engine: encode order")
 	}
-	resp, err := c.post(ctx, "http://"+addr+"/v1/orders", body, func(http.Header) {})
+	resp, err := c.post(ctx, c.scheme+"://"+addr+"/v1/orders", body, func(http.Header) {})
 	if err != nil {
 		return err
 	}
