Repeat the allowance runs side by side in the test

Cause: under the race detector the measurement test took 146 s on the busy machine, of which the three repeated runs came one after the other.

Change: the repeated runs go side by side; the comparison is the same.

--- a/internal/measure/allowance/measure_test.go
+++ b/internal/measure/allowance/measure_test.go
@@ -1,6 +1,9 @@
 package allowance
 
-import "testing"
+import (
+	"sync"
+	"testing"
+)
 
 // Guards against a missed target and against figures that differ between runs.
 func TestTargetsMetAndRepeatable(t *testing.T) {
@@ -11,9 +14,15 @@
 			t.Errorf("target missed, seeds %v: %v", seeds, line)
 		}
 	}
+	again := make([]result, len(scenarios))
+	var wg sync.WaitGroup
 	for i, sc := range scenarios {
-		if again := runOne(seeds[i], sc); again != results[i][i] {
-			t.Errorf("scenario %d, seed %d: %+v, then %+v", i, seeds[i], results[i][i], again)
+		wg.Go(func() { again[i] = runOne(seeds[i], sc) })
+	}
+	wg.Wait()
+	for i := range scenarios {
+		if again[i] != results[i][i] {
+			t.Errorf("scenario %d, seed %d: %+v, then %+v", i, seeds[i], results[i][i], again[i])
 		}
 	}
 }
