Lend unused units of a minute while no allocator is heard of

Cause: the allowance package lets hosts lend to each other when the role's holder is gone; the daemon only knew the holder, and every host repeated its number after its death. Change: only the holder announces its fencing number; after 10 s without it each host lends its own units.

--- a/api/api.go
+++ b/api/api.go
@@ -35,6 +35,8 @@
 	HeaderSession        = "X-Session"
 	HeaderKind           = "X-Request-Kind"
 	HeaderOutcome        = "X-Outcome"
+	// HeaderRepeat marks a stored answer of an earlier run.
+	HeaderRepeat = "X-Repeat"
 )
 
 // Codes of errors.
--- a/client/client.go
+++ b/client/client.go
@@ -151,7 +151,7 @@
 			return errors.Wrapf(ErrForeign, "id %q instead of %q", id, meta.ID)
 		}
 		data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
-		out = Reply{Status: resp.StatusCode, Body: data, Repeat: resp.Header.Get("X-Repeat") != ""}
+		out = Reply{Status: resp.StatusCode, Body: data, Repeat: resp.Header.Get(api.HeaderRepeat) != ""}
 		return errors.Wrap(err, "client: read reply")
 	})
 	return out, err
--- a/daemon/reports.go
+++ b/daemon/reports.go
@@ -1,20 +1,76 @@
 package daemon
 
 import (
+	"time"
+
 	"github.com/corianderlever/corianderlever/allowance"
+	"github.com/corianderlever/corianderlever/membership"
 )
 
-// maxReports bounds the reports that wait for the allocator.
-const maxReports = 4096
+const (
+	// maxReports bounds the reports that wait for an allocator.
+	maxReports = 4096
+	// allocatorMemory is the time for which an allocator counts after it was
+	// last heard of: the lease time of the role.
+	allocatorMemory = 10 * time.Second
+)
 
-// onReport keeps a report of another host for the allocator, if this host is it.
-func (s *signalService) onReport(r allowance.Report) {
+// allocatorSignal is what the holder of the allocator role tells the others.
+type allocatorSignal struct {
+	Fence int64 `json:"f"`
+}
+
+// registerAllocator spreads the fencing number of the role's holder.
+func (s *signalService) registerAllocator() {
+	signal(s, "allocator", func() (allocatorSignal, bool) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return allocatorSignal{s.ownFence}, s.ownFence > 0
+	}, func(_ membership.Member, v allocatorSignal) error {
+		s.heardAllocator(v.Fence)
+		return nil
+	})
+}
+
+// heardAllocator notes a sign of life of the role's holder.
+func (s *signalService) heardAllocator(fence int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if fence >= s.fence {
+		s.fence, s.fenceAt = fence, s.opts.Clock.Now()
+	}
+}
+
+// setOwnFence sets the fencing number while this host holds the role, 0 otherwise.
+func (s *signalService) setOwnFence(fence int64) {
+	s.mu.Lock()
+	s.ownFence = fence
+	s.mu.Unlock()
+	if fence > 0 {
+		s.heardAllocator(fence)
+	}
+}
+
+// allocatorFence returns the number to which this host gives up units: that of
+// the role's holder, or this host's own while no holder is heard of.
+func (s *signalService) allocatorFence() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r.Fence > s.fence {
-		// The sender has heard of a newer allocator.
-		s.fence = r.Fence
+	if s.fence > 0 && s.opts.Clock.Since(s.fenceAt) < allocatorMemory {
+		return s.fence
 	}
+	return s.lenderFence()
+}
+
+func (s *signalService) lenderFence() int64 {
+	self := s.membership.Self()
+	return allowance.LenderFence(self.Host, self.Started)
+}
+
+// onReport keeps a report of another host for this host's allocator.
+func (s *signalService) onReport(r allowance.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if len(s.reports) < maxReports {
 		s.reports = append(s.reports, r)
 	}
@@ -31,21 +87,7 @@
 	return out
 }
 
-// allocatorFence returns the highest fencing number of an allocator heard of.
-func (s *signalService) allocatorFence() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.fence
-}
-
-func (s *signalService) setFence(fence int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fence = max(s.fence, fence)
-}
-
-// takeGrant accepts units from the allocator.
+// takeGrant accepts units from an allocator.
 func (s *signalService) takeGrant(g allowance.Grant) {
-	s.setFence(g.Fence)
 	s.allowance.ApplyGrant(s.opts.Clock.Now(), g)
 }
--- a/daemon/roles.go
+++ b/daemon/roles.go
@@ -125,20 +125,33 @@
 	return nil
 }
 
-// allocate moves unused units of the running minute between hosts while this
-// host holds the role. A new holder starts with nothing: it owns only units
-// that were given up to its own fencing number.
+// allocate moves unused units of the running minute between hosts. The holder
+// of the role does it for all; a new holder starts with nothing, because it
+// owns only units that were given up to its own fencing number. While no
+// holder is heard of, each host lends its own unused units to the others.
 func (s *rolesService) allocate(ctx context.Context) error {
 	var current *allowance.Allocator
 	fence := int64(0)
 	return every(ctx, s.opts.Clock, allocateInterval, func() {
-		s.guarded(ctx, s.allocator, func(ctx context.Context, fencing int64) error {
-			if current == nil || fence != fencing {
-				current, fence = allowance.NewAllocator(fencing), fencing
+		token, held := s.allocator.Token()
+		if !held {
+			token.Fencing = 0
+		}
+		s.signals.setOwnFence(token.Fencing)
+		next := s.signals.allocatorFence()
+		if current == nil || fence != next {
+			current, fence = allowance.NewAllocator(next), next
+		}
+		switch {
+		case held:
+			s.guarded(ctx, s.allocator, func(ctx context.Context, _ int64) error { return s.allocateOnce(ctx, current) })
+		case next < 0:
+			if err := s.allocateOnce(ctx, current); err != nil {
+				s.opts.Logger.Warn("units not lent", "error", err)
 			}
-			s.signals.setFence(fencing)
-			return s.allocateOnce(ctx, current)
-		})
+		default:
+			s.signals.takeReports() // another host allocates
+		}
 	})
 }
 
--- a/daemon/signals.go
+++ b/daemon/signals.go
@@ -39,8 +39,11 @@
 	usage map[string]peerUsage
 	// slots is the number of requests all endpoints take at once.
 	slots float64
-	// fence is the fencing number of the allocator last heard of.
-	fence int64
+	// fence is the fencing number of the allocator last heard of, at fenceAt;
+	// ownFence is set while this host is the allocator.
+	fence    int64
+	fenceAt  time.Time
+	ownFence int64
 	// reports wait for the allocator.
 	reports []allowance.Report
 }
@@ -123,6 +126,7 @@
 		func(_ membership.Member, v rollout.Summary) error { return s.detector.Merge(v) })
 	signal(s, "usage", func() (admission.Usage, bool) { return s.queue.Usage(), true }, s.consumeUsage)
 	signal(s, "crashes", s.crashMarks, func(_ membership.Member, v json.RawMessage) error { return s.crashes.ObserveMarks(v) })
+	s.registerAllocator()
 	signal(s, "allowance", func() (allowance.Report, bool) {
 		return s.allowance.Report(s.opts.Clock.Now(), s.allocatorFence()), true
 	}, func(_ membership.Member, v allowance.Report) error {
--- a/entry/service.go
+++ b/entry/service.go
@@ -8,9 +8,6 @@
 	"github.com/corianderlever/corianderlever/dispatch"
 )
 
-// headerRepeat tells that the answer is the stored one of an earlier run.
-const headerRepeat = "X-Repeat"
-
 func (h *Handler) service(w http.ResponseWriter, r *http.Request) {
 	team, id, body, err := h.begin(w, r)
 	if err != nil {
@@ -34,7 +31,7 @@
 	w.Header().Set(api.HeaderRequestID, id)
 	w.Header().Set("Content-Type", answer.ContentType)
 	if answer.Repeat {
-		w.Header().Set(headerRepeat, "true")
+		w.Header().Set(api.HeaderRepeat, "true")
 	}
 	w.WriteHeader(answer.Status)
 	// A failed write means the client is gone; a repeat gets the stored answer.
