Make the cluster tests catch their mutations

Cause: mutations showed that two tests could not fail: a withdrawn version was excluded twice for new sessions, and a rolling restart that cut connections hid behind short answers and repeats. Mutations tried, each caught by the named test: team's versions ignored (TestOnlyAllowedVersionsRun), withdrawn state ignored (TestWithdrawnVersionGetsNoWork), pin ignored (TestSessionKeepsItsVersion), random record ids (TestRepeatIsBilledOnce), lost taken as not_run (TestOnlyWholeOwnAnswersPass), claim ignored (TestBookingRunsAtMostOnceOverHosts), leaving endpoints kept in both places (TestLeavingEndpointGetsNoWork), connections closed at shutdown and no wait for expired entry lists (TestRollingRestartCutsNoRequest), no final record (TestRollingRestartCutsNoRequest).

--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -32,7 +32,9 @@
 	inForce = 4 * time.Second
 	// leavingBound is the time after which a leaving endpoint gets no new work.
 	leavingBound = 3 * time.Second
-	testTimeout  = 2 * time.Minute
+	// longAnswer takes longer than a host waits before it closes connections.
+	longAnswer  = 500
+	testTimeout = 2 * time.Minute
 )
 
 // cluster is a deployment of seven hosts under test.
@@ -50,7 +52,7 @@
 		out = os.Stderr
 	}
 	c, err := demo.StartCluster(ctx, demo.ClusterOptions{
-		Hosts: testHosts, Engines: testEngines, Rand: rand.New(rand.NewPCG(1, 2)),
+		Hosts: testHosts, Engines: testEngines, AnswerTokens: longAnswer, Rand: rand.New(rand.NewPCG(1, 2)),
 		Logger: slog.New(slog.NewTextHandler(out, nil)),
 		Change: func(_ int, s *config.Settings) { s.Drain.EntryTTL = resource.Duration(500 * time.Millisecond) },
 	})
@@ -175,6 +177,10 @@
 // gone silent, that read the past, or that have lost the store.
 func TestWithdrawnVersionGetsNoWork(t *testing.T) {
 	c := newCluster(t)
+	pinned, err := c.client(0, 3).NewSession(c.ctx, "small")
+	if err != nil || pinned.Version != "small-2" {
+		t.Fatalf("session on %q, %v", pinned.Version, err)
+	}
 	for _, f := range c.Faults {
 		f.Inject(memkv.SilentWatch, memkv.Always)
 	}
@@ -187,6 +193,9 @@
 		if resp, err := c.via(i, client.Request{}, prompt("x")); err != nil || resp.Receipt.Version != "small-1" {
 			t.Errorf("host %d: %+v, %v", i, resp.Receipt, err)
 		}
+		if resp, err := c.via(i, client.Request{Session: pinned.Session}, prompt("x")); err != nil || resp.Receipt.Version != "small-1" {
+			t.Errorf("host %d, session on the withdrawn version: %+v, %v", i, resp.Receipt, err)
+		}
 	}
 	if after := c.versions()["small-2"]; after != before {
 		t.Errorf("the withdrawn version ran %d more requests", after-before)
@@ -312,7 +321,7 @@
 // not whole, and against a bill that misses or doubles a request.
 func TestRollingRestartCutsNoRequest(t *testing.T) {
 	c := newCluster(t)
-	cl := c.client(-1, 5)
+	cl := c.client(-1, 1) // no repeats: a cut request would show
 	ctx, cancel := context.WithCancel(c.ctx)
 	var wg sync.WaitGroup
 	var mu sync.Mutex
@@ -335,9 +344,17 @@
 		})
 	}
 	for i := range testHosts {
+		long := c.startLong(i)
 		if err := c.StopHost(c.ctx, i); err != nil {
 			t.Errorf("stop host %d: %v", i, err)
 		}
+		if r := <-long; r.err != nil {
+			t.Errorf("the long answer of host %d: %v", i, r.err)
+		} else {
+			mu.Lock()
+			served[r.id] = r.cost
+			mu.Unlock()
+		}
 		if err := c.StartHost(c.ctx, i); err != nil {
 			t.Fatal(err)
 		}
@@ -347,6 +364,38 @@
 	c.checkBill(served)
 }
 
+// longResult is the end of a long answer.
+type longResult struct {
+	id   string
+	cost float64
+	err  error
+}
+
+// startLong begins a long answer at one host and returns once it has begun.
+func (c *cluster) startLong(i int) <-chan longResult {
+	begun := make(chan struct{})
+	out := make(chan longResult, 1)
+	cl := demo.DirectClient(c.Hosts[i].EntryAddress(), demo.TeamKey)
+	go func() {
+		r := longResult{id: uuid.Must(uuid.NewV7()).String()}
+		body := prompt("long")
+		body.MaxTokens = 0
+		var once sync.Once
+		var resp api.ChatResponse
+		resp, r.err = cl.Stream(c.ctx, client.Request{ID: r.id}, body, func(string) error {
+			once.Do(func() { close(begun) })
+			return nil
+		})
+		once.Do(func() { close(begun) })
+		if r.err == nil {
+			r.cost = resp.Receipt.Cost
+		}
+		out <- r
+	}()
+	<-begun
+	return out
+}
+
 // checkBill compares the bill with the receipts of the callers.
 func (c *cluster) checkBill(served map[string]float64) {
 	c.t.Helper()
--- a/daemon/demo/cluster.go
+++ b/daemon/demo/cluster.go
@@ -26,6 +26,8 @@
 type ClusterOptions struct {
 	// Hosts is the number of entry hosts, Engines that of engines.
 	Hosts, Engines int
+	// AnswerTokens is the length of answers; zero means a short default.
+	AnswerTokens int
 	// EntryAddress is the address of the first host; empty picks one.
 	EntryAddress string
 	Logger       *slog.Logger
@@ -69,7 +71,11 @@
 
 func (c *Cluster) start(ctx context.Context) error {
 	var err error
-	if c.Endpoints, err = StartEndpoints(c.opts.Engines); err != nil {
+	tokens := c.opts.AnswerTokens
+	if tokens == 0 {
+		tokens = answerTokens
+	}
+	if c.Endpoints, err = startEndpoints(c.opts.Engines, tokens); err != nil {
 		return err
 	}
 	if err := c.serveStore(); err != nil {
--- a/daemon/demo/demo.go
+++ b/daemon/demo/demo.go
@@ -55,8 +55,11 @@
 	Desk    *fakeengine.Endpoint
 }
 
-// StartEndpoints starts n engines, which also rate answers, and one booking service.
-func StartEndpoints(n int) (*Endpoints, error) {
+// StartEndpoints starts n engines, which also rate answers, and one booking
+// service.
+func StartEndpoints(n int) (*Endpoints, error) { return startEndpoints(n, answerTokens) }
+
+func startEndpoints(n, answerTokens int) (*Endpoints, error) {
 	out := &Endpoints{}
 	for range n {
 		e := fakeengine.New(fakeengine.Options{
