--- a/engine/fakeengine/fakeengine.go
+++ b/engine/fakeengine/fakeengine.go
@@ -59,6 +59,8 @@
 	Operation string
 	Key       string
 	Body      string
+	// Started is when the run began.
+	Started time.Time
 }
 
 // attemptState is what a probe can ask about an attempt. Until it runs, the
@@ -360,6 +362,7 @@
 func (e *Endpoint) begin(run Run) <-chan struct{} {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	run.Started = time.Now()
 	e.runs = append(e.runs, run)
 	if st := e.attempts[run.Attempt]; st != nil {
 		st.running, st.base = true, e.steps
--- a/load/load.go
+++ b/load/load.go
@@ -23,7 +23,11 @@
 
 // Record is what happened to one request.
 type Record struct {
-	ID        string        `json:"id"`
+	ID string `json:"id"`
+	// Number is the place of the request in the plan; it ends the prompt.
+	Number int `json:"number"`
+	// Planned is when the request was due.
+	Planned   time.Time     `json:"planned"`
 	Team      string        `json:"team"`
 	Rank      string        `json:"rank"`
 	Service   string        `json:"service,omitempty"`
@@ -85,7 +89,7 @@
 
 func (g *Generator) send(ctx context.Context, n int, a arrival, planned time.Time) Record {
 	s, c := g.mix.Streams[a.stream], g.clients[a.stream]
-	record := Record{Team: s.Team, Rank: s.Rank, Service: s.Service, Operation: s.Operation}
+	record := Record{Number: n, Planned: planned, Team: s.Team, Rank: s.Rank, Service: s.Service, Operation: s.Operation}
 	id, err := uuid.NewV7()
 	if err != nil {
 		record.fail(err)
