dispatch: replan a request whose version is withdrawn while it waits

Cause: the versions of a request are resolved once, before it waits for the allowance of the minute, for admission and for a place at an endpoint. A version that was withdrawn meanwhile ended the request with 403 forbidden, which clients do not repeat, although another version of the model served.

Change: a request that fails before anything was passed on, and whose versions are no longer all in service, is resolved and planned again by the configuration in force, at most twice.

Conclusion: a withdrawal no longer fails work that another version can do.

--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -86,10 +87,43 @@
 		return Answer{}, err
 	}
 	answer, err := r.execute(ctx, plan)
+	for n := 0; err != nil && n < maxReplans && r.outdated(ctx); n++ {
+		if plan, err = r.replan(price); err == nil {
+			answer, err = r.execute(ctx, plan)
+		}
+	}
 	r.bill.close(ctx, r.reached, err == nil)
 	return answer, err
 }
 
+// maxReplans bounds the plans that one request loses to withdrawals.
+const maxReplans = 2
+
+// outdated reports whether the request failed while a version of its plan was
+// withdrawn, so that another version may still answer it.
+func (r *run) outdated(ctx context.Context) bool {
+	if r.streamed || ctx.Err() != nil {
+		return false
+	}
+	snap := r.d.Config.Current()
+	return slices.ContainsFunc(r.target.versions, func(v string) bool { return !snap.MayServe(r.req.Team, v) })
+}
+
+// replan resolves the request again by the configuration in force.
+func (r *run) replan(price float64) (cascade.Plan, error) {
+	target, err := r.d.resolve(r.req)
+	if err != nil {
+		return cascade.Plan{}, r.failure(err)
+	}
+	r.trace.add("resolve", "again after a withdrawal, versions %v", target.versions)
+	r.target = target
+	plan, err := r.plan(price)
+	if err != nil {
+		return plan, r.failure(err)
+	}
+	return plan, nil
+}
+
 // expected is the running time that the plan needs, as far as it is known.
 func (r *run) expected(plan cascade.Plan) time.Duration {
 	return min(plan.P95, r.target.rank.Deadline.D()/2)
