--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -76,29 +75,42 @@
 	}
 }
 
-// Guards against a cascade that never escalates, or that returns the poor
-// answer after the better one.
+// Guards against a cascade that never escalates, that always does because no
+// rating arrives in time, or that returns the poor answer after the better one.
 func TestCascadeEscalatesPoorAnswers(t *testing.T) {
 	r := newRig(t, 2)
-	var poor atomic.Int64
+	var mu sync.Mutex
+	poor := 0
+	answeredBy := make(map[string]int)
 	var group errgroup.Group
 	group.SetLimit(8)
 	for i := range 40 {
 		group.Go(func() error {
 			resp, err := r.client.Chat(context.Background(), client.Request{Kind: "letter"}, chat("letters", fmt.Sprint("letter ", i)))
-			if err == nil && strings.HasPrefix(resp.Choices[0].Message.Content, "Poor:") {
-				poor.Add(1)
+			if err != nil {
+				return err
 			}
-			return err
+			mu.Lock()
+			defer mu.Unlock()
+			if strings.HasPrefix(resp.Choices[0].Message.Content, "Poor:") {
+				poor++
+			}
+			answeredBy[resp.Receipt.Version]++
+			return nil
 		})
 	}
 	if err := group.Wait(); err != nil {
 		t.Fatal(err)
 	}
+	// Three quarters of the cheap answers are good and need no second one; at
+	// least 20 of 40 are with a probability of over 0.99.
+	if answeredBy["small-2"] < 20 {
+		t.Errorf("answered by %v, want most by the cheap version", answeredBy)
+	}
 	// The declared quality target is 0.9; 40 answers at 0.9 have at most 9 poor
 	// ones with a probability of over 0.99.
-	if poor.Load() > 9 {
-		t.Errorf("%d of 40 answers are poor", poor.Load())
+	if poor > 9 {
+		t.Errorf("%d of 40 answers are poor", poor)
 	}
 	used := make(map[string]bool)
 	for _, e := range r.endpoints.Engines {
