--- a/internal/capacity/heartbeats.go
+++ b/internal/capacity/heartbeats.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"log/slog"
 	"math/rand/v2"
 	"runtime"
 	"sync"
@@ -28,6 +26,30 @@
 	handlers map[string]map[string]peer.Handler
 	bytes    atomic.Int64
 	calls    atomic.Int64
+	// sampled counts the messages whose parts are known, and observations and
+	// signals the bytes of these parts.
+	sampled, observations, signals atomic.Int64
+}
+
+// sampleEvery spaces the messages that are taken apart.
+const sampleEvery = 32
+
+// sample notes the parts of a message; a whole table, which is exchanged once
+// a minute, is left out.
+func (n *network) sample(data []byte) {
+	var parts struct {
+		Sync         bool                       `json:"sync"`
+		Observations json.RawMessage            `json:"obs"`
+		Signals      map[string]json.RawMessage `json:"sig"`
+	}
+	if json.Unmarshal(data, &parts) != nil || parts.Sync {
+		return
+	}
+	n.sampled.Add(1)
+	n.observations.Add(int64(len(parts.Observations)))
+	for _, s := range parts.Signals {
+		n.signals.Add(int64(len(s)))
+	}
 }
 
 func newNetwork() *network {
@@ -76,7 +98,9 @@
 	if err != nil {
 		return err
 	}
-	c.net.calls.Add(1)
+	if c.net.calls.Add(1)%sampleEvery == 0 {
+		c.net.sample(data)
+	}
 	c.net.bytes.Add(int64(len(data) + len(reply) + callOverheadBytes))
 	if result == nil {
 		return nil
@@ -89,66 +113,99 @@
 	Hosts int
 	// CoreShare is the share of one core.
 	CoreShare float64
-	// BytesPerSecond counts both directions of all calls a host makes, and so
-	// as much again as it receives: sent and received bytes of one host.
+	// CallsPerSecond counts the calls that a host makes; it answers as many.
+	CallsPerSecond float64
+	// BytesPerSecond counts what a host sends and receives.
 	BytesPerSecond float64
+	// ObservationBytes and SignalBytes are the parts of one message. The fleet
+	// has just started, so each message is full of observations.
+	ObservationBytes, SignalBytes float64
 	// MemoryBytes is the heap of one host.
 	MemoryBytes float64
+	// MembersSeconds is the processor time of one copy of the member list.
+	MembersSeconds float64
 }
 
 const (
-	settleTime  = 6 * time.Second
-	measureTime = 5 * time.Second
+	settleTime  = 3 * time.Second
+	measureTime = 3 * time.Second
+	// membersRounds averages the time of copying the member list.
+	membersRounds = 50
 )
 
-// MeasureHeartbeats runs the heartbeats of n hosts. signal returns what each
-// heartbeat carries for other parts.
-func MeasureHeartbeats(n int, signal func() json.RawMessage) (Heartbeats, error) {
+// SteadyBytes is what a host sends and receives in a second once the start of
+// the fleet has spread, without the whole tables: calculated from the measured
+// messages less their observations.
+func (h Heartbeats) SteadyBytes() float64 {
+	const messagesPerCall, ends = 2, 2
+	return h.BytesPerSecond - h.CallsPerSecond*messagesPerCall*ends*h.ObservationBytes
+}
+
+// MeasureHeartbeats runs the heartbeats of n hosts, with or without the
+// signals of other parts.
+func MeasureHeartbeats(n int, signals bool) (Heartbeats, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	before := heap()
-	net := newNetwork()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
+	before := heap()
+	net := newNetwork()
+	var members []*membership.Membership
 	for i := range n {
-		m, err := newMember(net, i, signal)
+		m, err := newMember(net, i, signals)
 		if err != nil {
 			return Heartbeats{}, err
 		}
+		members = append(members, m)
 		wg.Go(func() { _ = m.Run(ctx) }) // it ends with ctx
 	}
 	time.Sleep(settleTime)
-	memory := heap() - before
-	cpu, bytes := cpuSeconds(), net.bytes.Load()
+	cpu, bytes, calls := cpuSeconds(), net.bytes.Load(), net.calls.Load()
 	time.Sleep(measureTime)
 	perHost := float64(n) * measureTime.Seconds()
-	return Heartbeats{
-		Hosts:     n,
-		CoreShare: (cpuSeconds() - cpu) / perHost,
+	sampled := max(float64(net.sampled.Load()), 1)
+	out := Heartbeats{
+		Hosts:          n,
+		CoreShare:      (cpuSeconds() - cpu) / perHost,
+		CallsPerSecond: float64(net.calls.Load()-calls) / perHost,
 		// Each call's bytes are sent or received by both of its ends.
-		BytesPerSecond: 2 * float64(net.bytes.Load()-bytes) / perHost,
-		MemoryBytes:    memory / float64(n),
-	}, nil
+		BytesPerSecond:   2 * float64(net.bytes.Load()-bytes) / perHost,
+		ObservationBytes: float64(net.observations.Load()) / sampled,
+		SignalBytes:      float64(net.signals.Load()) / sampled,
+	}
+	cancel()
+	wg.Wait()
+	out.MemoryBytes = (heap() - before) / float64(n)
+	cpu = cpuSeconds()
+	for range membersRounds {
+		members[0].Members()
+	}
+	out.MembersSeconds = (cpuSeconds() - cpu) / membersRounds
+	return out, nil
 }
 
-func newMember(net *network, i int, signal func() json.RawMessage) (*membership.Membership, error) {
+func newMember(net *network, i int, signals bool) (*membership.Membership, error) {
 	addr := func(i int) string { return fmt.Sprintf("10.%d.%d.%d:7080", i>>16, i>>8&255, i&255) }
+	host := fmt.Sprintf("host-%04d", i)
 	m, err := membership.New(membership.Options{
 		Self: membership.Member{
-			Host: fmt.Sprintf("host-%04d", i), PeerAddress: addr(i), EntryAddress: addr(i),
-			FailureDomain: fmt.Sprintf("domain-%02d", i%Domains),
+			Host: host, PeerAddress: addr(i), EntryAddress: addr(i),
+			FailureDomain: fmt.Sprintf("domain-%02d", i%Domains), Region: fmt.Sprintf("region-%d", i%6),
 		},
 		Seeds:     []string{addr(0), addr(1), addr(2)},
-		Caller:    caller{net, fmt.Sprintf("host-%04d", i)},
+		Caller:    caller{net, host},
 		Registrar: registrar{net, addr(i)},
 		Rand:      rand.New(rand.NewPCG(1, uint64(i))),
-		Logger:    slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Logger:    quiet(),
 	})
+	if err != nil || !signals {
+		return m, errors.Wrap(err, "capacity: membership")
+	}
+	d, err := newDecisions(host, rand.New(rand.NewPCG(2, uint64(i))))
 	if err != nil {
 		return nil, err
 	}
-	m.RegisterSignal("capacity", signal, func(membership.Member, json.RawMessage) {})
+	d.attach(m)
 	return m, nil
 }
 
--- a/internal/cmd/capacity/main.go
+++ b/internal/cmd/capacity/main.go
@@ -10,12 +10,8 @@
 )
 
 func main() {
-	for _, n := range []int{500, 1000, 2600, 5200} {
-		h, err := capacity.MeasureConfiguration(n)
-		if err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
-		}
-		fmt.Printf("%+v\n", h)
+	if err := capacity.Report(os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
 	}
 }
