membership: fewer pings and rationed signals in fleets over 50 hosts

Cause: each host sent and received 295 KB/s at 100 hosts, of which 10.6 KB in each message are signals; the limit for control is 12 KB/s. Change: over 50 hosts a period pings one random host and the next live host of a ring by the hash of the names instead of three random ones; signals over 512 bytes take turns within 1 KB/s sent; the whole table is exchanged less often in proportion to its size. At most 50 hosts: unchanged. Mutations: no debit of the budget, no turns, no ring: each caught by TestLargeFleetRationsSignalsAndPingsEveryHost.

--- a/membership/ping.go
+++ b/membership/ping.go
@@ -24,7 +24,7 @@
 	// maxReceived bounds the observations taken from one message.
 	maxReceived = 8192
 	// syncPeriod spaces exchanges of the whole table, which repair what was
-	// lost in spreading.
+	// lost in spreading, in fleets of up to smallFleet hosts.
 	syncPeriod = time.Minute
 )
 
@@ -43,7 +43,10 @@
 // compose builds the message to a host. whole asks for the whole table.
 func (m *Membership) compose(to string, whole bool) message {
 	now := m.opts.Clock.Now()
-	out := message{Signals: m.signals.collect(now)}
+	m.mu.Lock()
+	members := m.table.size()
+	m.mu.Unlock()
+	out := message{Signals: m.signals.collect(now, members)}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out.From = m.table.viewSelf(now)
@@ -118,7 +121,7 @@
 func (m *Membership) wantSync() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.lastSync.IsZero() || m.opts.Clock.Since(m.lastSync) >= syncPeriod
+	return m.lastSync.IsZero() || m.opts.Clock.Since(m.lastSync) >= syncPeriodOf(m.table.size())
 }
 
 func (m *Membership) synced() {
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -47,8 +47,8 @@
 	}
 }
 
-// nextTargets picks the hosts for one round: the accused, the next of a
-// shuffled pass over the live members, and sometimes lost ones. A pass
+// nextTargets picks the hosts for one round: the accused, in a large fleet the
+// next of the ring, the next of a shuffled pass over the live members, and sometimes lost ones. A pass
 // reaches every member before any is pinged again, which bounds the time to
 // the first probe of a dead host.
 func (m *Membership) nextTargets(now time.Time) []target {
@@ -69,7 +69,11 @@
 			addHost(host)
 		}
 	}
-	for range DefaultFanout {
+	members := m.table.size()
+	if members > smallFleet {
+		addHost(m.table.successor())
+	}
+	for range fanout(members) {
 		for !addHost(m.nextInRing()) && len(m.ring) > 0 {
 			continue
 		}
--- a/membership/signal.go
+++ b/membership/signal.go
@@ -24,8 +24,18 @@
 	mu       sync.Mutex
 	produce  []namedProducer
 	consume  map[string]func(Member, json.RawMessage)
-	cached   map[string]json.RawMessage
+	cached   []namedSignal
 	cachedAt time.Time
+	// credit is what remains of the budget of a large fleet, in bytes; a signal
+	// may take it below zero. turn is the next signal to send.
+	credit   float64
+	credited time.Time
+	turn     int
+}
+
+type namedSignal struct {
+	name string
+	data json.RawMessage
 }
 
 type namedProducer struct {
@@ -36,7 +46,8 @@
 // RegisterSignal attaches data to every ping and answer. produce may be nil
 // or return nil for nothing to send; consume may be nil. Both must be quick:
 // they run on the heartbeat path. Data over MaxSignalBytes is not sent. Each
-// host's data goes directly to the hosts it exchanges heartbeats with.
+// host's data goes directly to the hosts it exchanges heartbeats with. In a
+// fleet of more than smallFleet hosts, signals over smallSignalBytes take turns.
 func (m *Membership) RegisterSignal(name string, produce func() json.RawMessage, consume func(from Member, data json.RawMessage)) {
 	s := &m.signals
 	s.mu.Lock()
@@ -53,8 +64,26 @@
 	s.cachedAt = time.Time{}
 }
 
-// collect returns the signals to send. Producers run outside the lock.
-func (s *signals) collect(now time.Time) map[string]json.RawMessage {
+// collect returns the signals to send in a fleet of a number of members.
+func (s *signals) collect(now time.Time, members int) map[string]json.RawMessage {
+	all := s.current(now)
+	if len(all) == 0 {
+		return nil
+	}
+	if members > smallFleet {
+		s.mu.Lock()
+		all = s.ration(now, all)
+		s.mu.Unlock()
+	}
+	out := make(map[string]json.RawMessage, len(all))
+	for _, one := range all {
+		out[one.name] = one.data
+	}
+	return out
+}
+
+// current returns all signals. Producers run outside the lock.
+func (s *signals) current(now time.Time) []namedSignal {
 	s.mu.Lock()
 	producers := s.produce
 	if len(producers) == 0 || !s.cachedAt.IsZero() && now.Sub(s.cachedAt) < signalCacheTime {
@@ -62,7 +91,7 @@
 		return s.cached
 	}
 	s.mu.Unlock()
-	out := make(map[string]json.RawMessage, len(producers))
+	var out []namedSignal
 	total := 0
 	for _, p := range producers {
 		data := p.f()
@@ -74,7 +103,7 @@
 			continue
 		}
 		total += len(data)
-		out[p.name] = data
+		out = append(out, namedSignal{p.name, data})
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/membership/table.go
+++ b/membership/table.go
@@ -64,6 +64,9 @@
 	t.self.ConfigRevision = max(t.self.ConfigRevision, revision)
 }
 
+// size returns the number of known members, this host included.
+func (t *Table) size() int { return len(t.records) + 1 }
+
 // Leave marks the host itself as leaving.
 func (t *Table) Leave(now time.Time) {
 	if t.self.State != Alive {
