Measure the slopes of control and compare them with the limits

Change: make capacity fits the slopes of heartbeats, configuration, billing records, claims, the choice of endpoints and load reports, counts the calls of seven hosts to the key-value service, and prints measure lines for 870 hosts.

--- /dev/null
+++ b/internal/capacity/calls.go
@@ -0,0 +1,76 @@
+package capacity
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/corianderlever/corianderlever/api"
+	"github.com/corianderlever/corianderlever/client"
+	"github.com/corianderlever/corianderlever/daemon/demo"
+	"github.com/corianderlever/corianderlever/platform/memkv"
+)
+
+// Run of a deployment of today's size.
+const (
+	clusterHosts   = 7
+	clusterEngines = 3
+	countTime      = 20 * time.Second
+	clusterTimeout = 40 * time.Second
+)
+
+// Calls counts the calls of a cluster to the key-value service.
+type Calls struct {
+	// Seconds is the time of the count.
+	Seconds float64
+	// ByMechanism counts the calls by kind and first part of the key.
+	ByMechanism map[string]int64
+	// Watching is the number of open watches.
+	Watching int64
+	// Requests is the number of requests served meanwhile.
+	Requests int
+}
+
+// CountCalls runs seven hosts for a while, with one request a second on each.
+func CountCalls() (Calls, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), clusterTimeout)
+	defer cancel()
+	c, err := demo.StartCluster(ctx, demo.ClusterOptions{
+		Hosts: clusterHosts, Engines: clusterEngines, Logger: quiet(), Rand: rand.New(rand.NewPCG(6, 6)),
+	})
+	if err != nil {
+		return Calls{}, errors.Wrap(err, "capacity: start the cluster")
+	}
+	defer func() { _ = c.Stop(context.Background()) }() // a measurement does not depend on the drain
+	var mu sync.Mutex
+	out := Calls{ByMechanism: make(map[string]int64)}
+	for _, f := range c.Faults {
+		f.OnCall(func(call memkv.Call, key string) memkv.Fault {
+			mu.Lock()
+			defer mu.Unlock()
+			part, _, _ := strings.Cut(key, "/")
+			out.ByMechanism[string(call)+" "+part]++
+			return memkv.None
+		})
+	}
+	began := time.Now()
+	for time.Since(began) < countTime {
+		for _, addr := range c.EntryAddresses() {
+			body := api.ChatRequest{Model: "small", MaxTokens: 4, Messages: []api.Message{{Role: "user", Content: "a short question"}}}
+			if _, err := demo.DirectClient(addr, demo.TeamKey).Chat(ctx, client.Request{}, body); err == nil {
+				out.Requests++
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	for _, f := range c.Faults {
+		out.Watching += f.Waiting()
+		f.OnCall(nil)
+	}
+	out.Seconds = time.Since(began).Seconds()
+	return out, nil
+}
--- a/internal/capacity/configuration.go
+++ b/internal/capacity/configuration.go
@@ -78,7 +78,7 @@
 	cpu := cpuSeconds()
 	var snap *resource.Snapshot
 	for range decodeRounds {
-		if snap, err = decode(data); err != nil {
+		if snap, err = decode(packed.Bytes()); err != nil {
 			return Configuration{}, err
 		}
 	}
@@ -102,8 +102,12 @@
 }
 
 func decode(data []byte) (*resource.Snapshot, error) {
+	zr, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, errors.Wrap(err, "capacity: decompress")
+	}
 	var list []resource.Resource
-	if err := json.Unmarshal(data, &list); err != nil {
+	if err := json.NewDecoder(zr).Decode(&list); err != nil {
 		return nil, errors.Wrap(err, "capacity: decode")
 	}
 	return resource.NewSnapshot(1, list)
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -5,36 +5,189 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 )
 
-// heartbeatSizes are the fleets whose heartbeats are run, in hosts.
-var heartbeatSizes = []int{25, 50, 100, 200, 400}
+// Sizes at which the slopes are measured.
+var (
+	plainSizes    = []int{25, 100, 400}
+	signalSizes   = []int{50, 100, 200, 400}
+	endpointSizes = []int{500, 1000, 2600, 5200}
+	batchSizes    = []int{10, 50, 200, 1000, 2000}
+	claimSizes    = []int{1, 8, 32, 128}
+	subsetSizes   = []int{130, 260, 520, 1040}
+	pickerSizes   = []int{80, 160, 320, 640}
+	blockSizes    = []int{1000, 4000, 16000, 32000}
+
+	// reportQuestions averages the cost of a load report.
+	reportQuestions = 300
+)
+
+// reporter prints what was measured and keeps the fitted lines by name.
+type reporter struct {
+	w     io.Writer
+	fits  map[string]Line
+	small Heartbeats // a fleet with the rules of small fleets
+	calls Calls
+}
 
 // Report measures everything, prints the slopes and the figures at the size to
 // design for.
 func Report(w io.Writer) error {
-	return reportHeartbeats(w)
+	r := &reporter{w: w, fits: make(map[string]Line)}
+	for _, step := range []func() error{r.heartbeats, r.configuration, r.billing, r.claims, r.picker, r.service} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	for _, line := range r.lines() {
+		r.printf("%s\n", line)
+	}
+	return nil
 }
 
-func reportHeartbeats(w io.Writer) error {
+func (r *reporter) printf(format string, args ...any) { fmt.Fprintf(r.w, format, args...) }
+
+// fit fits and prints a line.
+func (r *reporter) fit(name, unit string, points []Point) {
+	l := Fit(points)
+	r.fits[name] = l
+	var sizes []string
+	for _, p := range points {
+		sizes = append(sizes, fmt.Sprintf("%.0f:%.4g", p.Size, p.Value))
+	}
+	r.printf("slope=%s unit=%s intercept=%.4g slope_per_unit=%.4g r2=%.4f points=%s\n",
+		name, unit, l.Intercept, l.Slope, l.R2, strings.Join(sizes, ","))
+}
+
+// at returns a fitted value, or zero where the line falls below it.
+func (r *reporter) at(name string, size float64) float64 { return max(0, r.fits[name].At(size)) }
+
+func (r *reporter) heartbeats() error {
 	sizes, err := SignalBytes()
 	if err != nil {
 		return err
 	}
 	for _, name := range slices.Sorted(maps.Keys(sizes)) {
-		fmt.Fprintf(w, "signal=%s bytes=%.0f\n", name, sizes[name])
+		r.printf("signal=%s bytes=%.0f\n", name, sizes[name])
 	}
-	for _, signals := range []bool{false, true} {
-		for _, n := range heartbeatSizes {
-			h, err := MeasureHeartbeats(n, signals)
+	series := make(map[string][]Point)
+	for _, run := range []struct {
+		signals bool
+		sizes   []int
+	}{{false, plainSizes}, {true, signalSizes}} {
+		for _, n := range run.sizes {
+			h, err := MeasureHeartbeats(n, run.signals)
 			if err != nil {
 				return err
 			}
-			fmt.Fprintf(w, "heartbeats hosts=%d signals=%t core_share=%.5f calls_per_s=%.2f bytes_per_s=%.0f steady_bytes_per_s=%.0f"+
+			r.printf("heartbeats hosts=%d signals=%t core_share=%.5f calls_per_s=%.2f bytes_per_s=%.0f steady_bytes_per_s=%.0f"+
 				" observation_bytes=%.0f signal_bytes=%.0f memory_bytes=%.0f members_us=%.1f\n",
-				h.Hosts, signals, h.CoreShare, h.CallsPerSecond, h.BytesPerSecond, h.SteadyBytes(),
+				h.Hosts, run.signals, h.CoreShare, h.CallsPerSecond, h.BytesPerSecond, h.SteadyBytes(),
 				h.ObservationBytes, h.SignalBytes, h.MemoryBytes, 1e6*h.MembersSeconds)
+			size := float64(n)
+			series["members_seconds"] = append(series["members_seconds"], Point{size, h.MembersSeconds})
+			if run.signals && n == signalSizes[0] {
+				r.small = h
+			} else if run.signals {
+				series["heartbeat_core"] = append(series["heartbeat_core"], Point{size, h.CoreShare})
+				series["heartbeat_start_bytes"] = append(series["heartbeat_start_bytes"], Point{size, h.BytesPerSecond})
+				series["heartbeat_steady_bytes"] = append(series["heartbeat_steady_bytes"], Point{size, h.SteadyBytes()})
+				series["heartbeat_memory"] = append(series["heartbeat_memory"], Point{size, h.MemoryBytes})
+			}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(series)) {
+		r.fit(name, "host", series[name])
+	}
+	return nil
+}
+
+func (r *reporter) configuration() error {
+	var text, packed, cpu, memory []Point
+	for _, n := range endpointSizes {
+		c, err := MeasureConfiguration(n)
+		if err != nil {
+			return err
 		}
+		size := float64(n)
+		text, packed = append(text, Point{size, c.JSONBytes}), append(packed, Point{size, c.GzipBytes})
+		cpu, memory = append(cpu, Point{size, c.CPUSeconds}), append(memory, Point{size, c.MemoryBytes})
+	}
+	r.fit("config_json_bytes", "endpoint", text)
+	r.fit("config_value_bytes", "endpoint", packed)
+	r.fit("config_decode_seconds", "endpoint", cpu)
+	r.fit("config_memory_bytes", "endpoint", memory)
+	return nil
+}
+
+func (r *reporter) billing() error {
+	var stored, cpu, memory []Point
+	for _, n := range batchSizes {
+		b, err := MeasureBilling(n)
+		if err != nil {
+			return err
+		}
+		size := float64(n)
+		stored, cpu = append(stored, Point{size, b.BatchBytes}), append(cpu, Point{size, b.CPUSeconds})
+		memory = append(memory, Point{size, b.MemoryBytes})
+		r.printf("ledger records=%d copy_calls_per_request=%.3f copy_bytes_per_request=%.0f\n", n, b.CopyCalls, b.CopyBytes)
+	}
+	r.fit("ledger_batch_bytes", "record", stored)
+	r.fit("ledger_cpu_seconds", "record", cpu)
+	r.fit("ledger_memory_bytes", "record", memory)
+	return nil
+}
+
+func (r *reporter) claims() error {
+	var writes, bytes []Point
+	for _, n := range claimSizes {
+		c, err := MeasureClaims(n)
+		if err != nil {
+			return err
+		}
+		r.printf("claims at_once=%d writes=%.0f reads=%.0f page_bytes=%.0f\n", n, c.Writes, c.Reads, c.PageBytes)
+		writes, bytes = append(writes, Point{float64(n), c.Writes}), append(bytes, Point{float64(n), c.PageBytes})
+	}
+	r.fit("claim_writes", "claim", writes)
+	r.fit("claim_page_bytes", "claim", bytes)
+	return nil
+}
+
+func (r *reporter) picker() error {
+	var endpoints, blocks, subset []Point
+	for _, n := range pickerSizes {
+		e, _ := PickerMemory(n, 0)
+		endpoints = append(endpoints, Point{float64(n), e})
+	}
+	for _, n := range blockSizes {
+		_, b := PickerMemory(1, n)
+		blocks = append(blocks, Point{float64(n), b})
+	}
+	for _, n := range subsetSizes {
+		s, chosen := SubsetCost(n)
+		r.printf("subset endpoints=%d hosts=%d chosen=%.1f\n", n, Hosts, chosen)
+		subset = append(subset, Point{float64(n), s})
+	}
+	r.fit("picker_endpoint_bytes", "endpoint", endpoints)
+	r.fit("picker_block_bytes", "block", blocks)
+	r.fit("subset_seconds", "endpoint", subset)
+	cost, err := ReportCost(reportQuestions)
+	r.fits["report_seconds"] = Line{Intercept: cost}
+	r.printf("load_report cpu_us=%.1f\n", 1e6*cost)
+	return err
+}
+
+func (r *reporter) service() error {
+	var err error
+	if r.calls, err = CountCalls(); err != nil {
+		return err
+	}
+	want := serviceCalls(fleet{hosts: clusterHosts, domains: 3, busyHosts: clusterHosts})
+	for _, name := range slices.Sorted(maps.Keys(r.calls.ByMechanism)) {
+		r.printf("service_call=%q per_s=%.3f calculated=%.3f hosts=%d\n",
+			name, float64(r.calls.ByMechanism[name])/r.calls.Seconds, want[name], clusterHosts)
 	}
+	r.printf("service_watches=%d requests=%d seconds=%.1f\n", r.calls.Watching, r.calls.Requests, r.calls.Seconds)
 	return nil
 }
