configstore: offer large values instead of pushing them

Change: a push of a value over 4 KB carries the revision and the address of the sender; the receiver pulls once. Smaller values, as of today's deployments, are pushed as before.

--- a/configstore/configstore.go
+++ b/configstore/configstore.go
@@ -147,6 +147,8 @@
 	ready chan struct{}
 	// changed wakes the loop that pushes a new revision to peers.
 	changed chan struct{}
+	// offers are revisions that peers have and this host may pull.
+	offers chan pushRequest
 
 	mu          sync.Mutex
 	confirmedAt time.Time // when the store was read last, directly or by a peer
@@ -190,6 +192,7 @@
 		log:     opts.Logger.With("component", "configstore"),
 		ready:   make(chan struct{}),
 		changed: make(chan struct{}, 1),
+		offers:  make(chan pushRequest, maxOffers),
 	}
 	s.state.Store(&held{snapshot: empty})
 	opts.Registrar.Handle(MethodPush, s.handlePush)
--- a/configstore/exchange.go
+++ b/configstore/exchange.go
@@ -13,7 +13,7 @@
 
 // Methods of this package.
 const (
-	// MethodPush offers a new revision.
+	// MethodPush offers a new revision, with its value or the address to pull it from.
 	MethodPush = "config.Push"
 	// MethodPull asks for a newer revision and for the age of its confirmation.
 	MethodPull = "config.Pull"
@@ -21,9 +21,20 @@
 
 type pushRequest struct {
 	Revision int64  `json:"revision"`
-	Value    []byte `json:"value"`
+	Value    []byte `json:"value,omitempty"`
+	// Address is where the value can be pulled, if Value is empty.
+	Address string `json:"address,omitempty"`
 }
 
+const (
+	// inlineValueBytes is the size up to which a push carries the value. A
+	// larger one would arrive several times at each host: at 5,200 endpoints
+	// that alone takes the 12 KB/s for control.
+	inlineValueBytes = 4 << 10
+	// maxOffers bounds the offers that wait; heartbeats make up for the others.
+	maxOffers = 16
+)
+
 type pullRequest struct {
 	Have int64 `json:"have"`
 }
@@ -60,10 +71,14 @@
 	defer cancel()
 	now := s.state.Load()
 	revision := now.snapshot.Revision
+	req := pushRequest{Revision: revision, Value: now.value}
+	if len(now.value) > inlineValueBytes {
+		req = pushRequest{Revision: revision, Address: s.opts.Group.Self().Address}
+	}
 	var wg sync.WaitGroup
 	for _, p := range s.pick(pushFanout, func(p Peer) bool { return p.Revision < revision }) {
 		wg.Go(func() {
-			err := s.opts.Caller.Call(ctx, p.Address, MethodPush, pushRequest{Revision: revision, Value: now.value}, nil)
+			err := s.opts.Caller.Call(ctx, p.Address, MethodPush, req, nil)
 			if err != nil {
 				s.log.Debug("push failed", "host", p.Host, "revision", revision, "err", err)
 			}
@@ -134,6 +149,13 @@
 	if req.Revision <= s.Current().Revision {
 		return pullAnswer{Revision: s.Current().Revision}, nil
 	}
+	if len(req.Value) == 0 && req.Address != "" {
+		select {
+		case s.offers <- req:
+		default:
+		}
+		return pullAnswer{Revision: s.Current().Revision}, nil
+	}
 	if err := s.takeValue(req.Value, "push from "+from); err != nil {
 		s.log.Warn("pushed value refused", "from", from, "err", err)
 		return nil, err
@@ -141,6 +163,24 @@
 	return pullAnswer{Revision: s.Current().Revision}, nil
 }
 
+// offerLoop pulls the values of offers, one at a time, so that a revision that
+// several peers offer at once is pulled once.
+func (s *Store) offerLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case o := <-s.offers:
+			if o.Revision <= s.Current().Revision {
+				continue
+			}
+			if _, err := s.pull(ctx, Peer{Host: o.Address, Address: o.Address}); err != nil {
+				s.log.Debug("offer not pulled", "address", o.Address, "revision", o.Revision, "err", err)
+			}
+		}
+	}
+}
+
 func (s *Store) takeValue(value []byte, source string) error {
 	env, err := decode(value)
 	if err != nil {
