ctl: record user and machine as the default author

Change: the default is the user of the process and the machine's name. Conclusion: no change is recorded without an author.

--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"os"
+	"os/user"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -49,7 +50,7 @@
 	fs := flag.NewFlagSet("leverctl", flag.ContinueOnError)
 	fs.StringVar(&c.addr, "addr", "http://127.0.0.1:8080", "URL of an entry host")
 	fs.StringVar(&c.key, "key", "", "operator's bearer key")
-	fs.StringVar(&c.author, "author", os.Getenv("USER"), "name recorded with changes")
+	fs.StringVar(&c.author, "author", defaultAuthor(), "name recorded with changes")
 	return &ffcli.Command{
 		Name: "leverctl", ShortUsage: "leverctl [flags] <command> [arguments]", FlagSet: fs,
 		ShortHelp:   "Declares resources and follows them.",
@@ -240,3 +241,22 @@
 	_, err = fmt.Fprintln(c.out, string(data))
 	return err
 }
+
+// unknownAuthor is recorded when neither user nor host has a name.
+const unknownAuthor = "unknown"
+
+// defaultAuthor names the user and the machine the command runs on. $USER is
+// unset in many services and containers, so the user database comes first.
+func defaultAuthor() string {
+	name := os.Getenv("USER")
+	if u, err := user.Current(); err == nil && u.Username != "" {
+		name = u.Username
+	}
+	if name == "" {
+		name = unknownAuthor
+	}
+	if host, err := os.Hostname(); err == nil && host != "" {
+		return name + "@" + host
+	}
+	return name
+}
