entry, admin, client: refuse exactly at the edge, and repeat what is safe

Change: deadlines for reading and writing on all calls, checks of headers, strict decoding of changes, codes unknown_path, unknown_request and conflict, and a client that keeps the last refusal and leaves an address that fails. A test through a whole host shows that refused requests neither run at the stand-ins nor appear on the bill. Mutations: without the read deadline TestSlowBodyIsRefused hangs and fails; without the bound on labels TestRefusalsAreExactAndRunNothing fails; without the operator key check TestRefusalsAreExactAndChangeNothing fails; with the client before this change three of its four tests fail. Conclusion: each refusal has its code, status and outcome and runs nothing.

--- a/admin/server.go
+++ b/admin/server.go
@@ -1,11 +1,13 @@
 package admin
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
+	"io"
 	"log/slog"
 	"net/http"
 	"strings"
@@ -53,8 +55,15 @@
 	Explain(ctx context.Context, request string) (Explanation, bool)
 }
 
-// maxBodyBytes bounds an apply request.
-const maxBodyBytes = 8 << 20
+const (
+	// maxBodyBytes bounds an apply request.
+	maxBodyBytes = 8 << 20
+	// bodyTimeout bounds the time an operator's client may take to send it.
+	bodyTimeout = 30 * time.Second
+	// maxBillPeriod bounds the period of a bill, because each day of it is a
+	// call to the key-value service.
+	maxBillPeriod = 400 * 24 * time.Hour
+)
 
 // Handler serves operators.
 type Handler struct {
@@ -75,11 +84,19 @@
 	h.mux.HandleFunc("GET /admin/v1/history", h.history)
 	h.mux.HandleFunc("GET /admin/v1/bill", h.bill)
 	h.mux.HandleFunc("GET /admin/v1/explain/{id}", h.explain)
+	h.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		refuse(w, http.StatusNotFound, api.CodeUnknownPath, "no such call: "+r.Method+" "+r.URL.Path)
+	})
 	return h
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		// Set before anything is refused, because net/http reads what is left of
+		// a body before it sends a refusal.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+	}
 	if !h.authorized(r) {
 		refuse(w, http.StatusUnauthorized, api.CodeUnauthorized, "unknown operator key")
 		return
@@ -125,9 +142,9 @@
 }
 
 func (h *Handler) apply(w http.ResponseWriter, r *http.Request) {
-	var req ApplyRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&req); err != nil {
-		refuse(w, http.StatusBadRequest, api.CodeInvalid, err.Error())
+	req, refused := readApply(w, r)
+	if refused != nil {
+		api.WriteError(w, refused)
 		return
 	}
 	snap := h.backend.Current()
@@ -150,11 +167,55 @@
 	writeJSON(w, http.StatusOK, ApplyResponse{Revision: revision, Differences: diffs})
 }
 
+// readApply reads an apply request. It refuses unknown fields, because a
+// misspelt expect_revision would lose the check for conflicts.
+func readApply(w http.ResponseWriter, r *http.Request) (ApplyRequest, *api.Error) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	out := &api.Error{Status: http.StatusBadRequest, Code: api.CodeMalformed, Outcome: api.OutcomeNotRun}
+	var tooLarge *http.MaxBytesError
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.As(err, &tooLarge):
+		out.Status, out.Code = http.StatusRequestEntityTooLarge, api.CodeTooLarge
+	case errors.As(err, &timeout) && timeout.Timeout():
+		out.Status, out.Code = http.StatusRequestTimeout, api.CodeSlowClient
+	}
+	var req ApplyRequest
+	if err == nil {
+		req, err = parseApply(data)
+	}
+	if err == nil {
+		return req, nil
+	}
+	if errors.Is(err, resource.ErrInvalid) {
+		out.Code = api.CodeInvalid
+	}
+	out.Message = err.Error()
+	return req, out
+}
+
+func parseApply(data []byte) (ApplyRequest, error) {
+	var req ApplyRequest
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&req); err != nil {
+		return req, errors.Wrap(err, "admin: decode change")
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return req, errors.New("admin: data after the change")
+	}
+	return req, nil
+}
+
 func (h *Handler) applyFailure(w http.ResponseWriter, err error) {
 	var conflict *ConflictError
 	switch {
 	case errors.As(err, &conflict):
-		writeJSON(w, http.StatusConflict, Conflict{Message: conflict.Error(), Revision: conflict.Revision, Differences: conflict.Differences})
+		w.Header().Set(api.HeaderOutcome, string(api.OutcomeNotRun))
+		writeJSON(w, http.StatusConflict, Conflict{
+			Error:   &api.Error{Code: api.CodeConflict, Message: conflict.Error(), Outcome: api.OutcomeNotRun},
+			Message: conflict.Error(), Revision: conflict.Revision, Differences: conflict.Differences,
+		})
 	case errors.Is(err, resource.ErrInvalid):
 		refuse(w, http.StatusBadRequest, api.CodeInvalid, err.Error())
 	case errors.Is(err, ErrUnavailable):
@@ -203,7 +264,11 @@
 	from, err := parseTime(q.Get("from"), time.Now().UTC().AddDate(0, 0, -1))
 	if err == nil {
 		var to time.Time
-		if to, err = parseTime(q.Get("to"), time.Now().UTC().Add(time.Minute)); err == nil {
+		to, err = parseTime(q.Get("to"), time.Now().UTC().Add(time.Minute))
+		if err == nil && (to.Before(from) || to.Sub(from) > maxBillPeriod) {
+			err = errors.Newf("admin: the period must be positive and at most %v", maxBillPeriod)
+		}
+		if err == nil {
 			h.sendBill(w, r, from, to)
 			return
 		}
@@ -238,7 +303,7 @@
 func (h *Handler) explain(w http.ResponseWriter, r *http.Request) {
 	e, ok := h.backend.Explain(r.Context(), r.PathValue("id"))
 	if !ok {
-		refuse(w, http.StatusNotFound, "unknown_request", "no host remembers this request")
+		refuse(w, http.StatusNotFound, api.CodeUnknownRequest, "no host remembers this request")
 		return
 	}
 	writeJSON(w, http.StatusOK, e)
--- a/admin/types.go
+++ b/admin/types.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/corianderlever/corianderlever/api"
 	"github.com/corianderlever/corianderlever/resource"
 )
 
@@ -49,8 +50,10 @@
 
 // Conflict is the body of a refusal because another operator was first.
 type Conflict struct {
-	Message  string `json:"message"`
-	Revision int64  `json:"revision"`
+	// Error has the form of every refusal, with code conflict.
+	Error    *api.Error `json:"error"`
+	Message  string     `json:"message"`
+	Revision int64      `json:"revision"`
 	// Differences are those between the revision the operator has seen and
 	// the one in force.
 	Differences []Difference `json:"differences"`
--- a/api/api.go
+++ b/api/api.go
@@ -58,6 +58,8 @@
 	CodeFailed         = "endpoint_failed"
 	CodeConflict       = "conflict"
 	CodeInvalid        = "invalid_resource"
+	CodeUnknownRequest = "unknown_request"
+	CodeUnknownPath    = "unknown_path"
 )
 
 // Error is the body of every refusal.
--- a/client/client.go
+++ b/client/client.go
@@ -183,12 +183,20 @@
 	if err != nil {
 		return errors.Wrap(err, "client: encode request")
 	}
+	// last is kept because the errors that steer the repeats hide it.
+	var last error
 	try := func() (struct{}, error) {
-		err := c.once(ctx, meta, path, data, read)
-		return struct{}{}, retryable(err)
+		last = c.once(ctx, meta, path, data, read)
+		return struct{}{}, retryable(last)
 	}
 	_, err = backoff.Retry(ctx, try, backoff.WithMaxTries(uint(c.opts.Attempts)), backoff.WithMaxElapsedTime(0))
-	return err
+	if err == nil || last == nil {
+		return err
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		return errors.Mark(last, cause)
+	}
+	return last
 }
 
 // retryable marks the errors after which a repeat makes no sense or is not safe.
@@ -229,19 +237,44 @@
 	setOptional(req.Header, api.HeaderSession, meta.Session)
 	resp, err := c.opts.HTTP.Do(req)
 	if err != nil {
+		err = errors.Wrap(err, "client: send request")
+	} else {
+		defer resp.Body.Close()
+		err = c.accept(resp, read)
+	}
+	if ctx.Err() == nil && leaves(err) {
 		c.entries.failed(addr)
-		return errors.Wrap(err, "client: send request")
 	}
-	defer resp.Body.Close()
-	if resp.StatusCode >= http.StatusBadRequest {
+	return err
+}
+
+// leaves tells whether an error speaks against the address it came from.
+func leaves(err error) bool {
+	var refused *api.Error
+	if errors.As(err, &refused) {
+		return refused.Code == api.CodeUnavailable
+	}
+	return err != nil
+}
+
+// accept reads a response. The outcome header marks the refusals of an entry
+// host; other errors with a request id are replies of a plain service.
+func (c *Client) accept(resp *http.Response, read func(*http.Response) error) error {
+	if resp.StatusCode < http.StatusBadRequest {
+		return read(resp)
+	}
+	if resp.Header.Get(api.HeaderOutcome) != "" {
 		var refused api.ErrorBody
-		if err := decode(resp, &refused); err == nil && refused.Error != nil {
+		if err := decode(resp, &refused); err != nil {
+			return err
+		}
+		if refused.Error != nil {
 			refused.Error.Status = resp.StatusCode
 			return refused.Error
 		}
-		if resp.Header.Get(api.HeaderRequestID) == "" {
-			return errors.Newf("client: status %d", resp.StatusCode)
-		}
+	}
+	if resp.Header.Get(api.HeaderRequestID) == "" {
+		return errors.Newf("client: status %d", resp.StatusCode)
 	}
 	return read(resp)
 }
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -21,7 +21,7 @@
 func (h *Handler) chat(w http.ResponseWriter, r *http.Request) {
 	team, id, body, err := h.begin(w, r)
 	if err != nil {
-		writeFailure(w, id, err)
+		h.writeFailure(w, id, err)
 		return
 	}
 	req := dispatch.ChatRequest{
@@ -31,11 +31,11 @@
 		Session: r.Header.Get(api.HeaderSession),
 	}
 	if err := parse(body, &req.Body); err != nil {
-		writeFailure(w, id, err)
+		h.writeFailure(w, id, err)
 		return
 	}
 	if len(req.Body.Messages) == 0 || req.Body.MaxTokens < 0 {
-		writeFailure(w, id, refuse(http.StatusBadRequest, api.CodeMalformed, "messages must not be empty and max_tokens not negative"))
+		h.writeFailure(w, id, refuse(http.StatusBadRequest, api.CodeMalformed, "messages must not be empty and max_tokens not negative"))
 		return
 	}
 	w.Header().Set(api.HeaderRequestID, id)
@@ -45,10 +45,10 @@
 	}
 	answer, err := h.opts.Dispatcher.Chat(r.Context(), req, func(string) error { return nil })
 	if err != nil {
-		writeFailure(w, id, err)
+		h.writeFailure(w, id, err)
 		return
 	}
-	writeJSON(w, api.ChatResponse{
+	h.writeJSON(w, api.ChatResponse{
 		ID: id, Object: objectCompletion, Model: answer.Receipt.Version,
 		Choices: []api.Choice{{Message: &api.Message{Role: roleAssistant, Content: answer.Text}, FinishReason: answer.FinishReason}},
 		Usage:   &answer.Usage, Receipt: &answer.Receipt,
@@ -86,7 +86,7 @@
 // an event; the missing receipt tells the client that the answer is not whole.
 func (h *Handler) streamFailure(out *eventWriter, id string, err error) {
 	if !out.started {
-		writeFailure(out.w, id, err)
+		h.writeFailure(out.w, id, err)
 		return
 	}
 	var e *api.Error
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -63,11 +63,24 @@
 	h.mux.HandleFunc("GET /v1/entries", h.entries)
 	h.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	h.mux.HandleFunc("GET /readyz", h.readyz)
+	h.mux.HandleFunc("/", h.unknownPath)
 	return h
 }
 
+func (h *Handler) unknownPath(w http.ResponseWriter, r *http.Request) {
+	h.writeFailure(w, "", refuse(http.StatusNotFound, api.CodeUnknownPath, "no such call: %s %s", r.Method, r.URL.Path))
+}
+
 // ServeHTTP implements http.Handler.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		// net/http reads what is left of a body before it sends a refusal, so
+		// the deadline must be set before anything is refused. An error shows
+		// again where the body is read.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(h.opts.BodyTimeout))
+	}
+	h.mux.ServeHTTP(w, r)
+}
 
 func (h *Handler) readyz(w http.ResponseWriter, _ *http.Request) {
 	if !h.opts.Ready() {
@@ -76,10 +89,18 @@
 }
 
 func (h *Handler) entries(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, h.opts.Entries())
+	h.writeJSON(w, h.opts.Entries())
+}
+
+// boundWrite ends the connection of a client that does not read its answer.
+// net/http reads the rest of the body first, which may take BodyTimeout.
+func (h *Handler) boundWrite(w http.ResponseWriter) {
+	// A writer without deadlines has no connection that could hang.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(h.opts.BodyTimeout + h.opts.WriteTimeout))
 }
 
-func writeJSON(w http.ResponseWriter, v any) {
+func (h *Handler) writeJSON(w http.ResponseWriter, v any) {
+	h.boundWrite(w)
 	w.Header().Set("Content-Type", "application/json")
 	// A failed write means the client is gone; there is nobody to tell.
 	_ = json.NewEncoder(w).Encode(v)
@@ -91,13 +112,16 @@
 
 // writeFailure sends an error. An error of unknown type says nothing about
 // the outcome, so it is reported as unknown.
-func writeFailure(w http.ResponseWriter, id string, err error) {
+func (h *Handler) writeFailure(w http.ResponseWriter, id string, err error) {
+	h.boundWrite(w)
 	var e *api.Error
 	if !errors.As(err, &e) {
 		e = &api.Error{Status: http.StatusInternalServerError, Code: api.CodeFailed, Message: err.Error(), Outcome: api.OutcomeUnknown}
 	}
-	e.RequestID = id
-	w.Header().Set(api.HeaderRequestID, id)
+	if id != "" {
+		e.RequestID = id
+		w.Header().Set(api.HeaderRequestID, id)
+	}
 	api.WriteError(w, e)
 }
 
@@ -120,8 +144,13 @@
 	if id == "" {
 		id = uuid.NewString()
 	}
-	if len(id) > maxKeyBytes {
-		return "", "", nil, refuse(http.StatusBadRequest, api.CodeBadKey, "the idempotency key is longer than %d bytes", maxKeyBytes)
+	if !validLabel(id) {
+		return "", "", nil, refuse(http.StatusBadRequest, api.CodeBadKey, "the idempotency key must be at most %d visible ASCII characters", maxKeyBytes)
+	}
+	for _, name := range []string{api.HeaderRank, api.HeaderKind} {
+		if !validLabel(r.Header.Get(name)) {
+			return "", id, nil, refuse(http.StatusBadRequest, api.CodeMalformed, "%s must be at most %d visible ASCII characters", name, maxKeyBytes)
+		}
 	}
 	team, err = h.authenticate(r)
 	if err != nil {
@@ -131,9 +160,21 @@
 	return team, id, body, err
 }
 
-// maxKeyBytes bounds idempotency keys.
+// maxKeyBytes bounds idempotency keys, ranks and kinds.
 const maxKeyBytes = 128
 
+// validLabel reports whether a header's value is short and visible ASCII.
+// JSON and logs would change other bytes, and the receipt must name the key
+// that the caller sent.
+func validLabel(text string) bool {
+	for i := range len(text) {
+		if text[i] <= ' ' || text[i] > '~' {
+			return false
+		}
+	}
+	return len(text) <= maxKeyBytes
+}
+
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	rc := http.NewResponseController(w)
 	if err := rc.SetReadDeadline(time.Now().Add(h.opts.BodyTimeout)); err != nil {
@@ -164,18 +205,18 @@
 func (h *Handler) newSession(w http.ResponseWriter, r *http.Request) {
 	team, id, body, err := h.begin(w, r)
 	if err != nil {
-		writeFailure(w, id, err)
+		h.writeFailure(w, id, err)
 		return
 	}
 	var req api.SessionRequest
 	if err := parse(body, &req); err != nil {
-		writeFailure(w, id, err)
+		h.writeFailure(w, id, err)
 		return
 	}
 	token, pin, err := h.opts.Dispatcher.NewSession(team, req.Model)
 	if err != nil {
-		writeFailure(w, id, err)
+		h.writeFailure(w, id, err)
 		return
 	}
-	writeJSON(w, api.SessionResponse{Session: token, Model: pin.Model, Version: pin.Version})
+	h.writeJSON(w, api.SessionResponse{Session: token, Model: pin.Model, Version: pin.Version})
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -14,11 +14,11 @@
 func (h *Handler) service(w http.ResponseWriter, r *http.Request) {
 	team, id, body, err := h.begin(w, r)
 	if err != nil {
-		writeFailure(w, id, err)
+		h.writeFailure(w, id, err)
 		return
 	}
 	if !json.Valid(body) {
-		writeFailure(w, id, refuse(http.StatusBadRequest, api.CodeMalformed, "the body is not JSON"))
+		h.writeFailure(w, id, refuse(http.StatusBadRequest, api.CodeMalformed, "the body is not JSON"))
 		return
 	}
 	answer, err := h.opts.Dispatcher.Service(r.Context(), dispatch.ServiceRequest{
@@ -28,7 +28,7 @@
 		Body: body,
 	})
 	if err != nil {
-		writeFailure(w, id, err)
+		h.writeFailure(w, id, err)
 		return
 	}
 	w.Header().Set(api.HeaderRequestID, id)
@@ -36,6 +36,7 @@
 	if answer.Repeat {
 		w.Header().Set(headerRepeat, "true")
 	}
+	h.boundWrite(w)
 	w.WriteHeader(answer.Status)
 	// A failed write means the client is gone; a repeat gets the stored answer.
 	_, _ = w.Write(answer.Body)
