daemon: order versions onto engines under the placement role

Cause: the placement package decided, but nothing called it, so a version that no engine had loaded stayed away and a withdrawn one stayed loaded.

Change: hosts count the demand by version and rank and share it with heartbeats. The holder of the role placement asks the engines for load reports every 2 s, plans, and sends orders with its fencing number through Guard, one at a time per engine, with the reports as read-back. Engines that ignore fencing get nothing until the lease of the holder before and the longest order timeout have passed. A withdrawn version is unloaded once the withdrawal is in force everywhere; a version that no engine has loaded counts as urgent for a little of its demand, so that it gets one place. The weight store's tokens start empty with each term, which keeps its rate over a change of holder. Version and Endpoint get an optional memory_gb, and an endpoint's versions are now those it may serve. The demonstration's engines check fencing as their resources say.

--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -35,7 +35,7 @@
 	testTimeout  = 2 * time.Minute
 )
 
-// cluster is a deployment of seven hosts under test.
+// cluster is a deployment under test.
 type cluster struct {
 	*demo.Cluster
 	t   *testing.T
@@ -43,16 +43,25 @@
 }
 
 func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	return newClusterOf(t, testHosts, io.Discard, func(*config.Settings) {})
+}
+
+// newClusterOf starts a cluster of so many hosts with changed settings, whose
+// log goes to out.
+func newClusterOf(t *testing.T, hosts int, out io.Writer, change func(s *config.Settings)) *cluster {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
-	out := io.Discard
 	if os.Getenv("LEVER_TEST_LOG") != "" {
-		out = os.Stderr
+		out = io.MultiWriter(out, os.Stderr)
 	}
 	c, err := demo.StartCluster(ctx, demo.ClusterOptions{
-		Hosts: testHosts, Engines: testEngines, Rand: rand.New(rand.NewPCG(1, 2)),
+		Hosts: hosts, Engines: testEngines, Rand: rand.New(rand.NewPCG(1, 2)),
 		Logger: slog.New(slog.NewTextHandler(out, nil)),
-		Change: func(_ int, s *config.Settings) { s.Drain.EntryTTL = resource.Duration(500 * time.Millisecond) },
+		Change: func(_ int, s *config.Settings) {
+			s.Drain.EntryTTL = resource.Duration(500 * time.Millisecond)
+			change(s)
+		},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/daemon/demo/demo.go
+++ b/daemon/demo/demo.go
@@ -66,6 +66,8 @@
 			TokenDelay:   tokenDelay,
 			AnswerTokens: answerTokens,
 			CacheBlocks:  cacheBlocks,
+
+			ChecksFencing: true,
 		})
 		if err := e.Listen("127.0.0.1:0"); err != nil {
 			return out, err
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -71,8 +71,8 @@
 		Chooser: s.signals.chooser, Detector: s.signals.detector, Queue: s.signals.queue,
 		Retries: limiter.NewRetryBudget(s.opts.Clock), Crashes: s.signals.crashes, Prober: s.signals,
 		Ledger: ledgers.Ledger, Claims: claims, Rater: newRater(s.opts),
-		Allowance: &minuteGuard{signals: s.signals},
-		Clock:     s.opts.Clock, Logger: s.opts.Logger, Registry: s.opts.Registry,
+		Allowance: &minuteGuard{signals: s.signals}, Demand: s.signals.demand,
+		Clock: s.opts.Clock, Logger: s.opts.Logger, Registry: s.opts.Registry,
 	})
 	s.config.Subscribe(s.offer)
 	return nil
--- /dev/null
+++ b/daemon/placement.go
@@ -0,0 +1,210 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"github.com/corianderlever/corianderlever/engine"
+	"github.com/corianderlever/corianderlever/lease"
+	"github.com/corianderlever/corianderlever/placement"
+	"github.com/corianderlever/corianderlever/resource"
+)
+
+const (
+	placementInterval = 2 * time.Second
+	// orderTimeout bounds the sending of one order.
+	orderTimeout = 5 * time.Second
+	// unfencedWait is the time after which no order of an earlier holder can
+	// arrive at an endpoint that ignores fencing numbers.
+	unfencedWait = lease.DefaultTTL + orderTimeout
+	// effectTimeout is how long an order may take to show in a load report
+	// before the engine may get another.
+	effectTimeout = time.Minute
+	// withdrawalGrace is the bound within which a configuration is in force
+	// everywhere; until then hosts may still send work to a withdrawn version.
+	withdrawalGrace = 4 * time.Second
+	// maxLoadQuestions bounds the load reports asked for at once.
+	maxLoadQuestions = 32
+	// weightBurst exceeds the load that the planner reserves for urgent demand.
+	weightBurst = 2
+)
+
+// orderSender is the part of *engine.Client that gives orders.
+type orderSender interface {
+	Load(ctx context.Context, addr string) (engine.LoadReport, error)
+	SendOrder(ctx context.Context, addr string, order engine.Order) error
+}
+
+// role is the part of *lease.Holder that the placer uses.
+type role interface {
+	Token() (lease.Token, bool)
+	Guard(ctx context.Context, fn func(ctx context.Context, fencing int64) error) error
+}
+
+// placer does the work of the placement role. Its state lasts one term.
+type placer struct {
+	opts    *Options
+	current func() *resource.Snapshot
+	demand  *demandCounter
+	engines orderSender
+	holder  role
+	orders  *prometheus.CounterVec
+
+	fencing   int64
+	planner   *placement.Planner
+	pending   map[string]pendingOrder
+	withdrawn map[string]time.Time
+}
+
+// pendingOrder is an order whose effect no load report has shown yet.
+type pendingOrder struct {
+	kind    engine.OrderKind
+	version string
+	sent    time.Time
+}
+
+func newPlacer(opts *Options, current func() *resource.Snapshot, d *demandCounter, engines orderSender, h role) *placer {
+	p := &placer{opts: opts, current: current, demand: d, engines: engines, holder: h}
+	p.orders = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "corianderlever", Name: "placement_orders_total", Help: "Orders to engines by kind and result.",
+	}, []string{"kind", "result"})
+	opts.Registry.MustRegister(p.orders)
+	return p
+}
+
+// act makes one round. The holder's token bounds each order separately, so a
+// round that outlasts the lease sends nothing after it.
+func (p *placer) act(ctx context.Context) {
+	token, ok := p.holder.Token()
+	if !ok {
+		return
+	}
+	if p.planner == nil || p.fencing != token.Fencing {
+		p.startTerm(token.Fencing)
+	}
+	snap := p.current()
+	reports := p.ask(ctx, snap)
+	p.readBack(reports)
+	// An order of the holder before could still arrive at endpoints that
+	// ignore fencing numbers.
+	early := p.opts.Clock.Since(token.Since) < unfencedWait
+	blocked := func(name string) bool {
+		_, waits := p.pending[name]
+		return waits || early && !snap.Endpoints[name].ChecksFencing
+	}
+	for _, o := range p.decide(snap, reports, blocked) {
+		p.send(ctx, snap.Endpoints[o.endpoint].Address, o)
+	}
+}
+
+// startTerm forgets what another term planned. The weight store's tokens start
+// empty, so that the loads of two holders together keep its rate.
+func (p *placer) startTerm(fencing int64) {
+	now := p.opts.Clock.Now()
+	store := rate.NewLimiter(rate.Limit(p.opts.Settings.Platform.WeightLoadsPerMinute/time.Minute.Seconds()), weightBurst)
+	store.AllowN(now, weightBurst)
+	p.fencing = fencing
+	p.planner = placement.NewPlanner(p.opts.Clock, placement.DefaultConfig(usualConcurrency), store)
+	p.pending = make(map[string]pendingOrder)
+	p.withdrawn = make(map[string]time.Time)
+}
+
+// usualConcurrency is the capacity that the prices on moves refer to.
+const usualConcurrency = 8
+
+// ask gets the load reports of all active engines that answer.
+func (p *placer) ask(ctx context.Context, snap *resource.Snapshot) map[string]engine.LoadReport {
+	type answer struct {
+		name   string
+		report engine.LoadReport
+	}
+	answers := make(chan answer, len(snap.Endpoints))
+	var g errgroup.Group
+	g.SetLimit(maxLoadQuestions)
+	for name, spec := range snap.Endpoints {
+		if spec.Service != "" || spec.State == resource.EndpointLeaving {
+			continue
+		}
+		g.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+			defer cancel()
+			r, err := p.engines.Load(ctx, spec.Address)
+			if err == nil {
+				answers <- answer{name, r}
+			}
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		p.opts.Logger.Debug("an engine gave no load report", "error", err)
+	}
+	close(answers)
+	out := make(map[string]engine.LoadReport)
+	for a := range answers {
+		out[a.name] = a.report
+	}
+	return out
+}
+
+// readBack settles the orders whose effect the reports show. An engine that
+// does not answer keeps its pending order.
+func (p *placer) readBack(reports map[string]engine.LoadReport) {
+	for name, o := range p.pending {
+		r, ok := reports[name]
+		done := ok && slices.Contains(r.Versions, o.version) == (o.kind == engine.OrderLoad)
+		late := p.opts.Clock.Since(o.sent) > effectTimeout
+		if !done && !late {
+			continue
+		}
+		result := "done"
+		if !done {
+			result = "without_effect"
+			p.opts.Logger.Warn("order without effect", "endpoint", name, "kind", o.kind, "version", o.version)
+		}
+		p.orders.WithLabelValues(string(o.kind), result).Inc()
+		delete(p.pending, name)
+	}
+}
+
+// endpointOrder is an order with its reason.
+type endpointOrder struct {
+	endpoint string
+	kind     engine.OrderKind
+	version  string
+	reason   string
+}
+
+// send gives one order while the role is held.
+func (p *placer) send(ctx context.Context, addr string, o endpointOrder) {
+	err := p.holder.Guard(ctx, func(ctx context.Context, fencing int64) error {
+		if fencing != p.fencing {
+			return lease.ErrNotHeld // planned in an earlier term
+		}
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		p.pending[o.endpoint] = pendingOrder{kind: o.kind, version: o.version, sent: p.opts.Clock.Now()}
+		return p.engines.SendOrder(ctx, addr, engine.Order{
+			ID: uuid.NewString(), Kind: o.kind, Version: o.version, Fencing: fencing,
+		})
+	})
+	result := "sent"
+	switch {
+	case errors.Is(err, lease.ErrNotHeld):
+		return
+	case errors.Is(err, engine.ErrFenced):
+		result = "fenced"
+		delete(p.pending, o.endpoint) // certainly not obeyed
+	case err != nil:
+		result = "unknown"
+	}
+	p.orders.WithLabelValues(string(o.kind), result).Inc()
+	p.opts.Logger.Info("order", "endpoint", o.endpoint, "kind", o.kind, "version", o.version,
+		"fencing", p.fencing, "reason", o.reason, "result", result, "error", err)
+}
--- a/daemon/roles.go
+++ b/daemon/roles.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/corianderlever/corianderlever/allowance"
+	"github.com/corianderlever/corianderlever/engine"
 	"github.com/corianderlever/corianderlever/kernel"
 	"github.com/corianderlever/corianderlever/lease"
 	"github.com/corianderlever/corianderlever/ledger"
@@ -18,6 +19,7 @@
 const (
 	roleRollouts  = "rollouts"
 	roleAllocator = "allocator"
+	rolePlacement = "placement"
 	roleHousehold = "housekeeping"
 )
 
@@ -39,6 +41,7 @@
 	config  *configurationService
 	signals *signalService
 	claims  *claimsService
+	engines *engine.Client
 	steps   *rolloutSteward
 
 	allocator *lease.Holder
@@ -46,7 +49,7 @@
 
 func (s *rolesService) Name() string { return serviceRoles }
 func (s *rolesService) Requires() []string {
-	return []string{servicePlatform, servicePeers, serviceMembership, serviceConfiguration, serviceSignals, serviceClaims}
+	return []string{servicePlatform, servicePeers, serviceMembership, serviceConfiguration, serviceSignals, serviceClaims, serviceDispatch}
 }
 
 // Provision looks up the services that the roles act on.
@@ -64,6 +67,11 @@
 	if s.claims, err = kernel.Lookup[*claimsService](k, serviceClaims); err != nil {
 		return err
 	}
+	d, err := kernel.Lookup[*dispatchService](k, serviceDispatch)
+	if err != nil {
+		return err
+	}
+	s.engines = d.engines
 	s.steps = &rolloutSteward{opts: s.opts, config: s.config, detector: s.signals.detector}
 	s.peers.server.Handle(methodGrant, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
 		var g allowance.Grant
@@ -92,6 +100,10 @@
 	})
 	s.allocator = s.holder(roleAllocator)
 	s.run.start("allocation", s.allocate)
+	placer := newPlacer(s.opts, s.config.Current, s.signals.demand, s.engines, s.holder(rolePlacement))
+	s.run.start("placement of versions", func(ctx context.Context) error {
+		return every(ctx, s.opts.Clock, placementInterval, func() { placer.act(ctx) })
+	})
 	household := s.holder(roleHousehold)
 	s.run.start("folding", func(ctx context.Context) error {
 		n := 0
--- a/daemon/signals.go
+++ b/daemon/signals.go
@@ -30,6 +30,7 @@
 	crashes   *limiter.CrashGuard
 	probation *limiter.Probation
 	allowance *allowance.Controller
+	demand    *demandCounter
 
 	// hasTerms is set while the supplier's terms are declared.
 	hasTerms atomic.Bool
@@ -69,6 +70,7 @@
 	self := s.membership.Self()
 	clock, set := s.opts.Clock, s.opts.Settings
 	s.usage = make(map[string]peerUsage)
+	s.demand = newDemandCounter(clock)
 	s.chooser = cascade.New(cascade.Config{
 		Host: self.Host, Incarnation: self.Started, RatingsPerSecond: set.Platform.RatingsPerSecond,
 	}, clock, s.opts.newRand())
@@ -122,6 +124,7 @@
 	signal(s, "versions", func() (rollout.Summary, bool) { return s.detector.Export(), true },
 		func(_ membership.Member, v rollout.Summary) error { return s.detector.Merge(v) })
 	signal(s, "usage", func() (admission.Usage, bool) { return s.queue.Usage(), true }, s.consumeUsage)
+	signal(s, "demand", s.demand.export, s.demand.observe)
 	signal(s, "crashes", s.crashMarks, func(_ membership.Member, v json.RawMessage) error { return s.crashes.ObserveMarks(v) })
 	signal(s, "allowance", func() (allowance.Report, bool) {
 		return s.allowance.Report(s.opts.Clock.Now(), s.allocatorFence()), true
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -65,8 +65,16 @@
 	Receipt      api.Receipt
 }
 
+// Demand counts what is asked of each version.
+type Demand interface {
+	// Arrived counts a request for a version, also one that is then refused.
+	Arrived(version, rank string)
+	// Ran records the running time of an answer.
+	Ran(version string, took time.Duration)
+}
+
 // Options are the parts a Dispatcher works with. All are required except
-// Rater and Allowance.
+// Rater, Allowance and Demand.
 type Options struct {
 	Config   Config
 	Engines  Engines
@@ -84,8 +92,10 @@
 	Rater Rater
 	// Allowance guards the busiest minute; without it nothing is deferred.
 	Allowance Allowance
-	Clock     clockwork.Clock
-	Logger    *slog.Logger
+	// Demand counts what is asked of each version; without it nothing is counted.
+	Demand Demand
+	Clock  clockwork.Clock
+	Logger *slog.Logger
 	// Registry receives the metrics.
 	Registry prometheus.Registerer
 }
@@ -102,6 +112,9 @@
 
 // New returns a dispatcher.
 func New(opts Options) *Dispatcher {
+	if opts.Demand == nil {
+		opts.Demand = noDemand{}
+	}
 	return &Dispatcher{
 		Options: opts,
 		traces:  newTraces(opts.Clock),
@@ -110,6 +123,12 @@
 	}
 }
 
+// noDemand counts nothing.
+type noDemand struct{}
+
+func (noDemand) Arrived(string, string)    {}
+func (noDemand) Ran(string, time.Duration) {}
+
 // Close waits for work in the background.
 func (d *Dispatcher) Close() { d.background.Wait() }
 
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -152,6 +152,7 @@
 		return plan, refusal(http.StatusServiceUnavailable, api.CodeUnavailable, "no plan: %v", err)
 	}
 	r.trace.add("plan", "%s", plan.Explain())
+	r.d.Demand.Arrived(plan.Steps[0].Version, r.target.rankName)
 	r.d.metrics.decisions.WithLabelValues("plan", planResult(plan)).Inc()
 	return plan, nil
 }
@@ -168,6 +169,9 @@
 	var lastErr error
 	for i, step := range plan.Steps {
 		last := i == len(plan.Steps)-1
+		if i > 0 {
+			r.d.Demand.Arrived(step.Version, r.target.rankName)
+		}
 		gated := step.Rate == cascade.RateGate && !last && r.d.Rater != nil
 		answer, err := r.step(ctx, step, gated)
 		if err != nil {
@@ -210,7 +214,9 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	r.d.Chooser.ObserveLatency(step.Version, r.d.Clock.Since(started))
+	took := r.d.Clock.Since(started)
+	r.d.Chooser.ObserveLatency(step.Version, took)
+	r.d.Demand.Ran(step.Version, took)
 	return a.answer(final)
 }
 
--- a/placement/options.go
+++ b/placement/options.go
@@ -22,6 +22,9 @@
 		if w.busy[e] || w.engines[e].Memory < size || slices.Contains(w.engines[e].Loaded, d.Version) {
 			continue
 		}
+		if allowed := w.engines[e].Allowed; allowed != nil && !slices.Contains(allowed, d.Version) {
+			continue
+		}
 		unload, lost := w.makeRoom(e, size)
 		list = append(list, option{
 			order:  Order{Engine: w.engines[e].ID, Unload: unload, Load: d.Version, Priority: d.Priority},
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -20,6 +20,8 @@
 	Memory float64
 	// Capacity is the work it does per second, shared by its versions.
 	Capacity float64
+	// Allowed are the versions that may be loaded; nil means all.
+	Allowed []string
 	// Loaded are the versions that serve.
 	Loaded []string
 	// Loading is the version of the order that still runs, if any. Its memory
--- a/resource/types.go
+++ b/resource/types.go
@@ -79,6 +79,9 @@
 	OutputCost float64 `json:"output_cost"`
 	// PassRate is the prior probability that an answer is good enough.
 	PassRate float64 `json:"pass_rate,omitempty"`
+	// MemoryGB is the engine memory that the version occupies; zero means none
+	// worth counting.
+	MemoryGB float64 `json:"memory_gb,omitempty"`
 }
 
 // Cascade tries cheap models first and escalates on a poor rating.
@@ -138,7 +141,7 @@
 	// FailureDomain and Region locate the endpoint.
 	FailureDomain string `json:"failure_domain"`
 	Region        string `json:"region,omitempty"`
-	// Versions are the versions loaded on an engine.
+	// Versions are the versions that an engine may serve.
 	Versions []string `json:"versions,omitempty"`
 	// Service is set for an instance of a plain service.
 	Service string `json:"service,omitempty"`
@@ -148,6 +151,9 @@
 	Concurrency int `json:"concurrency,omitempty"`
 	// ChecksFencing tells whether the endpoint refuses old fencing numbers.
 	ChecksFencing bool `json:"checks_fencing,omitempty"`
+	// MemoryGB is what the loaded versions may occupy together; zero means
+	// not limited.
+	MemoryGB float64 `json:"memory_gb,omitempty"`
 }
 
 // Operation is one call of a plain service.
--- a/resource/validate.go
+++ b/resource/validate.go
@@ -163,6 +163,9 @@
 	if v.PassRate < 0 || v.PassRate > 1 {
 		return invalid(r, "pass_rate", "must lie in 0 to 1")
 	}
+	if v.MemoryGB < 0 {
+		return invalid(r, "memory_gb", "must not be negative")
+	}
 	switch v.State {
 	case VersionServing, VersionSuspect, VersionWithdrawn:
 		return nil
@@ -246,6 +249,9 @@
 	if e.Concurrency <= 0 {
 		return invalid(r, "concurrency", "must be positive")
 	}
+	if e.MemoryGB < 0 {
+		return invalid(r, "memory_gb", "must not be negative")
+	}
 	if e.State != EndpointActive && e.State != EndpointLeaving {
 		return invalid(r, "state", "unknown state %q", e.State)
 	}
