dispatch: read an endpoint's address under the lock of the fleet

Cause: a new configuration replaces the specification of an endpoint under the lock, and the start of an attempt read it without. The race detector reported it in a run of three hosts whose configuration changed under traffic.

Change: start reads the address after taking the lock.

Conclusion: TestChoiceDuringNewConfiguration fails without the change with -race and passes with it.

--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -247,11 +247,12 @@
 
 func (f *Fleet) start(choice balance.Choice, st *endpointState, prefix []uint64, hash limiter.Hash) *place {
 	p := &place{
-		fleet: f, state: st, endpoint: choice.Endpoint, addr: st.spec.Address, reason: choice.Reason,
+		fleet: f, state: st, endpoint: choice.Endpoint, reason: choice.Reason,
 		cached: choice.Cached, attempt: newAttempt(), started: f.clock.Now(),
 	}
 	f.picker.Started(choice.Endpoint, prefix)
 	f.mu.Lock()
+	p.addr = st.spec.Address
 	st.running[p.attempt] = &runningAttempt{hash: hash}
 	f.mu.Unlock()
 	return p
