dispatch: send no work to an engine that reports no version

Cause: a load report without versions was kept as nil, which stands for an engine that has not reported, so all its declared versions counted as loaded.

Change: such a report is kept as an empty list, and the first report always refreshes the choice.

Conclusion: TestEngineWithoutVersionsGetsNoWork saw 8 of 8 requests sent there before the change and none after it.

--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -159,10 +159,13 @@
 // ObserveLoad takes in a load report.
 func (f *Fleet) ObserveLoad(name string, r engine.LoadReport) {
 	at := f.clock.Now().Add(-time.Duration(r.AgeMS) * time.Millisecond)
+	if r.Versions == nil {
+		r.Versions = []string{} // reported as none, unlike an engine without a report
+	}
 	f.picker.ObserveReport(balance.Report{Endpoint: name, At: at, Running: r.Running, Waiting: r.Waiting})
 	f.mu.Lock()
 	st := f.endpoints[name]
-	changed := st != nil && (st.leaving != r.Leaving || !slices.Equal(st.loaded, r.Versions))
+	changed := st != nil && (st.loaded == nil || st.leaving != r.Leaving || !slices.Equal(st.loaded, r.Versions))
 	if changed {
 		st.leaving, st.loaded = r.Leaving, r.Versions
 	}
