dispatch: rate the answers that verdicts and roll-outs wait for

Cause: answers were rated only when the choice of models wanted a sample. The detector's RatingShare had no caller, so a version under suspicion was rated by chance, and a roll-out halted: "only 82 rated answers on step 0 after 10s" in the test of three hosts.

Change: all answers of a version under suspicion or verdict, and of the new version of a running roll-out, are rated. The rating service's rate and the bound on ratings under way still hold.

--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/corianderlever/corianderlever/client"
 	"github.com/corianderlever/corianderlever/engine"
+	"github.com/corianderlever/corianderlever/resource"
+	"github.com/corianderlever/corianderlever/rollout"
 )
 
 // Guards against work for an engine that reports no loaded version, whose
@@ -22,3 +24,30 @@
 		t.Errorf("the engine without versions got %d requests", n)
 	}
 }
+
+// Guards against a suspect version whose answers are rated by chance only, so
+// that its recovery is seen late.
+func TestAnswersOfSuspectVersionAreRated(t *testing.T) {
+	r := newRig(t, 1)
+	for _, one := range r.resources {
+		if one.Name == "small-1" {
+			one.Spec.(*resource.Version).State = resource.VersionWithdrawn
+		}
+	}
+	r.apply(r.d.Queue, r.resources)
+	r.endpoints.Engines[0].SetQuality("small-2", 0) // it must not recover
+	verdict := rollout.SummaryCell{Version: "small-2", Epoch: 1, Suspect: true, Fall: 0.4, Reference: 0.7}
+	if err := r.d.Detector.Merge(rollout.Summary{Host: "other", Incarnation: 1, Cells: []rollout.SummaryCell{verdict}}); err != nil {
+		t.Fatal(err)
+	}
+	const requests = 20
+	for range requests {
+		if _, err := r.client.Chat(context.Background(), client.Request{}, chat("small", "x")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.d.Close()
+	if rated := r.d.Detector.State("small-2", "").Rated; rated != requests {
+		t.Errorf("%d of %d answers of the suspect version were rated", rated, requests)
+	}
+}
--- a/dispatch/rate.go
+++ b/dispatch/rate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/corianderlever/corianderlever/cascade"
+	"github.com/corianderlever/corianderlever/resource"
 )
 
 // Rater rates answers; *rating.Client is one.
@@ -30,6 +31,18 @@
 	return passed, nil
 }
 
+// watch tells whether an answer is rated as evidence about its version, also
+// when the choice of models needs no sample: all answers of a version under
+// suspicion, and of one in roll-out, whose steps wait for rated answers.
+func (d *Dispatcher) watch(req ChatRequest, version string) bool {
+	for _, r := range d.Config.Current().Rollouts {
+		if r.To == version && r.State == resource.RolloutRunning {
+			return true
+		}
+	}
+	return d.Detector.RatingShare(version, req.Kind, 0) > 0
+}
+
 // rateLater has an answer rated in the background. Beyond maxSamples under
 // way the answer stays unrated.
 func (d *Dispatcher) rateLater(req ChatRequest, version string, escalated bool, text string) {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -190,7 +190,7 @@
 				return answer, err
 			}
 		}
-		if step.Rate == cascade.RateSample {
+		if !gated && (step.Rate == cascade.RateSample || r.d.watch(r.req, step.Version)) {
 			r.d.rateLater(r.req, step.Version, i > 0, answer.Text)
 		}
 		return answer, nil
