--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -161,10 +161,13 @@
 // ObserveLoad takes in a load report.
 func (f *Fleet) ObserveLoad(name string, r engine.LoadReport) {
 	at := f.clock.Now().Add(-time.Duration(r.AgeMS) * time.Millisecond)
+	if r.Versions == nil {
+		r.Versions = []string{} // reported as none, unlike an engine without a report
+	}
 	f.picker.ObserveReport(balance.Report{Endpoint: name, At: at, Running: r.Running, Waiting: r.Waiting})
 	f.mu.Lock()
 	st := f.endpoints[name]
-	changed := st != nil && (st.leaving != r.Leaving || !slices.Equal(st.loaded, r.Versions))
+	changed := st != nil && (st.loaded == nil || st.leaving != r.Leaving || !slices.Equal(st.loaded, r.Versions))
 	if changed {
 		st.leaving, st.loaded = r.Leaving, r.Versions
 	}
@@ -249,11 +252,12 @@
 
 func (f *Fleet) start(choice balance.Choice, st *endpointState, prefix []uint64, hash limiter.Hash) *place {
 	p := &place{
-		fleet: f, state: st, endpoint: choice.Endpoint, addr: st.spec.Address, reason: choice.Reason,
+		fleet: f, state: st, endpoint: choice.Endpoint, reason: choice.Reason,
 		cached: choice.Cached, attempt: newAttempt(), started: f.clock.Now(),
 	}
 	f.picker.Started(choice.Endpoint, prefix)
 	f.mu.Lock()
+	p.addr = st.spec.Address
 	st.running[p.attempt] = &runningAttempt{hash: hash}
 	f.mu.Unlock()
 	return p
