ledger: let records that wait for one peer share a message

Cause: with three hosts each request sent two messages of its own to a peer; under load they cost more than serving the request.

Change: one message with records of requests is under way to a peer at a time; records that come meanwhile share the next one. A record is read when its message leaves, together with the message number. A request still goes on only after its peer has answered. BenchmarkCompareLoad measures two versions of the daemon in turns under load.

A peer that does not answer can now delay a request by two timeouts instead of one.

--- a/internal/pathbench/compare_test.go
+++ b/internal/pathbench/compare_test.go
@@ -74,3 +74,47 @@
 	b.ReportMetric(float64(added)/float64(addedBefore), "added-ratio")
 	b.ReportMetric(float64(current.cpu)/float64(before.cpu), "cpu-ratio")
 }
+
+// compareRound is the number of requests of one version's turn under load.
+const compareRound = 1000
+
+// BenchmarkCompareLoad does the same with loadWorkers requests under way.
+func BenchmarkCompareLoad(b *testing.B) {
+	baseline := os.Getenv(baselineVariable)
+	if baseline == "" {
+		b.Skip("set " + baselineVariable + " to the file of a daemon to compare with")
+	}
+	for _, hosts := range []int{1, 3} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) { benchCompareLoad(b, baseline, hosts) })
+	}
+}
+
+func benchCompareLoad(b *testing.B, baseline string, hosts int) {
+	opts := fast(hosts)
+	current := &subject{rig: newRig(b, opts)}
+	opts.binary = baseline
+	before := &subject{rig: newRig(b, opts)}
+	subjects := []*subject{current, before}
+	c := newCaller(loadWorkers)
+	for _, s := range subjects {
+		check(b, load(c, s.rig.entries[0], warmUp))
+		s.start = s.rig.cpu(b)
+	}
+	elapsed := make([]time.Duration, len(subjects))
+	rounds := 0
+	for b.Loop() {
+		rounds++
+		for i, s := range subjects {
+			start := time.Now()
+			check(b, load(c, s.rig.entries[0], compareRound))
+			elapsed[i] += time.Since(start)
+		}
+	}
+	for _, s := range subjects {
+		s.cpu = s.rig.cpu(b) - s.start
+	}
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(float64(rounds*compareRound)/elapsed[0].Seconds(), "req/s")
+	b.ReportMetric(float64(elapsed[1])/float64(elapsed[0]), "req/s-ratio")
+	b.ReportMetric(float64(current.cpu)/float64(before.cpu), "cpu-ratio")
+}
--- a/ledger/copies.go
+++ b/ledger/copies.go
@@ -16,10 +16,9 @@
 		l.mu.Unlock()
 		return
 	}
-	c := l.copies([]Record{e.record})
 	peer := e.peer
 	l.mu.Unlock()
-	l.place(ctx, peer, c)
+	l.try(peer, 1, func(peer string) bool { return l.holdGrouped(ctx, peer, id) })
 }
 
 // copies makes a message; the caller holds the lock.
@@ -31,8 +30,13 @@
 // holdTries is the number of peers that are asked to take copies.
 const holdTries = 2
 
-// place gives copies to the peer, or to others if it does not answer.
-func (l *Ledger) place(ctx context.Context, peer string, c Copies) {
+// place gives copies to a peer, or to others if it does not answer.
+func (l *Ledger) place(ctx context.Context, c Copies) {
+	l.try("", len(c.Records), func(peer string) bool { return l.deliver(ctx, peer, c) })
+}
+
+// try calls send with the peer, and with others if it does not answer.
+func (l *Ledger) try(peer string, records int, send func(peer string) bool) {
 	var tried []string
 	for range holdTries {
 		if peer == "" {
@@ -41,17 +45,25 @@
 		if peer == "" {
 			break
 		}
-		if l.hold(ctx, peer, c) {
-			l.placed(c, peer)
+		if send(peer) {
 			return
 		}
-		l.notPlaced(c, peer)
 		tried = append(tried, peer)
 		peer = ""
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.stats.Unreplicated += int64(len(c.Records))
+	l.stats.Unreplicated += int64(records)
+}
+
+// deliver gives copies to the peer and notes whether it took them.
+func (l *Ledger) deliver(ctx context.Context, peer string, c Copies) bool {
+	if !l.hold(ctx, peer, c) {
+		l.notPlaced(c, peer)
+		return false
+	}
+	l.placed(c, peer)
+	return true
 }
 
 func (l *Ledger) hold(ctx context.Context, peer string, c Copies) bool {
@@ -133,6 +145,6 @@
 		l.mu.Lock()
 		c := l.copies(part)
 		l.mu.Unlock()
-		l.place(ctx, "", c)
+		l.place(ctx, c)
 	}
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -120,6 +120,8 @@
 	sequence int
 	messages int64
 	stats    Stats
+	// holds are the messages under way by peer.
+	holds map[string]*holdQueue
 }
 
 // Stats count what happened since the start.
@@ -150,7 +152,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = slog.Default()
 	}
-	return &Ledger{cfg: cfg, kv: kv, clock: clock, peers: peers, entries: make(map[ID]*entry)}
+	return &Ledger{cfg: cfg, kv: kv, clock: clock, peers: peers, entries: make(map[ID]*entry), holds: make(map[string]*holdQueue)}
 }
 
 // Stats returns the counters.
