Give billing record ids a name that oracles can use

Cause: the record id covers the content since two contents under one key must not be billed as one; the process test computed it from the key alone and found no record. Change: ChatRecordID and ServiceRecordID in dispatch, used by the dispatcher and by the process test.

--- a/dispatch/bill.go
+++ b/dispatch/bill.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/corianderlever/corianderlever/api"
 	"github.com/corianderlever/corianderlever/engine"
 	"github.com/corianderlever/corianderlever/ledger"
@@ -25,13 +27,27 @@
 	cost   float64
 }
 
-// openBill notes the request before its first attempt. content is a hash of
-// what is asked: the same key with another content is another request, or a
-// team could have many requests billed as one.
-func (d *Dispatcher) openBill(ctx context.Context, id, team, rank string, content uint64) (*bill, error) {
+// ChatRecordID returns the id of the billing record of a chat. The content is
+// part of it: the same key with another content is another request, or a team
+// could have many requests billed as one.
+func ChatRecordID(team, id string, messages []api.Message) ledger.ID {
+	return recordID(team, id, uint64(contentHash(messages)))
+}
+
+// ServiceRecordID returns the id of the billing record of a service call.
+func ServiceRecordID(team, id, service, operation string, body []byte) ledger.ID {
+	return recordID(team, id, xxhash.Sum64String(service+"\x00"+operation+"\x00"+string(body)))
+}
+
+func recordID(team, id string, content uint64) ledger.ID {
+	return ledger.RecordID(team, id+"\x00"+strconv.FormatUint(content, 16))
+}
+
+// openBill notes the request before its first attempt.
+func (d *Dispatcher) openBill(ctx context.Context, record ledger.ID, id, team, rank string) (*bill, error) {
 	now := d.Clock.Now()
 	b := &bill{d: d, record: ledger.Record{
-		ID: ledger.RecordID(team, id+"\x00"+strconv.FormatUint(content, 16)), Filed: ledger.FileMinute(id, now), Completed: now, Team: team, Rank: rank,
+		ID: record, Filed: ledger.FileMinute(id, now), Completed: now, Team: team, Rank: rank,
 	}}
 	if err := d.Ledger.Open(ctx, b.record); err != nil {
 		return nil, refusal(http.StatusServiceUnavailable, api.CodeUnavailable, "the request cannot be billed now: %v", err)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -145,7 +145,7 @@
 func (d *Dispatcher) Chat(ctx context.Context, req ChatRequest, sink Sink) (Answer, error) {
 	r := &run{
 		d: d, req: req, sink: sink, arrived: d.Clock.Now(),
-		trace: d.traces.start(req.ID), hash: contentHash(req),
+		trace: d.traces.start(req.ID), hash: contentHash(req.Body.Messages),
 	}
 	var answer Answer
 	var err error
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -38,9 +38,9 @@
 
 // contentHash identifies what a request asks for, without its id, so that a
 // repeat under another id is recognised.
-func contentHash(req ChatRequest) limiter.Hash {
+func contentHash(messages []api.Message) limiter.Hash {
 	h := xxhash.New()
-	for _, m := range req.Body.Messages {
+	for _, m := range messages {
 		// A hash never returns an error.
 		_, _ = h.WriteString(m.Role + "\x00" + m.Content + "\x00")
 	}
@@ -83,7 +83,7 @@
 		}
 		grant.Release(cost)
 	}()
-	if r.bill, err = r.d.openBill(ctx, r.req.ID, r.req.Team, r.target.rankName, uint64(r.hash)); err != nil {
+	if r.bill, err = r.d.openBill(ctx, ChatRecordID(r.req.Team, r.req.ID, r.req.Body.Messages), r.req.ID, r.req.Team, r.target.rankName); err != nil {
 		return Answer{}, err
 	}
 	answer, err := r.execute(ctx, plan)
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/corianderlever/corianderlever/api"
@@ -167,15 +166,11 @@
 	return refusal(http.StatusServiceUnavailable, api.CodeNotClaimed, "the request could not be claimed: %v", err)
 }
 
-// content is the hash of what is asked.
-func (c *call) content() uint64 {
-	return xxhash.Sum64String(c.req.Service + "\x00" + c.req.Operation + "\x00" + string(c.req.Body))
-}
-
 // runBilled runs the operation and bills it.
 func (c *call) runBilled(ctx context.Context) (ServiceAnswer, error) {
+	record := ServiceRecordID(c.req.Team, c.req.ID, c.req.Service, c.req.Operation, c.req.Body)
 	var err error
-	if c.bill, err = c.d.openBill(ctx, c.req.ID, c.req.Team, c.target.rankName, c.content()); err != nil {
+	if c.bill, err = c.d.openBill(ctx, record, c.req.ID, c.req.Team, c.target.rankName); err != nil {
 		return ServiceAnswer{}, err
 	}
 	c.bill.record.Model = c.req.Service
--- a/internal/proctest/load_test.go
+++ b/internal/proctest/load_test.go
@@ -112,7 +112,7 @@
 		Outcome: load.OutcomeAnswered,
 	}
 	meta := client.Request{ID: id, Rank: r.Rank}
-	if _, err := demo.DirectClient(addr, demo.TeamKey).Call(tr.ctx, meta, r.Service, r.Operation, map[string]any{}); err != nil {
+	if _, err := demo.DirectClient(addr, demo.TeamKey).Call(tr.ctx, meta, r.Service, r.Operation, map[string]any{"number": r.Number}); err != nil {
 		r.Outcome, r.Error = load.OutcomeBroken, err.Error()
 	}
 	r.Latency = time.Since(r.Planned)
--- a/internal/proctest/oracle.go
+++ b/internal/proctest/oracle.go
@@ -14,6 +14,7 @@
 
 	"github.com/corianderlever/corianderlever/api"
 	"github.com/corianderlever/corianderlever/client"
+	"github.com/corianderlever/corianderlever/dispatch"
 	"github.com/corianderlever/corianderlever/engine/fakeengine"
 	"github.com/corianderlever/corianderlever/ledger"
 	"github.com/corianderlever/corianderlever/load"
@@ -54,6 +55,15 @@
 	return fmt.Sprintf("user: %s %d\n", c.Prompt, r.Number)
 }
 
+// recordID returns the id of the request's billing record.
+func (c Caller) recordID(r load.Record) ledger.ID {
+	if r.Service != "" {
+		return dispatch.ServiceRecordID(r.Team, r.ID, r.Service, r.Operation, fmt.Appendf(nil, `{"number":%d}`, r.Number))
+	}
+	message := api.Message{Role: "user", Content: fmt.Sprintf("%s %d", c.Prompt, r.Number)}
+	return dispatch.ChatRecordID(r.Team, r.ID, []api.Message{message})
+}
+
 // runCounts returns how often each request began to run.
 func (o *Oracle) runCounts() map[string]int {
 	out := make(map[string]int)
@@ -188,7 +198,7 @@
 	runs := o.runCounts()
 	for _, c := range o.Callers {
 		for _, r := range c.Records {
-			id := ledger.RecordID(r.Team, r.ID)
+			id := c.recordID(r)
 			known[id] = true
 			forms := b.Records[id]
 			switch {
