--- a/internal/capacity/calls.go
+++ b/internal/capacity/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -33,6 +34,9 @@
 	Watching int64
 	// Requests is the number of requests served meanwhile.
 	Requests int
+	// Failed is the number of requests that were not, Err the last reason.
+	Failed int
+	Err    error
 }
 
 // CountCalls runs seven hosts for a while, with one request a second on each.
@@ -60,9 +64,13 @@
 	began := time.Now()
 	for time.Since(began) < countTime {
 		for _, addr := range c.EntryAddresses() {
-			body := api.ChatRequest{Model: "small", MaxTokens: 4, Messages: []api.Message{{Role: "user", Content: "a short question"}}}
+			text := fmt.Sprintf("question %d", out.Requests+out.Failed)
+			body := api.ChatRequest{Model: "small", MaxTokens: 4, Messages: []api.Message{{Role: "user", Content: text}}}
 			if _, err := demo.DirectClient(addr, demo.TeamKey).Chat(ctx, client.Request{}, body); err == nil {
 				out.Requests++
+			} else {
+				out.Failed++
+				out.Err = err
 			}
 		}
 		time.Sleep(time.Second)
--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -1,6 +1,6 @@
 // Package capacity measures how the cost of control grows with the number of
 // hosts, endpoints and requests, and works out the cost at the size to design
-// for. Everything runs in one process without sockets.
+// for. Everything runs in one process; sockets are on loopback only.
 package capacity
 
 import "syscall"
--- a/internal/capacity/ledger.go
+++ b/internal/capacity/ledger.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -83,6 +84,7 @@
 	}
 	cpu = cpuSeconds() - cpu
 	out := Billing{Records: n, MemoryBytes: heap() - before}
+	runtime.KeepAlive(records)
 	begin := cpuSeconds()
 	if err := l.Flush(ctx); err != nil {
 		return Billing{}, errors.Wrap(err, "capacity: flush")
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -188,6 +188,6 @@
 		r.printf("service_call=%q per_s=%.3f calculated=%.3f hosts=%d\n",
 			name, float64(r.calls.ByMechanism[name])/r.calls.Seconds, want[name], clusterHosts)
 	}
-	r.printf("service_watches=%d requests=%d seconds=%.1f\n", r.calls.Watching, r.calls.Requests, r.calls.Seconds)
+	r.printf("service_watches=%d requests=%d failed=%d seconds=%.1f error=%v\n", r.calls.Watching, r.calls.Requests, r.calls.Failed, r.calls.Seconds, r.calls.Err)
 	return nil
 }
--- a/internal/capacity/totals.go
+++ b/internal/capacity/totals.go
@@ -22,8 +22,9 @@
 	memberCopies = 7.0
 	// valueText is the growth of a value as base64 in JSON.
 	valueText = 4.0 / 3
-	// pushedValues is how many copies of a changed value a host receives, and
-	// sends, at most.
+	// pulledValues is how many copies of a changed value a host receives, and
+	// sends; pushedValues was it when every push carried the value.
+	pulledValues = 1.0
 	pushedValues = 3.0
 	// blocksKnown is the bound of the prefix index.
 	blocksKnown = 65536
@@ -68,11 +69,13 @@
 	return reads, writes
 }
 
+// endpointsPerVersion holds where each endpoint serves two versions.
+const endpointsPerVersion = Endpoints * 2.0 / versions
+
 // endpointsPerHost is the number of endpoints that a host asks for reports: a
 // subset for each version of endpoints that serve two versions each.
 func endpointsPerHost() float64 {
-	perVersion := float64(Endpoints) * 2 / versions
-	share := min(1, SubsetSize/perVersion)
+	share := min(1.0, SubsetSize/endpointsPerVersion)
 	return Endpoints * (1 - (1-share)*(1-share))
 }
 
@@ -81,9 +84,11 @@
 	changes := changesPerDay / daySeconds
 	value := r.at("config_value_bytes", Endpoints)
 	lists := memberCopies * r.at("members_seconds", Hosts)
-	config := changes * r.at("config_decode_seconds", Endpoints)
+	// Each change is decoded and every version's subset is chosen again.
+	config := changes * (r.at("config_decode_seconds", Endpoints) + versions*r.at("subset_seconds", endpointsPerVersion))
 	core := r.at("heartbeat_core", Hosts) + config + lists
-	bytes := r.at("heartbeat_steady_bytes", Hosts) + 2*pushedValues*changes*value*valueText
+	copyBytes := 2 * changes * value * valueText
+	bytes := r.at("heartbeat_steady_bytes", Hosts) + pulledValues*copyBytes
 	reports := endpointsPerHost() * r.fits["report_seconds"].Intercept
 	// A changed snapshot is held beside the one that it replaces.
 	memory := r.at("heartbeat_memory", Hosts) + 2*r.at("config_memory_bytes", Endpoints) +
@@ -98,8 +103,8 @@
 		// The baseline of the first three is a fleet with the rules of small ones.
 		line("capacity_control_core_share", r.small.CoreShare+config+lists, core, MaxCoreShare),
 		line("capacity_control_core_share_with_engine_reports", r.small.CoreShare+config+lists+reports, core+reports, MaxCoreShare),
-		line("capacity_control_memory_mb", r.small.MemoryBytes*Hosts/50/megabyte, memory/megabyte, MaxMemoryMB),
-		line("capacity_control_kb_per_s", r.small.SteadyBytes()/kilobyte, bytes/kilobyte, MaxKBPerSecond),
+		line("capacity_control_memory_mb", (memory-r.at("heartbeat_memory", Hosts)+r.small.MemoryBytes*Hosts/50)/megabyte, memory/megabyte, MaxMemoryMB),
+		line("capacity_control_kb_per_s", (r.small.SteadyBytes()+pushedValues*copyBytes)/kilobyte, bytes/kilobyte, MaxKBPerSecond),
 		// The baseline of the calls is a fleet of seven hosts.
 		line("capacity_service_writes_per_s", smallWrites, writes, maxWrites),
 		line("capacity_service_reads_per_s", smallReads, reads, maxReads),
