dispatch: keep a hundredth of a suspect version's work, not its square

The other version that took the rest was also chosen although the configuration had it as suspect.

Change: the detector's share applies to versions that the configuration still has as serving; only such a version takes over the rest.

Tests: TestBadVersionLosesExposureAndRecovers and TestRolloutAdvancesSurvivesItsHostAndRollsBack over three hosts. Without this change the first fails: small-2 was not serving again within 60 s. With it both passed, 34 s together with -race.

--- a/dispatch/resolve.go
+++ b/dispatch/resolve.go
@@ -108,6 +108,9 @@
 	if !ok {
 		return "", false
 	}
+	if snap.Versions[picked].State == resource.VersionSuspect {
+		return picked, true // the snapshot has reduced its share already
+	}
 	share := d.Detector.Share(picked, kind)
 	// The hash is mixed once more, because its remainder has chosen the step
 	// of a roll-out already.
@@ -115,7 +118,8 @@
 		return picked, true
 	}
 	for _, v := range slices.Backward(snap.VersionsOf(model)) {
-		if v != picked && snap.MayServe(team, v) && d.Detector.Share(v, kind) >= 1 {
+		serving := snap.Versions[v].State == resource.VersionServing
+		if v != picked && serving && snap.Allowed(team, v) && d.Detector.Share(v, kind) >= 1 {
 			return v, true
 		}
 	}
