daemon: clear a suspect version only on what the holder knows

Cause: a new holder of the role rollouts wrote serving for a suspect version as soon as its own detector had 100 rated answers and no verdict. The answers that others rated before reach a restarted host within a heartbeat or two, also where the verdict arrives later or is remembered by nobody.

Change: a holder clears a version when it has seen it suspect for 5 s, several heartbeats, and either knows the end of the verdict or has seen 100 answers rated since then.

Tests: TestNewHolderClearsOnlyWhatItKnows. With the count of all answers in place of the new ones it fails: cleared a minute later without a verdict.

--- a/daemon/rollouts.go
+++ b/daemon/rollouts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,8 +22,20 @@
 	config   *configurationService
 	detector *rollout.Detector
 	steps    map[string]stepSeen
+	suspects map[string]suspectSeen
 }
 
+// suspectSeen is when this holder first saw a version suspect in the
+// configuration, and the number of rated answers at that time.
+type suspectSeen struct {
+	since time.Time
+	rated uint64
+}
+
+// clearDelay is the time that the other hosts' verdicts need to reach a new
+// holder: several heartbeats.
+const clearDelay = 5 * time.Second
+
 // stepSeen is when this holder first saw a step in force.
 type stepSeen struct {
 	step  int
@@ -75,8 +88,10 @@
 		if state.Suspect {
 			want = resource.VersionSuspect
 		}
-		// Without rated answers here this holder knows too little to clear a version.
-		if v.State == want || (want == resource.VersionServing && state.Rated < rollout.MinRated) {
+		if v.State == resource.VersionServing {
+			delete(s.suspects, r.Name)
+		}
+		if v.State == want || (want == resource.VersionServing && !s.mayClear(r.Name, state.Rated)) {
 			continue
 		}
 		s.opts.Logger.Warn("version "+string(want), "version", r.Name, "rated", state.Rated, "suspicion", state.Suspicion)
@@ -87,6 +102,27 @@
 	return out
 }
 
+// mayClear tells whether this holder knows enough to end a verdict that its
+// detector does not share. It knows the end of the verdict, or, when no host
+// remembers the verdict, has seen MinRated answers since. The answers rated
+// before do not count: they reach a restarted host before the verdict may.
+func (s *rolloutSteward) mayClear(version string, rated uint64) bool {
+	now := s.opts.Clock.Now()
+	seen, ok := s.suspects[version]
+	if !ok {
+		if s.suspects == nil {
+			s.suspects = make(map[string]suspectSeen)
+		}
+		seen = suspectSeen{since: now, rated: rated}
+		s.suspects[version] = seen
+	}
+	if now.Sub(seen.since) < clearDelay {
+		return false
+	}
+	ended := slices.ContainsFunc(s.detector.Verdicts(), func(v rollout.Verdict) bool { return v.Version == version && !v.Suspect })
+	return ended || rated >= seen.rated+rollout.MinRated
+}
+
 // step returns the changed roll-out, or nil if there is nothing to do.
 func (s *rolloutSteward) step(name string, r *resource.Rollout) (*resource.Rollout, error) {
 	state := s.detector.Version(r.To)
--- /dev/null
+++ b/daemon/rollouts_test.go
@@ -0,0 +1,66 @@
+package daemon
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/corianderlever/corianderlever/resource"
+	"github.com/corianderlever/corianderlever/rollout"
+)
+
+// Guards against a new holder that clears a version the other hosts suspect,
+// because it has their answers and not yet their verdict, and against a version
+// that stays suspect after the verdict has ended or is known to nobody.
+func TestNewHolderClearsOnlyWhatItKnows(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	snap, err := resource.NewSnapshot(1, []resource.Resource{
+		{Kind: resource.KindModel, Name: "m", Spec: &resource.Model{}},
+		{Kind: resource.KindVersion, Name: "v", Spec: &resource.Version{Model: "m", State: resource.VersionSuspect}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	newHolder := func() *rolloutSteward {
+		s := &rolloutSteward{
+			opts:     &Options{Clock: clock, Logger: slog.New(slog.DiscardHandler)},
+			detector: rollout.NewDetector(rollout.Config{Host: "new"}, clock),
+		}
+		s.merge(t, 0, 900, 100)
+		return s
+	}
+	check := func(s *rolloutSteward, cleared bool, when string) {
+		t.Helper()
+		if got := len(s.verdicts(snap)) > 0; got != cleared {
+			t.Errorf("%s: cleared=%t, want %t", when, got, cleared)
+		}
+	}
+
+	s := newHolder()
+	check(s, false, "with old answers and no verdict")
+	clock.Advance(time.Minute)
+	check(s, false, "a minute later")
+	s.merge(t, 1, 900, 100)
+	check(s, false, "with the verdict")
+	s.merge(t, 2, 900, 100)
+	check(s, true, "with the end of the verdict")
+
+	s = newHolder()
+	check(s, false, "a second holder at first")
+	clock.Advance(clearDelay)
+	s.merge(t, 0, 900+rollout.MinRated, 100)
+	check(s, true, "with new answers and a verdict that nobody remembers")
+}
+
+// merge takes in the counts and the verdict's epoch from another host.
+func (s *rolloutSteward) merge(t *testing.T, epoch int64, pass, fail uint64) {
+	t.Helper()
+	err := s.detector.Merge(rollout.Summary{Host: "other", Incarnation: 1, Cells: []rollout.SummaryCell{{
+		Version: "v", Kind: "k", Pass: pass, Fail: fail, Epoch: epoch, Suspect: epoch%2 == 1, Fall: 0.4, Reference: 0.9,
+	}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
