Look up one member instead of listing all for each request

Cause: each request copied and sorted the list of members several times and formatted the start time of every member, to find one address and to check that the configuration is fresh. The cost rises with the number of hosts.

Change: Membership.Member finds one record. The host of a process name is cut from the name. Peers' revisions are compared only after a majority was lost; while it is kept the result did not depend on them.

--- a/configstore/configstore.go
+++ b/configstore/configstore.go
@@ -300,11 +300,18 @@
 // heartbeats. A host that keeps it may lag for the moment a change takes.
 func (s *Store) checkGroup() bool {
 	majority := s.opts.Group.HasMajority()
-	behind := slices.ContainsFunc(s.opts.Group.Peers(), func(p Peer) bool {
-		return p.Revision > s.Current().Revision
-	})
+	s.mu.Lock()
+	kept := s.inGroup
+	s.mu.Unlock()
+	// Each request asks, so the peers are only looked at after a loss.
+	regained := majority && !kept && !s.behindPeers()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.inGroup = majority && (s.inGroup || !behind)
+	s.inGroup = majority && (s.inGroup || regained)
 	return s.inGroup
 }
+
+func (s *Store) behindPeers() bool {
+	revision := s.Current().Revision
+	return slices.ContainsFunc(s.opts.Group.Peers(), func(p Peer) bool { return p.Revision > revision })
+}
--- a/daemon/state.go
+++ b/daemon/state.go
@@ -186,23 +186,33 @@
 
 // processName identifies a process: a restarted host has lost its copies.
 func processName(m membership.Member) string {
-	return m.Host + "." + time.Unix(0, m.Started).UTC().Format("20060102T150405.000000")
+	return m.Host + processMark + time.Unix(0, m.Started).UTC().Format(processLayout)
+}
+
+// A process name is the host name, a mark and the start time.
+const (
+	processMark   = "."
+	processLayout = "20060102T150405.000000"
+)
+
+// hostOfProcess returns the host name in a process name.
+func hostOfProcess(process string) string {
+	return process[:max(0, len(process)-len(processMark)-len(processLayout))]
 }
 
 // Pick implements ledger.Replicator: a random live host, in another failure
 // domain if there is one.
 func (s *ledgerService) Pick(not ...string) string {
 	self := s.membership.Self()
-	var near, far []string
+	var near, far []membership.Member
 	for _, m := range s.membership.Members() {
-		name := processName(m)
-		if m.Host == self.Host || m.State != membership.Alive || slices.Contains(not, name) {
+		if m.Host == self.Host || m.State != membership.Alive || len(not) > 0 && slices.Contains(not, processName(m)) {
 			continue
 		}
 		if m.FailureDomain == self.FailureDomain {
-			near = append(near, name)
+			near = append(near, m)
 		} else {
-			far = append(far, name)
+			far = append(far, m)
 		}
 	}
 	if len(far) == 0 {
@@ -213,14 +223,13 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return far[s.rng.IntN(len(far))]
+	return processName(far[s.rng.IntN(len(far))])
 }
 
 func (s *ledgerService) address(process string) (string, error) {
-	for _, m := range s.membership.Members() {
-		if processName(m) == process && m.State.Live() {
-			return m.PeerAddress, nil
-		}
+	m, ok := s.membership.Member(hostOfProcess(process))
+	if ok && m.State.Live() && processName(m) == process {
+		return m.PeerAddress, nil
 	}
 	return "", errors.Newf("daemon: %s is not a live member", process)
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -136,6 +136,13 @@
 	return m.table.Members(m.opts.Clock.Now())
 }
 
+// Member returns the record of one host.
+func (m *Membership) Member(host string) (Member, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Member(m.opts.Clock.Now(), host)
+}
+
 // Self returns the host's own record.
 func (m *Membership) Self() Member {
 	m.mu.Lock()
--- a/membership/table.go
+++ b/membership/table.go
@@ -270,6 +270,18 @@
 	return out
 }
 
+// Member returns the record of one host.
+func (t *Table) Member(now time.Time, host string) (Member, bool) {
+	if host == t.self.Host {
+		return t.viewSelf(now), true
+	}
+	r, ok := t.records[host]
+	if !ok {
+		return Member{}, false
+	}
+	return r.view(now), true
+}
+
 func (t *Table) viewSelf(now time.Time) Member {
 	m := t.self
 	if m.State >= Leaving {
