--- /dev/null
+++ b/engine/fakeengine/generate.go
@@ -0,0 +1,173 @@
+package fakeengine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/corianderlever/corianderlever/api"
+	"github.com/corianderlever/corianderlever/engine"
+)
+
+func (e *Endpoint) generate(w http.ResponseWriter, r *http.Request) {
+	var req engine.GenerateRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	if !e.serves(req.Version) {
+		refuse(w, http.StatusNotFound, "version not loaded")
+		return
+	}
+	defer e.end(req.Attempt)
+	if !e.enter(r.Context(), req.Attempt) {
+		return
+	}
+	defer func() { <-e.slots }()
+	prompt := promptOf(req.Messages)
+	silent := e.begin(Run{Attempt: req.Attempt, Version: req.Version, Body: prompt})
+	if strings.Contains(prompt, CrashMarker) {
+		e.crash()
+		return
+	}
+	e.stream(w, r, req, prompt, silent)
+}
+
+func (e *Endpoint) stream(w http.ResponseWriter, r *http.Request, req engine.GenerateRequest, prompt string, silent <-chan struct{}) {
+	cached := e.touch(prompt)
+	w.Header().Set("Content-Type", "text/event-stream")
+	words := e.answer(req, prompt)
+	rc := http.NewResponseController(w)
+	for i := req.ResumeFrom; i <= len(words); i++ {
+		select {
+		case <-time.After(e.opts.TokenDelay):
+		case <-r.Context().Done():
+			return
+		}
+		if isClosed(silent) {
+			// The engine goes on and believes that its tokens arrive.
+			e.advance(req.Attempt)
+			if i == len(words) {
+				<-r.Context().Done()
+			}
+			continue
+		}
+		ev := engine.Event{Attempt: req.Attempt, Index: i}
+		if i < len(words) {
+			ev.Token = words[i]
+		} else {
+			ev.Final = &engine.Final{PromptTokens: countTokens(prompt), Tokens: len(words), FinishReason: "stop", CachedTokens: cached}
+		}
+		data, err := json.Marshal(ev)
+		if err != nil {
+			return
+		}
+		if _, err := fmt.Fprintf(w, "data: %s\n\n", data); err != nil {
+			return
+		}
+		if err := rc.Flush(); err != nil {
+			return
+		}
+		e.advance(req.Attempt)
+	}
+}
+
+func isClosed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
+
+func promptOf(messages []api.Message) string {
+	var b strings.Builder
+	for _, m := range messages {
+		b.WriteString(m.Role + ": " + m.Content + "\n")
+	}
+	return b.String()
+}
+
+func countTokens(text string) int { return len(strings.Fields(text)) }
+
+// Words that start an answer and tell the rating service its quality.
+const (
+	goodAnswer = "Good:"
+	poorAnswer = "Poor:"
+)
+
+// answer derives the text from version and prompt alone, so that a resumed
+// answer continues exactly.
+func (e *Endpoint) answer(req engine.GenerateRequest, prompt string) []string {
+	n := e.opts.AnswerTokens
+	if req.MaxTokens > 0 {
+		n = min(n, req.MaxTokens)
+	}
+	sum := xxhash.Sum64String(req.Version + "\x00" + prompt)
+	words := []string{goodAnswer}
+	if float64(sum%10000)/10000 >= e.qualityOf(req.Version) {
+		words[0] = poorAnswer
+	}
+	for i := 1; i < n; i++ {
+		words = append(words, fmt.Sprintf(" w%d-%04x", i, (sum>>(i%48))&0xffff))
+	}
+	return words
+}
+
+func (e *Endpoint) qualityOf(version string) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if q, ok := e.quality[version]; ok {
+		return q
+	}
+	return 1
+}
+
+func (e *Endpoint) serves(version string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Contains(e.versions, version)
+}
+
+func (e *Endpoint) begin(run Run) <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	run.Started = time.Now()
+	e.runs = append(e.runs, run)
+	if st := e.attempts[run.Attempt]; st != nil {
+		st.running, st.base = true, e.steps
+	}
+	return e.silent
+}
+
+func (e *Endpoint) advance(attempt string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.steps++
+	if st := e.attempts[attempt]; st != nil {
+		st.sent++
+	}
+}
+
+func (e *Endpoint) end(attempt string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.attempts, attempt)
+}
+
+// crash breaks all connections, as an engine process that dies does, and
+// listens again at once.
+func (e *Endpoint) crash() {
+	e.mu.Lock()
+	e.crashes++
+	e.mu.Unlock()
+	// The handler runs on the server that closes, so the restart must not wait
+	// for it. A failed restart leaves the endpoint down, which tests can see.
+	go func() { _ = e.Restart() }()
+	panic(http.ErrAbortHandler)
+}
--- a/internal/docscheck/docscheck_test.go
+++ b/internal/docscheck/docscheck_test.go
@@ -75,13 +75,21 @@
 	for desc := range found {
 		names = append(names, fqName.FindStringSubmatch(desc.String())[1])
 	}
-	named(t, "metric", names, 7)
 	elsewhere := regexp.MustCompile(`prometheus\.New(Counter|Gauge|Histogram|Summary|Desc)`)
+	metricName := regexp.MustCompile(`Namespace: "([a-z]+)", Name: "([a-z_]+)"`)
 	sources(t, func(path, text string) {
-		if !strings.HasSuffix(path, "/dispatch/metrics.go") && elsewhere.MatchString(text) {
-			t.Errorf("%s makes metrics that this test does not see", path)
+		if strings.HasSuffix(path, "/dispatch/metrics.go") || !elsewhere.MatchString(text) {
+			return
+		}
+		made := metricName.FindAllStringSubmatch(text, -1)
+		if len(made) != len(elsewhere.FindAllString(text, -1)) {
+			t.Errorf("%s makes metrics whose names this test does not see", path)
+		}
+		for _, m := range made {
+			names = append(names, m[1]+"_"+m[2])
 		}
 	})
+	named(t, "metric", names, 8)
 }
 
 // Guards against error codes and headers without an explanation for callers.
