--- a/limiter/marks.go
+++ b/limiter/marks.go
@@ -15,6 +15,9 @@
 	// maxFresh bounds the marks of one message that changed lately. At about 60
 	// bytes a mark it covers the requests of several crashed endpoints.
 	maxFresh = 128
+	// MaxMarksBytes bounds one message. Heartbeats drop a signal of more than
+	// 8 KiB as a whole, and then no mark would spread.
+	MaxMarksBytes = 8000
 	// maxOlder is the number of other marks in a message, taken in rotation for
 	// hosts that have started since: below 400 bytes.
 	maxOlder = 6
@@ -46,7 +49,19 @@
 	}
 	slices.SortFunc(fresh, compareMark)
 	fresh = fresh[:min(len(fresh), maxFresh)]
-	return json.Marshal(append(fresh, g.rotate(older)...))
+	return encodeMarks(fresh, g.rotate(older))
+}
+
+// encodeMarks leaves out the last fresh marks until the message is small
+// enough; they go with a later one.
+func encodeMarks(fresh, older []mark) (json.RawMessage, error) {
+	for {
+		data, err := json.Marshal(slices.Concat(fresh, older))
+		if err != nil || len(data) <= MaxMarksBytes || len(fresh) == 0 {
+			return data, errors.Wrap(err, "limiter: encode crash marks")
+		}
+		fresh = fresh[:len(fresh)*3/4]
+	}
 }
 
 // rotate returns the next few marks in the order of their hashes.
