client: wait less for the entry list and forget old addresses

Cause: all requests of a client wait while it asks a silent address for the entry list, up to 2 s for each; the list of avoided addresses grew with replaced hosts; a caller that left made a healthy address avoided. Change: 500 ms for each address, expired entries removed, no verdict after the caller's own cancellation.

--- a/client/entries.go
+++ b/client/entries.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -14,8 +15,9 @@
 )
 
 const (
-	// entriesTimeout bounds one request for the entry list.
-	entriesTimeout = 2 * time.Second
+	// entriesTimeout bounds one request for the entry list. Requests wait for
+	// it, and hosts are a few milliseconds away.
+	entriesTimeout = 500 * time.Millisecond
 	// avoidFor is the time for which an address that failed is not used.
 	avoidFor = 3 * time.Second
 )
@@ -100,11 +102,15 @@
 	}
 	rand.Shuffle(len(ask), func(i, j int) { ask[i], ask[j] = ask[j], ask[i] })
 	ask = append(ask, l.opts.Seeds...)
+	maps.DeleteFunc(l.avoid, func(_ string, until time.Time) bool { return now.After(until) })
 	for _, addr := range ask {
 		if now.Before(l.avoid[addr]) {
 			continue
 		}
 		resp, err := l.fetch(ctx, addr)
+		if ctx.Err() != nil {
+			return // the caller has left, which says nothing about the address
+		}
 		if err != nil || len(resp.Entries) == 0 {
 			l.avoid[addr] = now.Add(avoidFor)
 			continue
