Use the terms of the field for the endpoint pool, the roll-out manager and the maintenance role

Cause: on reading, Fleet meant endpoints in one package and hosts in another; steward, household and minute guard were names of our own; services looked each other up in five different ways. Change: renames, kernel.Bind everywhere, strings.Compare in place of a function of our own. Conclusion: no behaviour changed.

--- a/daemon/allowance.go
+++ b/daemon/allowance.go
@@ -7,15 +7,15 @@
 	"github.com/corianderlever/corianderlever/dispatch"
 )
 
-// minuteGuard implements dispatch.Allowance.
-type minuteGuard struct {
+// allowanceAdapter implements dispatch.Allowance.
+type allowanceAdapter struct {
 	signals *signalService
 }
 
-var _ dispatch.Allowance = (*minuteGuard)(nil)
+var _ dispatch.Allowance = (*allowanceAdapter)(nil)
 
 // Decide asks the controller of this host.
-func (g *minuteGuard) Decide(req dispatch.AllowanceRequest) dispatch.AllowanceDecision {
+func (g *allowanceAdapter) Decide(req dispatch.AllowanceRequest) dispatch.AllowanceDecision {
 	s := g.signals
 	if !s.hasTerms.Load() {
 		return dispatch.AllowanceDecision{Admit: true, PriceMultiplier: 1, Reason: "no terms", Settle: func(float64) {}}
--- a/daemon/base.go
+++ b/daemon/base.go
@@ -27,7 +27,6 @@
 	serviceConfiguration = "configuration"
 	serviceLedger        = "ledger"
 	serviceClaims        = "claims"
-	serviceFleet         = "fleet"
 	serviceRoles         = "roles"
 	serviceDispatch      = "dispatch"
 	serviceEntry         = "entry"
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/corianderlever/corianderlever/allowance"
 	"github.com/corianderlever/corianderlever/balance"
 	"github.com/corianderlever/corianderlever/dispatch"
@@ -25,7 +27,7 @@
 	config     *configurationService
 	signals    *signalService
 	engines    *engine.Client
-	fleet      *dispatch.Fleet
+	pool       *dispatch.EndpointPool
 	// newConfig holds the newest snapshot that is not yet applied.
 	newConfig chan *resource.Snapshot
 }
@@ -37,25 +39,19 @@
 
 // Provision builds the dispatcher.
 func (s *dispatchService) Provision(k *kernel.Kernel) error {
-	var err error
-	if s.membership, err = kernel.Lookup[*membershipService](k, serviceMembership); err != nil {
-		return err
-	}
-	if s.config, err = kernel.Lookup[*configurationService](k, serviceConfiguration); err != nil {
-		return err
-	}
-	if s.signals, err = kernel.Lookup[*signalService](k, serviceSignals); err != nil {
-		return err
-	}
-	certs, err := kernel.Lookup[*certsService](k, serviceCerts)
-	if err != nil {
-		return err
-	}
-	ledgers, err := kernel.Lookup[*ledgerService](k, serviceLedger)
-	if err != nil {
-		return err
-	}
-	claims, err := kernel.Lookup[*claimsService](k, serviceClaims)
+	var (
+		certs   *certsService
+		ledgers *ledgerService
+		claims  *claimsService
+	)
+	err := errors.Join(
+		kernel.Bind(k, serviceMembership, &s.membership),
+		kernel.Bind(k, serviceConfiguration, &s.config),
+		kernel.Bind(k, serviceSignals, &s.signals),
+		kernel.Bind(k, serviceCerts, &certs),
+		kernel.Bind(k, serviceLedger, &ledgers),
+		kernel.Bind(k, serviceClaims, &claims),
+	)
 	if err != nil {
 		return err
 	}
@@ -65,14 +61,14 @@
 	}
 	s.newConfig = make(chan *resource.Snapshot, 1)
 	s.engines = newEngines(s.opts, certs)
-	s.fleet = dispatch.NewFleet(s.opts.Clock, s.opts.newRand(), s.opts.Settings.FailureDomain, s.signals.setSlots)
+	s.pool = dispatch.NewEndpointPool(s.opts.Clock, s.opts.newRand(), s.opts.Settings.FailureDomain, s.signals.setSlots)
 	s.signals.handleProbation()
 	s.Dispatcher = dispatch.New(dispatch.Options{
-		Config: s.config.Store, Engines: s.engines, Signer: signer, Fleet: s.fleet,
+		Config: s.config.Store, Engines: s.engines, Signer: signer, Pool: s.pool,
 		Chooser: s.signals.chooser, Detector: s.signals.detector, Queue: s.signals.queue,
 		Retries: limiter.NewRetryBudget(s.opts.Clock), Crashes: s.signals.crashes, Prober: s.signals,
 		Ledger: ledgers.Ledger, Claims: claims, Rater: newRater(s.opts, certs),
-		Allowance: &minuteGuard{signals: s.signals}, Demand: s.signals.demand,
+		Allowance: &allowanceAdapter{signals: s.signals}, Demand: s.signals.demand,
 		Clock: s.opts.Clock, Logger: s.opts.Logger, Registry: s.opts.Registry,
 	})
 	s.config.Subscribe(s.offer)
@@ -166,7 +162,7 @@
 	s.signals.hasTerms.Store(snap.Terms.PeakPrice > 0)
 	s.declareVersions(snap)
 	use := s.subset(snap)
-	s.fleet.ApplyConfig(snap, func(name string) bool { return use[name] })
+	s.pool.ApplyConfig(snap, func(name string) bool { return use[name] })
 	s.opts.Logger.Info("configuration in force", "revision", snap.Revision, "resources", len(snap.Resources()))
 }
 
@@ -224,12 +220,12 @@
 func (s *dispatchService) followEndpoints(ctx context.Context) error {
 	sequence := make(map[string]int64)
 	return every(ctx, s.opts.Clock, reportInterval, func() {
-		s.fleet.Refresh()
+		s.pool.Refresh()
 		type result struct {
 			name   string
 			events []engine.CacheEvent
 		}
-		addresses := s.fleet.Addresses()
+		addresses := s.pool.Addresses()
 		results := make(chan result, len(addresses))
 		for name, addr := range addresses {
 			after := sequence[name]
@@ -252,7 +248,7 @@
 		s.opts.Logger.Debug("no load report", "endpoint", name, "error", err)
 		return nil
 	}
-	s.fleet.ObserveLoad(name, report)
+	s.pool.ObserveLoad(name, report)
 	if len(report.Versions) == 0 {
 		return nil
 	}
@@ -261,6 +257,6 @@
 		s.opts.Logger.Debug("no cache events", "endpoint", name, "error", err)
 		return nil
 	}
-	s.fleet.ObserveCache(name, events)
+	s.pool.ObserveCache(name, events)
 	return events
 }
--- a/daemon/roles.go
+++ b/daemon/roles.go
@@ -17,18 +17,19 @@
 
 // Names of the roles that one host holds at a time.
 const (
-	roleRollouts  = "rollouts"
-	roleAllocator = "allocator"
-	rolePlacement = "placement"
-	roleHousehold = "housekeeping"
+	roleRollouts    = "rollouts"
+	roleAllocator   = "allocator"
+	rolePlacement   = "placement"
+	roleMaintenance = "maintenance"
 )
 
 // Periods of the roles' work.
 const (
-	rolloutInterval   = time.Second
-	allocateInterval  = time.Second
-	foldInterval      = 5 * time.Minute
-	claimSweepEveryth = 12 // folds between two sweeps of old claims, an hour
+	rolloutInterval  = time.Second
+	allocateInterval = time.Second
+	foldInterval     = 5 * time.Minute
+	// foldsPerSweep makes an hour between two sweeps of old claims.
+	foldsPerSweep = 12
 )
 
 // methodGrant hands units of the running minute to a host.
@@ -42,7 +43,7 @@
 	signals *signalService
 	claims  *claimsService
 	engines *engine.Client
-	steps   *rolloutSteward
+	steps   *rolloutManager
 
 	allocator *lease.Holder
 }
@@ -58,21 +59,18 @@
 	if s.basics, err = lookupBasics(k); err != nil {
 		return err
 	}
-	if s.config, err = kernel.Lookup[*configurationService](k, serviceConfiguration); err != nil {
-		return err
-	}
-	if s.signals, err = kernel.Lookup[*signalService](k, serviceSignals); err != nil {
-		return err
-	}
-	if s.claims, err = kernel.Lookup[*claimsService](k, serviceClaims); err != nil {
-		return err
-	}
-	d, err := kernel.Lookup[*dispatchService](k, serviceDispatch)
+	var d *dispatchService
+	err = errors.Join(
+		kernel.Bind(k, serviceConfiguration, &s.config),
+		kernel.Bind(k, serviceSignals, &s.signals),
+		kernel.Bind(k, serviceClaims, &s.claims),
+		kernel.Bind(k, serviceDispatch, &d),
+	)
 	if err != nil {
 		return err
 	}
 	s.engines = d.engines
-	s.steps = &rolloutSteward{opts: s.opts, config: s.config, detector: s.signals.detector}
+	s.steps = &rolloutManager{opts: s.opts, config: s.config, detector: s.signals.detector}
 	s.peers.server.Handle(methodGrant, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
 		var g allowance.Grant
 		if err := json.Unmarshal(params, &g); err != nil {
@@ -104,12 +102,12 @@
 	s.run.start("placement of versions", func(ctx context.Context) error {
 		return every(ctx, s.opts.Clock, placementInterval, func() { placer.act(ctx) })
 	})
-	household := s.holder(roleHousehold)
+	maintenance := s.holder(roleMaintenance)
 	s.run.start("folding", func(ctx context.Context) error {
 		n := 0
 		return every(ctx, s.opts.Clock, foldInterval, func() {
 			n++
-			s.guarded(ctx, household, func(ctx context.Context, _ int64) error { return s.keepHouse(ctx, n) })
+			s.guarded(ctx, maintenance, func(ctx context.Context, _ int64) error { return s.maintain(ctx, n) })
 		})
 	})
 	return nil
@@ -126,12 +124,12 @@
 	}
 }
 
-// keepHouse folds old minutes of the ledger and removes old claims.
-func (s *rolesService) keepHouse(ctx context.Context, n int) error {
+// maintain folds old minutes of the ledger and removes old claims.
+func (s *rolesService) maintain(ctx context.Context, n int) error {
 	if err := ledger.Fold(ctx, s.platform.kv, s.opts.Clock.Now()); err != nil {
 		return err
 	}
-	if n%claimSweepEveryth == 0 {
+	if n%foldsPerSweep == 0 {
 		return s.claims.Sweep(ctx)
 	}
 	return nil
--- a/daemon/rollouts.go
+++ b/daemon/rollouts.go
@@ -15,9 +15,9 @@
 // systemAuthor is the author of changes that the system makes itself.
 const systemAuthor = "corianderlever"
 
-// rolloutSteward moves roll-outs and writes verdicts on versions into the
+// rolloutManager moves roll-outs and writes verdicts on versions into the
 // configuration. Its own state only delays: a new holder waits a step's time again.
-type rolloutSteward struct {
+type rolloutManager struct {
 	opts     *Options
 	config   *configurationService
 	detector *rollout.Detector
@@ -45,7 +45,7 @@
 }
 
 // act makes at most one change; the next round sees its result.
-func (s *rolloutSteward) act(ctx context.Context, _ int64) error {
+func (s *rolloutManager) act(ctx context.Context, _ int64) error {
 	snap := s.config.Current()
 	set := s.verdicts(snap)
 	for _, r := range snap.Resources() {
@@ -76,7 +76,7 @@
 }
 
 // verdicts returns the versions whose state differs from the detector's.
-func (s *rolloutSteward) verdicts(snap *resource.Snapshot) []resource.Resource {
+func (s *rolloutManager) verdicts(snap *resource.Snapshot) []resource.Resource {
 	var out []resource.Resource
 	for _, r := range snap.Resources() {
 		v, ok := r.Spec.(*resource.Version)
@@ -106,7 +106,7 @@
 // detector does not share. It knows the end of the verdict, or, when no host
 // remembers the verdict, has seen MinRated answers since. The answers rated
 // before do not count: they reach a restarted host before the verdict may.
-func (s *rolloutSteward) mayClear(version string, rated uint64) bool {
+func (s *rolloutManager) mayClear(version string, rated uint64) bool {
 	now := s.opts.Clock.Now()
 	seen, ok := s.suspects[version]
 	if !ok {
@@ -124,7 +124,7 @@
 }
 
 // step returns the changed roll-out, or nil if there is nothing to do.
-func (s *rolloutSteward) step(name string, r *resource.Rollout) (*resource.Rollout, error) {
+func (s *rolloutManager) step(name string, r *resource.Rollout) (*resource.Rollout, error) {
 	state := s.detector.Version(r.To)
 	seen := s.seen(name, r.Step, state.Rated)
 	spec := rollout.Spec{Steps: r.Steps, StepDuration: r.StepDuration.D(), Step: r.Step, Phase: rollout.Phase(r.State)}
@@ -141,7 +141,7 @@
 	return &changed, nil
 }
 
-func (s *rolloutSteward) seen(name string, step int, rated uint64) stepSeen {
+func (s *rolloutManager) seen(name string, step int, rated uint64) stepSeen {
 	if s.steps == nil {
 		s.steps = make(map[string]stepSeen)
 	}
--- a/daemon/rollouts_test.go
+++ b/daemon/rollouts_test.go
@@ -23,15 +23,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	newHolder := func() *rolloutSteward {
-		s := &rolloutSteward{
+	newHolder := func() *rolloutManager {
+		s := &rolloutManager{
 			opts:     &Options{Clock: clock, Logger: slog.New(slog.DiscardHandler)},
 			detector: rollout.NewDetector(rollout.Config{Host: "new"}, clock),
 		}
 		s.merge(t, 0, 900, 100)
 		return s
 	}
-	check := func(s *rolloutSteward, cleared bool, when string) {
+	check := func(s *rolloutManager, cleared bool, when string) {
 		t.Helper()
 		if got := len(s.verdicts(snap)) > 0; got != cleared {
 			t.Errorf("%s: cleared=%t, want %t", when, got, cleared)
@@ -55,7 +55,7 @@
 }
 
 // merge takes in the counts and the verdict's epoch from another host.
-func (s *rolloutSteward) merge(t *testing.T, epoch int64, pass, fail uint64) {
+func (s *rolloutManager) merge(t *testing.T, epoch int64, pass, fail uint64) {
 	t.Helper()
 	err := s.detector.Merge(rollout.Summary{Host: "other", Incarnation: 1, Cells: []rollout.SummaryCell{{
 		Version: "v", Kind: "k", Pass: pass, Fail: fail, Epoch: epoch, Suspect: epoch%2 == 1, Fall: 0.4, Reference: 0.9,
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -107,7 +107,7 @@
 // acquire waits for a place and then checks the configuration again, because
 // the version may have been withdrawn meanwhile.
 func (a *attempts) acquire(ctx context.Context, exclude []string) (*place, error) {
-	p, err := a.d.Fleet.acquire(ctx, a.version, prefixBlocks(a.req.Body.Messages), exclude, a.hash)
+	p, err := a.d.Pool.acquire(ctx, a.version, prefixBlocks(a.req.Body.Messages), exclude, a.hash)
 	if err != nil {
 		if errors.Is(err, balance.ErrNoEndpoint) {
 			return nil, refusal(http.StatusServiceUnavailable, api.CodeUnavailable, "no endpoint serves version %q", a.version)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -82,7 +82,7 @@
 	Chooser  *cascade.Chooser
 	Detector *rollout.Detector
 	Queue    *admission.Queue
-	Fleet    *Fleet
+	Pool     *EndpointPool
 	Retries  *limiter.RetryBudget
 	Crashes  *limiter.CrashGuard
 	Prober   Prober
--- a/dispatch/engines_test.go
+++ b/dispatch/engines_test.go
@@ -14,7 +14,7 @@
 // report was taken for no report at all.
 func TestEngineWithoutVersionsGetsNoWork(t *testing.T) {
 	r := newRig(t, 2)
-	r.fleet.ObserveLoad("engine-a", engine.LoadReport{})
+	r.pool.ObserveLoad("engine-a", engine.LoadReport{})
 	for range 8 {
 		if _, err := r.client.Chat(context.Background(), client.Request{}, chat("small", "x")); err != nil {
 			t.Fatal(err)
--- a/dispatch/fleet.go
+++ b/dispatch/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,9 +20,9 @@
 // declared concurrency.
 const maxLimitFactor = 2
 
-// Fleet is what one host knows of the endpoints it uses. It is safe for
+// EndpointPool is what one host knows of the endpoints it uses. It is safe for
 // concurrent use.
-type Fleet struct {
+type EndpointPool struct {
 	clock   clockwork.Clock
 	picker  *balance.Picker
 	ejector *limiter.Ejector
@@ -50,12 +51,12 @@
 	blamed bool
 }
 
-// NewFleet returns a fleet without endpoints. onCapacity may be nil.
-func NewFleet(clock clockwork.Clock, random *rand.Rand, failureDomain string, onCapacity func(float64)) *Fleet {
+// NewEndpointPool returns a pool without endpoints. onCapacity may be nil.
+func NewEndpointPool(clock clockwork.Clock, random *rand.Rand, failureDomain string, onCapacity func(float64)) *EndpointPool {
 	if onCapacity == nil {
 		onCapacity = func(float64) {}
 	}
-	return &Fleet{
+	return &EndpointPool{
 		clock:      clock,
 		picker:     balance.NewPicker(clock, random, balance.DefaultConfig(failureDomain)),
 		ejector:    limiter.NewEjector(clock),
@@ -71,23 +72,23 @@
 
 // ApplyConfig takes over the endpoints of a configuration; use selects those
 // of this host's subset.
-func (f *Fleet) ApplyConfig(snap *resource.Snapshot, use func(name string) bool) {
-	f.mu.Lock()
+func (ep *EndpointPool) ApplyConfig(snap *resource.Snapshot, use func(name string) bool) {
+	ep.mu.Lock()
 	next := make(map[string]*endpointState)
 	for name, spec := range snap.Endpoints {
 		if spec.State == resource.EndpointLeaving || !use(name) {
 			continue
 		}
-		st := f.endpoints[name]
+		st := ep.endpoints[name]
 		if st == nil || st.spec.Address != spec.Address || st.spec.Concurrency != spec.Concurrency {
-			st = &endpointState{running: make(map[string]*runningAttempt), limit: newLimit(f.clock, spec)}
+			st = &endpointState{running: make(map[string]*runningAttempt), limit: newLimit(ep.clock, spec)}
 		}
 		st.spec = spec
 		next[name] = st
 	}
-	f.endpoints = next
-	f.mu.Unlock()
-	f.Refresh()
+	ep.endpoints = next
+	ep.mu.Unlock()
+	ep.Refresh()
 }
 
 func newLimit(clock clockwork.Clock, spec *resource.Endpoint) *limiter.Concurrency {
@@ -99,12 +100,12 @@
 // Refresh hands the usable endpoints to the parts that choose among them. It
 // is called every second as well, because limits move and an ejected endpoint
 // returns with time.
-func (f *Fleet) Refresh() {
-	f.mu.Lock()
+func (ep *EndpointPool) Refresh() {
+	ep.mu.Lock()
 	var list []balance.Endpoint
 	var names []string
 	capacity := 0
-	for name, st := range f.endpoints {
+	for name, st := range ep.endpoints {
 		if st.leaving {
 			continue
 		}
@@ -114,26 +115,16 @@
 		names = append(names, name)
 		capacity += st.limit.Limit()
 	}
-	f.mu.Unlock()
-	slices.SortFunc(list, func(a, b balance.Endpoint) int { return cmpString(a.ID, b.ID) })
+	ep.mu.Unlock()
+	slices.SortFunc(list, func(a, b balance.Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	slices.Sort(names)
-	f.picker.SetEndpoints(list)
-	f.ejector.SetEndpoints(names)
+	ep.picker.SetEndpoints(list)
+	ep.ejector.SetEndpoints(names)
 	for _, name := range names {
-		f.picker.SetWeight(name, f.ejector.Weight(name))
+		ep.picker.SetWeight(name, ep.ejector.Weight(name))
 	}
-	f.onCapacity(float64(capacity))
-	f.notify()
-}
-
-func cmpString(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
+	ep.onCapacity(float64(capacity))
+	ep.notify()
 }
 
 // versions are the declared ones that the engine has loaded.
@@ -148,37 +139,37 @@
 }
 
 // Addresses returns the addresses of all endpoints in use by name.
-func (f *Fleet) Addresses() map[string]string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+func (ep *EndpointPool) Addresses() map[string]string {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
 	out := make(map[string]string)
-	for name, st := range f.endpoints {
+	for name, st := range ep.endpoints {
 		out[name] = st.spec.Address
 	}
 	return out
 }
 
 // ObserveLoad takes in a load report.
-func (f *Fleet) ObserveLoad(name string, r engine.LoadReport) {
-	at := f.clock.Now().Add(-time.Duration(r.AgeMS) * time.Millisecond)
+func (ep *EndpointPool) ObserveLoad(name string, r engine.LoadReport) {
+	at := ep.clock.Now().Add(-time.Duration(r.AgeMS) * time.Millisecond)
 	if r.Versions == nil {
 		r.Versions = []string{} // reported as none, unlike an engine without a report
 	}
-	f.picker.ObserveReport(balance.Report{Endpoint: name, At: at, Running: r.Running, Waiting: r.Waiting})
-	f.mu.Lock()
-	st := f.endpoints[name]
+	ep.picker.ObserveReport(balance.Report{Endpoint: name, At: at, Running: r.Running, Waiting: r.Waiting})
+	ep.mu.Lock()
+	st := ep.endpoints[name]
 	changed := st != nil && (st.loaded == nil || st.leaving != r.Leaving || !slices.Equal(st.loaded, r.Versions))
 	if changed {
 		st.leaving, st.loaded = r.Leaving, r.Versions
 	}
-	f.mu.Unlock()
+	ep.mu.Unlock()
 	if changed {
-		f.Refresh()
+		ep.Refresh()
 	}
 }
 
 // ObserveCache takes in cache events of an endpoint.
-func (f *Fleet) ObserveCache(name string, events []engine.CacheEvent) {
+func (ep *EndpointPool) ObserveCache(name string, events []engine.CacheEvent) {
 	for _, ev := range events {
 		out := balance.CacheEvent{Endpoint: name, Sequence: uint64(ev.Sequence)}
 		if ev.Evicted {
@@ -186,20 +177,20 @@
 		} else {
 			out.Added = []uint64{ev.Block}
 		}
-		f.picker.ObserveCacheEvent(out)
+		ep.picker.ObserveCacheEvent(out)
 	}
 }
 
-func (f *Fleet) notify() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	close(f.freed)
-	f.freed = make(chan struct{})
+func (ep *EndpointPool) notify() {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	close(ep.freed)
+	ep.freed = make(chan struct{})
 }
 
 // place is the right to run one attempt at an endpoint.
 type place struct {
-	fleet    *Fleet
+	pool     *EndpointPool
 	state    *endpointState
 	endpoint string
 	addr     string
@@ -210,12 +201,12 @@
 }
 
 // acquire chooses an endpoint with a free place and waits if all are full.
-func (f *Fleet) acquire(ctx context.Context, version string, prefix []uint64, exclude []string, hash limiter.Hash) (*place, error) {
+func (ep *EndpointPool) acquire(ctx context.Context, version string, prefix []uint64, exclude []string, hash limiter.Hash) (*place, error) {
 	for {
-		f.mu.Lock()
-		freed := f.freed
-		f.mu.Unlock()
-		p, full, err := f.tryAcquire(version, prefix, exclude, hash)
+		ep.mu.Lock()
+		freed := ep.freed
+		ep.mu.Unlock()
+		p, full, err := ep.tryAcquire(version, prefix, exclude, hash)
 		if err == nil {
 			return p, nil
 		}
@@ -231,35 +222,35 @@
 }
 
 // tryAcquire reports full when an endpoint exists but has no free place.
-func (f *Fleet) tryAcquire(version string, prefix []uint64, exclude []string, hash limiter.Hash) (p *place, full bool, err error) {
+func (ep *EndpointPool) tryAcquire(version string, prefix []uint64, exclude []string, hash limiter.Hash) (p *place, full bool, err error) {
 	exclude = slices.Clone(exclude)
 	for {
-		choice, err := f.picker.Pick(balance.Request{Version: version, Prefix: prefix, Exclude: exclude})
+		choice, err := ep.picker.Pick(balance.Request{Version: version, Prefix: prefix, Exclude: exclude})
 		if err != nil {
 			return nil, full, err
 		}
-		f.mu.Lock()
-		st := f.endpoints[choice.Endpoint]
-		f.mu.Unlock()
+		ep.mu.Lock()
+		st := ep.endpoints[choice.Endpoint]
+		ep.mu.Unlock()
 		if st == nil || !st.limit.TryAcquire() {
 			full = full || st != nil
 			exclude = append(exclude, choice.Endpoint)
 			continue
 		}
-		return f.start(choice, st, prefix, hash), false, nil
+		return ep.start(choice, st, prefix, hash), false, nil
 	}
 }
 
-func (f *Fleet) start(choice balance.Choice, st *endpointState, prefix []uint64, hash limiter.Hash) *place {
+func (ep *EndpointPool) start(choice balance.Choice, st *endpointState, prefix []uint64, hash limiter.Hash) *place {
 	p := &place{
-		fleet: f, state: st, endpoint: choice.Endpoint, reason: choice.Reason,
-		cached: choice.Cached, attempt: newAttempt(), started: f.clock.Now(),
+		pool: ep, state: st, endpoint: choice.Endpoint, reason: choice.Reason,
+		cached: choice.Cached, attempt: newAttempt(), started: ep.clock.Now(),
 	}
-	f.picker.Started(choice.Endpoint, prefix)
-	f.mu.Lock()
+	ep.picker.Started(choice.Endpoint, prefix)
+	ep.mu.Lock()
 	p.addr = st.spec.Address
 	st.running[p.attempt] = &runningAttempt{hash: hash}
-	f.mu.Unlock()
+	ep.mu.Unlock()
 	return p
 }
 
@@ -267,23 +258,23 @@
 func (p *place) done(outcome limiter.Outcome, firstToken time.Duration) {
 	took := time.Duration(0)
 	if outcome == limiter.OutcomeOK {
-		took = p.fleet.clock.Since(p.started)
+		took = p.pool.clock.Since(p.started)
 	}
 	p.state.limit.Release(firstToken, outcome)
-	p.fleet.picker.Finished(p.endpoint, took)
-	p.fleet.ejector.Report(p.endpoint, outcome)
-	p.fleet.picker.SetWeight(p.endpoint, p.fleet.ejector.Weight(p.endpoint))
-	p.fleet.mu.Lock()
+	p.pool.picker.Finished(p.endpoint, took)
+	p.pool.ejector.Report(p.endpoint, outcome)
+	p.pool.picker.SetWeight(p.endpoint, p.pool.ejector.Weight(p.endpoint))
+	p.pool.mu.Lock()
 	delete(p.state.running, p.attempt)
-	p.fleet.mu.Unlock()
-	p.fleet.notify()
+	p.pool.mu.Unlock()
+	p.pool.notify()
 }
 
 // crashed returns the hashes that ran on the endpoint when the attempt was
 // lost, and false if an attempt lost earlier has already reported this crash.
 func (p *place) crashed() ([]limiter.Hash, bool) {
-	p.fleet.mu.Lock()
-	defer p.fleet.mu.Unlock()
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
 	own := p.state.running[p.attempt]
 	if own == nil || own.blamed {
 		return nil, false
--- a/dispatch/fleet_race_test.go
+++ b/dispatch/pool_race_test.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := NewFleet(clockwork.NewRealClock(), rand.New(rand.NewPCG(1, 1)), "a", nil)
+	f := NewEndpointPool(clockwork.NewRealClock(), rand.New(rand.NewPCG(1, 1)), "a", nil)
 	f.ApplyConfig(snap, func(string) bool { return true })
 	var wg sync.WaitGroup
 	for range 4 {
--- a/dispatch/fleet_test.go
+++ b/dispatch/pool_test.go
@@ -12,7 +12,7 @@
 	"github.com/corianderlever/corianderlever/resource"
 )
 
-func testFleet(t *testing.T, clock clockwork.Clock, endpoints ...string) *Fleet {
+func testPool(t *testing.T, clock clockwork.Clock, endpoints ...string) *EndpointPool {
 	t.Helper()
 	list := []resource.Resource{{Kind: resource.KindService, Name: "s", Spec: new(resource.Service)}}
 	for _, name := range endpoints {
@@ -24,13 +24,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := NewFleet(clock, rand.New(rand.NewPCG(1, 1)), "a", nil)
+	f := NewEndpointPool(clock, rand.New(rand.NewPCG(1, 1)), "a", nil)
 	f.ApplyConfig(snap, func(string) bool { return true })
 	return f
 }
 
 // chosen counts which endpoints get the next requests.
-func chosen(t *testing.T, f *Fleet, requests int) map[string]int {
+func chosen(t *testing.T, f *EndpointPool, requests int) map[string]int {
 	t.Helper()
 	out := make(map[string]int)
 	for range requests {
@@ -48,7 +48,7 @@
 // answers used to update its weight, and it got no requests.
 func TestEjectedEndpointReturns(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	f := testFleet(t, clock, "bad", "good", "other", "third")
+	f := testPool(t, clock, "bad", "good", "other", "third")
 	for f.ejector.Allowed("bad") {
 		p, err := f.acquire(context.Background(), ServiceVersion("s"), nil, []string{"good", "other", "third"}, 0)
 		if err != nil {
@@ -68,7 +68,7 @@
 
 // Guards against waiters that sleep on after a place has become free.
 func TestWaiterGetsTheFreedPlace(t *testing.T) {
-	f := testFleet(t, clockwork.NewRealClock(), "only")
+	f := testPool(t, clockwork.NewRealClock(), "only")
 	first, err := f.acquire(context.Background(), ServiceVersion("s"), nil, nil, 0)
 	if err != nil {
 		t.Fatal(err)
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -56,7 +56,7 @@
 	endpoints *demo.Endpoints
 	config    *fixedConfig
 	resources []resource.Resource
-	fleet     *dispatch.Fleet
+	pool      *dispatch.EndpointPool
 	d         *dispatch.Dispatcher
 	ledger    *ledger.Ledger
 	kv        *memkv.Faulty
@@ -83,14 +83,14 @@
 	}
 	r.kv = memkv.NewFaulty(memkv.New(clock), clock)
 	queue := admission.New(clock, admission.DefaultLimits, "host", 1)
-	r.fleet = dispatch.NewFleet(clock, rng(), demo.FailureDomain(0), queue.SetCapacity)
+	r.pool = dispatch.NewEndpointPool(clock, rng(), demo.FailureDomain(0), queue.SetCapacity)
 	r.ledger = ledger.New(r.kv, clock, noPeers{}, ledger.Config{Host: "host-1", Logger: logger})
 	guard := limiter.NewCrashGuard(clock, 0)
 	r.d = dispatch.New(dispatch.Options{
 		Config: r.config, Engines: engine.NewClient(nil), Signer: signer,
 		Chooser:  cascade.New(cascade.Config{Host: "host", Incarnation: 1}, clock, rng()),
 		Detector: rollout.NewDetector(rollout.Config{Host: "host", Incarnation: 1}, clock),
-		Queue:    queue, Fleet: r.fleet, Retries: limiter.NewRetryBudget(clock),
+		Queue:    queue, Pool: r.pool, Retries: limiter.NewRetryBudget(clock),
 		Crashes: guard, Prober: dispatch.LocalProber{Probation: limiter.NewProbation(clock, guard)},
 		Ledger: r.ledger, Claims: claim.New(r.kv, clock, rng(), "host", logger),
 		Rater: rating.New("http://"+endpoints.Engines[0].Addr(), 1000, nil),
@@ -120,7 +120,7 @@
 	if err := queue.ApplyConfig(dispatch.AdmissionConfig(snap)); err != nil {
 		r.t.Fatal(err)
 	}
-	r.fleet.ApplyConfig(snap, func(string) bool { return true })
+	r.pool.ApplyConfig(snap, func(string) bool { return true })
 }
 
 // bill returns the billed requests and cost once everything is written.
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -209,9 +209,9 @@
 		ctx, cancel = context.WithTimeout(ctx, c.op.Timeout.D())
 		defer cancel()
 	}
-	p, err := c.d.Fleet.acquire(ctx, ServiceVersion(c.req.Service), nil, exclude, 0)
+	p, err := c.d.Pool.acquire(ctx, ServiceVersion(c.req.Service), nil, exclude, 0)
 	if errors.Is(err, balance.ErrNoEndpoint) && len(exclude) > 0 {
-		p, err = c.d.Fleet.acquire(ctx, ServiceVersion(c.req.Service), nil, nil, 0)
+		p, err = c.d.Pool.acquire(ctx, ServiceVersion(c.req.Service), nil, nil, 0)
 	}
 	if err != nil {
 		return engine.Reply{}, "", refusal(http.StatusServiceUnavailable, api.CodeUnavailable, "no endpoint of service %q: %v", c.req.Service, err)
