Stop the hosts of a demonstration at once

Cause: make run took 9 s to end after SIGINT, because each host waits for its entry list to expire. Change: all hosts stop at the same time; the cluster tests use the same call.

--- a/daemon/clusterrig_test.go
+++ b/daemon/clusterrig_test.go
@@ -74,15 +74,6 @@
 		for _, f := range c.Faults {
 			f.ClearAll()
 		}
-		var wg sync.WaitGroup
-		for i := range c.Hosts {
-			wg.Go(func() {
-				if err := c.StopHost(ctx, i); err != nil {
-					t.Errorf("stop host %d: %v", i, err)
-				}
-			})
-		}
-		wg.Wait()
 		if err := c.Stop(ctx); err != nil {
 			t.Error(err)
 		}
--- a/daemon/demo/cluster.go
+++ b/daemon/demo/cluster.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/corianderlever/corianderlever/admin"
 	"github.com/corianderlever/corianderlever/client"
@@ -231,12 +232,13 @@
 	return h.Stop(ctx)
 }
 
-// Stop stops the hosts, one after the other, and then the stand-ins.
+// Stop stops the hosts, all at once, and then the stand-ins.
 func (c *Cluster) Stop(ctx context.Context) error {
-	var all error
+	var hosts errgroup.Group
 	for i := range c.Hosts {
-		all = errors.CombineErrors(all, c.StopHost(ctx, i))
+		hosts.Go(func() error { return c.StopHost(ctx, i) })
 	}
+	all := hosts.Wait()
 	if c.Endpoints != nil {
 		c.Endpoints.Close()
 	}
