--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,8 @@
 	$(GO) build ./...
 
 run:
-	$(GO) run ./cmd/corianderlever demo -addr $(ADDR)
+	$(GO) build -o bin/corianderlever ./cmd/corianderlever
+	exec ./bin/corianderlever demo -addr $(ADDR)
 
 lint:
 	@files=$$(gofmt -l .); if [ -n "$$files" ]; then echo "gofmt would change: $$files"; exit 1; fi
