--- a/daemon/base.go
+++ b/daemon/base.go
@@ -84,6 +84,21 @@
 	return t
 }
 
+// dialPeer returns how connections to other hosts are opened, nil for plain
+// TCP. Each one is checked against the authorities as they are then.
+func (s *certsService) dialPeer() func(ctx context.Context, addr string) (net.Conn, error) {
+	if s.reloader == nil {
+		return nil
+	}
+	return func(ctx context.Context, addr string) (net.Conn, error) {
+		cfg := s.reloader.Client()
+		cfg.ServerName = s.opts.Settings.TLS.PeerName
+		dialer := tls.Dialer{Config: cfg}
+		conn, err := dialer.DialContext(ctx, "tcp", addr)
+		return conn, errors.Wrap(err, "daemon: dial peer")
+	}
+}
+
 // idleConnsPerEndpoint keeps connections for the usual concurrency of an engine.
 const idleConnsPerEndpoint = 64
 
@@ -108,17 +123,16 @@
 	if err != nil {
 		return err
 	}
-	var serverTLS, clientTLS *tls.Config
+	var serverTLS *tls.Config
 	if c.reloader != nil {
-		serverTLS, clientTLS = c.reloader.Server(false), c.reloader.Client()
-		clientTLS.ServerName = s.opts.Settings.TLS.PeerName
+		serverTLS = c.reloader.Server(false)
 	}
 	s.server, err = peer.NewServer(peer.ServerOptions{Key: key, TLS: serverTLS, Clock: s.opts.Clock, Logger: s.opts.Logger})
 	if err != nil {
 		return err
 	}
 	s.client, err = peer.NewClient(peer.ClientOptions{
-		Key: key, Self: s.opts.Settings.Host, TLS: clientTLS, Clock: s.opts.Clock, Logger: s.opts.Logger,
+		Key: key, Self: s.opts.Settings.Host, Dial: c.dialPeer(), Clock: s.opts.Clock, Logger: s.opts.Logger,
 	})
 	if err != nil {
 		return err
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -67,6 +68,7 @@
 	s.server = &http.Server{
 		Handler:           s.handler(d, backend),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: slog.NewLogLogger(s.opts.Logger.Handler(), slog.LevelWarn),
 	}
 	s.ln, err = net.Listen("tcp", s.opts.Settings.Listen.Entry)
 	if err != nil {
