--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -234,6 +234,31 @@
 	c.checkBill(served)
 }
 
+// Guards against billing records that are lost when a host is stopped while
+// the service is away: its peers must write their copies afterwards.
+func TestStopInOutageLosesNoRecord(t *testing.T) {
+	c := newCluster(t)
+	for _, f := range c.Faults {
+		f.Inject(memkv.Outage, memkv.Always)
+	}
+	served := make(map[string]float64)
+	for i := range testHosts {
+		id := uuid.Must(uuid.NewV7()).String()
+		resp, err := c.via(i, client.Request{ID: id}, prompt("x"))
+		if err != nil {
+			t.Fatalf("host %d: %v", i, err)
+		}
+		served[id] = resp.Receipt.Cost
+	}
+	if err := c.StopHost(c.ctx, 2); err != nil {
+		t.Error(err)
+	}
+	for _, f := range c.Faults {
+		f.ClearAll()
+	}
+	c.checkBill(served)
+}
+
 // Guards against a change that is not in force everywhere in time, and against
 // a configuration that reverts after a restart during an outage or when the
 // store answers from the past.
