--- a/claim/batch.go
+++ b/claim/batch.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 )
 
 // enqueue adds the op to its shard's batch; the first op starts the timer.
@@ -39,7 +39,7 @@
 
 // settle agrees the ops and the undos of one page.
 func (c *Claimer) settle(key string, ops []*op) {
-	ctx, cancel := platform.WithTimeout(context.Background(), c.clock, settleLimit)
+	ctx, cancel := kv.WithTimeout(context.Background(), c.clock, settleLimit)
 	defer cancel()
 	c.mu.Lock()
 	undos := c.undos[key]
@@ -63,8 +63,8 @@
 // attempt reads the page, applies the ops and writes it. It returns the ops
 // that are still open.
 func (c *Claimer) attempt(ctx context.Context, key string, ops []*op) []*op {
-	e, err := c.kv.Get(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	e, err := c.store.Get(ctx, key)
+	if err != nil && !errors.Is(err, kv.ErrNotFound) {
 		return ops
 	}
 	p, err := decodePage(e.Value)
@@ -83,8 +83,8 @@
 	if err != nil {
 		return open
 	}
-	_, err = c.kv.CompareAndSwap(ctx, key, e.Revision, value, 0)
-	if err == nil || errors.Is(err, platform.ErrUnknown) {
+	_, err = c.store.CompareAndSwap(ctx, key, e.Revision, value, 0)
+	if err == nil || errors.Is(err, kv.ErrUnknown) {
 		markWritten(open, e.Revision)
 	}
 	if err != nil {
@@ -103,7 +103,7 @@
 }
 
 // applyAll resolves the ops that need no write and returns the others.
-func (c *Claimer) applyAll(p page, e platform.Entry, ops []*op) ([]*op, []plan) {
+func (c *Claimer) applyAll(p page, e kv.Entry, ops []*op) ([]*op, []plan) {
 	var open []*op
 	var plans []plan
 	size := len(e.Value)
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -15,7 +15,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 )
 
 // Errors of this package.
@@ -83,7 +83,7 @@
 
 // Claimer claims keys for one host. It is safe for concurrent use.
 type Claimer struct {
-	kv    platform.KV
+	store kv.KV
 	clock clockwork.Clock
 	host  string
 	log   *slog.Logger
@@ -100,7 +100,7 @@
 
 // New returns a Claimer that writes host into its claims. The rng makes the
 // random ids of the claims and must be seeded differently on each host.
-func New(kv platform.KV, clock clockwork.Clock, rng *rand.Rand, host string, log *slog.Logger) *Claimer {
+func New(store kv.KV, clock clockwork.Clock, rng *rand.Rand, host string, log *slog.Logger) *Claimer {
 	answers, err := lru.New[string, Answer](answerCache)
 	if err != nil {
 		panic(err) // only for a size below one
@@ -109,7 +109,7 @@
 		log = slog.Default()
 	}
 	return &Claimer{
-		kv: kv, clock: clock, host: host, log: log, rng: rng, answers: answers,
+		store: store, clock: clock, host: host, log: log, rng: rng, answers: answers,
 		undos: make(map[string][]*op), won: make(map[string]*op),
 	}
 }
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -14,8 +14,8 @@
 	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
 
-	"github.com/corianderlever/corianderlever/platform"
-	"github.com/corianderlever/corianderlever/platform/memkv"
+	"github.com/corianderlever/corianderlever/kv"
+	"github.com/corianderlever/corianderlever/kv/memkv"
 )
 
 // TestAtMostOnce guards against a second run of a key, whatever happens
@@ -162,7 +162,7 @@
 		}
 		a.kv.ClearAll()
 		a.Tidy()
-		if _, err := w.store.CompareAndSwap(bg, place.page, before.Revision, nil, 0); !errors.Is(err, platform.ErrConflict) {
+		if _, err := w.store.CompareAndSwap(bg, place.page, before.Revision, nil, 0); !errors.Is(err, kv.ErrConflict) {
 			t.Fatalf("%s: a late write is accepted: %v", fault, err)
 		}
 		if out := claim(b, n); !out.result.Won {
--- a/claim/example_test.go
+++ b/claim/example_test.go
@@ -10,7 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/corianderlever/corianderlever/claim"
-	"github.com/corianderlever/corianderlever/platform/memkv"
+	"github.com/corianderlever/corianderlever/kv/memkv"
 )
 
 func Example() {
--- a/claim/harness_test.go
+++ b/claim/harness_test.go
@@ -11,8 +11,8 @@
 	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
 
-	"github.com/corianderlever/corianderlever/platform"
-	"github.com/corianderlever/corianderlever/platform/memkv"
+	"github.com/corianderlever/corianderlever/kv"
+	"github.com/corianderlever/corianderlever/kv/memkv"
 )
 
 var (
@@ -55,12 +55,12 @@
 
 // hooked runs a function between a host's read of a page and its write.
 type hooked struct {
-	platform.KV
+	kv.KV
 	before func()
 	busy   *bool // a hook does not run inside another one
 }
 
-func (h *hooked) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte, id platform.LeaseID) (int64, error) {
+func (h *hooked) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte, id kv.LeaseID) (int64, error) {
 	if f := h.before; f != nil && !*h.busy {
 		h.before = nil
 		*h.busy = true
--- a/claim/page.go
+++ b/claim/page.go
@@ -10,7 +10,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 )
 
 // Page layout.
@@ -23,8 +23,8 @@
 	idBytes      = 16
 	// maxClaimBytes and maxAnswersBytes keep a page under the store's limit:
 	// beyond the first no claim is added, beyond the second no answer.
-	maxClaimBytes   = platform.MaxValueBytes * 7 / 8
-	maxAnswersBytes = platform.MaxValueBytes / 2
+	maxClaimBytes   = kv.MaxValueBytes * 7 / 8
+	maxAnswersBytes = kv.MaxValueBytes / 2
 	// claimOverhead is an upper bound of one encoded claim without its answer
 	// and host name.
 	claimOverhead = 128
--- a/claim/sweep.go
+++ b/claim/sweep.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 )
 
 // sweepDepth is how far behind the retention a sweep looks for pages that
@@ -81,7 +81,7 @@
 
 func (c *Claimer) sweepSpan(ctx context.Context, shard int, span string, limit time.Time) error {
 	prefix := pagePrefix(shard)
-	entries, _, err := c.kv.List(ctx, prefix+span)
+	entries, _, err := c.store.List(ctx, prefix+span)
 	if err != nil {
 		return errors.Wrap(err, "claim: list expired pages")
 	}
@@ -90,8 +90,8 @@
 		if err != nil || start.Add(window).After(limit) {
 			continue
 		}
-		err = c.kv.Delete(ctx, e.Key, e.Revision)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		err = c.store.Delete(ctx, e.Key, e.Revision)
+		if err != nil && !errors.Is(err, kv.ErrNotFound) {
 			return errors.Wrap(err, "claim: remove expired page")
 		}
 	}
--- a/configstore/apply.go
+++ b/configstore/apply.go
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 	"github.com/corianderlever/corianderlever/resource"
 )
 
@@ -83,8 +83,8 @@
 	if err != nil {
 		return 0, err
 	}
-	if len(value) > platform.MaxValueBytes {
-		return 0, errors.Wrapf(resource.ErrInvalid, "the configuration takes %d bytes, more than %d", len(value), platform.MaxValueBytes)
+	if len(value) > kv.MaxValueBytes {
+		return 0, errors.Wrapf(resource.ErrInvalid, "the configuration takes %d bytes, more than %d", len(value), kv.MaxValueBytes)
 	}
 	if err := s.keepHistory(ctx, old); err != nil {
 		return 0, err
@@ -148,13 +148,13 @@
 		switch {
 		case err == nil:
 			return nil
-		case errors.Is(err, platform.ErrConflict) && !unknown:
+		case errors.Is(err, kv.ErrConflict) && !unknown:
 			return s.lost(ctx, next.Revision-1)
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, kv.ErrConflict):
 			return s.settle(ctx, next)
-		case errors.Is(err, platform.ErrUnavailable) && !unknown:
+		case errors.Is(err, kv.ErrUnavailable) && !unknown:
 			return errors.Mark(errors.Wrap(err, "write the configuration"), ErrUnavailable)
-		case errors.Is(err, platform.ErrUnavailable):
+		case errors.Is(err, kv.ErrUnavailable):
 		default:
 			unknown = true
 		}
--- a/configstore/configstore.go
+++ b/configstore/configstore.go
@@ -15,8 +15,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/corianderlever/corianderlever/kv"
 	"github.com/corianderlever/corianderlever/peer"
-	"github.com/corianderlever/corianderlever/platform"
 	"github.com/corianderlever/corianderlever/resource"
 )
 
@@ -96,7 +96,7 @@
 // Options configure a Store. KV, Group, Caller, Registrar and Rand are required.
 type Options struct {
 	// KV is the platform's key-value service.
-	KV platform.KV
+	KV kv.KV
 	// Group knows the other hosts.
 	Group Group
 	// Caller calls them.
--- a/configstore/configstore_test.go
+++ b/configstore/configstore_test.go
@@ -12,7 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 	"github.com/corianderlever/corianderlever/resource"
 )
 
@@ -234,11 +234,11 @@
 }
 
 // noHistory refuses writes of the history.
-type noHistory struct{ platform.KV }
+type noHistory struct{ kv.KV }
 
-func (n noHistory) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte, id platform.LeaseID) (int64, error) {
+func (n noHistory) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte, id kv.LeaseID) (int64, error) {
 	if key != KeyCurrent {
-		return 0, platform.ErrUnavailable
+		return 0, kv.ErrUnavailable
 	}
 	return n.KV.CompareAndSwap(ctx, key, expect, value, id)
 }
--- a/configstore/example_test.go
+++ b/configstore/example_test.go
@@ -10,8 +10,8 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/corianderlever/corianderlever/configstore"
+	"github.com/corianderlever/corianderlever/kv/memkv"
 	"github.com/corianderlever/corianderlever/peer"
-	"github.com/corianderlever/corianderlever/platform/memkv"
 	"github.com/corianderlever/corianderlever/resource"
 )
 
--- a/configstore/history.go
+++ b/configstore/history.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 	"github.com/corianderlever/corianderlever/resource"
 )
 
@@ -49,7 +49,7 @@
 	ctx, cancel := clockwork.WithTimeout(ctx, s.opts.Clock, callTimeout)
 	defer cancel()
 	_, err := s.opts.KV.CompareAndSwap(ctx, historyKey(revision), 0, value, 0)
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	if err != nil && !errors.Is(err, kv.ErrConflict) {
 		return err
 	}
 	s.mu.Lock()
@@ -81,14 +81,14 @@
 	ctx, cancel := clockwork.WithTimeout(ctx, s.opts.Clock, callTimeout)
 	defer cancel()
 	e, err := s.opts.KV.Get(ctx, historyKey(revision))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kv.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
 		return err
 	}
 	err = s.opts.KV.Delete(ctx, e.Key, e.Revision)
-	if errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, kv.ErrNotFound) || errors.Is(err, kv.ErrConflict) {
 		return nil
 	}
 	return err
@@ -117,7 +117,7 @@
 	ctx, cancel := clockwork.WithTimeout(ctx, s.opts.Clock, callTimeout)
 	defer cancel()
 	e, err := s.opts.KV.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kv.ErrNotFound) {
 		return base{}, nil
 	}
 	if err != nil {
--- a/configstore/sim_test.go
+++ b/configstore/sim_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/corianderlever/corianderlever/kv"
+	"github.com/corianderlever/corianderlever/kv/memkv"
 	"github.com/corianderlever/corianderlever/peer"
-	"github.com/corianderlever/corianderlever/platform"
-	"github.com/corianderlever/corianderlever/platform/memkv"
 	"github.com/corianderlever/corianderlever/resource"
 )
 
@@ -32,7 +32,7 @@
 	mu       sync.Mutex
 	nodes    []*node
 	cut      func(a, b int) bool
-	past     []platform.Entry // earlier values of KeyCurrent, for stale reads
+	past     []kv.Entry // earlier values of KeyCurrent, for stale reads
 	problems []string
 }
 
@@ -199,7 +199,7 @@
 
 // faultKV injects faults between one host and the service.
 type faultKV struct {
-	platform.KV
+	kv.KV
 	w *world
 
 	mu sync.Mutex
@@ -217,42 +217,42 @@
 	change(f)
 }
 
-func (f *faultKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (f *faultKV) Get(ctx context.Context, key string) (kv.Entry, error) {
 	f.mu.Lock()
 	outage, stale := f.outage, f.stale
 	f.mu.Unlock()
 	if outage {
-		return platform.Entry{}, platform.ErrUnavailable
+		return kv.Entry{}, kv.ErrUnavailable
 	}
 	if stale && key == KeyCurrent {
 		f.w.mu.Lock()
 		defer f.w.mu.Unlock()
 		if len(f.w.past) == 0 {
-			return platform.Entry{}, platform.ErrNotFound
+			return kv.Entry{}, kv.ErrNotFound
 		}
 		return f.w.past[f.w.rng.IntN(len(f.w.past))], nil
 	}
 	return f.KV.Get(ctx, key)
 }
 
-func (f *faultKV) List(ctx context.Context, prefix string) ([]platform.Entry, int64, error) {
+func (f *faultKV) List(ctx context.Context, prefix string) ([]kv.Entry, int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.outage {
-		return nil, 0, platform.ErrUnavailable
+		return nil, 0, kv.ErrUnavailable
 	}
 	return f.KV.List(ctx, prefix)
 }
 
-func (f *faultKV) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte, id platform.LeaseID) (int64, error) {
+func (f *faultKV) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte, id kv.LeaseID) (int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.outage {
-		return 0, platform.ErrUnavailable
+		return 0, kv.ErrUnavailable
 	}
 	if f.loseCall > 0 {
 		f.loseCall--
-		return 0, platform.ErrUnknown
+		return 0, kv.ErrUnknown
 	}
 	old, oldErr := f.KV.Get(ctx, key)
 	revision, err := f.KV.CompareAndSwap(ctx, key, expect, value, id)
@@ -263,28 +263,28 @@
 	}
 	if f.loseReply > 0 {
 		f.loseReply--
-		return 0, platform.ErrUnknown
+		return 0, kv.ErrUnknown
 	}
 	return revision, err
 }
 
-func (f *faultKV) Watch(ctx context.Context, prefix string, from int64) (<-chan platform.Event, error) {
+func (f *faultKV) Watch(ctx context.Context, prefix string, from int64) (<-chan kv.Event, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.outage {
-		return nil, platform.ErrUnavailable
+		return nil, kv.ErrUnavailable
 	}
 	in, err := f.KV.Watch(ctx, prefix, from)
 	if err != nil {
 		return nil, err
 	}
-	out := make(chan platform.Event)
+	out := make(chan kv.Event)
 	go f.forward(ctx, in, out)
 	return out, nil
 }
 
 // forward passes events on, except during a fault: the watch is then silent.
-func (f *faultKV) forward(ctx context.Context, in <-chan platform.Event, out chan<- platform.Event) {
+func (f *faultKV) forward(ctx context.Context, in <-chan kv.Event, out chan<- kv.Event) {
 	defer close(out)
 	for ev := range in {
 		f.mu.Lock()
--- a/configstore/sync.go
+++ b/configstore/sync.go
@@ -12,7 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 )
 
 const (
@@ -123,7 +123,7 @@
 	callCtx, cancel := clockwork.WithTimeout(ctx, s.opts.Clock, callTimeout)
 	defer cancel()
 	e, err := s.opts.KV.Get(callCtx, KeyCurrent)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kv.ErrNotFound) {
 		s.confirmRevision(0, began)
 		return true
 	}
@@ -137,7 +137,7 @@
 }
 
 // takeEntry takes a value of the store. at is when it was certainly current.
-func (s *Store) takeEntry(e platform.Entry, at time.Time) error {
+func (s *Store) takeEntry(e kv.Entry, at time.Time) error {
 	s.mu.Lock()
 	revision, known := s.seenValue, e.Revision == s.seenStore
 	s.mu.Unlock()
@@ -234,7 +234,7 @@
 
 // follow takes the events of a watch until it ends or this host should no
 // longer watch.
-func (s *Store) follow(events <-chan platform.Event, done <-chan struct{}) {
+func (s *Store) follow(events <-chan kv.Event, done <-chan struct{}) {
 	ticker := s.opts.Clock.NewTicker(PollInterval)
 	defer ticker.Stop()
 	for {
--- a/daemon/adminbackend.go
+++ b/daemon/adminbackend.go
@@ -149,7 +149,7 @@
 	if err := b.ledger.Flush(ctx); err != nil {
 		return admin.BillResponse{}, err
 	}
-	rows, err := ledger.Read(ctx, b.ledger.platform.kv, from, to)
+	rows, err := ledger.Read(ctx, b.ledger.platform.store, from, to)
 	if err != nil {
 		return admin.BillResponse{}, err
 	}
--- a/daemon/base.go
+++ b/daemon/base.go
@@ -12,10 +12,10 @@
 
 	"github.com/corianderlever/corianderlever/certs"
 	"github.com/corianderlever/corianderlever/kernel"
+	"github.com/corianderlever/corianderlever/kv"
+	"github.com/corianderlever/corianderlever/kv/httpkv"
 	"github.com/corianderlever/corianderlever/membership"
 	"github.com/corianderlever/corianderlever/peer"
-	"github.com/corianderlever/corianderlever/platform"
-	"github.com/corianderlever/corianderlever/platform/httpkv"
 )
 
 // Names of the services of a host.
@@ -35,7 +35,7 @@
 // platformService provides the key-value service.
 type platformService struct {
 	base
-	kv platform.KV
+	store kv.KV
 }
 
 var _ kernel.Provisioner = (*platformService)(nil)
@@ -45,13 +45,13 @@
 
 // Provision connects to the service unless the options bring one.
 func (s *platformService) Provision(k *kernel.Kernel) error {
-	s.kv = s.opts.KV
-	if s.kv == nil {
+	s.store = s.opts.KV
+	if s.store == nil {
 		c, err := kernel.Lookup[*certsService](k, serviceCerts)
 		if err != nil {
 			return err
 		}
-		s.kv = httpkv.NewClient(s.opts.Settings.Platform.KV, &http.Client{Transport: c.transport()})
+		s.store = httpkv.NewClient(s.opts.Settings.Platform.KV, &http.Client{Transport: c.transport()})
 	}
 	return nil
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,7 +13,7 @@
 
 	"github.com/corianderlever/corianderlever/config"
 	"github.com/corianderlever/corianderlever/kernel"
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 )
 
 // Options configure a Host.
@@ -21,7 +21,7 @@
 	// Settings are the checked settings.
 	Settings config.Settings
 	// KV replaces the key-value service of the settings.
-	KV platform.KV
+	KV kv.KV
 	// Clock, Rand, Logger and Registry have defaults.
 	Clock    clockwork.Clock
 	Rand     *rand.Rand
--- a/daemon/demo/cluster.go
+++ b/daemon/demo/cluster.go
@@ -17,9 +17,9 @@
 	"github.com/corianderlever/corianderlever/client"
 	"github.com/corianderlever/corianderlever/config"
 	"github.com/corianderlever/corianderlever/daemon"
-	"github.com/corianderlever/corianderlever/platform"
-	"github.com/corianderlever/corianderlever/platform/httpkv"
-	"github.com/corianderlever/corianderlever/platform/memkv"
+	"github.com/corianderlever/corianderlever/kv"
+	"github.com/corianderlever/corianderlever/kv/httpkv"
+	"github.com/corianderlever/corianderlever/kv/memkv"
 	"github.com/corianderlever/corianderlever/resource"
 )
 
@@ -157,7 +157,7 @@
 	return c.StartHost(ctx, i)
 }
 
-func (c *Cluster) kv() platform.KV { return httpkv.NewClient("http://"+c.KVAddress, nil) }
+func (c *Cluster) kv() kv.KV { return httpkv.NewClient("http://"+c.KVAddress, nil) }
 
 // StartHost starts the i-th host, or starts it again after it has stopped.
 func (c *Cluster) StartHost(ctx context.Context, i int) error {
--- a/daemon/roles.go
+++ b/daemon/roles.go
@@ -83,7 +83,7 @@
 }
 
 func (s *rolesService) holder(role string) *lease.Holder {
-	h := lease.New(s.platform.kv, s.opts.Clock, s.opts.newRand(), lease.Config{
+	h := lease.New(s.platform.store, s.opts.Clock, s.opts.newRand(), lease.Config{
 		Role: role, Host: s.opts.Settings.Host, Logger: s.opts.Logger,
 	})
 	s.run.start(role, h.Run)
@@ -126,7 +126,7 @@
 
 // maintain folds old minutes of the ledger and removes old claims.
 func (s *rolesService) maintain(ctx context.Context, n int) error {
-	if err := ledger.Fold(ctx, s.platform.kv, s.opts.Clock.Now()); err != nil {
+	if err := ledger.Fold(ctx, s.platform.store, s.opts.Clock.Now()); err != nil {
 		return err
 	}
 	if n%foldsPerSweep == 0 {
--- a/daemon/state.go
+++ b/daemon/state.go
@@ -35,7 +35,7 @@
 		return err
 	}
 	s.Store, err = configstore.New(configstore.Options{
-		KV: d.platform.kv, Group: configstore.FromMembership(d.membership.Membership), Caller: d.peers.client,
+		KV: d.platform.store, Group: configstore.FromMembership(d.membership.Membership), Caller: d.peers.client,
 		Registrar: d.peers.server, Clock: s.opts.Clock, Rand: s.opts.newRand(), Logger: s.opts.Logger,
 	})
 	return err
@@ -104,7 +104,7 @@
 	s.process = make(map[string]string)
 	s.changes = make(chan membership.Member, memberBacklog)
 	s.replica = ledger.NewReplica(s.opts.Clock)
-	s.Ledger = ledger.New(s.platform.kv, s.opts.Clock, s, ledger.Config{
+	s.Ledger = ledger.New(s.platform.store, s.opts.Clock, s, ledger.Config{
 		Host: processName(s.membership.Self()), Logger: s.opts.Logger,
 	})
 	s.peers.server.Handle(methodHold, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
@@ -270,7 +270,7 @@
 	if s.basics, err = lookupBasics(k); err != nil {
 		return err
 	}
-	s.Claimer = claim.New(s.platform.kv, s.opts.Clock, s.opts.newRand(), s.opts.Settings.Host, s.opts.Logger)
+	s.Claimer = claim.New(s.platform.store, s.opts.Clock, s.opts.newRand(), s.opts.Settings.Host, s.opts.Logger)
 	s.peers.server.Handle(methodAnswer, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
 		var id string
 		if err := json.Unmarshal(params, &id); err != nil {
--- a/daemon/tls_test.go
+++ b/daemon/tls_test.go
@@ -27,7 +27,7 @@
 	"github.com/corianderlever/corianderlever/api"
 	"github.com/corianderlever/corianderlever/config"
 	"github.com/corianderlever/corianderlever/daemon"
-	"github.com/corianderlever/corianderlever/platform/memkv"
+	"github.com/corianderlever/corianderlever/kv/memkv"
 )
 
 const peerName = "corianderlever-peer"
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -15,7 +15,7 @@
 	"github.com/corianderlever/corianderlever/api"
 	"github.com/corianderlever/corianderlever/client"
 	"github.com/corianderlever/corianderlever/engine/fakeengine"
-	"github.com/corianderlever/corianderlever/platform/memkv"
+	"github.com/corianderlever/corianderlever/kv/memkv"
 )
 
 func refusedAs(t *testing.T, err error, code string, outcome api.Outcome) {
--- a/internal/capacity/calls.go
+++ b/internal/capacity/calls.go
@@ -13,7 +13,7 @@
 	"github.com/corianderlever/corianderlever/api"
 	"github.com/corianderlever/corianderlever/client"
 	"github.com/corianderlever/corianderlever/daemon/demo"
-	"github.com/corianderlever/corianderlever/platform/memkv"
+	"github.com/corianderlever/corianderlever/kv/memkv"
 )
 
 // Run of a deployment of today's size.
--- a/internal/capacity/claims.go
+++ b/internal/capacity/claims.go
@@ -10,7 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/corianderlever/corianderlever/claim"
-	"github.com/corianderlever/corianderlever/platform/memkv"
+	"github.com/corianderlever/corianderlever/kv/memkv"
 )
 
 // Claims is the cost of claims that one host makes at the same time.
--- a/internal/capacity/ledger.go
+++ b/internal/capacity/ledger.go
@@ -12,8 +12,8 @@
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/corianderlever/corianderlever/kv/memkv"
 	"github.com/corianderlever/corianderlever/ledger"
-	"github.com/corianderlever/corianderlever/platform/memkv"
 )
 
 // Billing is the cost of the records of one batch.
--- a/internal/capacity/totals.go
+++ b/internal/capacity/totals.go
@@ -4,7 +4,7 @@
 	"strings"
 
 	"github.com/corianderlever/corianderlever/internal/measure"
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 )
 
 // Intervals of the code, in seconds, from which calls are worked out.
@@ -108,6 +108,6 @@
 		// The baseline of the calls is a fleet of seven hosts.
 		line("capacity_service_writes_per_s", smallWrites, writes, maxWrites),
 		line("capacity_service_reads_per_s", smallReads, reads, maxReads),
-		line("capacity_configuration_value_bytes", r.at("config_json_bytes", Endpoints), value, platform.MaxValueBytes),
+		line("capacity_configuration_value_bytes", r.at("config_json_bytes", Endpoints), value, kv.MaxValueBytes),
 	}
 }
--- a/internal/proctest/chaos_test.go
+++ b/internal/proctest/chaos_test.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/corianderlever/corianderlever/platform/memkv"
+	"github.com/corianderlever/corianderlever/kv/memkv"
 	"github.com/corianderlever/corianderlever/resource"
 )
 
--- a/internal/proctest/cluster.go
+++ b/internal/proctest/cluster.go
@@ -18,8 +18,8 @@
 	"github.com/corianderlever/corianderlever/admin"
 	"github.com/corianderlever/corianderlever/config"
 	"github.com/corianderlever/corianderlever/daemon/demo"
-	"github.com/corianderlever/corianderlever/platform/httpkv"
-	"github.com/corianderlever/corianderlever/platform/memkv"
+	"github.com/corianderlever/corianderlever/kv/httpkv"
+	"github.com/corianderlever/corianderlever/kv/memkv"
 	"github.com/corianderlever/corianderlever/resource"
 )
 
--- a/internal/proctest/cutoff_test.go
+++ b/internal/proctest/cutoff_test.go
@@ -9,7 +9,7 @@
 	"github.com/corianderlever/corianderlever/api"
 	"github.com/corianderlever/corianderlever/client"
 	"github.com/corianderlever/corianderlever/daemon/demo"
-	"github.com/corianderlever/corianderlever/platform/memkv"
+	"github.com/corianderlever/corianderlever/kv/memkv"
 )
 
 // majority is the number of hosts that are paused, so that the others are cut
--- a/internal/proctest/oracle.go
+++ b/internal/proctest/oracle.go
@@ -16,9 +16,9 @@
 	"github.com/corianderlever/corianderlever/client"
 	"github.com/corianderlever/corianderlever/dispatch"
 	"github.com/corianderlever/corianderlever/engine/fakeengine"
+	"github.com/corianderlever/corianderlever/kv"
 	"github.com/corianderlever/corianderlever/ledger"
 	"github.com/corianderlever/corianderlever/load"
-	"github.com/corianderlever/corianderlever/platform"
 )
 
 // Caller is what one generator saw.
@@ -145,9 +145,9 @@
 
 // ReadBill reads the bill and, independently of the reader, its batches.
 // Nothing may have been folded yet.
-func ReadBill(ctx context.Context, kv platform.KV, from, to time.Time) (Bill, error) {
+func ReadBill(ctx context.Context, store kv.KV, from, to time.Time) (Bill, error) {
 	out := Bill{Records: make(map[ledger.ID][]ledger.Record), Requests: make(map[string]int64), Cost: make(map[string]float64)}
-	rows, err := ledger.Read(ctx, kv, from, to)
+	rows, err := ledger.Read(ctx, store, from, to)
 	if err != nil {
 		return out, err
 	}
@@ -155,7 +155,7 @@
 		out.Requests[r.Team] += r.Requests
 		out.Cost[r.Team] += r.Cost
 	}
-	list, _, err := kv.List(ctx, "ledger/")
+	list, _, err := store.List(ctx, "ledger/")
 	if err != nil {
 		return out, errors.Wrap(err, "proctest: list batches")
 	}
--- a/platform/httpkv/client.go
+++ b/kv/httpkv/client.go
@@ -13,16 +13,16 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 )
 
-// Client is a platform.KV reached over HTTP. It is safe for concurrent use.
+// Client is a kv.KV reached over HTTP. It is safe for concurrent use.
 type Client struct {
 	base string
 	http *http.Client
 }
 
-var _ platform.KV = (*Client)(nil)
+var _ kv.KV = (*Client)(nil)
 
 // NewClient returns a client of the service at base, such as
 // "http://127.0.0.1:2379". A nil hc stands for a client with its own
@@ -35,59 +35,59 @@
 	return &Client{base: strings.TrimSuffix(base, "/") + pathPrefix, http: hc}
 }
 
-// Get implements platform.KV.
-func (c *Client) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements kv.KV.
+func (c *Client) Get(ctx context.Context, key string) (kv.Entry, error) {
 	resp, err := c.call(ctx, opGet, request{Key: key})
 	if err != nil {
-		return platform.Entry{}, err
+		return kv.Entry{}, err
 	}
 	if resp.Entry == nil {
-		return platform.Entry{}, errors.Wrap(platform.ErrUnavailable, "reply without entry")
+		return kv.Entry{}, errors.Wrap(kv.ErrUnavailable, "reply without entry")
 	}
 	return *resp.Entry, nil
 }
 
-// List implements platform.KV.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.Entry, int64, error) {
+// List implements kv.KV.
+func (c *Client) List(ctx context.Context, prefix string) ([]kv.Entry, int64, error) {
 	resp, err := c.call(ctx, opList, request{Key: prefix})
 	return resp.Entries, resp.Revision, err
 }
 
-// CompareAndSwap implements platform.KV.
-func (c *Client) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte, lease platform.LeaseID) (int64, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+// CompareAndSwap implements kv.KV.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte, lease kv.LeaseID) (int64, error) {
+	if len(value) > kv.MaxValueBytes {
+		return 0, kv.ErrTooLarge
 	}
 	resp, err := c.call(ctx, opCAS, request{Key: key, Expect: expect, Value: value, Lease: lease})
 	return resp.Revision, err
 }
 
-// Delete implements platform.KV.
+// Delete implements kv.KV.
 func (c *Client) Delete(ctx context.Context, key string, expect int64) error {
 	_, err := c.call(ctx, opDelete, request{Key: key, Expect: expect})
 	return err
 }
 
-// GrantLease implements platform.KV. The time to live is carried in milliseconds.
-func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// GrantLease implements kv.KV. The time to live is carried in milliseconds.
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
 	resp, err := c.call(ctx, opGrant, request{TTLMs: ttl.Milliseconds()})
 	return resp.Lease, err
 }
 
-// KeepAlive implements platform.KV.
-func (c *Client) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+// KeepAlive implements kv.KV.
+func (c *Client) KeepAlive(ctx context.Context, id kv.LeaseID) error {
 	_, err := c.call(ctx, opKeep, request{Lease: id})
 	return err
 }
 
-// RevokeLease implements platform.KV.
-func (c *Client) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+// RevokeLease implements kv.KV.
+func (c *Client) RevokeLease(ctx context.Context, id kv.LeaseID) error {
 	_, err := c.call(ctx, opRevoke, request{Lease: id})
 	return err
 }
 
-// Watch implements platform.KV.
-func (c *Client) Watch(ctx context.Context, prefix string, from int64) (<-chan platform.Event, error) {
+// Watch implements kv.KV.
+func (c *Client) Watch(ctx context.Context, prefix string, from int64) (<-chan kv.Event, error) {
 	hresp, err := c.send(ctx, opWatch, request{Key: prefix, From: from})
 	if err != nil {
 		return nil, err
@@ -97,18 +97,18 @@
 		_, err := decode(hresp, opWatch)
 		return nil, err
 	}
-	out := make(chan platform.Event)
+	out := make(chan kv.Event)
 	go receive(ctx, hresp, out)
 	return out, nil
 }
 
 // receive hands on the events of a stream until it breaks or ctx ends.
-func receive(ctx context.Context, hresp *http.Response, out chan<- platform.Event) {
+func receive(ctx context.Context, hresp *http.Response, out chan<- kv.Event) {
 	defer close(out)
 	defer hresp.Body.Close()
 	dec := json.NewDecoder(hresp.Body)
 	for {
-		var ev platform.Event
+		var ev kv.Event
 		if dec.Decode(&ev) != nil {
 			return
 		}
@@ -134,13 +134,13 @@
 func (c *Client) send(ctx context.Context, op string, req request) (*http.Response, error) {
 	body, err := json.Marshal(req)
 	if err != nil {
-		return nil, errors.Wrap(platform.ErrUnavailable, err.Error())
+		return nil, errors.Wrap(kv.ErrUnavailable, err.Error())
 	}
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	hreq, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, c.base+op, bytes.NewReader(body))
 	if err != nil {
-		return nil, errors.Wrap(platform.ErrUnavailable, err.Error())
+		return nil, errors.Wrap(kv.ErrUnavailable, err.Error())
 	}
 	hreq.Header.Set("Content-Type", "application/json")
 	hresp, err := c.http.Do(hreq)
@@ -169,9 +169,9 @@
 // uncertain translates a transport error: reads have no effect anyway.
 func uncertain(op string, sent bool, err error) error {
 	if sent && isWrite(op) {
-		return fmt.Errorf("%w: %w", platform.ErrUnknown, err)
+		return fmt.Errorf("%w: %w", kv.ErrUnknown, err)
 	}
-	return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	return fmt.Errorf("%w: %w", kv.ErrUnavailable, err)
 }
 
 func isWrite(op string) bool {
--- a/platform/httpkv/conformance_test.go
+++ b/kv/httpkv/conformance_test.go
@@ -17,9 +17,9 @@
 	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
 
-	"github.com/corianderlever/corianderlever/platform"
-	"github.com/corianderlever/corianderlever/platform/httpkv"
-	"github.com/corianderlever/corianderlever/platform/memkv"
+	"github.com/corianderlever/corianderlever/kv"
+	"github.com/corianderlever/corianderlever/kv/httpkv"
+	"github.com/corianderlever/corianderlever/kv/memkv"
 )
 
 var bg = context.Background()
@@ -28,12 +28,12 @@
 const hangLimit = 10 * time.Second
 
 // implementations maps each KV to a constructor over a store with the clock.
-var implementations = map[string]func(testing.TB, clockwork.Clock) (platform.KV, *memkv.Store){
-	"memkv": func(_ testing.TB, clock clockwork.Clock) (platform.KV, *memkv.Store) {
+var implementations = map[string]func(testing.TB, clockwork.Clock) (kv.KV, *memkv.Store){
+	"memkv": func(_ testing.TB, clock clockwork.Clock) (kv.KV, *memkv.Store) {
 		s := memkv.New(clock)
 		return s, s
 	},
-	"httpkv": func(t testing.TB, clock clockwork.Clock) (platform.KV, *memkv.Store) {
+	"httpkv": func(t testing.TB, clock clockwork.Clock) (kv.KV, *memkv.Store) {
 		s := memkv.New(clock)
 		srv := httptest.NewServer(httpkv.NewHandler(s))
 		t.Cleanup(srv.Close)
@@ -44,8 +44,8 @@
 // model is the oracle: a map with revisions and leases.
 type model struct {
 	rev     int64
-	entries map[string]platform.Entry
-	leases  map[platform.LeaseID]time.Time
+	entries map[string]kv.Entry
+	leases  map[kv.LeaseID]time.Time
 }
 
 func (m *model) expire(now time.Time) {
@@ -56,7 +56,7 @@
 	}
 }
 
-func (m *model) endLease(id platform.LeaseID) {
+func (m *model) endLease(id kv.LeaseID) {
 	delete(m.leases, id)
 	for key, e := range m.entries {
 		if e.Lease == id {
@@ -77,36 +77,36 @@
 	}
 }
 
-func conform(t *testing.T, rt *rapid.T, build func(testing.TB, clockwork.Clock) (platform.KV, *memkv.Store)) {
+func conform(t *testing.T, rt *rapid.T, build func(testing.TB, clockwork.Clock) (kv.KV, *memkv.Store)) {
 	const ttl = 10 * time.Second
 	clock := clockwork.NewFakeClock()
-	kv, _ := build(t, clock)
-	m := &model{entries: map[string]platform.Entry{}, leases: map[platform.LeaseID]time.Time{}}
+	client, _ := build(t, clock)
+	m := &model{entries: map[string]kv.Entry{}, leases: map[kv.LeaseID]time.Time{}}
 	key := rapid.SampledFrom([]string{"a/1", "a/2", "b/1"})
 	lease := rapid.Int64Range(0, 3)
 	rt.Repeat(map[string]func(*rapid.T){
 		"": func(rt *rapid.T) {
 			m.expire(clock.Now())
-			entries, rev, err := kv.List(bg, "a/")
+			entries, rev, err := client.List(bg, "a/")
 			want := m.list("a/")
 			if diff := cmp.Diff(want, entries, cmpopts.EquateEmpty()); err != nil || rev != m.rev || diff != "" {
 				rt.Fatalf("List: err=%v rev=%d want %d diff %s", err, rev, m.rev, diff)
 			}
 		},
 		"cas": func(rt *rapid.T) {
-			k, id := key.Draw(rt, "key"), platform.LeaseID(lease.Draw(rt, "lease"))
+			k, id := key.Draw(rt, "key"), kv.LeaseID(lease.Draw(rt, "lease"))
 			expect := rapid.SampledFrom([]int64{0, m.entries[k].Revision, m.rev}).Draw(rt, "expect")
 			value := []byte(fmt.Sprint("v", m.rev))
-			rev, err := kv.CompareAndSwap(bg, k, expect, value, id)
+			rev, err := client.CompareAndSwap(bg, k, expect, value, id)
 			_, live := m.leases[id]
 			switch {
 			case expect != m.entries[k].Revision:
-				expectErr(rt, err, platform.ErrConflict)
+				expectErr(rt, err, kv.ErrConflict)
 			case id != 0 && !live:
-				expectErr(rt, err, platform.ErrLeaseNotFound)
+				expectErr(rt, err, kv.ErrLeaseNotFound)
 			default:
 				m.rev++
-				m.entries[k] = platform.Entry{Key: k, Value: value, Revision: m.rev, Lease: id}
+				m.entries[k] = kv.Entry{Key: k, Value: value, Revision: m.rev, Lease: id}
 				if err != nil || rev != m.rev {
 					rt.Fatalf("cas: rev=%d err=%v", rev, err)
 				}
@@ -115,13 +115,13 @@
 		"delete": func(rt *rapid.T) {
 			k := key.Draw(rt, "key")
 			expect := rapid.SampledFrom([]int64{m.entries[k].Revision, m.rev}).Draw(rt, "expect")
-			err := kv.Delete(bg, k, expect)
+			err := client.Delete(bg, k, expect)
 			e, ok := m.entries[k]
 			switch {
 			case !ok:
-				expectErr(rt, err, platform.ErrNotFound)
+				expectErr(rt, err, kv.ErrNotFound)
 			case e.Revision != expect:
-				expectErr(rt, err, platform.ErrConflict)
+				expectErr(rt, err, kv.ErrConflict)
 			default:
 				expectErr(rt, err, nil)
 				m.rev++
@@ -130,34 +130,34 @@
 		},
 		"get": func(rt *rapid.T) {
 			k := key.Draw(rt, "key")
-			e, err := kv.Get(bg, k)
+			e, err := client.Get(bg, k)
 			want, ok := m.entries[k]
 			if !ok {
-				expectErr(rt, err, platform.ErrNotFound)
+				expectErr(rt, err, kv.ErrNotFound)
 			} else if diff := cmp.Diff(want, e); err != nil || diff != "" {
 				rt.Fatalf("get: %v %s", err, diff)
 			}
 		},
 		"grant": func(rt *rapid.T) {
-			id, err := kv.GrantLease(bg, ttl)
+			id, err := client.GrantLease(bg, ttl)
 			expectErr(rt, err, nil)
 			m.leases[id] = clock.Now().Add(ttl)
 		},
 		"keep": func(rt *rapid.T) {
-			id := platform.LeaseID(lease.Draw(rt, "lease"))
-			err := kv.KeepAlive(bg, id)
+			id := kv.LeaseID(lease.Draw(rt, "lease"))
+			err := client.KeepAlive(bg, id)
 			if _, ok := m.leases[id]; !ok {
-				expectErr(rt, err, platform.ErrLeaseNotFound)
+				expectErr(rt, err, kv.ErrLeaseNotFound)
 				return
 			}
 			expectErr(rt, err, nil)
 			m.leases[id] = clock.Now().Add(ttl)
 		},
 		"revoke": func(rt *rapid.T) {
-			id := platform.LeaseID(lease.Draw(rt, "lease"))
-			err := kv.RevokeLease(bg, id)
+			id := kv.LeaseID(lease.Draw(rt, "lease"))
+			err := client.RevokeLease(bg, id)
 			if _, ok := m.leases[id]; !ok {
-				expectErr(rt, err, platform.ErrLeaseNotFound)
+				expectErr(rt, err, kv.ErrLeaseNotFound)
 				return
 			}
 			expectErr(rt, err, nil)
@@ -169,27 +169,27 @@
 				return
 			}
 			from := rapid.Int64Range(0, m.rev-1).Draw(rt, "from")
-			checkWatch(rt, kv, from, m.rev)
+			checkWatch(rt, client, from, m.rev)
 		},
 	})
 }
 
-func (m *model) list(prefix string) []platform.Entry {
-	var out []platform.Entry
+func (m *model) list(prefix string) []kv.Entry {
+	var out []kv.Entry
 	for k, e := range m.entries {
 		if strings.HasPrefix(k, prefix) {
 			out = append(out, e)
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.Entry) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(out, func(a, b kv.Entry) int { return strings.Compare(a.Key, b.Key) })
 	return out
 }
 
 // checkWatch expects every revision in (from, to], in order.
-func checkWatch(rt *rapid.T, kv platform.KV, from, to int64) {
+func checkWatch(rt *rapid.T, client kv.KV, from, to int64) {
 	ctx, cancel := context.WithTimeout(bg, hangLimit)
 	defer cancel()
-	ch, err := kv.Watch(ctx, "", from)
+	ch, err := client.Watch(ctx, "", from)
 	expectErr(rt, err, nil)
 	for rev := from + 1; rev <= to; rev++ {
 		ev, ok := <-ch
@@ -212,14 +212,14 @@
 	const writes = 600 // more than the buffer of a watch
 	for name, build := range implementations {
 		t.Run(name, func(t *testing.T) {
-			kv, store := build(t, clockwork.NewFakeClock())
+			client, store := build(t, clockwork.NewFakeClock())
 			for i := range writes {
-				if _, err := kv.CompareAndSwap(bg, fmt.Sprint("k", i), 0, []byte("v"), 0); err != nil {
+				if _, err := client.CompareAndSwap(bg, fmt.Sprint("k", i), 0, []byte("v"), 0); err != nil {
 					t.Fatal(err)
 				}
 			}
 			ctx, cancel := context.WithTimeout(bg, hangLimit)
-			ch, err := kv.Watch(ctx, "k", 0)
+			ch, err := client.Watch(ctx, "k", 0)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -235,12 +235,12 @@
 				t.Fatal("event after cancel")
 			}
 			store.Compact(5)
-			if _, err := kv.Watch(ctx, "k", 4); !errors.Is(err, platform.ErrCompacted) {
+			if _, err := client.Watch(ctx, "k", 4); !errors.Is(err, kv.ErrCompacted) {
 				t.Fatalf("watch below the compacted revision: %v", err)
 			}
 			ok, stop := context.WithTimeout(bg, hangLimit)
 			defer stop()
-			if ch, err = kv.Watch(ok, "k", 5); err != nil || (<-ch).Entry.Revision != 6 {
+			if ch, err = client.Watch(ok, "k", 5); err != nil || (<-ch).Entry.Revision != 6 {
 				t.Fatalf("watch at the compacted revision: %v", err)
 			}
 		})
@@ -269,15 +269,15 @@
 		url         string
 		write, read error
 	}{
-		"reply cut":     {cut.URL, platform.ErrUnknown, platform.ErrUnavailable},
-		"foreign reply": {foreign.URL, platform.ErrUnknown, platform.ErrUnavailable},
-		"refused":       {refused, platform.ErrUnavailable, platform.ErrUnavailable},
+		"reply cut":     {cut.URL, kv.ErrUnknown, kv.ErrUnavailable},
+		"foreign reply": {foreign.URL, kv.ErrUnknown, kv.ErrUnavailable},
+		"refused":       {refused, kv.ErrUnavailable, kv.ErrUnavailable},
 	} {
-		kv := httpkv.NewClient(c.url, nil)
-		if _, err := kv.CompareAndSwap(bg, "k", 0, []byte("v"), 0); !errors.Is(err, c.write) {
+		client := httpkv.NewClient(c.url, nil)
+		if _, err := client.CompareAndSwap(bg, "k", 0, []byte("v"), 0); !errors.Is(err, c.write) {
 			t.Errorf("%s: write: %v, want %v", name, err, c.write)
 		}
-		if _, err := kv.Get(bg, "k"); !errors.Is(err, c.read) {
+		if _, err := client.Get(bg, "k"); !errors.Is(err, c.read) {
 			t.Errorf("%s: read: %v, want %v", name, err, c.read)
 		}
 	}
--- a/platform/httpkv/server.go
+++ b/kv/httpkv/server.go
@@ -8,17 +8,17 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 )
 
 // maxBodyBytes admits the largest value in base64 with its key.
-const maxBodyBytes = 2 * platform.MaxValueBytes
+const maxBodyBytes = 2 * kv.MaxValueBytes
 
-type server struct{ kv platform.KV }
+type server struct{ store kv.KV }
 
-// NewHandler serves kv.
-func NewHandler(kv platform.KV) http.Handler {
-	s := &server{kv: kv}
+// NewHandler serves store.
+func NewHandler(store kv.KV) http.Handler {
+	s := &server{store: store}
 	mux := http.NewServeMux()
 	for op, call := range map[string]func(context.Context, request) (response, error){
 		opGet: s.get, opList: s.list, opCAS: s.compareAndSwap, opDelete: s.delete,
@@ -54,9 +54,9 @@
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		writeFailure(w, platform.ErrTooLarge)
+		writeFailure(w, kv.ErrTooLarge)
 	} else {
-		writeFailure(w, platform.ErrUnavailable)
+		writeFailure(w, kv.ErrUnavailable)
 	}
 	return req, false
 }
@@ -73,35 +73,35 @@
 }
 
 func (s *server) get(ctx context.Context, r request) (response, error) {
-	e, err := s.kv.Get(ctx, r.Key)
+	e, err := s.store.Get(ctx, r.Key)
 	return response{Entry: &e}, err
 }
 
 func (s *server) list(ctx context.Context, r request) (response, error) {
-	entries, rev, err := s.kv.List(ctx, r.Key)
+	entries, rev, err := s.store.List(ctx, r.Key)
 	return response{Entries: entries, Revision: rev}, err
 }
 
 func (s *server) compareAndSwap(ctx context.Context, r request) (response, error) {
-	rev, err := s.kv.CompareAndSwap(ctx, r.Key, r.Expect, r.Value, r.Lease)
+	rev, err := s.store.CompareAndSwap(ctx, r.Key, r.Expect, r.Value, r.Lease)
 	return response{Revision: rev}, err
 }
 
 func (s *server) delete(ctx context.Context, r request) (response, error) {
-	return response{}, s.kv.Delete(ctx, r.Key, r.Expect)
+	return response{}, s.store.Delete(ctx, r.Key, r.Expect)
 }
 
 func (s *server) grantLease(ctx context.Context, r request) (response, error) {
-	id, err := s.kv.GrantLease(ctx, time.Duration(r.TTLMs)*time.Millisecond)
+	id, err := s.store.GrantLease(ctx, time.Duration(r.TTLMs)*time.Millisecond)
 	return response{Lease: id}, err
 }
 
 func (s *server) keepAlive(ctx context.Context, r request) (response, error) {
-	return response{}, s.kv.KeepAlive(ctx, r.Lease)
+	return response{}, s.store.KeepAlive(ctx, r.Lease)
 }
 
 func (s *server) revokeLease(ctx context.Context, r request) (response, error) {
-	return response{}, s.kv.RevokeLease(ctx, r.Lease)
+	return response{}, s.store.RevokeLease(ctx, r.Lease)
 }
 
 // watch streams events until the client leaves or the inner watch ends.
@@ -110,7 +110,7 @@
 	if !ok {
 		return
 	}
-	events, err := s.kv.Watch(r.Context(), req.Key, req.From)
+	events, err := s.store.Watch(r.Context(), req.Key, req.From)
 	if err != nil {
 		writeFailure(w, err)
 		return
--- a/platform/httpkv/wire.go
+++ b/kv/httpkv/wire.go
@@ -1,4 +1,4 @@
-// Package httpkv carries platform.KV over HTTP: a client for hosts and a
+// Package httpkv carries kv.KV over HTTP: a client for hosts and a
 // handler that serves any implementation. Each call is a POST of one JSON
 // object; a watch is answered by a stream of one JSON object a line.
 package httpkv
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 )
 
 // The paths of the calls.
@@ -26,22 +26,22 @@
 
 // request holds the arguments of every call.
 type request struct {
-	Key    string           `json:"key,omitempty"`
-	Expect int64            `json:"expect,omitempty"`
-	Value  []byte           `json:"value,omitempty"`
-	Lease  platform.LeaseID `json:"lease,omitempty"`
-	TTLMs  int64            `json:"ttl_ms,omitempty"`
-	From   int64            `json:"from,omitempty"`
+	Key    string     `json:"key,omitempty"`
+	Expect int64      `json:"expect,omitempty"`
+	Value  []byte     `json:"value,omitempty"`
+	Lease  kv.LeaseID `json:"lease,omitempty"`
+	TTLMs  int64      `json:"ttl_ms,omitempty"`
+	From   int64      `json:"from,omitempty"`
 }
 
 // response holds the results of every call; Code is empty on success.
 type response struct {
-	Code     string           `json:"code,omitempty"`
-	Message  string           `json:"message,omitempty"`
-	Entry    *platform.Entry  `json:"entry,omitempty"`
-	Entries  []platform.Entry `json:"entries,omitempty"`
-	Revision int64            `json:"revision,omitempty"`
-	Lease    platform.LeaseID `json:"lease,omitempty"`
+	Code     string     `json:"code,omitempty"`
+	Message  string     `json:"message,omitempty"`
+	Entry    *kv.Entry  `json:"entry,omitempty"`
+	Entries  []kv.Entry `json:"entries,omitempty"`
+	Revision int64      `json:"revision,omitempty"`
+	Lease    kv.LeaseID `json:"lease,omitempty"`
 }
 
 // failure ties an error to its code and HTTP status.
@@ -52,13 +52,13 @@
 }
 
 var failures = []failure{
-	{platform.ErrNotFound, "not_found", http.StatusNotFound},
-	{platform.ErrConflict, "conflict", http.StatusConflict},
-	{platform.ErrLeaseNotFound, "lease_not_found", http.StatusGone},
-	{platform.ErrCompacted, "compacted", http.StatusGone},
-	{platform.ErrTooLarge, "too_large", http.StatusRequestEntityTooLarge},
-	{platform.ErrUnavailable, "unavailable", http.StatusServiceUnavailable},
-	{platform.ErrUnknown, "unknown", http.StatusGatewayTimeout},
+	{kv.ErrNotFound, "not_found", http.StatusNotFound},
+	{kv.ErrConflict, "conflict", http.StatusConflict},
+	{kv.ErrLeaseNotFound, "lease_not_found", http.StatusGone},
+	{kv.ErrCompacted, "compacted", http.StatusGone},
+	{kv.ErrTooLarge, "too_large", http.StatusRequestEntityTooLarge},
+	{kv.ErrUnavailable, "unavailable", http.StatusServiceUnavailable},
+	{kv.ErrUnknown, "unknown", http.StatusGatewayTimeout},
 }
 
 // failureOf classifies err. An error of another kind counts as unknown.
--- a/platform/platform.go
+++ b/kv/kv.go
@@ -1,6 +1,6 @@
-// Package platform defines the interface to the platform's key-value service,
+// Package kv defines the interface to the platform's key-value service,
 // the only place where state outlives a host.
-package platform
+package kv
 
 import (
 	"context"
@@ -12,19 +12,19 @@
 // Errors that every KV implementation returns, wrapped or not.
 var (
 	// ErrNotFound reports that the key does not exist.
-	ErrNotFound = errors.New("platform: key not found")
+	ErrNotFound = errors.New("kv: key not found")
 	// ErrConflict reports that a compare-and-swap saw another revision.
-	ErrConflict = errors.New("platform: revision conflict")
+	ErrConflict = errors.New("kv: revision conflict")
 	// ErrLeaseNotFound reports that a lease has expired or was revoked.
-	ErrLeaseNotFound = errors.New("platform: lease not found")
+	ErrLeaseNotFound = errors.New("kv: lease not found")
 	// ErrCompacted reports that a watch asked for a revision that is no longer kept.
-	ErrCompacted = errors.New("platform: revision compacted")
+	ErrCompacted = errors.New("kv: revision compacted")
 	// ErrTooLarge reports a value over MaxValueBytes.
-	ErrTooLarge = errors.New("platform: value too large")
+	ErrTooLarge = errors.New("kv: value too large")
 	// ErrUnavailable reports that the call certainly had no effect.
-	ErrUnavailable = errors.New("platform: service unavailable")
+	ErrUnavailable = errors.New("kv: service unavailable")
 	// ErrUnknown reports that the call may or may not have taken effect.
-	ErrUnknown = errors.New("platform: outcome unknown")
+	ErrUnknown = errors.New("kv: outcome unknown")
 )
 
 // MaxValueBytes is the largest value the service accepts.
--- a/platform/memkv/faulty.go
+++ b/kv/memkv/faulty.go
@@ -10,7 +10,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 )
 
 // Fault names an injected fault.
@@ -55,33 +55,33 @@
 // Faulty wraps a store, counts its calls and injects faults by name. It is
 // safe for concurrent use.
 type Faulty struct {
-	kv    platform.KV
+	store kv.KV
 	clock clockwork.Clock
 
 	mu      sync.Mutex
 	faults  map[Fault]int
 	delay   time.Duration
 	onCall  func(Call, string) Fault
-	past    []platform.Entry
+	past    []kv.Entry
 	pastRev int64
 	counts  map[Call]int64
 	waiting int64
 }
 
-var _ platform.KV = (*Faulty)(nil)
+var _ kv.KV = (*Faulty)(nil)
 
-// NewFaulty wraps kv. Without an injected fault every call goes through.
-func NewFaulty(kv platform.KV, clock clockwork.Clock) *Faulty {
-	return &Faulty{kv: kv, clock: clock, faults: make(map[Fault]int), counts: make(map[Call]int64)}
+// NewFaulty wraps store. Without an injected fault every call goes through.
+func NewFaulty(store kv.KV, clock clockwork.Clock) *Faulty {
+	return &Faulty{store: store, clock: clock, faults: make(map[Fault]int), counts: make(map[Call]int64)}
 }
 
 // Inject applies the fault to the next calls it concerns, or to all of them
 // with Always. The lost replies concern writes, StaleReads concerns reads.
 func (f *Faulty) Inject(fault Fault, calls int) {
-	var past []platform.Entry
+	var past []kv.Entry
 	var rev int64
 	if fault == StaleReads {
-		past, rev, _ = f.kv.List(context.Background(), "")
+		past, rev, _ = f.store.List(context.Background(), "")
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -149,11 +149,11 @@
 	}
 	switch fault {
 	case Outage:
-		return None, platform.ErrUnavailable
+		return None, kv.ErrUnavailable
 	case LostBefore:
-		return None, platform.ErrUnknown
+		return None, kv.ErrUnknown
 	case Compacted:
-		return None, platform.ErrCompacted
+		return None, kv.ErrCompacted
 	}
 	return fault, nil
 }
@@ -172,9 +172,9 @@
 		return nil
 	}
 	if delay > 0 && isWrite(call) {
-		return fmt.Errorf("%w: %w", platform.ErrUnknown, ctx.Err())
+		return fmt.Errorf("%w: %w", kv.ErrUnknown, ctx.Err())
 	}
-	return fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
+	return fmt.Errorf("%w: %w", kv.ErrUnavailable, ctx.Err())
 }
 
 func (f *Faulty) choose(call Call, key string) Fault {
@@ -218,7 +218,7 @@
 	return call != CallGet && call != CallList && call != CallWatch
 }
 
-func (f *Faulty) pastGet(key string) (platform.Entry, error) {
+func (f *Faulty) pastGet(key string) (kv.Entry, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, e := range f.past {
@@ -226,13 +226,13 @@
 			return cloned(e), nil
 		}
 	}
-	return platform.Entry{}, platform.ErrNotFound
+	return kv.Entry{}, kv.ErrNotFound
 }
 
-func (f *Faulty) pastList(prefix string) ([]platform.Entry, int64) {
+func (f *Faulty) pastList(prefix string) ([]kv.Entry, int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []platform.Entry
+	var out []kv.Entry
 	for _, e := range f.past {
 		if strings.HasPrefix(e.Key, prefix) {
 			out = append(out, cloned(e))
--- a/platform/memkv/faulty_kv.go
+++ b/kv/memkv/faulty_kv.go
@@ -4,23 +4,23 @@
 	"context"
 	"time"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 )
 
-// Get implements platform.KV.
-func (f *Faulty) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements kv.KV.
+func (f *Faulty) Get(ctx context.Context, key string) (kv.Entry, error) {
 	fault, err := f.enter(ctx, CallGet, key)
 	if err != nil {
-		return platform.Entry{}, err
+		return kv.Entry{}, err
 	}
 	if fault == StaleReads {
 		return f.pastGet(key)
 	}
-	return f.kv.Get(ctx, key)
+	return f.store.Get(ctx, key)
 }
 
-// List implements platform.KV.
-func (f *Faulty) List(ctx context.Context, prefix string) ([]platform.Entry, int64, error) {
+// List implements kv.KV.
+func (f *Faulty) List(ctx context.Context, prefix string) ([]kv.Entry, int64, error) {
 	fault, err := f.enter(ctx, CallList, prefix)
 	if err != nil {
 		return nil, 0, err
@@ -29,48 +29,48 @@
 		entries, rev := f.pastList(prefix)
 		return entries, rev, nil
 	}
-	return f.kv.List(ctx, prefix)
+	return f.store.List(ctx, prefix)
 }
 
-// CompareAndSwap implements platform.KV.
-func (f *Faulty) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte, lease platform.LeaseID) (int64, error) {
+// CompareAndSwap implements kv.KV.
+func (f *Faulty) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte, lease kv.LeaseID) (int64, error) {
 	fault, err := f.enter(ctx, CallCompareAndSwap, key)
 	if err != nil {
 		return 0, err
 	}
-	rev, err := f.kv.CompareAndSwap(ctx, key, expect, value, lease)
+	rev, err := f.store.CompareAndSwap(ctx, key, expect, value, lease)
 	if fault == LostAfter {
-		return 0, platform.ErrUnknown
+		return 0, kv.ErrUnknown
 	}
 	return rev, err
 }
 
-// Delete implements platform.KV.
+// Delete implements kv.KV.
 func (f *Faulty) Delete(ctx context.Context, key string, expect int64) error {
-	return f.write(ctx, CallDelete, key, func() error { return f.kv.Delete(ctx, key, expect) })
+	return f.write(ctx, CallDelete, key, func() error { return f.store.Delete(ctx, key, expect) })
 }
 
-// GrantLease implements platform.KV.
-func (f *Faulty) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// GrantLease implements kv.KV.
+func (f *Faulty) GrantLease(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
 	fault, err := f.enter(ctx, CallGrantLease, "")
 	if err != nil {
 		return 0, err
 	}
-	id, err := f.kv.GrantLease(ctx, ttl)
+	id, err := f.store.GrantLease(ctx, ttl)
 	if fault == LostAfter {
-		return 0, platform.ErrUnknown
+		return 0, kv.ErrUnknown
 	}
 	return id, err
 }
 
-// KeepAlive implements platform.KV.
-func (f *Faulty) KeepAlive(ctx context.Context, id platform.LeaseID) error {
-	return f.write(ctx, CallKeepAlive, "", func() error { return f.kv.KeepAlive(ctx, id) })
+// KeepAlive implements kv.KV.
+func (f *Faulty) KeepAlive(ctx context.Context, id kv.LeaseID) error {
+	return f.write(ctx, CallKeepAlive, "", func() error { return f.store.KeepAlive(ctx, id) })
 }
 
-// RevokeLease implements platform.KV.
-func (f *Faulty) RevokeLease(ctx context.Context, id platform.LeaseID) error {
-	return f.write(ctx, CallRevokeLease, "", func() error { return f.kv.RevokeLease(ctx, id) })
+// RevokeLease implements kv.KV.
+func (f *Faulty) RevokeLease(ctx context.Context, id kv.LeaseID) error {
+	return f.write(ctx, CallRevokeLease, "", func() error { return f.store.RevokeLease(ctx, id) })
 }
 
 func (f *Faulty) write(ctx context.Context, call Call, key string, do func() error) error {
@@ -80,22 +80,22 @@
 	}
 	err = do()
 	if fault == LostAfter {
-		return platform.ErrUnknown
+		return kv.ErrUnknown
 	}
 	return err
 }
 
-// Watch implements platform.KV.
-func (f *Faulty) Watch(ctx context.Context, prefix string, from int64) (<-chan platform.Event, error) {
+// Watch implements kv.KV.
+func (f *Faulty) Watch(ctx context.Context, prefix string, from int64) (<-chan kv.Event, error) {
 	if _, err := f.enter(ctx, CallWatch, prefix); err != nil {
 		return nil, err
 	}
-	in, err := f.kv.Watch(ctx, prefix, from)
+	in, err := f.store.Watch(ctx, prefix, from)
 	if err != nil {
 		return nil, err
 	}
 	f.addWaiting(1)
-	out := make(chan platform.Event)
+	out := make(chan kv.Event)
 	go f.forward(ctx, in, out)
 	return out, nil
 }
@@ -108,7 +108,7 @@
 
 // forward passes events on until the watch ends. A silent watch swallows its
 // events and outlives the loss of the inner watch, as a dead connection does.
-func (f *Faulty) forward(ctx context.Context, in <-chan platform.Event, out chan<- platform.Event) {
+func (f *Faulty) forward(ctx context.Context, in <-chan kv.Event, out chan<- kv.Event) {
 	defer close(out)
 	defer f.addWaiting(-1)
 	for ev := range in {
--- a/platform/memkv/memkv.go
+++ b/kv/memkv/memkv.go
@@ -10,21 +10,21 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 )
 
-// Store is an in-memory platform.KV. It is safe for concurrent use.
+// Store is an in-memory kv.KV. It is safe for concurrent use.
 type Store struct {
 	clock clockwork.Clock
 
 	mu        sync.Mutex
 	revision  int64
-	nextLease platform.LeaseID
-	entries   map[string]platform.Entry
-	leases    map[platform.LeaseID]*lease
+	nextLease kv.LeaseID
+	entries   map[string]kv.Entry
+	leases    map[kv.LeaseID]*lease
 	watches   map[*watch]struct{}
 
-	history      []platform.Event
+	history      []kv.Event
 	historyBytes int
 	compacted    int64
 }
@@ -36,10 +36,10 @@
 
 type watch struct {
 	prefix string
-	ch     chan platform.Event
+	ch     chan kv.Event
 }
 
-var _ platform.KV = (*Store)(nil)
+var _ kv.KV = (*Store)(nil)
 
 // watchBuffer is the number of events a slow watcher may lag behind before
 // its watch is closed.
@@ -56,71 +56,71 @@
 func New(clock clockwork.Clock) *Store {
 	return &Store{
 		clock:   clock,
-		entries: make(map[string]platform.Entry),
-		leases:  make(map[platform.LeaseID]*lease),
+		entries: make(map[string]kv.Entry),
+		leases:  make(map[kv.LeaseID]*lease),
 		watches: make(map[*watch]struct{}),
 	}
 }
 
-// Get implements platform.KV.
-func (s *Store) Get(_ context.Context, key string) (platform.Entry, error) {
+// Get implements kv.KV.
+func (s *Store) Get(_ context.Context, key string) (kv.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	e, ok := s.entries[key]
 	if !ok {
-		return platform.Entry{}, platform.ErrNotFound
+		return kv.Entry{}, kv.ErrNotFound
 	}
 	return cloned(e), nil
 }
 
-// List implements platform.KV.
-func (s *Store) List(_ context.Context, prefix string) ([]platform.Entry, int64, error) {
+// List implements kv.KV.
+func (s *Store) List(_ context.Context, prefix string) ([]kv.Entry, int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	var out []platform.Entry
+	var out []kv.Entry
 	for key, e := range s.entries {
 		if strings.HasPrefix(key, prefix) {
 			out = append(out, cloned(e))
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.Entry) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(out, func(a, b kv.Entry) int { return strings.Compare(a.Key, b.Key) })
 	return out, s.revision, nil
 }
 
-// CompareAndSwap implements platform.KV.
-func (s *Store) CompareAndSwap(_ context.Context, key string, expect int64, value []byte, id platform.LeaseID) (int64, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+// CompareAndSwap implements kv.KV.
+func (s *Store) CompareAndSwap(_ context.Context, key string, expect int64, value []byte, id kv.LeaseID) (int64, error) {
+	if len(value) > kv.MaxValueBytes {
+		return 0, kv.ErrTooLarge
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	if s.entries[key].Revision != expect {
-		return 0, platform.ErrConflict
+		return 0, kv.ErrConflict
 	}
 	if _, ok := s.leases[id]; id != 0 && !ok {
-		return 0, platform.ErrLeaseNotFound
+		return 0, kv.ErrLeaseNotFound
 	}
 	s.revision++
-	e := platform.Entry{Key: key, Value: slices.Clone(value), Revision: s.revision, Lease: id}
+	e := kv.Entry{Key: key, Value: slices.Clone(value), Revision: s.revision, Lease: id}
 	s.entries[key] = e
-	s.record(platform.Event{Entry: e})
+	s.record(kv.Event{Entry: e})
 	return s.revision, nil
 }
 
-// Delete implements platform.KV.
+// Delete implements kv.KV.
 func (s *Store) Delete(_ context.Context, key string, expect int64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	e, ok := s.entries[key]
 	if !ok {
-		return platform.ErrNotFound
+		return kv.ErrNotFound
 	}
 	if e.Revision != expect {
-		return platform.ErrConflict
+		return kv.ErrConflict
 	}
 	s.remove(key)
 	return nil
@@ -129,11 +129,11 @@
 func (s *Store) remove(key string) {
 	s.revision++
 	delete(s.entries, key)
-	s.record(platform.Event{Entry: platform.Entry{Key: key, Revision: s.revision}, Deleted: true})
+	s.record(kv.Event{Entry: kv.Entry{Key: key, Revision: s.revision}, Deleted: true})
 }
 
-// GrantLease implements platform.KV.
-func (s *Store) GrantLease(_ context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// GrantLease implements kv.KV.
+func (s *Store) GrantLease(_ context.Context, ttl time.Duration) (kv.LeaseID, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nextLease++
@@ -141,26 +141,26 @@
 	return s.nextLease, nil
 }
 
-// KeepAlive implements platform.KV.
-func (s *Store) KeepAlive(_ context.Context, id platform.LeaseID) error {
+// KeepAlive implements kv.KV.
+func (s *Store) KeepAlive(_ context.Context, id kv.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	l, ok := s.leases[id]
 	if !ok {
-		return platform.ErrLeaseNotFound
+		return kv.ErrLeaseNotFound
 	}
 	l.expires = s.clock.Now().Add(l.ttl)
 	return nil
 }
 
-// RevokeLease implements platform.KV.
-func (s *Store) RevokeLease(_ context.Context, id platform.LeaseID) error {
+// RevokeLease implements kv.KV.
+func (s *Store) RevokeLease(_ context.Context, id kv.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	if _, ok := s.leases[id]; !ok {
-		return platform.ErrLeaseNotFound
+		return kv.ErrLeaseNotFound
 	}
 	s.endLease(id)
 	return nil
@@ -176,7 +176,7 @@
 	}
 }
 
-func (s *Store) endLease(id platform.LeaseID) {
+func (s *Store) endLease(id kv.LeaseID) {
 	delete(s.leases, id)
 	for key, e := range s.entries {
 		if e.Lease == id {
--- a/platform/memkv/memkv_test.go
+++ b/kv/memkv/memkv_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/corianderlever/corianderlever/platform"
-	"github.com/corianderlever/corianderlever/platform/memkv"
+	"github.com/corianderlever/corianderlever/kv"
+	"github.com/corianderlever/corianderlever/kv/memkv"
 )
 
 var bg = context.Background()
@@ -29,21 +29,21 @@
 		want    error
 		written bool
 	}{
-		{memkv.Outage, platform.ErrUnavailable, false},
-		{memkv.LostBefore, platform.ErrUnknown, false},
-		{memkv.LostAfter, platform.ErrUnknown, true},
+		{memkv.Outage, kv.ErrUnavailable, false},
+		{memkv.LostBefore, kv.ErrUnknown, false},
+		{memkv.LostAfter, kv.ErrUnknown, true},
 	} {
-		_, store, kv := setup()
-		kv.Inject(c.fault, 1)
-		_, err := kv.CompareAndSwap(bg, "k", 0, []byte("v"), 0)
+		_, store, client := setup()
+		client.Inject(c.fault, 1)
+		_, err := client.CompareAndSwap(bg, "k", 0, []byte("v"), 0)
 		_, absent := store.Get(bg, "k")
 		if !errors.Is(err, c.want) || (absent == nil) != c.written {
 			t.Errorf("%s: err %v, written %v", c.fault, err, absent == nil)
 		}
-		if _, err := kv.GrantLease(bg, time.Second); err != nil {
+		if _, err := client.GrantLease(bg, time.Second); err != nil {
 			t.Errorf("%s: outlasts its count: %v", c.fault, err)
 		}
-		if n := kv.Counts(); n[memkv.CallCompareAndSwap] != 1 || n[memkv.CallGrantLease] != 1 {
+		if n := client.Counts(); n[memkv.CallCompareAndSwap] != 1 || n[memkv.CallGrantLease] != 1 {
 			t.Errorf("%s: counts %v", c.fault, n)
 		}
 	}
@@ -52,29 +52,29 @@
 // TestStaleReads guards against a stale store that shows later writes, or that
 // lets a write through on a stale revision.
 func TestStaleReads(t *testing.T) {
-	_, _, kv := setup()
-	old, _ := kv.CompareAndSwap(bg, "k", 0, []byte("old"), 0)
-	kv.Inject(memkv.StaleReads, memkv.Always)
-	if _, err := kv.CompareAndSwap(bg, "k", old, []byte("new"), 0); err != nil {
+	_, _, client := setup()
+	old, _ := client.CompareAndSwap(bg, "k", 0, []byte("old"), 0)
+	client.Inject(memkv.StaleReads, memkv.Always)
+	if _, err := client.CompareAndSwap(bg, "k", old, []byte("new"), 0); err != nil {
 		t.Fatal(err)
 	}
-	e, _ := kv.Get(bg, "k")
-	list, rev, _ := kv.List(bg, "")
+	e, _ := client.Get(bg, "k")
+	list, rev, _ := client.List(bg, "")
 	if string(e.Value) != "old" || string(list[0].Value) != "old" || rev != old {
 		t.Fatalf("stale read shows %q %q at %d", e.Value, list[0].Value, rev)
 	}
-	if _, err := kv.CompareAndSwap(bg, "k", e.Revision, nil, 0); !errors.Is(err, platform.ErrConflict) {
+	if _, err := client.CompareAndSwap(bg, "k", e.Revision, nil, 0); !errors.Is(err, kv.ErrConflict) {
 		t.Fatalf("write on a stale revision: %v", err)
 	}
 }
 
 // TestSlowCall guards against slowness that ignores the clock or the context.
 func TestSlowCall(t *testing.T) {
-	clock, _, kv := setup()
-	kv.SetDelay(time.Second)
+	clock, _, client := setup()
+	client.SetDelay(time.Second)
 	done := make(chan error)
 	call := func(ctx context.Context) {
-		_, err := kv.CompareAndSwap(ctx, "k", 0, nil, 0)
+		_, err := client.CompareAndSwap(ctx, "k", 0, nil, 0)
 		done <- err
 	}
 	go call(bg)
@@ -86,7 +86,7 @@
 	ctx, cancel := context.WithCancel(bg)
 	go call(ctx)
 	cancel()
-	if err := <-done; !errors.Is(err, platform.ErrUnknown) && !errors.Is(err, platform.ErrUnavailable) {
+	if err := <-done; !errors.Is(err, kv.ErrUnknown) && !errors.Is(err, kv.ErrUnavailable) {
 		t.Fatal(err)
 	}
 }
@@ -94,32 +94,32 @@
 // TestSilentWatch guards against a silent watch that still delivers or that
 // closes, and against a waiting watch left out of the count.
 func TestSilentWatch(t *testing.T) {
-	_, _, kv := setup()
+	_, _, client := setup()
 	ctx, cancel := context.WithCancel(bg)
-	ch, err := kv.Watch(ctx, "", 0)
-	if err != nil || kv.Waiting() != 1 || kv.Counts()[memkv.CallWatch] != 1 {
-		t.Fatalf("err %v, waiting %d", err, kv.Waiting())
+	ch, err := client.Watch(ctx, "", 0)
+	if err != nil || client.Waiting() != 1 || client.Counts()[memkv.CallWatch] != 1 {
+		t.Fatalf("err %v, waiting %d", err, client.Waiting())
 	}
-	kv.Inject(memkv.SilentWatch, memkv.Always)
-	if _, err := kv.CompareAndSwap(bg, "k", 0, nil, 0); err != nil {
+	client.Inject(memkv.SilentWatch, memkv.Always)
+	if _, err := client.CompareAndSwap(bg, "k", 0, nil, 0); err != nil {
 		t.Fatal(err)
 	}
 	cancel()
 	if ev, ok := <-ch; ok {
 		t.Fatalf("silent watch sent %v", ev)
 	}
-	kv.Inject(memkv.Compacted, 1)
-	if _, err := kv.Watch(bg, "", 0); !errors.Is(err, platform.ErrCompacted) {
+	client.Inject(memkv.Compacted, 1)
+	if _, err := client.Watch(bg, "", 0); !errors.Is(err, kv.ErrCompacted) {
 		t.Fatal(err)
 	}
 }
 
 func ExampleFaulty() {
 	clock := clockwork.NewFakeClock()
-	kv := memkv.NewFaulty(memkv.New(clock), clock)
-	kv.Inject(memkv.LostAfter, 1)
-	_, err := kv.CompareAndSwap(context.Background(), "k", 0, []byte("v"), 0)
-	e, _ := kv.Get(context.Background(), "k")
-	fmt.Println(errors.Is(err, platform.ErrUnknown), string(e.Value))
+	client := memkv.NewFaulty(memkv.New(clock), clock)
+	client.Inject(memkv.LostAfter, 1)
+	_, err := client.CompareAndSwap(context.Background(), "k", 0, []byte("v"), 0)
+	e, _ := client.Get(context.Background(), "k")
+	fmt.Println(errors.Is(err, kv.ErrUnknown), string(e.Value))
 	// Output: true v
 }
--- a/platform/memkv/watch.go
+++ b/kv/memkv/watch.go
@@ -5,21 +5,21 @@
 	"slices"
 	"strings"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 )
 
-// Watch implements platform.KV. It replays the kept changes above from, in
+// Watch implements kv.KV. It replays the kept changes above from, in
 // order, and then sends new ones. A watcher that lags more than watchBuffer
 // events behind loses its watch.
-func (s *Store) Watch(ctx context.Context, prefix string, from int64) (<-chan platform.Event, error) {
+func (s *Store) Watch(ctx context.Context, prefix string, from int64) (<-chan kv.Event, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	if from < s.compacted {
-		return nil, platform.ErrCompacted
+		return nil, kv.ErrCompacted
 	}
 	replay := s.replay(prefix, from)
-	w := &watch{prefix: prefix, ch: make(chan platform.Event, len(replay)+watchBuffer)}
+	w := &watch{prefix: prefix, ch: make(chan kv.Event, len(replay)+watchBuffer)}
 	for _, ev := range replay {
 		w.ch <- ev
 	}
@@ -43,8 +43,8 @@
 	}
 }
 
-func (s *Store) replay(prefix string, from int64) []platform.Event {
-	var out []platform.Event
+func (s *Store) replay(prefix string, from int64) []kv.Event {
+	var out []kv.Event
 	for _, ev := range s.history {
 		if ev.Entry.Revision > from && strings.HasPrefix(ev.Entry.Key, prefix) {
 			out = append(out, clonedEvent(ev))
@@ -54,7 +54,7 @@
 }
 
 // record keeps the change for later watches and sends it to the present ones.
-func (s *Store) record(ev platform.Event) {
+func (s *Store) record(ev kv.Event) {
 	s.history = append(s.history, ev)
 	s.historyBytes += len(ev.Entry.Value)
 	for len(s.history) > historyEvents || s.historyBytes > historyBytes {
@@ -70,11 +70,11 @@
 
 func (s *Store) forgetOldest() {
 	s.historyBytes -= len(s.history[0].Entry.Value)
-	s.history[0] = platform.Event{}
+	s.history[0] = kv.Event{}
 	s.history = s.history[1:]
 }
 
-func (s *Store) send(w *watch, ev platform.Event) {
+func (s *Store) send(w *watch, ev kv.Event) {
 	select {
 	case w.ch <- clonedEvent(ev):
 	default:
@@ -90,12 +90,12 @@
 }
 
 // cloned copies the value, so that a caller cannot change what is stored.
-func cloned(e platform.Entry) platform.Entry {
+func cloned(e kv.Entry) kv.Entry {
 	e.Value = slices.Clone(e.Value)
 	return e
 }
 
-func clonedEvent(ev platform.Event) platform.Event {
+func clonedEvent(ev kv.Event) kv.Event {
 	ev.Entry = cloned(ev.Entry)
 	return ev
 }
--- a/platform/timeout.go
+++ b/kv/timeout.go
@@ -1,4 +1,4 @@
-package platform
+package kv
 
 import (
 	"context"
--- a/lease/example_test.go
+++ b/lease/example_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/corianderlever/corianderlever/kv/memkv"
 	"github.com/corianderlever/corianderlever/lease"
-	"github.com/corianderlever/corianderlever/platform/memkv"
 )
 
 func Example() {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -14,7 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 )
 
 // Errors of this package.
@@ -65,7 +65,7 @@
 
 // Holder takes and renews one role. It is safe for concurrent use.
 type Holder struct {
-	kv    platform.KV
+	store kv.KV
 	clock clockwork.Clock
 	cfg   Config
 	log   *slog.Logger
@@ -82,14 +82,14 @@
 // term is one uninterrupted time as holder.
 type term struct {
 	token   Token
-	lease   platform.LeaseID
+	lease   kv.LeaseID
 	ctx     context.Context
 	end     context.CancelFunc
 	actions sync.WaitGroup
 }
 
 // New returns a holder that does nothing until Run.
-func New(kv platform.KV, clock clockwork.Clock, rng *rand.Rand, cfg Config) *Holder {
+func New(store kv.KV, clock clockwork.Clock, rng *rand.Rand, cfg Config) *Holder {
 	if cfg.TTL == 0 {
 		cfg.TTL = DefaultTTL
 	}
@@ -100,7 +100,7 @@
 		cfg.Logger = slog.Default()
 	}
 	log := cfg.Logger.With("role", cfg.Role, "host", cfg.Host)
-	return &Holder{kv: kv, clock: clock, cfg: cfg, log: log, rng: rng}
+	return &Holder{store: store, clock: clock, cfg: cfg, log: log, rng: rng}
 }
 
 // Run takes and renews the role until ctx ends, then releases it.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -12,8 +12,8 @@
 	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
 
-	"github.com/corianderlever/corianderlever/platform"
-	"github.com/corianderlever/corianderlever/platform/memkv"
+	"github.com/corianderlever/corianderlever/kv"
+	"github.com/corianderlever/corianderlever/kv/memkv"
 )
 
 var bg = context.Background()
@@ -36,16 +36,16 @@
 
 // slowReplies lets time pass between the effect of a lease call and its reply.
 type slowReplies struct {
-	platform.KV
+	kv.KV
 	after func()
 }
 
-func (s slowReplies) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+func (s slowReplies) GrantLease(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
 	defer s.after()
 	return s.KV.GrantLease(ctx, ttl)
 }
 
-func (s slowReplies) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+func (s slowReplies) KeepAlive(ctx context.Context, id kv.LeaseID) error {
 	defer s.after()
 	return s.KV.KeepAlive(ctx, id)
 }
--- a/lease/step.go
+++ b/lease/step.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 )
 
 // keyPrefix is the place of all roles in the store.
@@ -23,7 +23,7 @@
 // nonce recognises the own write after a lost reply.
 type attempt struct {
 	nonce string
-	lease platform.LeaseID
+	lease kv.LeaseID
 	// start is the own time before the lease was granted or last renewed, so
 	// the store's lease lasts at least until start plus TTL.
 	start time.Time
@@ -37,7 +37,7 @@
 	h.stepping.Lock()
 	defer h.stepping.Unlock()
 	// A call that hangs must not outlast the time to the next renewal.
-	ctx, cancel := platform.WithTimeout(ctx, h.clock, h.cfg.TTL/renewalsPerTTL)
+	ctx, cancel := kv.WithTimeout(ctx, h.clock, h.cfg.TTL/renewalsPerTTL)
 	defer cancel()
 	if t := h.current(); t != nil {
 		h.renew(ctx, t)
@@ -54,14 +54,14 @@
 
 func (h *Holder) renew(ctx context.Context, t *term) {
 	start := h.clock.Now()
-	err := h.kv.KeepAlive(ctx, t.lease)
+	err := h.store.KeepAlive(ctx, t.lease)
 	if err == nil {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		t.token.ValidUntil = h.validUntil(start)
 		return
 	}
-	if errors.Is(err, platform.ErrLeaseNotFound) || h.valid() != t {
+	if errors.Is(err, kv.ErrLeaseNotFound) || h.valid() != t {
 		h.endTerm("renewal failed", err)
 	}
 }
@@ -74,12 +74,12 @@
 	if h.attempt != nil && h.clock.Since(h.attempt.start) >= h.cfg.TTL/2 {
 		h.attempt = nil // too little of its lease would be left
 	}
-	e, err := h.kv.Get(ctx, h.key())
+	e, err := h.store.Get(ctx, h.key())
 	if err == nil {
 		h.adopt(e)
 		return
 	}
-	if !errors.Is(err, platform.ErrNotFound) || !h.prepare(ctx) {
+	if !errors.Is(err, kv.ErrNotFound) || !h.prepare(ctx) {
 		return
 	}
 	h.take(ctx)
@@ -91,7 +91,7 @@
 		return true
 	}
 	start := h.clock.Now()
-	id, err := h.kv.GrantLease(ctx, h.cfg.TTL)
+	id, err := h.store.GrantLease(ctx, h.cfg.TTL)
 	if err != nil {
 		return false // a lease whose grant was lost lapses unused
 	}
@@ -104,16 +104,16 @@
 	if err != nil {
 		return
 	}
-	rev, err := h.kv.CompareAndSwap(ctx, h.key(), 0, value, h.attempt.lease)
+	rev, err := h.store.CompareAndSwap(ctx, h.key(), 0, value, h.attempt.lease)
 	switch {
 	case err == nil:
 		h.startTerm(rev)
-	case errors.Is(err, platform.ErrUnknown), errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, kv.ErrUnknown), errors.Is(err, kv.ErrConflict):
 		// A conflict can be the own earlier write whose reply was lost.
-		if e, err := h.kv.Get(ctx, h.key()); err == nil {
+		if e, err := h.store.Get(ctx, h.key()); err == nil {
 			h.adopt(e)
 		}
-	case errors.Is(err, platform.ErrLeaseNotFound):
+	case errors.Is(err, kv.ErrLeaseNotFound):
 		h.attempt = nil
 	}
 }
@@ -121,7 +121,7 @@
 // adopt starts a term if the entry is the write of the open attempt. Even an
 // answer from the past is proof: only this holder removes its own write before
 // the lease of the attempt ends.
-func (h *Holder) adopt(e platform.Entry) {
+func (h *Holder) adopt(e kv.Entry) {
 	var r record
 	if h.attempt == nil || json.Unmarshal(e.Value, &r) != nil || r.Nonce != h.attempt.nonce {
 		return
@@ -174,9 +174,9 @@
 	case <-h.clock.After(left):
 		return
 	}
-	ctx, cancel := platform.WithTimeout(ctx, h.clock, h.cfg.TTL/renewalsPerTTL)
+	ctx, cancel := kv.WithTimeout(ctx, h.clock, h.cfg.TTL/renewalsPerTTL)
 	defer cancel()
-	if err := h.kv.RevokeLease(ctx, t.lease); err != nil {
+	if err := h.store.RevokeLease(ctx, t.lease); err != nil {
 		h.log.Warn("role not released", "err", err)
 	}
 }
--- a/ledger/copies.go
+++ b/ledger/copies.go
@@ -4,7 +4,7 @@
 	"context"
 	"slices"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 )
 
 // replicate gives a copy to the record's peer, or to another one if that
@@ -68,7 +68,7 @@
 
 func (l *Ledger) hold(ctx context.Context, peer string, c Copies) bool {
 	// The caller of a request may leave, the record must not leave with it.
-	ctx, cancel := platform.WithTimeout(context.WithoutCancel(ctx), l.clock, l.cfg.HoldTimeout)
+	ctx, cancel := kv.WithTimeout(context.WithoutCancel(ctx), l.clock, l.cfg.HoldTimeout)
 	defer cancel()
 	return l.peers.Hold(ctx, peer, c) == nil
 }
@@ -97,7 +97,7 @@
 // release tells peers that they can drop copies. A lost message only leaves a
 // copy that is later written again and deduplicated.
 func (l *Ledger) release(ctx context.Context, byPeer map[string][]ID) {
-	ctx, cancel := platform.WithTimeout(context.WithoutCancel(ctx), l.clock, l.cfg.HoldTimeout)
+	ctx, cancel := kv.WithTimeout(context.WithoutCancel(ctx), l.clock, l.cfg.HoldTimeout)
 	defer cancel()
 	for peer, ids := range byPeer {
 		l.mu.Lock()
--- a/ledger/example_test.go
+++ b/ledger/example_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/corianderlever/corianderlever/kv/memkv"
 	"github.com/corianderlever/corianderlever/ledger"
-	"github.com/corianderlever/corianderlever/platform/memkv"
 )
 
 // alone is a Replicator of a host without peers.
--- a/ledger/flush.go
+++ b/ledger/flush.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 )
 
 // maxBatchRecords keeps a batch well under the largest value; a record takes
@@ -87,17 +87,17 @@
 // write stores a batch. A conflict means that an earlier write, whose reply
 // was lost, took effect, because no other process uses the key.
 func (l *Ledger) write(ctx context.Context, b *batch) error {
-	_, err := l.kv.CompareAndSwap(ctx, b.key, 0, b.value, 0)
-	if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknown) {
+	_, err := l.store.CompareAndSwap(ctx, b.key, 0, b.value, 0)
+	if !errors.Is(err, kv.ErrConflict) && !errors.Is(err, kv.ErrUnknown) {
 		return err
 	}
-	stored, getErr := l.kv.Get(ctx, b.key)
+	stored, getErr := l.store.Get(ctx, b.key)
 	switch {
 	case getErr == nil && bytes.Equal(stored.Value, b.value):
 		return nil
 	case getErr == nil:
 		return errors.Newf("key %s holds another batch", b.key)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, kv.ErrConflict):
 		return getErr
 	}
 	return err // unknown, and not stored as far as one can see: written again later
--- a/ledger/fold.go
+++ b/ledger/fold.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 )
 
 // FoldAge is the time between the first sight of a batch and its folding. A
@@ -68,8 +68,8 @@
 // Fold turns the batches of old filing minutes into summaries, oldest first.
 // It is idempotent and may stop at any point; one host runs it at a time, and
 // if two do, the swap of the summary lets one of them win.
-func Fold(ctx context.Context, kv platform.KV, now time.Time) error {
-	pages, err := load(ctx, kv, now.Add(-KeyAge-FoldAge), now.Add(keySkew))
+func Fold(ctx context.Context, store kv.KV, now time.Time) error {
+	pages, err := load(ctx, store, now.Add(-KeyAge-FoldAge), now.Add(keySkew))
 	if err != nil {
 		return err
 	}
@@ -77,7 +77,7 @@
 		if len(p.batches) == 0 {
 			continue
 		}
-		if err := p.fold(ctx, kv, pages, i, now); err != nil {
+		if err := p.fold(ctx, store, pages, i, now); err != nil {
 			return err
 		}
 	}
@@ -85,7 +85,7 @@
 }
 
 // fold folds the batches of a page that have been seen long enough ago.
-func (p *page) fold(ctx context.Context, kv platform.KV, pages []*page, i int, now time.Time) error {
+func (p *page) fold(ctx context.Context, store kv.KV, pages []*page, i int, now time.Time) error {
 	next := summary{Rows: slices.Clone(p.summary.Rows), IDs: p.summary.IDs, Seen: make(map[string]time.Time)}
 	due := make(map[ID]bool)
 	changed := false
@@ -109,11 +109,11 @@
 		}
 	}
 	if changed {
-		if err := p.store(ctx, kv, next, dueRecords(p.settled(pages, i), due)); err != nil {
+		if err := p.store(ctx, store, next, dueRecords(p.settled(pages, i), due)); err != nil {
 			return err
 		}
 	}
-	return p.deleteFolded(ctx, kv)
+	return p.deleteFolded(ctx, store)
 }
 
 // neededBy reports whether an earlier page has an unfolded record of an id in
@@ -137,7 +137,7 @@
 }
 
 // store writes a summary that also counts the records.
-func (p *page) store(ctx context.Context, kv platform.KV, next summary, records []Record) error {
+func (p *page) store(ctx context.Context, store kv.KV, next summary, records []Record) error {
 	for _, r := range records {
 		next.Rows = append(next.Rows, rowOf(r))
 	}
@@ -150,7 +150,7 @@
 		return err
 	}
 	key := minutePrefix(p.minute) + summaryName
-	revision, err := kv.CompareAndSwap(ctx, key, p.revision, value, 0)
+	revision, err := store.CompareAndSwap(ctx, key, p.revision, value, 0)
 	if err != nil {
 		return errors.Wrapf(err, "ledger: store summary of %s", p.minute.Format(minuteLayout))
 	}
@@ -160,13 +160,13 @@
 }
 
 // deleteFolded removes batches that are part of the summary.
-func (p *page) deleteFolded(ctx context.Context, kv platform.KV) error {
+func (p *page) deleteFolded(ctx context.Context, store kv.KV) error {
 	for _, b := range p.batches {
 		if !slices.Contains(p.summary.Folded, b.entry.Key) {
 			continue
 		}
-		err := kv.Delete(ctx, b.entry.Key, b.entry.Revision)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		err := store.Delete(ctx, b.entry.Key, b.entry.Revision)
+		if err != nil && !errors.Is(err, kv.ErrNotFound) {
 			return errors.Wrap(err, "ledger: delete folded batch")
 		}
 	}
--- a/ledger/group_test.go
+++ b/ledger/group_test.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/corianderlever/corianderlever/platform/memkv"
+	"github.com/corianderlever/corianderlever/kv/memkv"
 )
 
 // gatedPeers lets a test decide when and how a message is answered.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -10,7 +10,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 )
 
 // Replicator reaches the peers that hold copies.
@@ -107,7 +107,7 @@
 // Ledger keeps the records of one host. It is safe for concurrent use.
 type Ledger struct {
 	cfg   Config
-	kv    platform.KV
+	store kv.KV
 	clock clockwork.Clock
 	peers Replicator
 
@@ -139,7 +139,7 @@
 }
 
 // New returns a ledger without records.
-func New(kv platform.KV, clock clockwork.Clock, peers Replicator, cfg Config) *Ledger {
+func New(store kv.KV, clock clockwork.Clock, peers Replicator, cfg Config) *Ledger {
 	if cfg.FlushInterval == 0 {
 		cfg.FlushInterval = defaultFlushInterval
 	}
@@ -152,7 +152,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = slog.Default()
 	}
-	return &Ledger{cfg: cfg, kv: kv, clock: clock, peers: peers, entries: make(map[ID]*entry), holds: make(map[string]*holdQueue)}
+	return &Ledger{cfg: cfg, store: store, clock: clock, peers: peers, entries: make(map[ID]*entry), holds: make(map[string]*holdQueue)}
 }
 
 // Stats returns the counters.
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -15,7 +15,7 @@
 	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
 
-	"github.com/corianderlever/corianderlever/platform/memkv"
+	"github.com/corianderlever/corianderlever/kv/memkv"
 )
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
--- a/ledger/read.go
+++ b/ledger/read.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/kv"
 )
 
 // Row is a sum of records.
@@ -89,7 +89,7 @@
 }
 
 type storedBatch struct {
-	entry   platform.Entry
+	entry   kv.Entry
 	records []Record
 }
 
@@ -103,9 +103,9 @@
 }
 
 // Read returns the rows of the requests that ended in [from, to).
-func Read(ctx context.Context, kv platform.KV, from, to time.Time) ([]Row, error) {
+func Read(ctx context.Context, store kv.KV, from, to time.Time) ([]Row, error) {
 	// A request is filed at most KeyAge before it ends, and ends after its filing.
-	pages, err := load(ctx, kv, from.Add(-KeyAge), to.Add(keySkew))
+	pages, err := load(ctx, store, from.Add(-KeyAge), to.Add(keySkew))
 	if err != nil {
 		return nil, err
 	}
@@ -154,10 +154,10 @@
 }
 
 // load reads the pages of all filing minutes in [from, to), in order.
-func load(ctx context.Context, kv platform.KV, from, to time.Time) ([]*page, error) {
+func load(ctx context.Context, store kv.KV, from, to time.Time) ([]*page, error) {
 	pages := make(map[time.Time]*page)
 	for day := from.UTC().Truncate(24 * time.Hour); day.Before(to); day = day.Add(24 * time.Hour) {
-		list, _, err := kv.List(ctx, keyRoot+day.Format(dayLayout))
+		list, _, err := store.List(ctx, keyRoot+day.Format(dayLayout))
 		if err != nil {
 			return nil, errors.Wrap(err, "ledger: list")
 		}
@@ -187,7 +187,7 @@
 	return out, nil
 }
 
-func (p *page) add(e platform.Entry) error {
+func (p *page) add(e kv.Entry) error {
 	if !strings.HasSuffix(e.Key, "/"+summaryName) {
 		p.batches = append(p.batches, storedBatch{entry: e})
 		return nil
