--- /dev/null
+++ b/control/rollouts.go
@@ -0,0 +1,307 @@
+package control
+
+import (
+	"encoding/json"
+	"log/slog"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/corianderlever/corianderlever/fleet"
+	"github.com/corianderlever/corianderlever/kv"
+	"github.com/corianderlever/corianderlever/rollout"
+)
+
+// Step is how far a roll-out is, as kept in the store and passed on by peers.
+type Step struct {
+	// Order is the store revision of the order.
+	Order int64 `json:"order"`
+	// Target is the version to move to.
+	Target string             `json:"target"`
+	State  rollout.OrderState `json:"state"`
+	// Share is the part of the traffic that the target gets.
+	Share float64 `json:"share"`
+	// ElapsedMS is the time since the order when the step was decided.
+	ElapsedMS int64 `json:"elapsed_ms"`
+}
+
+// ahead reports whether a step replaces another one of any order.
+func (s Step) ahead(o Step) bool {
+	switch {
+	case s.Order != o.Order:
+		return s.Order > o.Order
+	case o.State == rollout.OrderDone || o.State == rollout.OrderReverted:
+		return false
+	case s.State != o.State:
+		return s.State > o.State
+	}
+	return s.Share > o.Share
+}
+
+// service is what is known of the roll-out of one service.
+type service struct {
+	order    rollout.Order
+	ordered  bool
+	seenAt   time.Time // when this host learned of the order or of its step
+	seenFrom time.Duration
+	step     Step
+	stepRev  int64
+	status   rollout.OrderStatus
+	// suspect is set once this host finds the target worse.
+	suspect bool
+	own     map[string]rollout.Tally            // by version, since the order
+	peers   map[string]map[string]rollout.Tally // by host and version
+	pace    *pace
+}
+
+// Rollouts steers which version of a service serves a request, and gathers how
+// the versions answer. It is safe for concurrent use.
+type Rollouts struct {
+	fleet *fleet.Registry
+	stage func() rollout.StageConfig
+	clock clockwork.Clock
+	log   *slog.Logger
+
+	mu       sync.Mutex
+	services map[string]*service
+}
+
+// NewRollouts returns rollouts without orders.
+func NewRollouts(registry *fleet.Registry, stage func() rollout.StageConfig, clock clockwork.Clock, log *slog.Logger) *Rollouts {
+	return &Rollouts{fleet: registry, stage: stage, clock: clock, log: log, services: make(map[string]*service)}
+}
+
+func (r *Rollouts) service(name string) *service {
+	s := r.services[name]
+	if s == nil {
+		s = &service{pace: newPace()}
+		s.reset()
+		r.services[name] = s
+	}
+	return s
+}
+
+func (s *service) reset() {
+	s.own = make(map[string]rollout.Tally)
+	s.peers = make(map[string]map[string]rollout.Tally)
+	s.suspect = false
+}
+
+func (r *Rollouts) setOrder(o rollout.Order) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.service(o.Service)
+	if s.ordered && o.Revision <= s.order.Revision {
+		return
+	}
+	s.order, s.ordered = o, true
+	s.seenAt, s.seenFrom = r.clock.Now(), 0
+	s.reset()
+	if s.step.Order == o.Revision {
+		s.seenFrom = time.Duration(s.step.ElapsedMS) * time.Millisecond
+	}
+	r.log.Info("rollout ordered", "service", o.Service, "target", o.Target, "within", o.Within, "revision", o.Revision)
+}
+
+func (r *Rollouts) dropOrder(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.service(name).ordered = false
+	r.log.Info("rollout order withdrawn", "service", name)
+}
+
+func (r *Rollouts) setStatus(status rollout.OrderStatus) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.service(status.Service)
+	if status.Revision > s.status.Revision {
+		s.status = status
+	}
+}
+
+// applyStep takes over a step from the store.
+func (r *Rollouts) applyStep(name string, ev kv.Event) error {
+	if ev.Deleted {
+		return nil
+	}
+	var step Step
+	if err := json.Unmarshal(ev.Entry.Value, &step); err != nil {
+		return errors.Mark(err, ErrUnreadable)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.service(name)
+	s.stepRev = max(s.stepRev, ev.Entry.Revision)
+	r.takeStep(name, s, step, "store")
+	return nil
+}
+
+func (r *Rollouts) takeStep(name string, s *service, step Step, from string) {
+	if !step.ahead(s.step) {
+		return
+	}
+	s.step = step
+	if elapsed := time.Duration(step.ElapsedMS) * time.Millisecond; s.ordered && s.order.Revision == step.Order {
+		if r.clock.Since(s.seenAt)+s.seenFrom < elapsed {
+			s.seenAt, s.seenFrom = r.clock.Now(), elapsed
+		}
+	}
+	r.log.Info("rollout step", "service", name, "target", step.Target, "state", step.State, "share", step.Share, "from", from)
+}
+
+// Pick implements relay.Versions.
+func (r *Rollouts) Pick(name string, point float64) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.services[name]
+	if s == nil || !s.ordered {
+		return ""
+	}
+	base := r.baseVersion(name, s.order.Target)
+	step := s.current()
+	switch {
+	case step.State == rollout.OrderDone:
+		return r.ifServed(name, s.order.Target)
+	case s.suspect, step.State == rollout.OrderReverted:
+		return base
+	case point < step.Share:
+		return r.ifServed(name, s.order.Target)
+	}
+	return base
+}
+
+// current returns the step of the order in force.
+func (s *service) current() Step {
+	if s.step.Order == s.order.Revision {
+		return s.step
+	}
+	// A final status without a step is all that a replaced host may find.
+	if s.status.Target == s.order.Target && s.status.Revision > s.order.Revision {
+		return Step{Order: s.order.Revision, Target: s.order.Target, State: s.status.State}
+	}
+	return Step{Order: s.order.Revision, Target: s.order.Target}
+}
+
+// baseVersion returns the version with the most endpoints beside the target.
+func (r *Rollouts) baseVersion(name, target string) string {
+	counts := make(map[string]int)
+	best := ""
+	for _, e := range r.fleet.Service(name) {
+		if e.Version == target || e.Draining {
+			continue
+		}
+		counts[e.Version]++
+		if n := counts[e.Version]; best == "" || n > counts[best] || n == counts[best] && e.Version < best {
+			best = e.Version
+		}
+	}
+	return best
+}
+
+// ifServed returns the version if an endpoint runs it.
+func (r *Rollouts) ifServed(name, version string) string {
+	for _, e := range r.fleet.Service(name) {
+		if e.Version == version && !e.Draining {
+			return version
+		}
+	}
+	return ""
+}
+
+// Observe implements relay.Versions.
+func (r *Rollouts) Observe(name, version string, bad bool, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.service(name)
+	isTarget := s.ordered && version == s.order.Target
+	if !bad && took > 0 {
+		bad = s.pace.slow(took)
+		if !isTarget {
+			s.pace.observe(took)
+		}
+	}
+	if !s.ordered {
+		return
+	}
+	t := s.own[version]
+	if bad {
+		t.Bad++
+	} else {
+		t.Good++
+	}
+	s.own[version] = t
+	if isTarget && bad {
+		r.judge(name, s)
+	}
+}
+
+// tallies returns the evidence of all hosts about the target and the others.
+func (s *service) tallies() (target, base rollout.Tally) {
+	add := func(tallies map[string]rollout.Tally) {
+		for version, t := range tallies {
+			if version == s.order.Target {
+				target = target.Add(t)
+			} else {
+				base = base.Add(t)
+			}
+		}
+	}
+	add(s.own)
+	for _, tallies := range s.peers {
+		add(tallies)
+	}
+	return target, base
+}
+
+// judge stops the target at this host at once when it is worse. The coordinator
+// publishes the verdict.
+func (r *Rollouts) judge(name string, s *service) {
+	step := s.current()
+	if s.suspect || step.State == rollout.OrderDone || step.State == rollout.OrderReverted {
+		return
+	}
+	target, base := s.tallies()
+	if r.stage().Advance(s.order, 0, step.Share, target, base, 1).State != rollout.OrderReverted {
+		return
+	}
+	s.suspect = true
+	r.log.Warn("rollout target worse", "service", name, "target", s.order.Target,
+		"target_bad", target.Bad, "target_good", target.Good, "base_bad", base.Bad, "base_good", base.Good)
+}
+
+// Evidence is what one host passes on about a service.
+type Evidence struct {
+	Order   int64                    `json:"order"`
+	Step    Step                     `json:"step"`
+	Tallies map[string]rollout.Tally `json:"tallies,omitempty"`
+}
+
+// Export returns what this host knows, for the other hosts.
+func (r *Rollouts) Export() map[string]Evidence {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string]Evidence)
+	for name, s := range r.services {
+		if s.ordered {
+			out[name] = Evidence{Order: s.order.Revision, Step: s.step, Tallies: maps.Clone(s.own)}
+		}
+	}
+	return out
+}
+
+// Merge takes in what another host knows.
+func (r *Rollouts) Merge(host string, evidence map[string]Evidence) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, e := range evidence {
+		s := r.service(name)
+		r.takeStep(name, s, e.Step, host)
+		if s.ordered && e.Order == s.order.Revision {
+			s.peers[host] = e.Tallies
+			r.judge(name, s)
+		}
+	}
+}
--- /dev/null
+++ b/control/state.go
@@ -0,0 +1,164 @@
+package control
+
+import (
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/corianderlever/corianderlever/feed"
+	"github.com/corianderlever/corianderlever/fleet"
+	"github.com/corianderlever/corianderlever/kv"
+	"github.com/corianderlever/corianderlever/route"
+)
+
+// State is a feed.Sink that keeps the routing table, the endpoints and the
+// roll-outs of one host.
+type State struct {
+	codec    Codec
+	fleet    *fleet.Registry
+	rollouts *Rollouts
+	clock    clockwork.Clock
+	log      *slog.Logger
+	table    atomic.Pointer[route.Table]
+}
+
+var _ feed.Sink = (*State)(nil)
+
+// NewState returns a state that knows nothing.
+func NewState(codec Codec, registry *fleet.Registry, rollouts *Rollouts, clock clockwork.Clock, log *slog.Logger) *State {
+	return &State{codec: codec, fleet: registry, rollouts: rollouts, clock: clock, log: log}
+}
+
+// Table returns the newest routing table; false before the first one.
+func (s *State) Table() (*route.Table, bool) {
+	t := s.table.Load()
+	return t, t != nil
+}
+
+// Reset implements feed.Sink.
+func (s *State) Reset(entries []kv.Entry, disturbed bool) {
+	var endpoints []fleet.Endpoint
+	for _, e := range entries {
+		kind, _ := s.codec.Classify(e.Key)
+		if kind != KindEndpoint {
+			s.apply(kv.Event{Entry: e}, disturbed)
+			continue
+		}
+		ep, err := s.codec.DecodeEndpoint(e)
+		if err != nil {
+			s.unreadable(e, err)
+			continue
+		}
+		endpoints = append(endpoints, ep)
+	}
+	s.fleet.Replace(endpoints, disturbed, s.clock.Now())
+	s.log.Info("state listed", "entries", len(entries), "endpoints", len(endpoints), "disturbed", disturbed)
+}
+
+// Apply implements feed.Sink.
+func (s *State) Apply(events []kv.Event, disturbed bool) {
+	for _, ev := range events {
+		s.apply(ev, disturbed)
+	}
+}
+
+// Tick implements feed.Sink.
+func (s *State) Tick() { s.fleet.Expire(s.clock.Now()) }
+
+func (s *State) apply(ev kv.Event, disturbed bool) {
+	kind, name := s.codec.Classify(ev.Entry.Key)
+	var err error
+	switch kind {
+	case KindConfig:
+		err = s.applyConfig(ev)
+	case KindEndpoint:
+		err = s.applyEndpoint(ev, name, disturbed)
+	case KindOrder:
+		err = s.applyOrder(ev, name)
+	case KindStatus:
+		err = s.applyStatus(ev)
+	case KindStep:
+		err = s.rollouts.applyStep(name, ev)
+	case KindForeign:
+	}
+	if err != nil {
+		s.unreadable(ev.Entry, err)
+	}
+}
+
+func (s *State) unreadable(e kv.Entry, err error) {
+	s.log.Warn("entry not understood", "key", e.Key, "revision", e.Revision, "error", err)
+}
+
+// applyConfig takes over a configuration unless it is older than the one in force.
+func (s *State) applyConfig(ev kv.Event) error {
+	if ev.Deleted {
+		return errors.Wrap(ErrUnreadable, "the configuration was deleted; the last one stays in force")
+	}
+	c, err := s.codec.DecodeConfig(ev.Entry)
+	if err != nil {
+		return err
+	}
+	return s.SetConfig(c)
+}
+
+// SetConfig takes over a configuration unless it is older than the one in force.
+func (s *State) SetConfig(c route.Config) error {
+	old := s.table.Load()
+	if old != nil && c.Version <= old.Version() {
+		return nil
+	}
+	t, err := route.NewTable(c)
+	if err != nil {
+		return errors.Mark(err, ErrUnreadable)
+	}
+	s.table.Store(t)
+	s.log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services), "teams", len(c.Teams))
+	return nil
+}
+
+func (s *State) applyEndpoint(ev kv.Event, id string, disturbed bool) error {
+	if ev.Deleted {
+		s.fleet.Remove(id, ev.Entry.Revision, disturbed, s.clock.Now())
+		return nil
+	}
+	e, err := s.codec.DecodeEndpoint(ev.Entry)
+	if err != nil {
+		s.fleet.Remove(id, ev.Entry.Revision, false, s.clock.Now())
+		return err
+	}
+	s.fleet.Set(e)
+	return nil
+}
+
+func (s *State) applyOrder(ev kv.Event, service string) error {
+	if ev.Deleted {
+		s.rollouts.dropOrder(service)
+		return nil
+	}
+	o, err := s.codec.DecodeOrder(ev.Entry)
+	if err != nil {
+		return err
+	}
+	s.rollouts.setOrder(o)
+	return nil
+}
+
+func (s *State) applyStatus(ev kv.Event) error {
+	if ev.Deleted {
+		return nil
+	}
+	status, err := s.codec.DecodeStatus(ev.Entry)
+	if err != nil {
+		return err
+	}
+	s.rollouts.setStatus(status)
+	return nil
+}
+
+// disturbanceSettle is the time after the last failed call from which vanished
+// entries count as removed. Entries that lapsed in an outage come back sooner.
+const disturbanceSettle = 2500 * time.Millisecond
--- a/daemon/base.go
+++ b/daemon/base.go
@@ -143,13 +143,13 @@
 
 // Start begins to answer peers, after all services have registered their methods.
 func (s *peerService) Start(context.Context) error {
-	s.run.start(servicePeers, func(ctx context.Context) error { return s.server.Serve(ctx, s.ln) })
+	s.run.Start(servicePeers, func(ctx context.Context) error { return s.server.Serve(ctx, s.ln) })
 	return nil
 }
 
 // Stop ends all calls.
 func (s *peerService) Stop(ctx context.Context) error {
-	return errors.CombineErrors(s.run.stop(ctx), s.client.Close())
+	return errors.CombineErrors(s.run.Stop(ctx), s.client.Close())
 }
 
 // membershipService provides the list of entry hosts.
@@ -182,12 +182,12 @@
 
 // Start begins heartbeats.
 func (s *membershipService) Start(context.Context) error {
-	s.run.start(serviceMembership, s.Membership.Run)
+	s.run.Start(serviceMembership, s.Membership.Run)
 	return nil
 }
 
 // Stop tells a few peers that the host is gone.
-func (s *membershipService) Stop(ctx context.Context) error { return s.run.stop(ctx) }
+func (s *membershipService) Stop(ctx context.Context) error { return s.run.Stop(ctx) }
 
 // newRand returns a source of random numbers of its own; each component
 // guards its source by its own lock.
--- a/daemon/command/command.go
+++ b/daemon/command/command.go
@@ -29,9 +29,9 @@
 // Run runs the command line until ctx ends.
 func Run(ctx context.Context, args []string, out io.Writer) error {
 	root := &ffcli.Command{
-		Name: "corianderlever", ShortUsage: "corianderlever -config FILE | check FILE | demo",
+		Name: "corianderlever", ShortUsage: "corianderlever -config FILE | check FILE | demo | host",
 		ShortHelp:   "Runs an entry host.",
-		Subcommands: []*ffcli.Command{checkCommand(out), demoCommand(out)},
+		Subcommands: []*ffcli.Command{checkCommand(out), demoCommand(out), hostCommand(out)},
 	}
 	s := &serve{out: out}
 	root.FlagSet = s.flags()
--- /dev/null
+++ b/daemon/command/hostcommand.go
@@ -0,0 +1,127 @@
+package command
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/corianderlever/corianderlever/daemon/router"
+	"github.com/corianderlever/corianderlever/internal/logqueue"
+	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/relay"
+	"github.com/corianderlever/corianderlever/rollout"
+)
+
+const (
+	// memoryPart is the part of the memory limit from which the collector works harder.
+	memoryPart = 0.6
+	// logQueueBytes bounds the log lines that wait for standard output.
+	logQueueBytes = 1 << 20
+	// settingsInterval is the time between two looks at the settings file, which
+	// may change without a signal.
+	settingsInterval = time.Second
+)
+
+// hostCommand runs a host on the platform of the users.
+func hostCommand(out io.Writer) *ffcli.Command {
+	return &ffcli.Command{
+		Name: "host", ShortUsage: "corianderlever host",
+		ShortHelp: "Runs a host on the users' platform; " + platform.SettingsVariable + " names its settings file.",
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 0 {
+				return errors.Wrap(ErrUsage, "corianderlever host takes no arguments")
+			}
+			return runHost(ctx, out, os.Getenv(platform.SettingsVariable))
+		},
+	}
+}
+
+func runHost(ctx context.Context, out io.Writer, path string) error {
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	limitResources(settings)
+	queue := logqueue.New(out, logQueueBytes)
+	defer queue.Close()
+	log := newLogger(queue, slog.LevelInfo).With("self", settings.Host)
+	log.Info("starting", "settings", settings)
+	store := platform.NewStore(settings.StoreAddress)
+	defer store.Close()
+	h, err := router.New(router.Options{
+		Settings: routerSettings(settings), Store: store, Records: platform.Records{}, Headers: platform.Headers{},
+		NewEdge: func(h *router.Host, r *relay.Relay) router.Handlers { return platform.NewEdge(h, r, log) },
+		Logger:  log,
+	})
+	if err != nil {
+		return err
+	}
+	go followSettings(ctx, path, settings, h, log)
+	return h.Run(ctx)
+}
+
+// limitResources keeps the process within the host's share.
+func limitResources(s platform.Settings) {
+	if s.CPUFraction > 0 {
+		runtime.GOMAXPROCS(max(1, int(math.Ceil(s.CPUFraction))))
+	}
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryBytes)))
+	}
+}
+
+func routerSettings(s platform.Settings) router.Settings {
+	return router.Settings{
+		Host: s.Host, FailureDomain: s.FailureDomain, Region: s.Region,
+		Frontend: s.Frontend, Readiness: s.Readiness, Directory: s.Directory, Peer: s.Peer, Metrics: s.Metrics,
+		Seeds: s.Seeds, ClusterKey: s.ClusterKey(), Bounds: routerBounds(s.Bounds),
+	}
+}
+
+func routerBounds(b platform.Bounds) router.Bounds {
+	return router.Bounds{
+		Grace: b.Grace, Revocation: b.Revocation,
+		RetryRatio: b.RetryRatio, RetryWindow: b.RetryWindow, RetryExtra: b.RetryExtra,
+		Exposure: rollout.StageConfig{ExposureShare: b.ExposureShare, ExposureExtra: b.ExposureExtra},
+		ListLife: b.ListLife,
+	}
+}
+
+// followSettings takes over changed bounds, after a signal or without one.
+func followSettings(ctx context.Context, path string, current platform.Settings, h *router.Host, log *slog.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		cause := "changed"
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			cause = "signal"
+		case <-ticker.C:
+		}
+		next, err := platform.LoadSettings(path)
+		if err != nil {
+			log.Warn("settings not reloaded", "cause", cause, "error", err)
+			continue
+		}
+		if cause == "signal" || next.Bounds != current.Bounds {
+			log.Info("settings reloaded", "cause", cause, "bounds_changed", next.Bounds != current.Bounds)
+		}
+		current = next
+		h.SetBounds(routerBounds(next.Bounds))
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/corianderlever/corianderlever/config"
+	"github.com/corianderlever/corianderlever/internal/background"
 	"github.com/corianderlever/corianderlever/kernel"
 	"github.com/corianderlever/corianderlever/kv"
 )
@@ -48,7 +49,7 @@
 // base is what all services of a host share.
 type base struct {
 	opts *Options
-	run  *runner
+	run  *background.Group
 }
 
 // Host is one entry host.
@@ -62,7 +63,7 @@
 func New(opts Options) (*Host, error) {
 	opts.complete()
 	h := &Host{opts: &opts, kernel: kernel.New()}
-	newBase := func() base { return base{opts: h.opts, run: newRunner(h.opts.Logger)} }
+	newBase := func() base { return base{opts: h.opts, run: background.NewGroup(h.opts.Logger)} }
 	h.entry = &entryService{base: newBase()}
 	err := h.kernel.Register(
 		&platformService{base: newBase()},
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -125,7 +125,7 @@
 // Start begins to follow the configuration and the endpoints.
 func (s *dispatchService) Start(context.Context) error {
 	s.applyConfig(s.config.Current())
-	s.run.start("configuration users", func(ctx context.Context) error {
+	s.run.Start("configuration users", func(ctx context.Context) error {
 		for {
 			select {
 			case <-ctx.Done():
@@ -135,13 +135,13 @@
 			}
 		}
 	})
-	s.run.start("endpoint reports", s.followEndpoints)
+	s.run.Start("endpoint reports", s.followEndpoints)
 	return nil
 }
 
 // Stop waits for ratings under way.
 func (s *dispatchService) Stop(ctx context.Context) error {
-	err := s.run.stop(ctx)
+	err := s.run.Stop(ctx)
 	s.Close()
 	s.engines.CloseIdle()
 	return err
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -124,7 +124,7 @@
 	case <-ctx.Done():
 		return errors.Wrap(ctx.Err(), "daemon: wait for configuration")
 	}
-	s.run.start(serviceEntry, func(context.Context) error {
+	s.run.Start(serviceEntry, func(context.Context) error {
 		if err := s.server.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
@@ -149,7 +149,7 @@
 		s.opts.Logger.Error("drain timeout passed", "timeout", s.opts.Settings.Drain.Timeout.D(), "error", err)
 		return errors.CombineErrors(ErrDrainTimeout, s.server.Close())
 	}
-	return s.run.stop(ctx)
+	return s.run.Stop(ctx)
 }
 
 func (s *entryService) address() string { return s.ln.Addr().String() }
--- a/daemon/roles.go
+++ b/daemon/roles.go
@@ -86,24 +86,24 @@
 	h := lease.New(s.platform.store, s.opts.Clock, s.opts.newRand(), lease.Config{
 		Role: role, Host: s.opts.Settings.Host, Logger: s.opts.Logger,
 	})
-	s.run.start(role, h.Run)
+	s.run.Start(role, h.Run)
 	return h
 }
 
 // Start begins to compete for the roles.
 func (s *rolesService) Start(context.Context) error {
 	rollouts := s.holder(roleRollouts)
-	s.run.start("roll-out steps", func(ctx context.Context) error {
+	s.run.Start("roll-out steps", func(ctx context.Context) error {
 		return every(ctx, s.opts.Clock, rolloutInterval, func() { s.guarded(ctx, rollouts, s.steps.act) })
 	})
 	s.allocator = s.holder(roleAllocator)
-	s.run.start("allocation", s.allocate)
+	s.run.Start("allocation", s.allocate)
 	placer := newPlacer(s.opts, s.config.Current, s.signals.demand, s.engines, s.holder(rolePlacement))
-	s.run.start("placement of versions", func(ctx context.Context) error {
+	s.run.Start("placement of versions", func(ctx context.Context) error {
 		return every(ctx, s.opts.Clock, placementInterval, func() { placer.act(ctx) })
 	})
 	maintenance := s.holder(roleMaintenance)
-	s.run.start("folding", func(ctx context.Context) error {
+	s.run.Start("folding", func(ctx context.Context) error {
 		n := 0
 		return every(ctx, s.opts.Clock, foldInterval, func() {
 			n++
@@ -114,7 +114,7 @@
 }
 
 // Stop gives the roles up.
-func (s *rolesService) Stop(ctx context.Context) error { return s.run.stop(ctx) }
+func (s *rolesService) Stop(ctx context.Context) error { return s.run.Stop(ctx) }
 
 // guarded runs an action of a role if this host holds it.
 func (s *rolesService) guarded(ctx context.Context, h *lease.Holder, act func(ctx context.Context, fencing int64) error) {
--- /dev/null
+++ b/daemon/router/peers.go
@@ -0,0 +1,192 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/corianderlever/corianderlever/control"
+	"github.com/corianderlever/corianderlever/feed"
+	"github.com/corianderlever/corianderlever/internal/background"
+	"github.com/corianderlever/corianderlever/kernel"
+	"github.com/corianderlever/corianderlever/membership"
+	"github.com/corianderlever/corianderlever/peer"
+	"github.com/corianderlever/corianderlever/relay"
+)
+
+// Names of the services of a host.
+const (
+	servicePeers   = "peers"
+	serviceControl = "control"
+	serviceServers = "servers"
+)
+
+// methodSnapshot asks a host for its state.
+const methodSnapshot = "feed.Snapshot"
+
+// snapshotCall is the message of methodSnapshot.
+type snapshotCall struct {
+	// After is the revision that the asking host has.
+	After int64 `json:"after"`
+}
+
+// peerService provides calls between hosts and the list of hosts.
+type peerService struct {
+	host    *Host
+	run     *background.Group
+	server  *peer.Server
+	client  *peer.Client
+	members *membership.Membership
+	ln      net.Listener
+
+	mu    sync.Mutex
+	fresh map[string]bool
+}
+
+var _ kernel.Provisioner = (*peerService)(nil)
+
+func (s *peerService) Name() string { return servicePeers }
+
+// peerCallTimeout bounds a call between hosts.
+const peerCallTimeout = 700 * time.Millisecond
+
+// Provision makes server, client and membership.
+func (s *peerService) Provision(*kernel.Kernel) error {
+	o, set := s.host.opts, s.host.opts.Settings
+	s.fresh = make(map[string]bool)
+	var err error
+	s.server, err = peer.NewServer(peer.ServerOptions{Key: set.ClusterKey, Clock: o.Clock, Logger: o.Logger})
+	if err != nil {
+		return err
+	}
+	s.client, err = peer.NewClient(peer.ClientOptions{
+		Key: set.ClusterKey, Self: set.Host, Clock: o.Clock, Logger: o.Logger, CallTimeout: peerCallTimeout, DialTimeout: peerCallTimeout,
+	})
+	if err != nil {
+		return err
+	}
+	s.members, err = membership.New(membership.Options{
+		Self: membership.Member{
+			Host: set.Host, PeerAddress: set.Peer, EntryAddress: set.Frontend, FailureDomain: set.FailureDomain, Region: set.Region,
+		},
+		Seeds: set.Seeds, Caller: s.client, Registrar: s.server, Clock: o.Clock, Rand: s.host.newRand(), Logger: o.Logger,
+		EntryTTL: listTTL,
+	})
+	if err != nil {
+		return err
+	}
+	s.members.OnChange(s.memberChanged)
+	s.registerSignals()
+	s.server.Handle(methodSnapshot, s.handleSnapshot)
+	s.ln, err = net.Listen("tcp", set.Peer)
+	return errors.Wrap(err, "router: listen for peers")
+}
+
+// Start begins to answer peers and to send heartbeats.
+func (s *peerService) Start(context.Context) error {
+	s.run.Start(servicePeers, func(ctx context.Context) error { return s.server.Serve(ctx, s.ln) })
+	s.run.Start("membership", s.members.Run)
+	return nil
+}
+
+// Stop ends heartbeats and calls.
+func (s *peerService) Stop(ctx context.Context) error {
+	return errors.CombineErrors(s.run.Stop(ctx), s.client.Close())
+}
+
+// memberChanged counts the hosts that serve.
+func (s *peerService) memberChanged(membership.Member) {
+	n := int64(0)
+	for _, m := range s.members.Members() {
+		if m.State.Live() {
+			n++
+		}
+	}
+	s.host.hosts.Store(n)
+}
+
+// freshness is the signal that tells whether a host can serve.
+type freshness struct {
+	Fresh bool `json:"fresh"`
+}
+
+func (s *peerService) registerSignals() {
+	signal(s, "freshness", func() freshness { return freshness{s.host.Ready()} }, func(from string, v freshness) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.fresh[from] = v.Fresh
+	})
+	signal(s, "rollouts", s.host.rollouts.Export, func(from string, v map[string]control.Evidence) { s.host.rollouts.Merge(from, v) })
+	signal(s, "load", s.host.relay.Loads, func(from string, v relay.Loads) { s.host.relay.ObservePeer(from, v) })
+}
+
+// signal attaches what produce returns to heartbeats and hands what arrives to consume.
+func signal[T any](s *peerService, name string, produce func() T, consume func(from string, v T)) {
+	log := s.host.opts.Logger
+	s.members.RegisterSignal(name, func() json.RawMessage {
+		data, err := json.Marshal(produce())
+		if err != nil {
+			log.Error("signal not sent", "signal", name, "error", err)
+			return nil
+		}
+		return data
+	}, func(from membership.Member, data json.RawMessage) {
+		var v T
+		if err := json.Unmarshal(data, &v); err != nil {
+			log.Warn("signal refused", "signal", name, "from", from.Host, "error", err)
+			return
+		}
+		consume(from.Host, v)
+	})
+}
+
+// isFresh reports whether a host has said that it can serve. A host that has
+// not said anything yet counts, as its first heartbeat follows at once.
+func (s *peerService) isFresh(host string) bool {
+	if host == s.host.opts.Settings.Host {
+		return s.host.Ready()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fresh, known := s.fresh[host]
+	return fresh || !known
+}
+
+func (s *peerService) handleSnapshot(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var call snapshotCall
+	if err := json.Unmarshal(params, &call); err != nil {
+		return nil, errors.Wrap(err, "router: decode snapshot call")
+	}
+	return s.host.follower.Snapshot(call.After)
+}
+
+// askPeers asks a live host for its state, one after the other until one has
+// a current one.
+func (h *Host) askPeers(ctx context.Context, after int64) (feed.Snapshot, error) {
+	err := errors.New("router: no other host")
+	members := h.peers.members.Members()
+	h.rngMu.Lock()
+	h.opts.Rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	h.rngMu.Unlock()
+	asked := 0
+	for _, m := range members {
+		if m.Host == h.opts.Settings.Host || !m.State.Live() || !h.peers.isFresh(m.Host) {
+			continue
+		}
+		if asked++; asked > maxPeersAsked {
+			break
+		}
+		var s feed.Snapshot
+		if err = h.peers.client.Call(ctx, m.PeerAddress, methodSnapshot, snapshotCall{After: after}, &s); err == nil {
+			return s, nil
+		}
+	}
+	return feed.Snapshot{}, err
+}
+
+// maxPeersAsked bounds the hosts asked in one round.
+const maxPeersAsked = 2
--- /dev/null
+++ b/daemon/router/services.go
@@ -0,0 +1,124 @@
+package router
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/corianderlever/corianderlever/control"
+	"github.com/corianderlever/corianderlever/internal/background"
+	"github.com/corianderlever/corianderlever/kernel"
+)
+
+// controlService follows the key-value service and coordinates roll-outs.
+type controlService struct {
+	host *Host
+	run  *background.Group
+}
+
+func (s *controlService) Name() string       { return serviceControl }
+func (s *controlService) Requires() []string { return []string{servicePeers} }
+
+// Start begins to follow.
+func (s *controlService) Start(context.Context) error {
+	h := s.host
+	c := &control.Coordinator{Rollouts: h.rollouts, Store: h.opts.Store, Codec: h.opts.Records, Leads: h.leads}
+	s.run.Start("feed", h.follower.Run)
+	s.run.Start("coordinator", c.Run)
+	return nil
+}
+
+// Stop ends following.
+func (s *controlService) Stop(ctx context.Context) error { return s.run.Stop(ctx) }
+
+// serverService answers callers.
+type serverService struct {
+	host    *Host
+	run     *background.Group
+	running atomic.Int64
+	servers []*http.Server
+	lns     []net.Listener
+}
+
+var _ kernel.Provisioner = (*serverService)(nil)
+
+func (s *serverService) Name() string       { return serviceServers }
+func (s *serverService) Requires() []string { return []string{serviceControl} }
+
+const (
+	// headerTimeout bounds the time a caller may take to send its header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout ends unused connections of callers.
+	idleTimeout = time.Minute
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
+)
+
+// Provision opens the listeners.
+func (s *serverService) Provision(*kernel.Kernel) error {
+	set, edge := s.host.opts.Settings, s.host.edge
+	metrics := http.NewServeMux()
+	metrics.Handle("GET /metrics", promhttp.HandlerFor(s.host.opts.Registry, promhttp.HandlerOpts{}))
+	for addr, handler := range map[string]http.Handler{
+		set.Frontend: s.counted(edge.Frontend()), set.Readiness: edge.Readiness(), set.Directory: edge.Directory(), set.Metrics: metrics,
+	} {
+		if addr == "" {
+			continue
+		}
+		lc := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}}
+		ln, err := lc.Listen(context.Background(), "tcp", addr)
+		if err != nil {
+			return errors.Wrapf(err, "router: listen at %s", addr)
+		}
+		s.lns = append(s.lns, ln)
+		s.servers = append(s.servers, &http.Server{
+			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ErrorLog: slog.NewLogLogger(s.host.opts.Logger.Handler(), slog.LevelDebug),
+		})
+	}
+	return nil
+}
+
+// counted keeps the number of requests under way.
+func (s *serverService) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.running.Add(1)
+		defer s.running.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Start begins to answer.
+func (s *serverService) Start(context.Context) error {
+	for i, server := range s.servers {
+		s.run.Start(serviceServers, func(context.Context) error {
+			if err := server.Serve(s.lns[i]); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		})
+	}
+	return nil
+}
+
+// closeTimeout bounds the wait for idle connections to close.
+const closeTimeout = 100 * time.Millisecond
+
+// Stop ends the listeners and all connections.
+func (s *serverService) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	var err error
+	for _, server := range s.servers {
+		if server.Shutdown(ctx) != nil {
+			err = errors.CombineErrors(err, server.Close())
+		}
+	}
+	return errors.CombineErrors(err, s.run.Stop(ctx))
+}
--- a/daemon/signals.go
+++ b/daemon/signals.go
@@ -196,7 +196,7 @@
 
 // Start begins to follow the others' use.
 func (s *signalService) Start(context.Context) error {
-	s.run.start(serviceSignals, func(ctx context.Context) error {
+	s.run.Start(serviceSignals, func(ctx context.Context) error {
 		return every(ctx, s.opts.Clock, capacityInterval, s.updateCapacity)
 	})
 	return nil
@@ -205,7 +205,7 @@
 // Stop ends following.
 func (s *signalService) Stop(ctx context.Context) error {
 	s.queue.Close()
-	return s.run.stop(ctx)
+	return s.run.Stop(ctx)
 }
 
 // Methods by which one host coordinates the runs of suspects.
--- a/daemon/state.go
+++ b/daemon/state.go
@@ -43,12 +43,12 @@
 
 // Start begins to follow the configuration.
 func (s *configurationService) Start(context.Context) error {
-	s.run.start(serviceConfiguration, s.Run)
+	s.run.Start(serviceConfiguration, s.Run)
 	return nil
 }
 
 // Stop ends following.
-func (s *configurationService) Stop(ctx context.Context) error { return s.run.stop(ctx) }
+func (s *configurationService) Stop(ctx context.Context) error { return s.run.Stop(ctx) }
 
 // basics are the services that most others use.
 type basics struct {
@@ -135,15 +135,15 @@
 
 // Start begins to write batches and to follow the members.
 func (s *ledgerService) Start(context.Context) error {
-	s.run.start(serviceLedger, s.Run)
-	s.run.start("ledger members", s.followMembers)
+	s.run.Start(serviceLedger, s.Run)
+	s.run.Start("ledger members", s.followMembers)
 	return nil
 }
 
 // Stop writes what is left. Records that cannot be written stay with the
 // peers that hold copies, which write them once this host has left.
 func (s *ledgerService) Stop(ctx context.Context) error {
-	err := s.run.stop(ctx)
+	err := s.run.Stop(ctx)
 	if flushErr := s.Flush(ctx); flushErr != nil {
 		s.opts.Logger.Error("ledger left to peers", "waiting", s.Stats().Waiting, "error", flushErr)
 		s.Replicate(ctx)
@@ -290,7 +290,7 @@
 
 // Start begins to settle claims that wait for the store.
 func (s *claimsService) Start(context.Context) error {
-	s.run.start(serviceClaims, func(ctx context.Context) error {
+	s.run.Start(serviceClaims, func(ctx context.Context) error {
 		return every(ctx, s.opts.Clock, claimTidyInterval, func() { s.Tidy() })
 	})
 	return nil
@@ -299,7 +299,7 @@
 // Stop settles what waits.
 func (s *claimsService) Stop(ctx context.Context) error {
 	s.Tidy()
-	return s.run.stop(ctx)
+	return s.run.Stop(ctx)
 }
 
 // answerTimeout bounds the question for an answer at another host.
--- /dev/null
+++ b/feed/feed.go
@@ -0,0 +1,306 @@
+// Package feed follows the keys of a key-value service: one listing, then
+// bounded waits for changes, and a new listing where the history is gone. It
+// knows how recent its state is, by a clock that counts pauses of the host.
+package feed
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/corianderlever/corianderlever/internal/boottime"
+	"github.com/corianderlever/corianderlever/kv"
+)
+
+// Sink receives the state. Its methods are called one at a time.
+type Sink interface {
+	// Reset replaces the state by a whole listing. disturbed is set if the
+	// service has recently failed, so that leases may have lapsed.
+	Reset(entries []kv.Entry, disturbed bool)
+	// Apply applies changes in their order.
+	Apply(events []kv.Event, disturbed bool)
+	// Tick is called after each answer of the service.
+	Tick()
+}
+
+// Options configure a Follower.
+type Options struct {
+	Source kv.Feed
+	Sink   Sink
+	// Prefix selects the keys.
+	Prefix string
+	// Wait bounds the time that the service holds a call without changes.
+	Wait time.Duration
+	// Pause is the time between calls, so that changes that come one after the
+	// other cost one call.
+	Pause time.Duration
+	// CallTimeout is the time for an answer, beside Wait.
+	CallTimeout time.Duration
+	// Settle is the time after the last failure from which the service counts as
+	// undisturbed.
+	Settle   time.Duration
+	Clock    clockwork.Clock
+	Boottime boottime.Clock
+	Rand     *rand.Rand
+	Logger   *slog.Logger
+	// Fallback, if set, asks another host for its state. It is used while the
+	// service does not answer this host.
+	Fallback func(ctx context.Context, after int64) (Snapshot, error)
+	// FallbackAge is the age from which Fallback is asked, FallbackInterval the
+	// time between two questions.
+	FallbackAge, FallbackInterval time.Duration
+}
+
+// Snapshot is the state of a follower, for another host.
+type Snapshot struct {
+	// At is the revision up to which the state is complete.
+	At int64 `json:"at"`
+	// AgeMS is how long before the answer the state was known to be current.
+	AgeMS int64 `json:"age_ms"`
+	// Entries are all keys; empty if At is not above the revision asked for.
+	Entries []kv.Entry `json:"entries,omitempty"`
+}
+
+// ErrNoState reports a follower that has nothing to pass on.
+var ErrNoState = errors.New("feed: no state")
+
+// Follower keeps a Sink up to date.
+type Follower struct {
+	opts Options
+
+	failing bool
+
+	// applying guards the state that the sink holds.
+	applying sync.Mutex
+	at       int64
+	synced   bool
+	failed   time.Time // of the last failure
+	mirror   map[string]kv.Entry
+
+	mu        sync.Mutex
+	confirmed boottime.Instant
+	ever      bool
+	ready     chan struct{}
+}
+
+// New returns a follower that knows nothing until Run.
+func New(opts Options) *Follower {
+	return &Follower{opts: opts, ready: make(chan struct{}), mirror: make(map[string]kv.Entry)}
+}
+
+// Ready is closed when the first listing has been applied.
+func (f *Follower) Ready() <-chan struct{} { return f.ready }
+
+// Confirmed returns the latest instant at which the state was known to be
+// current; false if there was none.
+func (f *Follower) Confirmed() (boottime.Instant, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmed, f.ever
+}
+
+// Age returns how long ago the state was known to be current; false if it never was.
+func (f *Follower) Age() (time.Duration, bool) {
+	at, ok := f.Confirmed()
+	return f.opts.Boottime().Sub(at), ok
+}
+
+// Bounds of the pause after failed calls. The service counts each call, but
+// news must not wait long after it has come back.
+const (
+	minRetryPause = 100 * time.Millisecond
+	maxRetryPause = 400 * time.Millisecond
+)
+
+// Run follows the service until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	if f.opts.Fallback != nil {
+		wg.Go(func() { f.fallBack(ctx) })
+	}
+	for ctx.Err() == nil {
+		started := f.opts.Boottime()
+		err := f.step(ctx)
+		pause := f.opts.Pause
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case err != nil:
+			pause = f.fail(err)
+		default:
+			f.succeed(started)
+		}
+		select {
+		case <-ctx.Done():
+		case <-f.opts.Clock.After(pause):
+		}
+	}
+	return nil
+}
+
+// step makes one call and hands on its result.
+func (f *Follower) step(ctx context.Context) error {
+	at, synced := f.position()
+	if !synced {
+		return f.list(ctx)
+	}
+	ctx, cancel := kv.WithTimeout(ctx, f.opts.Clock, f.opts.Wait+f.opts.CallTimeout)
+	defer cancel()
+	events, now, err := f.opts.Source.Changes(ctx, f.opts.Prefix, at, f.opts.Wait)
+	if errors.Is(err, kv.ErrCompacted) {
+		f.opts.Logger.Warn("history of the store is gone, listing again", "after", at)
+		return f.list(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	f.applyChanges(events, now)
+	return nil
+}
+
+func (f *Follower) position() (at int64, synced bool) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	return f.at, f.synced
+}
+
+func (f *Follower) applyChanges(events []kv.Event, at int64) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	// Another host's state may have come meanwhile.
+	events = slices.DeleteFunc(events, func(ev kv.Event) bool { return ev.Entry.Revision <= f.at })
+	for _, ev := range events {
+		if ev.Deleted {
+			delete(f.mirror, ev.Entry.Key)
+		} else {
+			f.mirror[ev.Entry.Key] = ev.Entry
+		}
+	}
+	if len(events) > 0 {
+		f.opts.Sink.Apply(events, f.disturbed())
+	}
+	f.at = max(f.at, at)
+}
+
+func (f *Follower) list(ctx context.Context) error {
+	ctx, cancel := kv.WithTimeout(ctx, f.opts.Clock, f.opts.CallTimeout)
+	defer cancel()
+	entries, at, err := f.opts.Source.List(ctx, f.opts.Prefix)
+	if err != nil {
+		f.applying.Lock()
+		f.synced = false
+		f.applying.Unlock()
+		return err
+	}
+	f.reset(entries, at)
+	return nil
+}
+
+// reset takes over a whole listing unless the state is newer already.
+func (f *Follower) reset(entries []kv.Entry, at int64) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	f.synced = true
+	if at < f.at {
+		return
+	}
+	clear(f.mirror)
+	for _, e := range entries {
+		f.mirror[e.Key] = e
+	}
+	f.opts.Sink.Reset(entries, f.disturbed())
+	f.at = at
+}
+
+// Snapshot returns the state for a host that has it up to a revision.
+func (f *Follower) Snapshot(after int64) (Snapshot, error) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	age, ok := f.Age()
+	if !ok {
+		return Snapshot{}, ErrNoState
+	}
+	s := Snapshot{At: f.at, AgeMS: age.Milliseconds() + 1}
+	if f.at > after {
+		s.Entries = slices.Collect(maps.Values(f.mirror))
+	}
+	return s, nil
+}
+
+// fallBack asks other hosts while the service does not answer.
+func (f *Follower) fallBack(ctx context.Context) {
+	ticker := f.opts.Clock.NewTicker(f.opts.FallbackInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+		if age, ok := f.Age(); !ok || age >= f.opts.FallbackAge {
+			f.askPeer(ctx)
+		}
+	}
+}
+
+// askPeer takes over another host's state. The state was current at an instant
+// that lies at most the reported age before the question, however long the
+// answer took.
+func (f *Follower) askPeer(ctx context.Context) {
+	asked := f.opts.Boottime()
+	at, _ := f.position()
+	s, err := f.opts.Fallback(ctx, at)
+	if err != nil || s.At < at {
+		f.opts.Logger.Debug("no state from another host", "error", err, "at", at, "peer_at", s.At)
+		return
+	}
+	if s.At > at {
+		f.reset(s.Entries, s.At)
+	}
+	f.confirm(asked - boottime.Instant(time.Duration(s.AgeMS)*time.Millisecond))
+}
+
+func (f *Follower) disturbed() bool {
+	return !f.failed.IsZero() && f.opts.Clock.Since(f.failed) < f.opts.Settle
+}
+
+func (f *Follower) fail(err error) time.Duration {
+	if !f.failing {
+		f.opts.Logger.Warn("lost the store", "error", err)
+	}
+	f.failing = true
+	f.applying.Lock()
+	f.failed = f.opts.Clock.Now()
+	f.applying.Unlock()
+	return minRetryPause + time.Duration(f.opts.Rand.Int64N(int64(maxRetryPause-minRetryPause)))
+}
+
+func (f *Follower) succeed(started boottime.Instant) {
+	if f.failing {
+		f.failing = false
+		f.opts.Logger.Info("regained the store")
+	}
+	f.opts.Sink.Tick()
+	f.confirm(started)
+}
+
+// confirm records that the state was current at an instant.
+func (f *Follower) confirm(at boottime.Instant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ever && at <= f.confirmed {
+		return
+	}
+	if !f.ever {
+		close(f.ready)
+	}
+	f.confirmed, f.ever = at, true
+}
--- /dev/null
+++ b/feed/feed_test.go
@@ -0,0 +1,218 @@
+package feed_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/corianderlever/corianderlever/feed"
+	"github.com/corianderlever/corianderlever/internal/boottime"
+	"github.com/corianderlever/corianderlever/kv"
+)
+
+// source answers calls from a script; each answer is consumed once.
+type source struct {
+	answers chan answer
+}
+
+type answer struct {
+	entries []kv.Entry
+	events  []kv.Event
+	at      int64
+	err     error
+}
+
+func (s *source) List(context.Context, string) ([]kv.Entry, int64, error) {
+	a := <-s.answers
+	return a.entries, a.at, a.err
+}
+
+func (s *source) Changes(_ context.Context, _ string, _ int64, _ time.Duration) ([]kv.Event, int64, error) {
+	a := <-s.answers
+	return a.events, a.at, a.err
+}
+
+func (s *source) Commit(context.Context, []kv.Write) (int64, error) { return 0, kv.ErrUnavailable }
+
+// sink keeps the keys it was told of.
+type sink struct {
+	keys      map[string]bool
+	disturbed []bool
+	ticks     chan struct{}
+}
+
+func (s *sink) Reset(entries []kv.Entry, disturbed bool) {
+	s.keys = map[string]bool{}
+	for _, e := range entries {
+		s.keys[e.Key] = true
+	}
+	s.disturbed = append(s.disturbed, disturbed)
+}
+
+func (s *sink) Apply(events []kv.Event, disturbed bool) {
+	for _, e := range events {
+		s.keys[e.Entry.Key] = !e.Deleted
+	}
+	s.disturbed = append(s.disturbed, disturbed)
+}
+
+func (s *sink) Tick() { s.ticks <- struct{}{} }
+
+// atomicInstant is a clock that a test moves.
+type atomicInstant struct{ ns atomic.Int64 }
+
+func (a *atomicInstant) load() boottime.Instant { return boottime.Instant(a.ns.Load()) }
+func (a *atomicInstant) add(d time.Duration)    { a.ns.Add(int64(d)) }
+
+type rig struct {
+	*feed.Follower
+	source *source
+	sink   *sink
+	clock  *clockwork.FakeClock
+	boot   atomicInstant
+}
+
+func start(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{source: &source{answers: make(chan answer)}, sink: &sink{ticks: make(chan struct{}, 16)}, clock: clockwork.NewFakeClock()}
+	r.Follower = feed.New(feed.Options{
+		Source: r.source, Sink: r.sink, Wait: time.Second, Pause: time.Second, CallTimeout: time.Second, Settle: 3 * time.Second,
+		Clock: r.clock, Boottime: r.boot.load,
+		Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = r.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		close(r.source.answers)
+		<-done
+	})
+	return r
+}
+
+// answer lets the follower make its next call.
+func (r *rig) answer(t *testing.T, a answer) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for {
+		select {
+		case r.source.answers <- a:
+			return
+		case <-ctx.Done():
+			t.Fatal("no call")
+		default:
+			if err := r.clock.BlockUntilContext(ctx, 1); err != nil {
+				t.Fatal(err)
+			}
+			r.clock.Advance(100 * time.Millisecond)
+		}
+	}
+}
+
+func entry(key string) kv.Entry { return kv.Entry{Key: key, Revision: 6} }
+
+// TestFollowsListingAndChanges guards against changes that are lost between a
+// listing and the first wait, and against a state that is not replaced after
+// the history is gone.
+func TestFollowsListingAndChanges(t *testing.T) {
+	r := start(t)
+	r.answer(t, answer{entries: []kv.Entry{entry("a")}, at: 5})
+	<-r.sink.ticks
+	r.answer(t, answer{events: []kv.Event{{Entry: entry("b")}, {Entry: entry("a"), Deleted: true}}, at: 7})
+	<-r.sink.ticks
+	if diff := cmp.Diff(map[string]bool{"a": false, "b": true}, r.sink.keys); diff != "" {
+		t.Error(diff)
+	}
+	r.answer(t, answer{err: kv.ErrCompacted})
+	r.answer(t, answer{entries: []kv.Entry{entry("c")}, at: 9})
+	<-r.sink.ticks
+	if diff := cmp.Diff(map[string]bool{"c": true}, r.sink.keys); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestAgeCountsFromTheCall guards against a host that counts a late answer as
+// news: the answer may have been made when the call arrived.
+func TestAgeCountsFromTheCall(t *testing.T) {
+	r := start(t)
+	if _, ok := r.Age(); ok {
+		t.Error("an age before the first answer")
+	}
+	r.answer(t, answer{at: 1})
+	<-r.sink.ticks
+	r.boot.add(4 * time.Second)
+	if age, ok := r.Age(); !ok || age != 4*time.Second {
+		t.Errorf("age %v, %v", age, ok)
+	}
+}
+
+// TestMarksChangesAfterAFailure guards against entries that lapsed in an outage
+// and are taken for endpoints that have left.
+func TestMarksChangesAfterAFailure(t *testing.T) {
+	r := start(t)
+	r.answer(t, answer{at: 1})
+	<-r.sink.ticks
+	r.answer(t, answer{err: errors.New("down")})
+	r.answer(t, answer{events: []kv.Event{{Entry: entry("a"), Deleted: true}}, at: 2})
+	<-r.sink.ticks
+	if got := r.sink.disturbed; !got[len(got)-1] || got[0] {
+		t.Errorf("disturbed %v", got)
+	}
+}
+
+// TestTakesOverAnotherHostsState guards against a host without the store that
+// serves by an old state, and against an age that leaves out the time for
+// which the question was under way.
+func TestTakesOverAnotherHostsState(t *testing.T) {
+	boot := &atomicInstant{}
+	boot.add(time.Hour)
+	asked := make(chan int64, 1)
+	snapshots := make(chan feed.Snapshot)
+	clock := clockwork.NewFakeClock()
+	s := &sink{ticks: make(chan struct{}, 16)}
+	f := feed.New(feed.Options{
+		Source: &source{answers: make(chan answer)}, Sink: s, Clock: clock, Boottime: boot.load,
+		Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		FallbackAge: time.Second, FallbackInterval: time.Second,
+		Fallback: func(_ context.Context, after int64) (feed.Snapshot, error) {
+			asked <- after
+			return <-snapshots, nil
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = f.Run(ctx) }()
+	if err := clock.BlockUntilContext(ctx, 1); err != nil {
+		t.Fatal(err)
+	}
+	clock.Advance(time.Second)
+	if after := <-asked; after != 0 {
+		t.Errorf("asked for changes after %d", after)
+	}
+	boot.add(2 * time.Second) // the answer is under way
+	snapshots <- feed.Snapshot{At: 7, AgeMS: 1000, Entries: []kv.Entry{entry("a")}}
+	<-f.Ready()
+	if age, _ := f.Age(); age != 3*time.Second {
+		t.Errorf("age %v, want the answer's age and the time of the question", age)
+	}
+	own, err := f.Snapshot(0)
+	if err != nil || own.At != 7 || len(own.Entries) != 1 {
+		t.Errorf("own snapshot %+v, %v", own, err)
+	}
+	if again, _ := f.Snapshot(7); len(again.Entries) != 0 {
+		t.Error("a host that is up to date got all entries")
+	}
+}
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -70,3 +70,27 @@
 	// channel is closed when ctx ends or the watch is lost.
 	Watch(ctx context.Context, prefix string, from int64) (<-chan Event, error)
 }
+
+// Write is one write of a transaction.
+type Write struct {
+	Key string
+	// Expect is the revision that the key must have; zero expects an absent key.
+	Expect int64
+	Value  []byte
+}
+
+// Feed is the part of a key-value service by which a host follows what others
+// write: a listing and bounded waits for changes, which unlike a Watch show how
+// recent an answer is.
+type Feed interface {
+	// List returns the entries under prefix and a revision that the listing
+	// contains at least.
+	List(ctx context.Context, prefix string) ([]Entry, int64, error)
+	// Changes returns the changes under prefix after a revision, and the revision
+	// up to which they are complete. It waits for at most wait if there are none.
+	// It returns ErrCompacted if the history is no longer kept.
+	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
+	// Commit makes all writes or none; it returns ErrConflict if a key has
+	// another revision than expected.
+	Commit(ctx context.Context, writes []Write) (int64, error)
+}
--- /dev/null
+++ b/limiter/window.go
@@ -0,0 +1,98 @@
+package limiter
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// WindowConfig configures a WindowBudget.
+type WindowConfig struct {
+	// Window is the length of the sliding window.
+	Window time.Duration
+	// Share is the number of repeats allowed per request in the window.
+	Share float64
+	// Extra is the number of repeats allowed beside the share.
+	Extra float64
+}
+
+// windowBuckets is the resolution of the sliding window.
+const windowBuckets = 50
+
+// WindowBudget allows repeats as a share of the requests of a sliding window,
+// and some beside. A host that keeps its own budget needs no word from others:
+// the sum over hosts stays within the sum of the budgets.
+type WindowBudget struct {
+	clock clockwork.Clock
+	start time.Time
+
+	mu       sync.Mutex
+	cfg      WindowConfig
+	ring     [windowBuckets + 1]retryCount
+	current  int64
+	requests int
+	repeats  int
+}
+
+// NewWindowBudget returns an empty budget.
+func NewWindowBudget(clock clockwork.Clock, cfg WindowConfig) *WindowBudget {
+	return &WindowBudget{clock: clock, start: clock.Now(), cfg: cfg}
+}
+
+// SetConfig changes the shares; the window must stay the same.
+func (b *WindowBudget) SetConfig(cfg WindowConfig) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cfg = cfg
+}
+
+// Request counts a request.
+func (b *WindowBudget) Request() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance()
+	b.ring[b.current%int64(len(b.ring))].requests++
+	b.requests++
+}
+
+// TryRepeat takes one repeat from the budget, or reports false if none is left.
+func (b *WindowBudget) TryRepeat() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance()
+	if float64(b.repeats+1) > b.cfg.Share*float64(b.requests)+b.cfg.Extra {
+		return false
+	}
+	b.ring[b.current%int64(len(b.ring))].retries++
+	b.repeats++
+	return true
+}
+
+// Left returns the number of repeats that the budget allows now.
+func (b *WindowBudget) Left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance()
+	return b.cfg.Share*float64(b.requests) + b.cfg.Extra - float64(b.repeats)
+}
+
+// advance moves the window to the current bucket. The oldest bucket lies only
+// partly in the window: its repeats count and its requests do not.
+func (b *WindowBudget) advance() {
+	now := max(b.current, int64(b.clock.Since(b.start)/(b.cfg.Window/windowBuckets)))
+	if now-b.current > windowBuckets {
+		b.ring = [windowBuckets + 1]retryCount{}
+		b.requests, b.repeats, b.current = 0, 0, now
+		return
+	}
+	for b.current < now {
+		b.current++
+		slot := &b.ring[b.current%int64(len(b.ring))]
+		b.repeats -= slot.retries
+		*slot = retryCount{}
+		partial := &b.ring[(b.current+1)%int64(len(b.ring))]
+		b.requests -= partial.requests
+		partial.requests = 0
+	}
+}
--- /dev/null
+++ b/limiter/window_test.go
@@ -0,0 +1,70 @@
+package limiter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"github.com/corianderlever/corianderlever/limiter"
+)
+
+// TestWindowBudgetHoldsInEveryWindow guards against bursts at the edge of a
+// window: with each repeat, those of the window that ends there stay within the
+// share of its requests and the extra.
+func TestWindowBudgetHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const window = 10 * time.Second
+		clock := clockwork.NewFakeClock()
+		cfg := limiter.WindowConfig{Window: window, Share: 0.8, Extra: 3}
+		b := limiter.NewWindowBudget(clock, cfg)
+		type event struct {
+			at     time.Time
+			repeat bool
+		}
+		var events []event
+		rt.Repeat(map[string]func(*rapid.T){
+			"request": func(*rapid.T) {
+				b.Request()
+				events = append(events, event{clock.Now(), false})
+			},
+			"repeat": func(*rapid.T) {
+				if !b.TryRepeat() {
+					return
+				}
+				events = append(events, event{clock.Now(), true})
+				requests, repeats := 0, 0
+				for _, e := range events {
+					if clock.Now().Sub(e.at) > window {
+						continue
+					}
+					if e.repeat {
+						repeats++
+					} else {
+						requests++
+					}
+				}
+				if float64(repeats) > cfg.Share*float64(requests)+cfg.Extra {
+					rt.Fatalf("%d repeats of %d requests in one window", repeats, requests)
+				}
+			},
+			"wait": func(rt *rapid.T) {
+				clock.Advance(time.Duration(rapid.IntRange(1, 30_000).Draw(rt, "ms")) * time.Millisecond)
+			},
+		})
+	})
+}
+
+// TestWindowBudgetRecovers guards against a budget that stays used up after a
+// long time without requests.
+func TestWindowBudgetRecovers(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := limiter.NewWindowBudget(clock, limiter.WindowConfig{Window: time.Second, Share: 1, Extra: 2})
+	for b.TryRepeat() {
+	}
+	clock.Advance(time.Hour)
+	if !b.TryRepeat() || !b.TryRepeat() || b.TryRepeat() {
+		t.Error("the extra repeats are not available again")
+	}
+}
--- /dev/null
+++ b/relay/job.go
@@ -0,0 +1,289 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/corianderlever/corianderlever/limiter"
+	"github.com/corianderlever/corianderlever/route"
+)
+
+const (
+	// defaultTimeout bounds requests of routes without a timeout whose callers
+	// do not say how long they wait.
+	defaultTimeout = 60 * time.Second
+	// maxRejections bounds the endpoints that may reject one request.
+	maxRejections = 3
+	// maxDialFailures bounds the endpoints that one request fails to reach.
+	maxDialFailures = 4
+	// shortRetry is when a request that met a passing fault may come back.
+	shortRetry = 100 * time.Millisecond
+	// staleRetry is when a host that cannot confirm its configuration may be
+	// asked again; callers usually reach another host.
+	staleRetry = 50 * time.Millisecond
+)
+
+// job is the state of one request while it is served.
+type job struct {
+	relay   *Relay
+	req     *Request
+	w       http.ResponseWriter
+	arrived time.Time
+
+	table    *route.Table
+	route    *route.Route
+	team     string
+	priority int
+	keyed    bool
+	service  *route.Service
+	pool     *pool
+	version  string
+	deadline time.Time
+
+	// model is the model that the next attempt runs.
+	model string
+	// exclude are the endpoints that failed or rejected the request.
+	exclude []string
+	// reached counts the attempts that an endpoint has received, runs those that
+	// may have run.
+	reached, runs, rejections, dialFailures int
+	// started is set once the answer's header has been sent to the caller.
+	started bool
+	// lastEvent is the last event that the caller has.
+	lastEvent int64
+	firstByte time.Duration
+	status    int
+	trail     strings.Builder
+}
+
+// run serves the request and returns nil once an answer was passed on.
+func (j *job) run(ctx context.Context) *Refusal {
+	if refusal := j.resolve(); refusal != nil {
+		return refusal
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	j.pool.budget.Request()
+	for {
+		if refusal := j.attempt(ctx); refusal != nil || j.status != 0 {
+			return refusal
+		}
+	}
+}
+
+// resolve finds the route, the team and the service.
+func (j *job) resolve() *Refusal {
+	table, ok := j.relay.State.Table()
+	if !ok {
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "no_configuration", RetryAfter: shortRetry}
+	}
+	j.table = table
+	j.route, ok = table.Match(j.req.Host, j.req.Path)
+	if !ok {
+		return &Refusal{Status: http.StatusNotFound, Reason: "no_route", Detail: j.req.Host + j.req.Path}
+	}
+	j.priority = j.route.Priority
+	if refusal := j.authenticate(); refusal != nil {
+		return refusal
+	}
+	point := sessionPoint(j.req.session())
+	name := j.route.PickShare(point)
+	j.service, ok = table.Service(name)
+	if !ok {
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "no_service", Detail: name, RetryAfter: shortRetry}
+	}
+	j.pool = j.relay.pool(name)
+	j.version = j.relay.Versions.Pick(name, point)
+	j.setDeadline()
+	j.model = j.req.Model
+	if n := len(j.route.Models); n > 0 {
+		j.model = j.route.Models[n-1]
+	}
+	return nil
+}
+
+// sessionPoint spreads sessions evenly over [0, 1).
+func sessionPoint(session string) float64 {
+	const bits = 53
+	return float64(xxhash.Sum64String(session)>>(64-bits)) / (1 << bits)
+}
+
+// authenticate checks the caller's key. Keys are refused while the host cannot
+// confirm that they are still valid.
+func (j *job) authenticate() *Refusal {
+	if j.route.Anonymous || !j.table.NeedsKeys() {
+		return nil
+	}
+	j.keyed = true
+	if refusal := j.checkAge(); refusal != nil {
+		return refusal
+	}
+	team, ok := j.table.TeamForKey(j.req.Key)
+	if !ok {
+		return &Refusal{Status: http.StatusUnauthorized, Reason: "unknown_key"}
+	}
+	j.team = team.Name
+	if team.Priority != nil {
+		j.priority = *team.Priority
+	}
+	return nil
+}
+
+// checkAge refuses a request with a key if the configuration may be too old.
+func (j *job) checkAge() *Refusal {
+	age, ok := j.relay.State.Age()
+	if ok && age <= j.relay.Settings().MaxStaleness {
+		return nil
+	}
+	return &Refusal{
+		Status: http.StatusServiceUnavailable, Reason: "stale_configuration",
+		Detail: "confirmed " + age.String() + " ago", RetryAfter: staleRetry,
+	}
+}
+
+func (j *job) setDeadline() {
+	wait := defaultTimeout
+	if j.route.Timeout > 0 {
+		wait = j.route.Timeout
+	}
+	if j.req.Wait > 0 {
+		wait = min(wait, j.req.Wait)
+	}
+	j.deadline = j.arrived.Add(wait)
+}
+
+// left returns the time until the request's deadline.
+func (j *job) left() time.Duration { return j.deadline.Sub(j.relay.Clock.Now()) }
+
+// recheck repeats, right before a send, the checks whose answer may have
+// changed while the request waited.
+func (j *job) recheck() *Refusal {
+	if !j.keyed {
+		return nil
+	}
+	if refusal := j.checkAge(); refusal != nil {
+		return refusal
+	}
+	table, _ := j.relay.State.Table()
+	if table == j.table {
+		return nil
+	}
+	if _, ok := table.TeamForKey(j.req.Key); !ok {
+		return &Refusal{Status: http.StatusUnauthorized, Reason: "key_revoked"}
+	}
+	return nil
+}
+
+// giveUp turns the end of all attempts into the final answer. It promises that
+// the request has not run only if no endpoint can have run it.
+func (j *job) giveUp(reason, detail string, retryAfter time.Duration) *Refusal {
+	if j.runs == 0 {
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: reason, Detail: detail, RetryAfter: retryAfter}
+	}
+	status := http.StatusBadGateway
+	if j.left() <= 0 {
+		status = http.StatusGatewayTimeout
+	}
+	return &Refusal{Status: status, Reason: reason, Detail: detail}
+}
+
+// mayRepeat decides whether a further attempt may be made.
+func (j *job) mayRepeat(ctx context.Context, reason string) *Refusal {
+	switch {
+	case ctx.Err() != nil:
+		return j.giveUp(endReason(ctx), reason, shortRetry)
+	case j.runs > 0 && !j.route.Repeatable():
+		return j.giveUp(reason, "not repeatable", 0)
+	case j.runs >= max(1, j.route.MaxAttempts):
+		return j.giveUp(reason, "attempts used up", 0)
+	case j.rejections >= maxRejections, j.dialFailures >= maxDialFailures:
+		return j.giveUp(reason, "endpoints used up", shortRetry)
+	case j.reached == 0:
+		return nil // nothing has arrived, so nothing is repeated
+	}
+	granted := j.pool.budget.TryRepeat()
+	j.relay.metrics.repeats.WithLabelValues(j.pool.service, strconv.FormatBool(granted)).Inc()
+	if !granted {
+		return j.giveUp(reason, "retry budget used up", shortRetry)
+	}
+	return nil
+}
+
+func endReason(ctx context.Context) string {
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return "deadline"
+	}
+	return "caller_left"
+}
+
+// note adds a step to the line that is logged at the end.
+func (j *job) note(parts ...string) {
+	if j.trail.Len() > 0 {
+		j.trail.WriteByte(' ')
+	}
+	for i, p := range parts {
+		if i > 0 {
+			j.trail.WriteByte(':')
+		}
+		j.trail.WriteString(p)
+	}
+}
+
+// finish sends a refusal and logs and counts the end of the request.
+func (j *job) finish(ctx context.Context, refusal *Refusal) {
+	outcome := "answered"
+	status := j.status
+	var detail string
+	if refusal != nil {
+		outcome, status, detail = refusal.Reason, refusal.Status, refusal.Detail
+	}
+	gone := ctx.Err() != nil
+	if gone && refusal != nil {
+		outcome = "caller_left"
+	}
+	took := j.relay.Clock.Since(j.arrived)
+	j.log(outcome, status, detail, took)
+	m := j.relay.metrics
+	team, priority := j.team, strconv.Itoa(j.priority)
+	m.requests.WithLabelValues(team, priority, outcome).Inc()
+	if refusal == nil {
+		m.first.WithLabelValues(team, priority).Observe(j.firstByte.Seconds())
+		m.total.WithLabelValues(team, priority).Observe(took.Seconds())
+	}
+	if refusal == nil {
+		return
+	}
+	if j.started || gone {
+		// The header is out or nobody reads: only a cut connection tells that the
+		// answer is not complete.
+		panic(http.ErrAbortHandler)
+	}
+	refusal.Write(j.w)
+}
+
+// log writes one line for the request: what decided and how it ended.
+func (j *job) log(outcome string, status int, detail string, took time.Duration) {
+	age, _ := j.relay.State.Age()
+	name, version := "", int64(0)
+	if j.route != nil {
+		name = j.route.Name
+	}
+	if j.table != nil {
+		version = j.table.Version()
+	}
+	j.relay.Logger.Info("request", "request", j.req.ID, "route", name, "team", j.team, "priority", j.priority,
+		"outcome", outcome, "status", status, "detail", detail, "steps", j.trail.String(), "runs", j.runs,
+		"tokens", j.req.PromptTokens, "first_ms", j.firstByte.Milliseconds(), "took_ms", took.Milliseconds(),
+		"left_ms", j.left().Milliseconds(), "config", version, "config_age_ms", age.Milliseconds())
+}
+
+// failed leaves an endpoint out of the further choice for this request.
+func (j *job) failed(pl *place, outcome limiter.Outcome) {
+	j.exclude = append(j.exclude, pl.endpoint.ID)
+	pl.end(outcome)
+}
--- /dev/null
+++ b/relay/metrics.go
@@ -0,0 +1,39 @@
+package relay
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics are the counters and histograms of a relay.
+type metrics struct {
+	requests *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	repeats  *prometheus.CounterVec
+	first    *prometheus.HistogramVec
+	total    *prometheus.HistogramVec
+}
+
+// secondsBuckets span the targets of plain calls and of long streams.
+var secondsBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32}
+
+func newMetrics(reg prometheus.Registerer) *metrics {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "corianderlever_relay_requests_total", Help: "Requests by team, priority and outcome.",
+		}, []string{"team", "priority", "outcome"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "corianderlever_relay_attempts_total", Help: "Attempts at endpoints by service and outcome.",
+		}, []string{"service", "outcome"}),
+		repeats: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "corianderlever_relay_repeats_total", Help: "Repeats by service and whether the budget granted them.",
+		}, []string{"service", "granted"}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "corianderlever_relay_first_byte_seconds", Help: "Time to the first byte of an answer.", Buckets: secondsBuckets,
+		}, []string{"team", "priority"}),
+		total: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "corianderlever_relay_request_seconds", Help: "Time to the end of an answer.", Buckets: secondsBuckets,
+		}, []string{"team", "priority"}),
+	}
+	reg.MustRegister(m.requests, m.attempts, m.repeats, m.first, m.total)
+	return m
+}
--- /dev/null
+++ b/relay/pool.go
@@ -0,0 +1,173 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/corianderlever/corianderlever/balance"
+	"github.com/corianderlever/corianderlever/fleet"
+	"github.com/corianderlever/corianderlever/limiter"
+	"github.com/corianderlever/corianderlever/route"
+)
+
+// Loads is the load of one host by service and endpoint.
+type Loads map[string]map[string]balance.EngineLoad
+
+// pool is what is believed of the endpoints of one service.
+type pool struct {
+	relay   *Relay
+	service string
+	picker  *balance.Picker
+	engines *balance.Engines
+	ejector *limiter.Ejector
+	budget  *limiter.WindowBudget
+
+	mu         sync.Mutex
+	generation uint64
+	loaded     bool
+}
+
+func newPool(r *Relay, service string) *pool {
+	return &pool{
+		relay: r, service: service,
+		picker:  balance.NewPicker(r.Clock, r.Rand(), balance.DefaultConfig(r.FailureDomain)),
+		engines: balance.NewEngines(r.Clock, r.FailureDomain),
+		ejector: limiter.NewEjector(r.Clock),
+		budget:  limiter.NewWindowBudget(r.Clock, r.Settings().Retry),
+	}
+}
+
+// refresh takes over the endpoints that the registry lists now.
+func (p *pool) refresh(svc *route.Service) []fleet.Endpoint {
+	gen := p.relay.Fleet.Generation()
+	list := p.relay.Fleet.Service(p.service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.loaded && gen == p.generation {
+		return list
+	}
+	p.loaded, p.generation = true, gen
+	var plain []balance.Endpoint
+	var engines []balance.EngineSpec
+	var ids []string
+	for _, e := range list {
+		if e.Draining {
+			continue
+		}
+		ids = append(ids, e.ID)
+		if svc.Engine == nil {
+			plain = append(plain, balance.Endpoint{
+				ID: e.ID, FailureDomain: e.FailureDomain, Versions: []string{anyVersion, e.Version}, Concurrency: max(1, e.Slots),
+			})
+			continue
+		}
+		engines = append(engines, balance.EngineSpec{
+			ID: e.ID, FailureDomain: e.FailureDomain, Version: e.Version, CacheTokens: svc.Engine.KVCacheTokens,
+		})
+	}
+	p.picker.SetEndpoints(plain)
+	p.engines.SetEngines(engines)
+	p.ejector.SetEndpoints(ids)
+	return list
+}
+
+// anyVersion is the version under which every endpoint is listed.
+const anyVersion = ""
+
+// forget drops what is believed of an endpoint that has started again.
+func (p *pool) forget(id string) { p.engines.ForgetCache(id) }
+
+// place is one request at one endpoint.
+type place struct {
+	pool     *pool
+	endpoint fleet.Endpoint
+	choice   balance.EngineChoice
+	work     *balance.Work // nil for plain services
+	started  time.Time
+	ended    bool
+}
+
+// choose picks an endpoint for the job and takes a place there.
+func (p *pool) choose(j *job, version string) (*place, error) {
+	p.refresh(j.service)
+	if j.service.Engine == nil {
+		return p.choosePlain(j, version)
+	}
+	req := balance.EngineRequest{Model: j.model, Parts: j.req.Parts, Version: version, Exclude: j.exclude}
+	choice, err := p.engines.Choose(req)
+	if err != nil {
+		return nil, err
+	}
+	e, ok := p.relay.Fleet.Endpoint(choice.Endpoint)
+	if !ok {
+		return nil, balance.ErrNoEndpoint
+	}
+	return &place{
+		pool: p, endpoint: e, choice: choice, work: p.engines.Start(choice, req), started: p.relay.Clock.Now(),
+	}, nil
+}
+
+func (p *pool) choosePlain(j *job, version string) (*place, error) {
+	choice, err := p.picker.Pick(balance.Request{Version: version, Exclude: j.exclude})
+	if err != nil {
+		return nil, err
+	}
+	e, ok := p.relay.Fleet.Endpoint(choice.Endpoint)
+	if !ok {
+		return nil, balance.ErrNoEndpoint
+	}
+	p.picker.Started(e.ID, nil)
+	return &place{pool: p, endpoint: e, started: p.relay.Clock.Now()}, nil
+}
+
+// begun records the first part of the answer.
+func (pl *place) begun() {
+	if pl.work != nil {
+		pl.work.Begun()
+	}
+}
+
+// end gives the place back and records how the attempt ended.
+func (pl *place) end(outcome limiter.Outcome) {
+	if pl.ended {
+		return
+	}
+	pl.ended = true
+	p := pl.pool
+	if pl.work != nil {
+		pl.work.End()
+	} else {
+		took := time.Duration(0)
+		if outcome == limiter.OutcomeOK {
+			took = p.relay.Clock.Since(pl.started)
+		}
+		p.picker.Finished(pl.endpoint.ID, took)
+	}
+	p.ejector.Report(pl.endpoint.ID, outcome)
+	weight := p.ejector.Weight(pl.endpoint.ID)
+	p.picker.SetWeight(pl.endpoint.ID, weight)
+	p.engines.SetWeight(pl.endpoint.ID, weight)
+}
+
+// report takes in an endpoint's own account of its load.
+func (pl *place) report(l *Load) {
+	if l == nil || pl.work != nil {
+		return
+	}
+	pl.pool.picker.ObserveReport(balance.Report{
+		Endpoint: pl.endpoint.ID, At: pl.pool.relay.Clock.Now(), Running: l.Running, Waiting: l.Waiting,
+	})
+}
+
+// unreachableFor is how long an endpoint that refuses connections is left out.
+const unreachableFor = 500 * time.Millisecond
+
+// unreachable records that no connection to the endpoint could be opened.
+func (pl *place) unreachable(ctx context.Context) {
+	if ctx.Err() != nil {
+		return
+	}
+	pl.pool.engines.Avoid(pl.endpoint.ID, unreachableFor)
+	pl.pool.relay.Client.Forget(pl.endpoint.Address)
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,138 @@
+// Package relay serves opaque requests: it finds the route, chooses an
+// endpoint, passes request and answer on unchanged, and repeats or continues
+// what may be repeated. The names of headers belong to a Codec.
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/corianderlever/corianderlever/fleet"
+	"github.com/corianderlever/corianderlever/limiter"
+	"github.com/corianderlever/corianderlever/route"
+	"github.com/corianderlever/corianderlever/upstream"
+)
+
+// State is where the relay reads the configuration in force.
+type State interface {
+	// Table returns the newest routing table; false before the first one.
+	Table() (*route.Table, bool)
+	// Age returns how long ago the table was known to be current; false if never.
+	Age() (time.Duration, bool)
+}
+
+// Versions steers which version of a service serves a request.
+type Versions interface {
+	// Pick returns the version that serves the session at a point in [0, 1), or
+	// an empty string for any.
+	Pick(service string, point float64) string
+	// Observe records how an answer of a version ended.
+	Observe(service, version string, bad bool, took time.Duration)
+}
+
+// Settings are the bounds of the deployment. They may change at any time.
+type Settings struct {
+	// MaxStaleness is the age of the configuration above which no request with a
+	// key is served: the key may have been taken away.
+	MaxStaleness time.Duration
+	// Retry is this host's part of the budget of repeats of one service.
+	Retry limiter.WindowConfig
+	// Hosts is the number of hosts believed to serve callers.
+	Hosts int
+}
+
+// Options configure a Relay. All fields are required.
+type Options struct {
+	State         State
+	Fleet         *fleet.Registry
+	Versions      Versions
+	Codec         Codec
+	Client        *upstream.Client
+	Settings      func() Settings
+	FailureDomain string
+	Clock         clockwork.Clock
+	Rand          func() *rand.Rand
+	Logger        *slog.Logger
+	Registry      prometheus.Registerer
+}
+
+// Relay serves requests. It is safe for concurrent use.
+type Relay struct {
+	Options
+	metrics *metrics
+
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+// New returns a relay.
+func New(opts Options) *Relay {
+	r := &Relay{Options: opts, metrics: newMetrics(opts.Registry), pools: make(map[string]*pool)}
+	opts.Fleet.OnChange(r.endpointChanged)
+	return r
+}
+
+// endpointChanged logs what the registry says and drops what was believed of an
+// endpoint that is gone.
+func (r *Relay) endpointChanged(c fleet.Change) {
+	e := c.Endpoint
+	switch {
+	case c.Removed:
+		r.Client.Forget(e.Address)
+		r.Logger.Info("endpoint gone", "endpoint", e.ID, "service", e.Service, "address", e.Address)
+	case c.Restarted():
+		r.Client.Forget(e.Address)
+		r.pool(e.Service).forget(e.ID)
+		r.Logger.Warn("endpoint restarted", "endpoint", e.ID, "service", e.Service, "started", e.Started)
+	case c.Was == nil:
+		r.Logger.Info("endpoint found", "endpoint", e.ID, "service", e.Service, "address", e.Address, "version", e.Version, "draining", e.Draining)
+	case c.Was.Draining != e.Draining:
+		r.Logger.Info("endpoint changed", "endpoint", e.ID, "service", e.Service, "draining", e.Draining, "revision", e.Revision)
+	}
+}
+
+// pool returns the endpoints of a service.
+func (r *Relay) pool(service string) *pool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.pools[service]
+	if p == nil {
+		p = newPool(r, service)
+		r.pools[service] = p
+	}
+	return p
+}
+
+// Serve answers one request. A caller that leaves ends ctx.
+func (r *Relay) Serve(ctx context.Context, w http.ResponseWriter, req *Request) {
+	j := &job{relay: r, req: req, w: w, arrived: r.Clock.Now(), lastEvent: req.LastEvent}
+	refusal := j.run(ctx)
+	j.finish(ctx, refusal)
+}
+
+// Loads returns the load that this host puts on the engines of each service.
+func (r *Relay) Loads() Loads {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(Loads)
+	for name, p := range r.pools {
+		if loads := p.engines.Loads(); len(loads) > 0 {
+			out[name] = loads
+		}
+	}
+	return out
+}
+
+// ObservePeer takes in the load of another host.
+func (r *Relay) ObservePeer(host string, loads Loads) {
+	for service, l := range loads {
+		r.pool(service).engines.ObservePeer(host, l)
+	}
+}
--- /dev/null
+++ b/relay/stream.go
@@ -0,0 +1,159 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"iter"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/corianderlever/corianderlever/limiter"
+	"github.com/corianderlever/corianderlever/route"
+	"github.com/corianderlever/corianderlever/upstream"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// errEvent reports a stream that breaks the rules of its format.
+var errEvent = errors.New("relay: malformed event stream")
+
+// streams reports whether the answer is a series of events.
+func (j *job) streams() bool { return j.route.Kind == route.Stream }
+
+// stream passes events on as they arrive. The header is sent with the first
+// event, so that until then another endpoint can take over.
+func (j *job) stream(ctx context.Context, pl *place, answer *upstream.Answer, _ Reply) *Refusal {
+	events := newEventReader(answer)
+	for n := 0; ; n++ {
+		ev, err := events.next()
+		if errors.Is(err, io.EOF) {
+			return j.streamEnded(pl, answer)
+		}
+		if err == nil && ev.id >= 0 && j.lastEvent >= 0 && ev.id != j.lastEvent+1 {
+			if ev.id <= j.lastEvent {
+				continue // the caller has it already
+			}
+			err = errors.Wrapf(errEvent, "event %d follows %d", ev.id, j.lastEvent)
+		}
+		if err != nil {
+			return j.streamBroken(ctx, pl, n, err)
+		}
+		pl.begun()
+		if n == 0 {
+			j.observe(pl, false, j.relay.Clock.Since(pl.started))
+		}
+		j.begin(answer)
+		if _, err := j.w.Write(ev.data); err != nil {
+			return j.giveUp("caller_left", err.Error(), 0)
+		}
+		j.flush()
+		if ev.id >= 0 {
+			j.lastEvent = ev.id
+		}
+	}
+}
+
+// begin sends the header of the first endpoint's answer.
+func (j *job) begin(answer *upstream.Answer) {
+	if j.started {
+		return
+	}
+	j.started = true
+	j.firstByte = j.relay.Clock.Since(j.arrived)
+	copyHeader(j.w.Header(), answer.Header)
+	j.w.WriteHeader(answer.Status)
+}
+
+func (j *job) flush() {
+	// The next write reports a connection that has ended.
+	_ = http.NewResponseController(j.w).Flush()
+}
+
+// streamEnded completes the answer.
+func (j *job) streamEnded(pl *place, answer *upstream.Answer) *Refusal {
+	j.begin(answer)
+	j.status = answer.Status
+	j.note(pl.endpoint.ID, j.model, strconv.Itoa(answer.Status))
+	j.count("ok")
+	pl.begun()
+	pl.end(limiter.OutcomeOK)
+	return nil
+}
+
+// streamBroken continues a broken stream at another endpoint where that is allowed.
+func (j *job) streamBroken(ctx context.Context, pl *place, events int, err error) *Refusal {
+	detail := "after " + strconv.Itoa(events) + " events: " + err.Error()
+	if j.started && !j.route.Resumable {
+		j.note(pl.endpoint.ID, j.model, "cut")
+		j.count("stream_cut")
+		pl.end(limiter.OutcomeError)
+		return j.giveUp("stream_cut", detail, 0)
+	}
+	return j.broken(ctx, pl, "stream_cut", detail)
+}
+
+// event is one whole event of a stream.
+type event struct {
+	data []byte
+	// id is negative if the event has none.
+	id int64
+}
+
+// eventReader splits a stream into whole events.
+type eventReader struct {
+	br *bufio.Reader
+}
+
+const eventBufferBytes = 2 << 10
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{br: bufio.NewReaderSize(r, eventBufferBytes)}
+}
+
+// next returns the next event. It returns io.EOF only at the end of a whole
+// event; an event that breaks off is an error.
+func (r *eventReader) next() (event, error) {
+	ev := event{id: -1}
+	for {
+		line, err := r.br.ReadSlice('\n')
+		ev.data = append(ev.data, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull) && len(ev.data) < maxEventBytes:
+			continue
+		case errors.Is(err, io.EOF) && len(ev.data) == 0:
+			return ev, io.EOF
+		case errors.Is(err, io.EOF):
+			return ev, errors.Wrap(errEvent, "the last event breaks off")
+		case err != nil:
+			return ev, errors.Wrap(err, "relay: read events")
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 {
+			return ev, nil
+		}
+		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+			if err != nil {
+				return ev, errors.Wrapf(errEvent, "event id %q", value)
+			}
+			ev.id = id
+		}
+	}
+}
+
+// splitList yields the elements of a comma-separated header value.
+func splitList(value string) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for part := range strings.SplitSeq(value, ",") {
+			if part = strings.TrimSpace(part); part != "" && !yield(part) {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/rollout/stage.go
@@ -0,0 +1,124 @@
+package rollout
+
+import (
+	"math"
+	"time"
+)
+
+// Tally counts the answers of one version since the order of a roll-out.
+type Tally struct {
+	Good int `json:"g"`
+	Bad  int `json:"b"`
+}
+
+// Add returns the sum of two tallies.
+func (t Tally) Add(o Tally) Tally { return Tally{t.Good + o.Good, t.Bad + o.Bad} }
+
+func (t Tally) total() int { return t.Good + t.Bad }
+
+func (t Tally) badRate() float64 {
+	if t.total() == 0 {
+		return 0
+	}
+	return float64(t.Bad) / float64(t.total())
+}
+
+// StageConfig bounds a staged roll-out.
+type StageConfig struct {
+	// ExposureShare and ExposureExtra bound the requests that a bad version may
+	// get: a share of the service's requests, and some beside.
+	ExposureShare, ExposureExtra float64
+}
+
+// Stage is a share of the traffic and the part of the order's time at which it begins.
+type Stage struct {
+	From  float64
+	Share float64
+}
+
+// canaryPart is the part of the exposure bound that the first stage uses, so
+// that the later ones can find what shows only under load.
+const canaryPart = 0.5
+
+// stages returns the steps of a roll-out. Sessions stay on their version in its
+// first half, so the share stays the same there.
+func (c StageConfig) stages() []Stage {
+	return []Stage{
+		{From: 0, Share: canaryPart * min(c.ExposureShare, 1)},
+		{From: 0.55, Share: 0.3},
+		{From: 0.65, Share: 0.6},
+		{From: 0.74, Share: 1},
+	}
+}
+
+// doneFrom is the part of the order's time at which a good version is declared
+// done. What is left covers a store that answers late.
+const doneFrom = 0.86
+
+// Decision is what the coordinator of a roll-out does next.
+type Decision struct {
+	State OrderState
+	// Share is the part of the traffic that the target gets.
+	Share float64
+	// Reason says what decided.
+	Reason string
+}
+
+// minBad is the number of bad answers below which no version is reverted.
+const minBad = 4
+
+// worse decides whether the target's answers are worse than the other
+// versions': the lower confidence bound of its bad rate lies above theirs.
+func worse(target, base Tally) bool {
+	if target.Bad < minBad {
+		return false
+	}
+	reference := (float64(base.Bad) + 1) / (float64(base.total()) + 2)
+	return lowerBound(target) > reference*badRatio+badMargin
+}
+
+const (
+	// badRatio and badMargin are how much worse than the others a version must be.
+	badRatio  = 1.3
+	badMargin = 0.05
+	// boundZ is the normal quantile of the confidence bound, about one false
+	// alarm in a hundred looks.
+	boundZ = 2.3
+)
+
+// lowerBound is the Wilson lower bound of the bad rate.
+func lowerBound(t Tally) float64 {
+	n := float64(t.total())
+	p := t.badRate()
+	z2 := boundZ * boundZ
+	centre := p + z2/(2*n)
+	spread := boundZ * math.Sqrt(p*(1-p)/n+z2/(4*n*n))
+	return (centre - spread) / (1 + z2/n)
+}
+
+// Advance decides the next step of an order from the time since it was given,
+// the share in force and the evidence of all hosts. capacity is the number of
+// endpoints of the target relative to those of the other versions.
+func (c StageConfig) Advance(o Order, elapsed time.Duration, share float64, target, base Tally, capacity float64) Decision {
+	if worse(target, base) {
+		return Decision{State: OrderReverted, Reason: "target is worse"}
+	}
+	at := 1.0
+	if o.Within > 0 {
+		at = elapsed.Seconds() / o.Within.Seconds()
+	}
+	next := Decision{State: OrderRunning, Share: share, Reason: "stage"}
+	for _, s := range c.stages() {
+		if at >= s.From && s.Share > next.Share && capacity >= min(s.Share, minCapacity) {
+			next.Share = s.Share
+		}
+	}
+	if at >= doneFrom && share >= 1 {
+		next.State, next.Reason = OrderDone, "target is as good"
+	}
+	return next
+}
+
+// minCapacity is the number of target endpoints, relative to the others, that
+// may take all traffic.
+const minCapacity = 0.5
--- /dev/null
+++ b/upstream/upstream.go
@@ -0,0 +1,170 @@
+// Package upstream exchanges single HTTP/1.1 requests with endpoints over kept
+// connections. It never repeats a request, and it tells whether a request that
+// failed can have reached the endpoint.
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+)
+
+// Errors of the package; every failure is an *Error that wraps one of them.
+var (
+	// ErrDial reports that no connection could be opened.
+	ErrDial = errors.New("upstream: connection not opened")
+	// ErrSend reports that the request could not be written.
+	ErrSend = errors.New("upstream: request not sent")
+	// ErrLost reports a connection that ended before the answer began.
+	ErrLost = errors.New("upstream: connection lost before the answer")
+	// ErrMalformed reports bytes that are no HTTP answer.
+	ErrMalformed = errors.New("upstream: malformed answer")
+)
+
+// Error is a failed exchange.
+type Error struct {
+	// Cause wraps one of the errors of the package.
+	Cause error
+	// Sent is set when the endpoint may have received the request.
+	Sent bool
+	// Reused is set when the connection had served another request before.
+	Reused bool
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%v (sent %t, reused connection %t)", e.Cause, e.Sent, e.Reused)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Request is one request to an endpoint.
+type Request struct {
+	Method string
+	// Target is the request target as the caller sent it.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Answers reports whether an answer's header belongs to this request. An
+	// answer that does not is dropped, and the next one on the connection is read.
+	Answers func(http.Header) bool
+}
+
+// Options configure a Client.
+type Options struct {
+	// DialTimeout bounds the set-up of a connection.
+	DialTimeout time.Duration
+	// IdleTimeout is the longest time a connection is kept without a request.
+	IdleTimeout time.Duration
+	// Keepalive finds connections whose other end is gone without a notice.
+	Keepalive net.KeepAliveConfig
+	// UserTimeout ends connections on which sent data stays unacknowledged; zero
+	// leaves the default of the system.
+	UserTimeout time.Duration
+	Clock       clockwork.Clock
+}
+
+// DefaultOptions find a silent connection within about four seconds.
+func DefaultOptions() Options {
+	return Options{
+		DialTimeout: time.Second,
+		IdleTimeout: 8 * time.Second,
+		Keepalive:   net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
+		UserTimeout: 3 * time.Second,
+		Clock:       clockwork.NewRealClock(),
+	}
+}
+
+// Client sends requests to endpoints. It is safe for concurrent use.
+type Client struct {
+	opts   Options
+	dialer net.Dialer
+	pool   pool
+}
+
+// NewClient returns a client without connections.
+func NewClient(opts Options) *Client {
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
+	return &Client{
+		opts:   opts,
+		dialer: net.Dialer{Timeout: opts.DialTimeout, KeepAliveConfig: opts.Keepalive, Control: userTimeout(opts.UserTimeout)},
+		pool:   pool{clock: opts.Clock, idleTimeout: opts.IdleTimeout, idle: make(map[string][]*conn)},
+	}
+}
+
+// Do sends the request to addr and returns the beginning of the answer. The
+// answer must be closed. When ctx ends, the connection is closed.
+func (c *Client) Do(ctx context.Context, addr string, req *Request) (*Answer, error) {
+	out, err := httpRequest(req)
+	if err != nil {
+		return nil, &Error{Cause: errors.Mark(err, ErrSend)}
+	}
+	cn, err := c.connect(ctx, addr)
+	if err != nil {
+		return nil, &Error{Cause: errors.Mark(err, ErrDial)}
+	}
+	e := &exchange{client: c, conn: cn, addr: addr, reused: cn.uses > 0}
+	cn.uses++
+	e.stop = context.AfterFunc(ctx, func() { _ = cn.Close() })
+	return e.run(req, out)
+}
+
+// Dial opens a connection and closes it again. It tells whether anything
+// listens at addr.
+func (c *Client) Dial(ctx context.Context, addr string) error {
+	cn, err := c.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return errors.Mark(err, ErrDial)
+	}
+	return errors.Wrap(cn.Close(), "upstream: close")
+}
+
+// Forget closes the idle connections to addr.
+func (c *Client) Forget(addr string) { c.pool.forget(addr) }
+
+// Close closes all idle connections.
+func (c *Client) Close() { c.pool.close() }
+
+func (c *Client) connect(ctx context.Context, addr string) (*conn, error) {
+	if cn := c.pool.take(addr); cn != nil {
+		return cn, nil
+	}
+	raw, err := c.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(raw), nil
+}
+
+// httpRequest puts the request into the form that net/http writes. The target
+// is passed on byte by byte.
+func httpRequest(req *Request) (*http.Request, error) {
+	if req.Target == "" || req.Target[0] != '/' || len(req.Target) > 1 && req.Target[1] == '/' {
+		return nil, errors.Newf("upstream: request target %q", req.Target)
+	}
+	header := req.Header
+	if _, ok := header["User-Agent"]; !ok {
+		header = header.Clone()
+		header["User-Agent"] = []string{""} // net/http would add its own
+	}
+	out := &http.Request{
+		Method: req.Method, URL: &url.URL{Opaque: req.Target}, Host: req.Host,
+		Header: header, ContentLength: int64(len(req.Body)), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if len(req.Body) > 0 {
+		out.Body = io.NopCloser(bytes.NewReader(req.Body))
+	}
+	return out, nil
+}
