Choose the model of an answer by its confidence and the load of the engines

Change: the smallest model answers first; an answer that doubts itself is dropped and asked of the largest, less often the longer requests wait. Sessions are told apart by their header; teams' and routes' priorities order requests.

--- /dev/null
+++ b/cascade/confidence.go
@@ -0,0 +1,61 @@
+package cascade
+
+import "time"
+
+// Ladder decides, from a model's own opinion of its answer, whether to keep the
+// answer or to ask a larger model. It needs no rating service: the opinion comes
+// with the answer's header, before any of it has been passed on.
+type Ladder struct {
+	// Models is the number of models, from the smallest to the largest.
+	Models int
+}
+
+// LadderState is what the decision about one answer depends on.
+type LadderState struct {
+	// Model is the index of the model that answered.
+	Model int
+	// Confidence is its opinion of the answer, 0 to 100; negative if not given.
+	Confidence int
+	// Pressure is the load of the engines: 0 when idle, 1 when waiting takes as
+	// long as the callers can bear.
+	Pressure float64
+	// Left is the time until the caller gives up, and Needed the time that the
+	// largest model is expected to take.
+	Left, Needed time.Duration
+}
+
+const (
+	// keepIdle is the confidence from which an answer is kept on idle engines,
+	// keepLoaded the one at full pressure. Opinions scatter by about ten points
+	// around the truth; below even odds a larger model is worth its time unless
+	// it takes the place of other requests.
+	keepIdle, keepLoaded = 62, 46
+	// keepOverloaded is the confidence from which an answer is kept when the
+	// engines have twice the work that they can do.
+	keepOverloaded = 25
+)
+
+// Threshold returns the confidence from which an answer is kept at a pressure.
+func (l Ladder) Threshold(pressure float64) float64 {
+	switch {
+	case pressure <= 0:
+		return keepIdle
+	case pressure <= 1:
+		return keepIdle - pressure*(keepIdle-keepLoaded)
+	case pressure <= 2:
+		return keepLoaded - (pressure-1)*(keepLoaded-keepOverloaded)
+	}
+	return keepOverloaded
+}
+
+// Next returns the model to ask instead, or false to keep the answer.
+func (l Ladder) Next(s LadderState) (model int, escalate bool) {
+	last := l.Models - 1
+	if s.Model >= last || s.Confidence < 0 || float64(s.Confidence) >= l.Threshold(s.Pressure) {
+		return s.Model, false
+	}
+	if s.Needed > s.Left {
+		return s.Model, false // a poor answer is better than one that is cut
+	}
+	return last, true
+}
--- /dev/null
+++ b/cascade/confidence_test.go
@@ -0,0 +1,43 @@
+package cascade_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/corianderlever/corianderlever/cascade"
+)
+
+// TestLadderKeepsMoreUnderPressure guards against a cascade that asks large
+// models more often the less room there is.
+func TestLadderKeepsMoreUnderPressure(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		l := cascade.Ladder{Models: rapid.IntRange(1, 4).Draw(rt, "models")}
+		s := cascade.LadderState{
+			Model:      rapid.IntRange(0, l.Models-1).Draw(rt, "model"),
+			Confidence: rapid.IntRange(-1, 100).Draw(rt, "confidence"),
+			Pressure:   rapid.Float64Range(0, 4).Draw(rt, "pressure"),
+			Left:       time.Second, Needed: time.Duration(rapid.IntRange(0, 2000).Draw(rt, "needed")) * time.Millisecond,
+		}
+		next, escalate := l.Next(s)
+		if escalate && (next <= s.Model || next >= l.Models || s.Needed > s.Left) {
+			rt.Fatalf("model %d follows %d of %d with %v left for %v", next, s.Model, l.Models, s.Left, s.Needed)
+		}
+		s.Pressure /= 2
+		if _, idle := l.Next(s); escalate && !idle {
+			rt.Fatal("escalated under pressure and not without")
+		}
+	})
+}
+
+// TestLadderEscalatesPoorAnswers guards against poor answers that are kept
+// although there is room for a larger model.
+func TestLadderEscalatesPoorAnswers(t *testing.T) {
+	l := cascade.Ladder{Models: 3}
+	for confidence, want := range map[int]bool{0: true, 40: true, 90: false, -1: false} {
+		if _, got := l.Next(cascade.LadderState{Confidence: confidence, Left: time.Second}); got != want {
+			t.Errorf("confidence %d: escalated %v", confidence, got)
+		}
+	}
+}
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -212,15 +212,16 @@
 }
 
 // Observe implements relay.Versions.
-func (r *Rollouts) Observe(name, version string, bad bool, took time.Duration) {
+func (r *Rollouts) Observe(name, version string, o rollout.Observation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.service(name)
 	isTarget := s.ordered && version == s.order.Target
-	if !bad && took > 0 {
-		bad = s.pace.slow(took)
+	bad := o.Bad
+	if !bad {
+		bad = s.pace.slow(o)
 		if !isTarget {
-			s.pace.observe(took)
+			s.pace.observe(o)
 		}
 	}
 	if !s.ordered {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/corianderlever/corianderlever/limiter"
+	"github.com/corianderlever/corianderlever/rollout"
 	"github.com/corianderlever/corianderlever/upstream"
 )
 
@@ -59,7 +60,7 @@
 	}
 	if j.service.Engine != nil {
 		a.Model = j.model
-		a.Urgency = min(j.priority, lowestUrgency)
+		a.Urgency = min(j.rank, lowestUrgency)
 	}
 	j.relay.Codec.Encode(header, a)
 	return &upstream.Request{
@@ -208,7 +209,8 @@
 
 // observe records how an attempt at a version ended.
 func (j *job) observe(pl *place, bad bool, took time.Duration) {
-	j.relay.Versions.Observe(j.pool.service, pl.endpoint.Version, bad, took)
+	o := rollout.Observation{Bad: bad, Took: took, Expected: pl.choice.Expected}
+	j.relay.Versions.Observe(j.pool.service, pl.endpoint.Version, o)
 }
 
 // connectionHeaders concern one connection and are not passed on.
--- /dev/null
+++ b/relay/escalate.go
@@ -0,0 +1,55 @@
+package relay
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/corianderlever/corianderlever/cascade"
+	"github.com/corianderlever/corianderlever/limiter"
+)
+
+// bearablePart is the part of a request's target for which it may wait before
+// its prompt is read. At this backlog the engines are under full pressure.
+const bearablePart = 0.25
+
+// pressure returns the load of the engines relative to what the request can bear.
+func (j *job) pressure() float64 {
+	if j.route.Target <= 0 {
+		return 0
+	}
+	backlog := j.pool.engines.Backlog(j.version)
+	return backlog.Seconds() / (bearablePart * j.route.Target.Seconds())
+}
+
+// escalate drops an answer that has not been passed on and asks a larger model
+// for it, if the smaller one doubts its answer and there is room.
+func (j *job) escalate(pl *place) bool {
+	if j.started || j.rung >= len(j.route.Models)-1 || j.runs >= j.route.MaxAttempts {
+		return false
+	}
+	ladder := cascade.Ladder{Models: len(j.route.Models)}
+	last := j.route.Models[len(j.route.Models)-1]
+	state := cascade.LadderState{
+		Model: j.rung, Confidence: j.confidence, Pressure: j.pressure(), Left: j.left(), Needed: j.answerTime(last),
+	}
+	next, up := ladder.Next(state)
+	if up && !j.pool.budget.TryRepeat() {
+		j.relay.metrics.repeats.WithLabelValues(j.pool.service, "false").Inc()
+		up = false
+	}
+	if !up {
+		return false
+	}
+	j.relay.metrics.repeats.WithLabelValues(j.pool.service, "true").Inc()
+	j.note(pl.endpoint.ID, j.model, "confidence", strconv.Itoa(j.confidence), "pressure", strconv.FormatFloat(state.Pressure, 'f', 2, 64), "escalated")
+	j.count("escalated")
+	pl.begun()
+	pl.end(limiter.OutcomeOK)
+	j.rung, j.model = next, j.route.Models[next]
+	return true
+}
+
+// answerTime returns the time that a model is expected to take for the answer.
+func (j *job) answerTime(model string) time.Duration {
+	return j.pool.engines.ReadTime(model, j.req.PromptTokens)
+}
--- a/relay/job.go
+++ b/relay/job.go
@@ -38,15 +38,19 @@
 	table    *route.Table
 	route    *route.Route
 	team     string
-	priority int
+	// priority is that of the team or else of the route; rank orders requests by
+	// it and then by their routes.
+	priority, rank int
 	keyed    bool
 	service  *route.Service
 	pool     *pool
 	version  string
 	deadline time.Time
 
-	// model is the model that the next attempt runs.
+	// model is the model that the next attempt runs, and rung its index in the
+	// route's list.
 	model string
+	rung  int
 	// exclude are the endpoints that failed or rejected the request.
 	exclude []string
 	// reached counts the attempts that an endpoint has received, runs those that
@@ -57,6 +61,8 @@
 	// lastEvent is the last event that the caller has.
 	lastEvent int64
 	firstByte time.Duration
+	// confidence is what the endpoint says of its answer, -1 if nothing.
+	confidence int
 	status    int
 	trail     strings.Builder
 }
@@ -91,6 +97,7 @@
 	if refusal := j.authenticate(); refusal != nil {
 		return refusal
 	}
+	j.rank = j.priority*routeRanks + min(j.route.Priority, routeRanks-1)
 	point := sessionPoint(j.req.session())
 	name := j.route.PickShare(point)
 	j.service, ok = table.Service(name)
@@ -101,12 +108,16 @@
 	j.version = j.relay.Versions.Pick(name, point)
 	j.setDeadline()
 	j.model = j.req.Model
-	if n := len(j.route.Models); n > 0 {
-		j.model = j.route.Models[n-1]
+	if len(j.route.Models) > 0 {
+		j.model = j.route.Models[0]
 	}
 	return nil
 }
 
+// routeRanks is the number of route priorities that are told apart within one
+// priority of teams.
+const routeRanks = 3
+
 // sessionPoint spreads sessions evenly over [0, 1).
 func sessionPoint(session string) float64 {
 	const bits = 53
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,6 +16,7 @@
 
 	"github.com/corianderlever/corianderlever/fleet"
 	"github.com/corianderlever/corianderlever/limiter"
+	"github.com/corianderlever/corianderlever/rollout"
 	"github.com/corianderlever/corianderlever/route"
 	"github.com/corianderlever/corianderlever/upstream"
 )
@@ -33,8 +34,8 @@
 	// Pick returns the version that serves the session at a point in [0, 1), or
 	// an empty string for any.
 	Pick(service string, point float64) string
-	// Observe records how an answer of a version ended.
-	Observe(service, version string, bad bool, took time.Duration)
+	// Observe records how an attempt at a version ended.
+	Observe(service, version string, o rollout.Observation)
 }
 
 // Settings are the bounds of the deployment. They may change at any time.
--- a/relay/request.go
+++ b/relay/request.go
@@ -23,6 +23,8 @@
 	Key string
 	// Wait is how long the caller waits from now on; zero if it did not say.
 	Wait time.Duration
+	// Session names the requests that belong together; empty for none.
+	Session string
 	// LastEvent is the id of the last event that the caller has of a stream;
 	// negative if it has none.
 	LastEvent int64
@@ -38,10 +40,10 @@
 }
 
 // session returns the key by which requests that belong together find the same
-// version. The last part of a prompt belongs to the request or its session.
+// version.
 func (r *Request) session() string {
-	if n := len(r.Parts); n > 0 {
-		return r.Parts[n-1].ID
+	if r.Session != "" {
+		return r.Session
 	}
 	return r.ID
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -28,7 +28,11 @@
 
 // stream passes events on as they arrive. The header is sent with the first
 // event, so that until then another endpoint can take over.
-func (j *job) stream(ctx context.Context, pl *place, answer *upstream.Answer, _ Reply) *Refusal {
+func (j *job) stream(ctx context.Context, pl *place, answer *upstream.Answer, reply Reply) *Refusal {
+	j.confidence = reply.Confidence
+	if j.escalate(pl) {
+		return nil
+	}
 	events := newEventReader(answer)
 	for n := 0; ; n++ {
 		ev, err := events.next()
@@ -79,7 +83,7 @@
 func (j *job) streamEnded(pl *place, answer *upstream.Answer) *Refusal {
 	j.begin(answer)
 	j.status = answer.Status
-	j.note(pl.endpoint.ID, j.model, strconv.Itoa(answer.Status))
+	j.note(pl.endpoint.ID, j.model, "confidence", strconv.Itoa(j.confidence), strconv.Itoa(answer.Status))
 	j.count("ok")
 	pl.begun()
 	pl.end(limiter.OutcomeOK)
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -43,3 +43,12 @@
 	// Revision is the store revision of the status.
 	Revision int64
 }
+
+// Observation is how one attempt at a version ended.
+type Observation struct {
+	// Bad is set if it brought no usable answer.
+	Bad bool
+	// Took is the time to the answer or its first event, and Expected the time
+	// that was expected from the load and the size of the request.
+	Took, Expected time.Duration
+}
