Do not trust a majority that is only remembered after a pause of the host

The heartbeats that waited in its connections made the majority look recent, and the flag of the majority was only looked at when a request came. Change: configstore looks at the majority every second; a longer gap is a pause, after which the majority counts again only when old heartbeats have been read. Ruled out: a send after a check that had passed before the pause (six runs began within 8 ms, at one host).

--- a/configstore/configstore.go
+++ b/configstore/configstore.go
@@ -150,12 +150,14 @@
 	// offers are revisions that peers have and this host may pull.
 	offers chan pushRequest
 
-	mu          sync.Mutex
-	confirmedAt time.Time // when the store was read last, directly or by a peer
-	inGroup     bool      // has a majority and has caught up with it since
-	seenStore   int64     // store revision of the value decoded last
-	seenValue   int64     // configuration revision of that value
-	historyDone int64     // highest revision known to be in the history
+	mu sync.Mutex
+	// looked is when the majority was last looked at, resumed the end of the last pause.
+	looked, resumed time.Time
+	confirmedAt     time.Time // when the store was read last, directly or by a peer
+	inGroup         bool      // has a majority and has caught up with it since
+	seenStore       int64     // store revision of the value decoded last
+	seenValue       int64     // configuration revision of that value
+	historyDone     int64     // highest revision known to be in the history
 
 	subMu    sync.Mutex
 	subs     []func(*resource.Snapshot)
@@ -298,13 +300,31 @@
 	}
 }
 
+const (
+	// maxLookGap is the longest ordinary time between two looks at the majority;
+	// a longer one means that the host was paused.
+	maxLookGap = 2*PollInterval + PollInterval/2
+	// resumeTime is the time after a pause in which old heartbeats are read.
+	resumeTime = 2 * time.Second
+)
+
 // checkGroup reports whether the majority vouches for the configuration. A
 // host that regains a majority first catches up with the revisions in its
 // heartbeats. A host that keeps it may lag for the moment a change takes.
+//
+// After a pause the heartbeats that waited in the connections look recent
+// although they are as old as the pause, so the majority counts as lost until
+// they have been read.
 func (s *Store) checkGroup() bool {
+	now := s.opts.Clock.Now()
 	majority := s.opts.Group.HasMajority()
 	s.mu.Lock()
+	if !s.looked.IsZero() && now.Sub(s.looked) > maxLookGap {
+		s.inGroup, s.resumed = false, now
+	}
+	s.looked = now
 	kept := s.inGroup
+	majority = majority && (kept || s.resumed.IsZero() || now.Sub(s.resumed) >= resumeTime)
 	s.mu.Unlock()
 	// Each request asks, so the peers are only looked at after a loss.
 	regained := majority && !kept && !s.behindPeers()
--- a/configstore/sync.go
+++ b/configstore/sync.go
@@ -31,6 +31,7 @@
 	group.Go(func() error { s.start(ctx); return nil })
 	group.Go(func() error { s.every(ctx, PollInterval, s.pollOrAsk); return nil })
 	group.Go(func() error { s.every(ctx, SyncInterval, s.pullNewer); return nil })
+	group.Go(func() error { s.every(ctx, PollInterval, func(context.Context) { s.checkGroup() }); return nil })
 	group.Go(func() error { s.watchLoop(ctx); return nil })
 	group.Go(func() error { s.pushLoop(ctx); return nil })
 	group.Go(func() error { s.offerLoop(ctx); return nil })
