Take a vanished entry for a lapsed one only right after an outage that all hosts saw

Change: an outage is a time in which neither the store nor another host confirmed the state; only what vanishes within a second of its end is used for another 2.2 s. TestRefusalsOfOneHostAreNoOutage fails without it. Ruled out: a lost draining report (the endpoint's entry was deleted without one, and the host saw it in time).

--- a/control/state.go
+++ b/control/state.go
@@ -3,7 +3,6 @@
 import (
 	"log/slog"
 	"sync/atomic"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
@@ -158,7 +157,3 @@
 	s.rollouts.setStatus(status)
 	return nil
 }
-
-// disturbanceSettle is the time after the last failed call from which vanished
-// entries count as removed. Entries that lapsed in an outage come back sooner.
-const disturbanceSettle = 2500 * time.Millisecond
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -120,7 +120,10 @@
 const (
 	// lapseGrace is how long entries that vanished in an outage are still used;
 	// endpoints write again about two seconds after the service is back.
-	lapseGrace = 2500 * time.Millisecond
+	lapseGrace = 2200 * time.Millisecond
+	// lapseWindow is the time after an outage in which entries may vanish that
+	// lapsed in it.
+	lapseWindow = time.Second
 	// feedWait and feedPause give news within half a second at about two calls a
 	// second.
 	feedWait    = 500 * time.Millisecond
@@ -143,7 +146,7 @@
 	h.rollouts = control.NewRollouts(h.registry, func() rollout.StageConfig { return h.bounds.Load().Exposure }, opts.Clock, opts.Logger)
 	h.state = control.NewState(opts.Records, h.registry, h.rollouts, opts.Clock, opts.Logger)
 	h.follower = feed.New(feed.Options{
-		Source: opts.Store, Sink: h.state, Wait: feedWait, Pause: feedPause, CallTimeout: feedTimeout, Settle: lapseGrace,
+		Source: opts.Store, Sink: h.state, Wait: feedWait, Pause: feedPause, CallTimeout: feedTimeout, Settle: lapseWindow,
 		Clock: opts.Clock, Boottime: boottime.Now, Rand: h.newRand(), Logger: opts.Logger,
 		Fallback: h.askPeers, FallbackAge: fallbackAge, FallbackInterval: fallbackInterval,
 	})
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -21,8 +21,8 @@
 
 // Sink receives the state. Its methods are called one at a time.
 type Sink interface {
-	// Reset replaces the state by a whole listing. disturbed is set if the
-	// service has recently failed, so that leases may have lapsed.
+	// Reset replaces the state by a whole listing. disturbed is set right after an
+	// outage of the service, in which leases may have lapsed.
 	Reset(entries []kv.Entry, disturbed bool)
 	// Apply applies changes in their order.
 	Apply(events []kv.Event, disturbed bool)
@@ -43,8 +43,8 @@
 	Pause time.Duration
 	// CallTimeout is the time for an answer, beside Wait.
 	CallTimeout time.Duration
-	// Settle is the time after the last failure from which the service counts as
-	// undisturbed.
+	// Settle is the time after an outage in which entries that vanish may have
+	// lapsed.
 	Settle   time.Duration
 	Clock    clockwork.Clock
 	Boottime boottime.Clock
@@ -81,7 +81,7 @@
 	applying sync.Mutex
 	at       int64
 	synced   bool
-	failed   time.Time // of the last failure
+	returned time.Time // end of the last outage
 	mirror   map[string]kv.Entry
 
 	mu        sync.Mutex
@@ -175,6 +175,7 @@
 func (f *Follower) applyChanges(events []kv.Event, at int64) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
+	f.noteReturn()
 	// Another host's state may have come meanwhile.
 	events = slices.DeleteFunc(events, func(ev kv.Event) bool { return ev.Entry.Revision <= f.at })
 	for _, ev := range events {
@@ -208,6 +209,7 @@
 func (f *Follower) reset(entries []kv.Entry, at int64) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
+	f.noteReturn()
 	f.synced = true
 	if at < f.at {
 		return
@@ -268,8 +270,21 @@
 	f.confirm(asked - boottime.Instant(time.Duration(s.AgeMS)*time.Millisecond))
 }
 
+// outageGap is the time without a confirmation, by the service or by another
+// host, from which the service counts as having been away.
+const outageGap = 2 * time.Second
+
+// noteReturn records the end of an outage. A service that turns away only this
+// host is no outage: other hosts confirm the state meanwhile.
+func (f *Follower) noteReturn() {
+	if age, ok := f.Age(); ok && age > outageGap {
+		f.returned = f.opts.Clock.Now()
+	}
+}
+
+// disturbed reports whether what vanishes now may have lapsed in an outage.
 func (f *Follower) disturbed() bool {
-	return !f.failed.IsZero() && f.opts.Clock.Since(f.failed) < f.opts.Settle
+	return !f.returned.IsZero() && f.opts.Clock.Since(f.returned) < f.opts.Settle
 }
 
 func (f *Follower) fail(err error) time.Duration {
@@ -277,9 +292,6 @@
 		f.opts.Logger.Warn("lost the store", "error", err)
 	}
 	f.failing = true
-	f.applying.Lock()
-	f.failed = f.opts.Clock.Now()
-	f.applying.Unlock()
 	return minRetryPause + time.Duration(f.opts.Rand.Int64N(int64(maxRetryPause-minRetryPause)))
 }
 
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -159,12 +159,13 @@
 	}
 }
 
-// TestMarksChangesAfterAFailure guards against entries that lapsed in an outage
+// TestMarksChangesAfterAnOutage guards against entries that lapsed in an outage
 // and are taken for endpoints that have left.
-func TestMarksChangesAfterAFailure(t *testing.T) {
+func TestMarksChangesAfterAnOutage(t *testing.T) {
 	r := start(t)
 	r.answer(t, answer{at: 1})
 	<-r.sink.ticks
+	r.boot.add(4 * time.Second)
 	r.answer(t, answer{err: errors.New("down")})
 	r.answer(t, answer{events: []kv.Event{{Entry: entry("a"), Deleted: true}}, at: 2})
 	<-r.sink.ticks
@@ -173,6 +174,21 @@
 	}
 }
 
+// TestRefusalsOfOneHostAreNoOutage guards against requests to an endpoint that
+// has left: a host that the service turns away while others confirm its state
+// must not take a removal for a lapsed entry.
+func TestRefusalsOfOneHostAreNoOutage(t *testing.T) {
+	r := start(t)
+	r.answer(t, answer{at: 1})
+	<-r.sink.ticks
+	r.answer(t, answer{err: errors.New("turned away")})
+	r.answer(t, answer{events: []kv.Event{{Entry: entry("a"), Deleted: true}}, at: 7})
+	<-r.sink.ticks
+	if got := r.sink.disturbed; got[len(got)-1] {
+		t.Errorf("disturbed %v", got)
+	}
+}
+
 // TestTakesOverAnotherHostsState guards against a host without the store that
 // serves by an old state, and against an age that leaves out the time for
 // which the question was under way.
