Keep prompts at their home engine and count backlog by urgency

Change: the home counts as warm, reading counts twice in the choice, peers' reported backlog shrinks with the time since the report once and not once a host, and only work of at least the same urgency delays a request.

--- a/balance/engines.go
+++ b/balance/engines.go
@@ -34,10 +34,39 @@
 	Parts []Part
 	// Version, if set, is the only version that may serve the request.
 	Version string
+	// Urgency is the level at which the engine queues the request, 0 first. The
+	// work of less urgent requests does not delay it.
+	Urgency int
 	// Exclude names engines that must not be chosen.
 	Exclude []string
 }
 
+// UrgencyLevels is the number of levels at which engines queue requests.
+const UrgencyLevels = 10
+
+// backlog is reading work by the level of its requests.
+type backlog [UrgencyLevels]time.Duration
+
+// ahead returns the work that a request of a level waits for.
+func (b *backlog) ahead(level int) time.Duration {
+	total := time.Duration(0)
+	for _, d := range b[:clampLevel(level)+1] {
+		total += d
+	}
+	return total
+}
+
+// worked takes off what an engine has done in a time, the most urgent first.
+func (b *backlog) worked(d time.Duration) {
+	for i := range b {
+		done := min(b[i], d)
+		b[i] -= done
+		d -= done
+	}
+}
+
+func clampLevel(level int) int { return min(max(level, 0), UrgencyLevels-1) }
+
 // EngineChoice is the engine chosen for a request.
 type EngineChoice struct {
 	Endpoint string
@@ -49,6 +78,9 @@
 	Backlog time.Duration
 	// Expected is the expected time to the first event.
 	Expected time.Duration
+	// assumed is set if the engine is taken to have parts that this host has not
+	// sent there.
+	assumed bool
 }
 
 // EngineLoad is the load that one host puts on an engine.
@@ -56,8 +88,8 @@
 	// Running is the number of requests sent and not ended.
 	Running int `json:"r"`
 	// BacklogMS is the reading work of requests that have not begun to answer, in
-	// milliseconds.
-	BacklogMS int64 `json:"b,omitempty"`
+	// milliseconds by level; trailing levels without work are left out.
+	BacklogMS []int64 `json:"b,omitempty"`
 }
 
 // Engines chooses model engines for one host by the expected time to the first
@@ -79,7 +111,7 @@
 	spec    EngineSpec
 	cache   *promptCache
 	running int
-	backlog time.Duration
+	backlog backlog
 	// avoidUntil is set while the engine does not accept connections.
 	avoidUntil time.Time
 	weight     float64
@@ -101,7 +133,10 @@
 	runningCost = 3 * time.Millisecond
 	// moveCost is the delay that an engine other than the home of a prompt
 	// counts as, since its cache would hold a second copy.
-	moveCost = 30 * time.Millisecond
+	moveCost = 50 * time.Millisecond
+	// othersDelay is how many times the reading of a prompt counts: it delays the
+	// request itself and those that wait behind it.
+	othersDelay = 2
 )
 
 // NewEngines returns a chooser without engines for a host in a failure domain.
@@ -172,12 +207,7 @@
 			if !en.serves(req) || pass == 0 && (now.Before(en.avoidUntil) || en.weight == 0) {
 				continue
 			}
-			c, cost := e.evaluate(en, req, keys, rate, now)
-			if en == home {
-				c.Reason = ReasonHome
-			} else {
-				cost += moveCost.Seconds()
-			}
+			c, cost := e.evaluate(en, req, keys, rate, en == home, now)
 			if cost < bestCost {
 				best, bestCost = c, cost
 			}
@@ -201,33 +231,53 @@
 	return true
 }
 
-// evaluate returns the choice of an engine and its cost in seconds.
-func (e *Engines) evaluate(en *engine, req EngineRequest, keys []uint64, rate *readRate, now time.Time) (EngineChoice, float64) {
-	cached := en.cache.cachedTokens(keys, req.Parts)
-	total := 0
-	for _, p := range req.Parts {
+// evaluate returns the choice of an engine and its cost in seconds. The home of
+// a prompt is taken to have its shared parts: the other hosts send them there
+// too, and if nobody has yet, that is where they are best read.
+func (e *Engines) evaluate(en *engine, req EngineRequest, keys []uint64, rate *readRate, home bool, now time.Time) (EngineChoice, float64) {
+	known := en.cache.cachedTokens(keys, req.Parts)
+	total, shared := 0, 0
+	for i, p := range req.Parts {
 		total += p.Tokens
+		if i < len(req.Parts)-1 {
+			shared += p.Tokens
+		}
 	}
-	running, backlog := e.loadOf(en, now)
+	cached := known
+	if home {
+		cached = max(known, shared)
+	}
+	running, work := e.loadOf(en, now)
+	backlog := work.ahead(req.Urgency)
 	uncached := total - cached
 	read := rate.time(uncached)
-	c := EngineChoice{Endpoint: en.spec.ID, Reason: ReasonLoad, Uncached: uncached, Backlog: backlog, Expected: backlog + read}
-	if cached > 0 {
+	c := EngineChoice{
+		Endpoint: en.spec.ID, Reason: ReasonLoad, Uncached: uncached, Backlog: backlog, Expected: backlog + read, assumed: cached > known,
+	}
+	switch {
+	case home:
+		c.Reason = ReasonHome
+	case known > 0:
 		c.Reason = ReasonPrefix
 	}
-	cost := (backlog + read + time.Duration(running)*runningCost).Seconds()
+	cost := (backlog + othersDelay*read + time.Duration(running)*runningCost).Seconds()
 	if en.weight > 0 && en.weight < 1 {
 		cost /= en.weight
 	}
 	if en.spec.FailureDomain != e.domain {
 		cost += crossDomainCost.Seconds()
 	}
+	if !home {
+		cost += moveCost.Seconds()
+	}
 	return c, cost
 }
 
 // loadOf adds what other hosts have reported to the host's own load.
-func (e *Engines) loadOf(en *engine, now time.Time) (running int, backlog time.Duration) {
-	running, backlog = en.running, en.backlog
+func (e *Engines) loadOf(en *engine, now time.Time) (running int, work backlog) {
+	running = en.running
+	var reported backlog
+	sumAge, reports := time.Duration(0), 0
 	for _, p := range e.peers {
 		age := now.Sub(p.at)
 		if age > peerLoadLife {
@@ -235,10 +285,20 @@
 		}
 		l := p.loads[en.spec.ID]
 		running += l.Running
-		// The engine has worked on the backlog since it was reported.
-		backlog += max(0, time.Duration(l.BacklogMS)*time.Millisecond-age)
+		for level, ms := range l.BacklogMS {
+			reported[clampLevel(level)] += time.Duration(ms) * time.Millisecond
+		}
+		sumAge += age
+		reports++
+	}
+	if reports > 0 {
+		// The engine has worked on the backlog of all hosts since it was reported.
+		reported.worked(sumAge / time.Duration(reports))
+	}
+	for level := range work {
+		work[level] = en.backlog[level] + reported[level]
 	}
-	return running, backlog
+	return running, work
 }
 
 // home returns the engine that all hosts prefer for the shared parts of a
@@ -267,6 +327,7 @@
 	engines *Engines
 	id      string
 	model   string
+	level   int
 	read    time.Duration
 	tokens  int
 	started time.Time
@@ -279,15 +340,15 @@
 func (e *Engines) Start(c EngineChoice, req EngineRequest) *Work {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	w := &Work{engines: e, id: c.Endpoint, model: req.Model, tokens: c.Uncached, started: e.clock.Now()}
+	w := &Work{engines: e, id: c.Endpoint, model: req.Model, level: clampLevel(req.Urgency), tokens: c.Uncached, started: e.clock.Now()}
 	en := e.engines[c.Endpoint]
 	if en == nil {
 		return w
 	}
-	w.alone = c.Backlog < aloneBacklog
+	w.alone = c.Backlog < aloneBacklog && !c.assumed
 	w.read = e.rate(req.Model).time(c.Uncached)
 	en.running++
-	en.backlog += w.read
+	en.backlog[w.level] += w.read
 	en.cache.add(partKeys(req.Model, req.Parts), req.Parts)
 	return w
 }
@@ -327,7 +388,7 @@
 // settle takes the reading work off the engine's backlog.
 func (w *Work) settle() {
 	if en := w.engines.engines[w.id]; en != nil {
-		en.backlog = max(0, en.backlog-w.read)
+		en.backlog[w.level] = max(0, en.backlog[w.level]-w.read)
 	}
 }
 
@@ -337,8 +398,20 @@
 	defer e.mu.Unlock()
 	out := make(map[string]EngineLoad)
 	for id, en := range e.engines {
-		if en.running > 0 || en.backlog > 0 {
-			out[id] = EngineLoad{Running: en.running, BacklogMS: en.backlog.Milliseconds()}
+		if en.running > 0 {
+			out[id] = EngineLoad{Running: en.running, BacklogMS: en.backlog.milliseconds()}
+		}
+	}
+	return out
+}
+
+// milliseconds returns the levels up to the last one with work.
+func (b *backlog) milliseconds() []int64 {
+	var out []int64
+	for level, d := range b {
+		if d > 0 {
+			out = append(out, make([]int64, level+1-len(out))...)
+			out[level] = d.Milliseconds()
 		}
 	}
 	return out
@@ -357,9 +430,9 @@
 	}
 }
 
-// Backlog returns the mean reading work over the engines of a version, or of
-// all for an empty one.
-func (e *Engines) Backlog(version string) time.Duration {
+// Backlog returns the mean reading work that a request of a level waits for,
+// over the engines of a version, or of all for an empty one.
+func (e *Engines) Backlog(version string, urgency int) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Now()
@@ -368,8 +441,8 @@
 		if version != "" && en.spec.Version != version || now.Before(en.avoidUntil) || en.weight == 0 {
 			continue
 		}
-		_, backlog := e.loadOf(en, now)
-		total += backlog
+		_, work := e.loadOf(en, now)
+		total += work.ahead(urgency)
 		n++
 	}
 	if n == 0 {
--- a/daemon/router/services.go
+++ b/daemon/router/services.go
@@ -112,11 +112,11 @@
 
 // Stop ends the listeners and all connections.
 func (s *serverService) Stop(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	idle, cancel := context.WithTimeout(ctx, closeTimeout)
 	defer cancel()
 	var err error
 	for _, server := range s.servers {
-		if server.Shutdown(ctx) != nil {
+		if server.Shutdown(idle) != nil {
 			err = errors.CombineErrors(err, server.Close())
 		}
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/corianderlever/corianderlever/balance"
 	"github.com/corianderlever/corianderlever/limiter"
 	"github.com/corianderlever/corianderlever/rollout"
 	"github.com/corianderlever/corianderlever/upstream"
@@ -36,6 +37,7 @@
 		return j.giveUp("no_endpoint", err.Error(), shortRetry)
 	}
 	defer pl.end(limiter.OutcomeIgnored)
+	j.noteChoice(pl)
 	answer, err := j.relay.Client.Do(ctx, pl.endpoint.Address, j.upstreamRequest(pl))
 	if err != nil {
 		return j.sendFailed(ctx, pl, err)
@@ -44,6 +46,16 @@
 	return j.answered(ctx, pl, answer)
 }
 
+// noteChoice notes what decided the choice of an engine.
+func (j *job) noteChoice(pl *place) {
+	if pl.work == nil {
+		return
+	}
+	c := pl.choice
+	j.note(string(c.Reason), "uncached="+strconv.Itoa(c.Uncached), "backlog_ms="+strconv.FormatInt(c.Backlog.Milliseconds(), 10),
+		"expected_ms="+strconv.FormatInt(c.Expected.Milliseconds(), 10))
+}
+
 // afterRecheck keeps a refusal's promise: once a run is possible, only 502 is true.
 func (j *job) afterRecheck(refusal *Refusal) *Refusal {
 	if j.runs > 0 {
@@ -60,7 +72,7 @@
 	}
 	if j.service.Engine != nil {
 		a.Model = j.model
-		a.Urgency = min(j.rank, lowestUrgency)
+		a.Urgency = min(j.rank, balance.UrgencyLevels-1)
 	}
 	j.relay.Codec.Encode(header, a)
 	return &upstream.Request{
@@ -72,9 +84,6 @@
 	}
 }
 
-// lowestUrgency is the last level that engines know.
-const lowestUrgency = 9
-
 // sendFailed handles an attempt that brought no answer.
 func (j *job) sendFailed(ctx context.Context, pl *place, err error) *Refusal {
 	var failed *upstream.Error
--- a/relay/escalate.go
+++ b/relay/escalate.go
@@ -17,7 +17,7 @@
 	if j.route.Target <= 0 {
 		return 0
 	}
-	backlog := j.pool.engines.Backlog(j.version)
+	backlog := j.pool.engines.Backlog(j.version, j.rank)
 	return backlog.Seconds() / (bearablePart * j.route.Target.Seconds())
 }
 
--- a/relay/job.go
+++ b/relay/job.go
@@ -35,17 +35,17 @@
 	w       http.ResponseWriter
 	arrived time.Time
 
-	table    *route.Table
-	route    *route.Route
-	team     string
+	table *route.Table
+	route *route.Route
+	team  string
 	// priority is that of the team or else of the route; rank orders requests by
 	// it and then by their routes.
 	priority, rank int
-	keyed    bool
-	service  *route.Service
-	pool     *pool
-	version  string
-	deadline time.Time
+	keyed          bool
+	service        *route.Service
+	pool           *pool
+	version        string
+	deadline       time.Time
 
 	// model is the model that the next attempt runs, and rung its index in the
 	// route's list.
@@ -63,8 +63,8 @@
 	firstByte time.Duration
 	// confidence is what the endpoint says of its answer, -1 if nothing.
 	confidence int
-	status    int
-	trail     strings.Builder
+	status     int
+	trail      strings.Builder
 }
 
 // run serves the request and returns nil once an answer was passed on.
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -94,7 +94,7 @@
 	if j.service.Engine == nil {
 		return p.choosePlain(j, version)
 	}
-	req := balance.EngineRequest{Model: j.model, Parts: j.req.Parts, Version: version, Exclude: j.exclude}
+	req := balance.EngineRequest{Model: j.model, Parts: j.req.Parts, Version: version, Urgency: j.rank, Exclude: j.exclude}
 	choice, err := p.engines.Choose(req)
 	if err != nil {
 		return nil, err
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -50,6 +50,7 @@
 		}
 		pl.begun()
 		if n == 0 {
+			j.note("event_ms=" + strconv.FormatInt(j.relay.Clock.Since(pl.started).Milliseconds(), 10))
 			j.observe(pl, false, j.relay.Clock.Since(pl.started))
 		}
 		j.begin(answer)
