--- a/balance/engines.go
+++ b/balance/engines.go
@@ -430,6 +430,25 @@
 	}
 }
 
+// EventGap returns the usual time between two events of a model's answers.
+func (e *Engines) EventGap(model string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.rate(model).eventGap
+}
+
+// Streamed records the mean time between two events of a whole answer.
+func (w *Work) Streamed(gap time.Duration) {
+	w.engines.mu.Lock()
+	defer w.engines.mu.Unlock()
+	r := w.engines.rate(w.model)
+	if r.eventGap == 0 {
+		r.eventGap = gap
+		return
+	}
+	r.eventGap += time.Duration(gapGain * float64(gap-r.eventGap))
+}
+
 // Backlog returns the mean reading work that a request of a level waits for,
 // over the engines of a version, or of all for an empty one.
 func (e *Engines) Backlog(version string, urgency int) time.Duration {
--- a/balance/promptcache.go
+++ b/balance/promptcache.go
@@ -18,11 +18,16 @@
 	// The estimate follows faster answers quickly and slower ones slowly: a slow
 	// answer may have waited behind requests of other hosts.
 	readGainDown, readGainUp = 0.3, 0.03
+	// gapGain is the weight of one answer in the usual time between events.
+	gapGain = 0.1
 )
 
-// readRate estimates the time in which an engine reads a token for one model.
+// readRate estimates the time in which an engine reads a token for one model,
+// and the time between two events of its answers.
 type readRate struct {
 	perToken time.Duration
+	// eventGap is the usual time between two events, zero before the first answer.
+	eventGap time.Duration
 }
 
 func (r *readRate) time(tokens int) time.Duration { return time.Duration(tokens) * r.perToken }
--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -19,9 +19,10 @@
 	// Pressure is the load of the engines: 0 when idle, 1 when waiting takes as
 	// long as the callers can bear.
 	Pressure float64
-	// Left is the time until the caller gives up, and Needed the time that the
-	// largest model is expected to take.
-	Left, Needed time.Duration
+	// Left is the time until the caller gives up, and Needed the time that each
+	// model is expected to take, from the smallest to the largest.
+	Left   time.Duration
+	Needed []time.Duration
 }
 
 const (
@@ -33,6 +34,9 @@
 	// keepOverloaded is the confidence from which an answer is kept when the
 	// engines have twice the work that they can do.
 	keepOverloaded = 25
+	// overtime is how many times the time left a model may be expected to need:
+	// expectations are wide, and only hopeless attempts are not made.
+	overtime = 2
 )
 
 // Threshold returns the confidence from which an answer is kept at a pressure.
@@ -48,14 +52,17 @@
 	return keepOverloaded
 }
 
-// Next returns the model to ask instead, or false to keep the answer.
+// Next returns the model to ask instead, or false to keep the answer. It is the
+// largest that is expected to finish in time: a poor answer is better than one
+// that is cut.
 func (l Ladder) Next(s LadderState) (model int, escalate bool) {
-	last := l.Models - 1
-	if s.Model >= last || s.Confidence < 0 || float64(s.Confidence) >= l.Threshold(s.Pressure) {
+	if s.Confidence < 0 || float64(s.Confidence) >= l.Threshold(s.Pressure) {
 		return s.Model, false
 	}
-	if s.Needed > s.Left {
-		return s.Model, false // a poor answer is better than one that is cut
+	for next := l.Models - 1; next > s.Model; next-- {
+		if next < len(s.Needed) && s.Needed[next] <= s.Left*overtime {
+			return next, true
+		}
 	}
-	return last, true
+	return s.Model, false
 }
--- a/relay/escalate.go
+++ b/relay/escalate.go
@@ -28,9 +28,9 @@
 		return false
 	}
 	ladder := cascade.Ladder{Models: len(j.route.Models)}
-	last := j.route.Models[len(j.route.Models)-1]
-	state := cascade.LadderState{
-		Model: j.rung, Confidence: j.confidence, Pressure: j.pressure(), Left: j.left(), Needed: j.answerTime(last),
+	state := cascade.LadderState{Model: j.rung, Confidence: j.confidence, Pressure: j.pressure(), Left: j.left()}
+	for _, model := range j.route.Models {
+		state.Needed = append(state.Needed, j.answerTime(model))
 	}
 	next, up := ladder.Next(state)
 	if up && !j.pool.budget.TryRepeat() {
@@ -49,7 +49,18 @@
 	return true
 }
 
-// answerTime returns the time that a model is expected to take for the answer.
+// answerTime returns the time that a model is expected to take for the whole
+// answer, with its wait.
 func (j *job) answerTime(model string) time.Duration {
-	return j.pool.engines.ReadTime(model, j.req.PromptTokens)
+	e := j.pool.engines
+	events := j.expectedTokens() / max(1, j.service.Engine.TokensPerEvent)
+	return e.Backlog(j.version, j.rank) + e.ReadTime(model, j.req.ownTokens()) + time.Duration(events)*e.EventGap(model)
+}
+
+// expectedTokens returns the expected length of the answer.
+func (j *job) expectedTokens() int {
+	if j.req.OutputHint > 0 {
+		return j.req.OutputHint
+	}
+	return j.req.MaxOutputTokens / 2
 }
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -128,6 +128,13 @@
 	}
 }
 
+// streamed records the mean time between two events of a whole answer.
+func (pl *place) streamed(gap time.Duration) {
+	if pl.work != nil {
+		pl.work.Streamed(gap)
+	}
+}
+
 // end gives the place back and records how the attempt ended.
 func (pl *place) end(outcome limiter.Outcome) {
 	if pl.ended {
--- a/relay/request.go
+++ b/relay/request.go
@@ -48,6 +48,14 @@
 	return r.ID
 }
 
+// ownTokens returns the prompt tokens that no other request shares.
+func (r *Request) ownTokens() int {
+	if n := len(r.Parts); n > 0 {
+		return r.Parts[n-1].Tokens
+	}
+	return r.PromptTokens
+}
+
 // Attempt is what an endpoint is told beside the caller's own headers.
 type Attempt struct {
 	// Endpoint is the ID of the endpoint that must answer.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -34,9 +35,13 @@
 		return nil
 	}
 	events := newEventReader(answer)
+	var first, last time.Time
 	for n := 0; ; n++ {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
+			if n > 1 {
+				pl.streamed(last.Sub(first) / time.Duration(n-1))
+			}
 			return j.streamEnded(pl, answer)
 		}
 		if err == nil && ev.id >= 0 && j.lastEvent >= 0 && ev.id != j.lastEvent+1 {
@@ -48,8 +53,10 @@
 		if err != nil {
 			return j.streamBroken(ctx, pl, n, err)
 		}
+		last = j.relay.Clock.Now()
 		pl.begun()
 		if n == 0 {
+			first = last
 			j.note("event_ms=" + strconv.FormatInt(j.relay.Clock.Since(pl.started).Milliseconds(), 10))
 			j.observe(pl, false, j.relay.Clock.Since(pl.started))
 		}
--- a/route/route.go
+++ b/route/route.go
@@ -107,6 +107,8 @@
 	Slots int
 	// KVCacheTokens is the memory of one engine.
 	KVCacheTokens int
+	// TokensPerEvent is the number of tokens in one event of a stream.
+	TokensPerEvent int
 	// Models are those that the engines run, from the smallest to the largest.
 	Models []Model
 }
