relay: tests of refusals, repeats, streams, keys and logs

Each guards one failure; endpoints are small servers on loopback with header names of the tests' own.

--- /dev/null
+++ b/relay/rig_test.go
@@ -0,0 +1,236 @@
+package relay_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/corianderlever/corianderlever/fleet"
+	"github.com/corianderlever/corianderlever/limiter"
+	"github.com/corianderlever/corianderlever/relay"
+	"github.com/corianderlever/corianderlever/rollout"
+	"github.com/corianderlever/corianderlever/route"
+	"github.com/corianderlever/corianderlever/upstream"
+)
+
+// codec uses header names of the tests' own.
+type codec struct{}
+
+func (codec) Encode(h http.Header, a relay.Attempt) {
+	h.Set("X-Endpoint", a.Endpoint)
+	h.Set("X-Team", a.Team)
+	h.Set("X-Model", a.Model)
+	h.Set("X-Left", strconv.FormatInt(a.Left.Milliseconds(), 10))
+	if a.LastEvent >= 0 {
+		h.Set("X-Last-Event", strconv.FormatInt(a.LastEvent, 10))
+	}
+}
+
+func (codec) Decode(h http.Header) relay.Reply {
+	r := relay.Reply{ID: h.Get("X-Id"), Signed: h.Get("X-Signature") != "", NotRun: h.Get("X-Not-Run") != "", Confidence: -1}
+	if c, err := strconv.Atoi(h.Get("X-Confidence")); err == nil {
+		r.Confidence = c
+	}
+	return r
+}
+
+// state is a configuration that a test changes.
+type state struct {
+	mu    sync.Mutex
+	table *route.Table
+	age   time.Duration
+}
+
+func (s *state) Table() (*route.Table, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table, s.table != nil
+}
+
+func (s *state) Age() (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.age, s.table != nil
+}
+
+func (s *state) set(f func(*state)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s)
+}
+
+// anyVersion leaves the choice of the version open and keeps observations.
+type anyVersion struct {
+	mu  sync.Mutex
+	bad int
+}
+
+func (*anyVersion) Pick(string, float64) string { return "" }
+
+func (v *anyVersion) Observe(_, _ string, o rollout.Observation) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if o.Bad {
+		v.bad++
+	}
+}
+
+// rig is a relay before endpoints whose behaviour a test scripts.
+type rig struct {
+	t        *testing.T
+	state    *state
+	versions *anyVersion
+	fleet    *fleet.Registry
+	relay    *relay.Relay
+	front    *httptest.Server
+	log      *bytes.Buffer
+	retry    limiter.WindowConfig
+
+	mu   sync.Mutex
+	runs []string // endpoint and model of each request that arrived
+}
+
+func newRig(t *testing.T, routes ...route.Route) *rig {
+	t.Helper()
+	r := &rig{t: t, state: &state{}, versions: &anyVersion{}, fleet: fleet.NewRegistry(0), log: &bytes.Buffer{}}
+	r.retry = limiter.WindowConfig{Window: 10 * time.Second, Share: 1, Extra: 10}
+	for i := range routes {
+		routes[i].Host, routes[i].Shares = "h.example", []route.Share{{Service: "s", Weight: 1}}
+	}
+	r.setConfig(route.Config{
+		Version: 1, Routes: routes,
+		Services: []route.Service{{Name: "s", Engine: &route.Engine{Slots: 4, KVCacheTokens: 10000, TokensPerEvent: 1}}},
+		Teams:    []route.Team{{Name: "red", Keys: []string{"key"}}},
+	})
+	rng := rand.New(rand.NewPCG(1, 2))
+	client := upstream.NewClient(upstream.DefaultOptions())
+	t.Cleanup(client.Close)
+	r.relay = relay.New(relay.Options{
+		State: r.state, Fleet: r.fleet, Versions: r.versions, Codec: codec{}, Client: client,
+		Settings:      func() relay.Settings { return relay.Settings{MaxStaleness: time.Second, Retry: r.retry, Hosts: 1} },
+		FailureDomain: "a", Clock: clockwork.NewRealClock(),
+		Rand:   func() *rand.Rand { return rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())) },
+		Logger: slog.New(slog.NewTextHandler(&syncWriter{w: r.log}, nil)), Registry: prometheus.NewRegistry(),
+	})
+	r.front = httptest.NewServer(http.HandlerFunc(r.serve))
+	t.Cleanup(r.front.Close)
+	return r
+}
+
+// syncWriter guards a buffer that several requests log to.
+type syncWriter struct {
+	mu sync.Mutex
+	w  io.Writer
+}
+
+func (s *syncWriter) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.w.Write(p)
+}
+
+func (r *rig) setConfig(c route.Config) {
+	r.t.Helper()
+	table, err := route.NewTable(c)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.state.set(func(s *state) { s.table = table })
+}
+
+// serve is the edge of the tests.
+func (r *rig) serve(w http.ResponseWriter, hr *http.Request) {
+	body, _ := io.ReadAll(hr.Body)
+	req := &relay.Request{
+		ID: hr.Header.Get("X-Id"), Method: hr.Method, Target: hr.RequestURI, Path: hr.URL.Path, Host: "h.example",
+		Header: hr.Header.Clone(), Body: body, Key: hr.Header.Get("X-Key"), LastEvent: -1,
+	}
+	relay.StripConnectionHeaders(req.Header)
+	r.relay.Serve(hr.Context(), w, req)
+}
+
+// endpoint adds an endpoint that runs a handler. IDs choose the order of the
+// tests' endpoints only by their scripts.
+func (r *rig) endpoint(id string, handler http.HandlerFunc) *httptest.Server {
+	r.t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
+		// net/http notices a closed connection only after it has read the body.
+		_, _ = io.Copy(io.Discard, hr.Body)
+		r.mu.Lock()
+		r.runs = append(r.runs, id+hr.Header.Get("X-Model"))
+		r.mu.Unlock()
+		handler(w, hr)
+	}))
+	r.t.Cleanup(server.Close)
+	r.fleet.Set(fleet.Endpoint{
+		ID: id, Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), FailureDomain: "a", Version: "v1", Slots: 4,
+		Revision: int64(r.fleet.Len() + 1),
+	})
+	return server
+}
+
+// arrived returns how many requests reached endpoints.
+func (r *rig) arrived() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.runs...)
+}
+
+// call sends a request and returns status and body; err is that of the body.
+func (r *rig) call(method, path string) (resp *http.Response, body string, err error) {
+	r.t.Helper()
+	req, _ := http.NewRequestWithContext(context.Background(), method, r.front.URL+path, strings.NewReader("question"))
+	req.Header.Set("X-Id", "attempt-1")
+	req.Header.Set("X-Key", "key")
+	resp, err = http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err
+}
+
+// answer writes a signed answer.
+func answer(w http.ResponseWriter, status int, body string) {
+	w.Header().Set("X-Signature", "signed")
+	w.Header().Set("X-Id", "attempt-1")
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, body)
+}
+
+// reject states that the request was not run.
+func reject(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("X-Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// lose ends the connection without an answer.
+func lose(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// events writes events and, if cut, breaks off in the middle of the next one.
+func events(w http.ResponseWriter, from, to int, cut bool) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("X-Signature", "signed")
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", i, i)
+	}
+	if cut {
+		fmt.Fprintf(w, "id: %d\nda", to+1)
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
