A fault soak over real processes, and stand-ins of the users' platform

Change: platform/platformtest has a store server, endpoints and settings files; internal/soak runs the program as processes, disturbs them by signals and loopback proxies, and checks what callers and endpoints see: single runs, true refusals, whole own answers, ordered streams, revocation, clean stops, recovery. make soak SEED SEEDS TIME.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 RAPIDCHECKS ?= 300
 ADDR ?= 127.0.0.1:8080
 
-.PHONY: run test lint measure bench fuzz capacity build
+.PHONY: run test lint measure bench fuzz capacity build soak
 
 build:
 	$(GO) build ./...
@@ -43,3 +43,10 @@
 
 capacity:
 	$(GO) run ./internal/cmd/capacity
+
+# The fault soak: SEEDS seeds from SEED on, each with TIME of disturbances.
+SEED ?= 1
+SEEDS ?= 1
+TIME ?= 10s
+soak:
+	$(GO) test -count=1 -timeout 0 -v -run TestSoak ./internal/soak -seed $(SEED) -seeds $(SEEDS) -time $(TIME)
--- /dev/null
+++ b/internal/soak/host.go
@@ -0,0 +1,123 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/platform/platformtest"
+)
+
+// Host is one process of the program under test.
+type Host struct {
+	Name      string
+	Addresses platformtest.Addresses
+	// Store is the host's way to the store.
+	Store *Proxy
+
+	binary, settings, log string
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	done    chan error
+	started time.Time
+}
+
+// NewHost prepares a host without starting it.
+func NewHost(dir, binary string, i int, seeds func(i int) []string, a platformtest.Addresses, store string) (*Host, error) {
+	proxy, err := NewProxy(store)
+	if err != nil {
+		return nil, err
+	}
+	h := &Host{Name: fmt.Sprint("host-", i), Addresses: a, Store: proxy, binary: binary}
+	h.settings = filepath.Join(dir, h.Name+".yaml")
+	h.log = filepath.Join(dir, h.Name+".log")
+	file := platformtest.Settings(h.Name, fmt.Sprint("domain-", i%3), a, seeds(i), proxy.Address())
+	return h, os.WriteFile(h.settings, file, 0o600)
+}
+
+// Start starts the process.
+func (h *Host) Start() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out, err := os.OpenFile(h.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	cmd := exec.Command(h.binary, "host")
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+h.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	go func() { done <- cmd.Wait() }()
+	h.cmd, h.done, h.started = cmd, done, time.Now()
+	return nil
+}
+
+// signal sends a signal to the process that this host started.
+func (h *Host) signal(s syscall.Signal) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cmd.Process.Signal(s)
+}
+
+// Kill ends the process at once.
+func (h *Host) Kill() {
+	// A process that has ended already needs no signal.
+	_ = h.signal(syscall.SIGKILL)
+	<-h.done
+}
+
+// Pause stops the process for a time.
+func (h *Host) Pause(ctx context.Context, d time.Duration) {
+	_ = h.signal(syscall.SIGSTOP)
+	wait(ctx, d)
+	_ = h.signal(syscall.SIGCONT)
+}
+
+// handlerTime is the time after its start in which a process may still be
+// ended by a signal to stop: it has not served anything yet.
+const handlerTime = 500 * time.Millisecond
+
+// Stop asks the process to stop and returns how long that took and its error.
+func (h *Host) Stop(grace time.Duration) (time.Duration, error) {
+	began := time.Now()
+	young := began.Sub(h.started) < handlerTime
+	_ = h.signal(syscall.SIGTERM)
+	select {
+	case err := <-h.done:
+		var exit *exec.ExitError
+		if young && errors.As(err, &exit) && !exit.Exited() {
+			err = nil
+		}
+		return time.Since(began), err
+	case <-time.After(grace):
+		h.Kill()
+		return time.Since(began), fmt.Errorf("%s did not stop within %v", h.Name, grace)
+	}
+}
+
+// Close ends the process and its proxy.
+func (h *Host) Close() {
+	if h.cmd != nil {
+		_ = h.signal(syscall.SIGKILL)
+	}
+	h.Store.Close()
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,185 @@
+// Package soak runs the real program as several processes on one machine,
+// disturbs them from outside, and checks the promises of the system from what
+// callers and endpoints see.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/corianderlever/corianderlever/platform/platformtest"
+)
+
+// Options size a run.
+type Options struct {
+	Seed     uint64
+	Duration time.Duration
+	Hosts    int
+	Callers  int
+	// Dir receives settings and logs.
+	Dir string
+	// Binary is the program under test.
+	Binary string
+	// Logf receives a line for each disturbance.
+	Logf func(format string, args ...any)
+}
+
+// Build compiles the program under test into dir.
+func Build(ctx context.Context, dir string) (string, error) {
+	binary := filepath.Join(dir, "corianderlever")
+	out, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "github.com/corianderlever/corianderlever/cmd/corianderlever").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build: %w: %s", err, out)
+	}
+	return binary, nil
+}
+
+// soak is one run.
+type soak struct {
+	Options
+	rng     *rand.Rand
+	began   time.Time
+	d       *platformtest.Deployment
+	hosts   []*Host
+	callers []*Caller
+	history History
+	mu      sync.Mutex
+	bad     []string
+}
+
+const (
+	plainEndpoints  = 3
+	engineEndpoints = 4
+	// settleTime is the time after the last disturbance in which the system
+	// returns to full service, calmTime the time it is then observed.
+	settleTime = 6 * time.Second
+	calmTime   = 3 * time.Second
+	// calmShare is the share of calls that must be answered in calm.
+	calmShare = 0.95
+	// startTime bounds the start of all hosts.
+	startTime = 10 * time.Second
+)
+
+// Run plays one seed and returns the broken promises.
+func Run(ctx context.Context, opts Options) ([]string, error) {
+	s := &soak{Options: opts, rng: rand.New(rand.NewPCG(opts.Seed, 1)), began: time.Now()}
+	defer s.close()
+	if err := s.start(ctx); err != nil {
+		return nil, err
+	}
+	callCtx, stopCalls := context.WithCancel(ctx)
+	defer stopCalls()
+	var wg sync.WaitGroup
+	for _, c := range s.callers {
+		wg.Go(func() { c.Run(callCtx) })
+	}
+	s.disturb(ctx)
+	wait(ctx, settleTime)
+	calm := time.Now()
+	wait(ctx, calmTime)
+	stopCalls()
+	wg.Wait()
+	s.collect()
+	s.checkCalm(calm)
+	return append(s.bad, s.history.Check()...), ctx.Err()
+}
+
+func (s *soak) start(ctx context.Context) error {
+	var err error
+	if s.d, err = platformtest.NewDeployment(plainEndpoints, engineEndpoints); err != nil {
+		return err
+	}
+	s.history.Events = s.d.Engines[0].Events
+	go s.d.Beat(append(append([]*platformtest.Endpoint(nil), s.d.Plain...), s.d.Engines...)...)
+	var all []platformtest.Addresses
+	for range s.Hosts {
+		a, err := platformtest.FreeAddresses()
+		if err != nil {
+			return err
+		}
+		all = append(all, a)
+	}
+	seeds := func(int) []string { return []string{all[0].Peer, all[1%len(all)].Peer} }
+	for i, a := range all {
+		h, err := NewHost(s.Dir, s.Binary, i, seeds, a, s.d.StoreAddress())
+		if err != nil {
+			return err
+		}
+		s.hosts = append(s.hosts, h)
+		if err := h.Start(); err != nil {
+			return err
+		}
+	}
+	for i := range s.Callers {
+		s.callers = append(s.callers, NewCaller(fmt.Sprintf("c%d", i), s.hosts, s.Seed+uint64(i)))
+	}
+	return s.waitServing(ctx)
+}
+
+// waitServing waits until a call is answered.
+func (s *soak) waitServing(ctx context.Context) error {
+	c := NewCaller("first", s.hosts, 0)
+	deadline := time.Now().Add(startTime)
+	for n := 0; time.Now().Before(deadline); n++ {
+		if host := c.address(ctx); host != "" {
+			call := c.send(ctx, Call{ID: fmt.Sprint("first-", n), Kind: Look, Key: platformtest.GoodKey, Host: host})
+			if call.Answered() {
+				return nil
+			}
+		}
+		wait(ctx, 5*callPause)
+	}
+	return fmt.Errorf("no call was answered within %v", startTime)
+}
+
+func (s *soak) close() {
+	for _, h := range s.hosts {
+		h.Close()
+	}
+	if s.d != nil {
+		s.d.Close()
+	}
+}
+
+func (s *soak) log(format string, args ...any) {
+	s.Logf("%6.2fs "+format, append([]any{time.Since(s.began).Seconds()}, args...)...)
+}
+
+func (s *soak) report(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bad = append(s.bad, fmt.Sprintf(format, args...))
+}
+
+func (s *soak) collect() {
+	for _, c := range s.callers {
+		s.history.Calls = append(s.history.Calls, c.Calls()...)
+	}
+	for _, e := range append(append([]*platformtest.Endpoint(nil), s.d.Plain...), s.d.Engines...) {
+		s.history.Runs = append(s.history.Runs, e.Runs()...)
+	}
+}
+
+// checkCalm demands that the system has recovered.
+func (s *soak) checkCalm(from time.Time) {
+	total, answered := 0, 0
+	for i := range s.history.Calls {
+		c := &s.history.Calls[i]
+		if c.Sent.Before(from) || c.Key != platformtest.GoodKey {
+			continue
+		}
+		total++
+		if c.Answered() {
+			answered++
+		}
+	}
+	s.log("%d calls, %d runs; in calm %d of %d answered", len(s.history.Calls), len(s.history.Runs), answered, total)
+	if total == 0 || float64(answered) < calmShare*float64(total) {
+		s.report("%d of %d calls answered %v after the last disturbance", answered, total, settleTime)
+	}
+}
--- /dev/null
+++ b/kv/memkv/feed.go
@@ -0,0 +1,94 @@
+package memkv
+
+import (
+	"context"
+	"time"
+
+	"github.com/corianderlever/corianderlever/kv"
+)
+
+var _ kv.Feed = (*Store)(nil)
+
+// Changes implements kv.Feed.
+func (s *Store) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]kv.Event, int64, error) {
+	ctx, cancel := kv.WithTimeout(ctx, s.clock, wait)
+	defer cancel()
+	for {
+		events, at, news, err := s.since(ctx, prefix, after)
+		if err != nil || len(events) > 0 {
+			return events, at, err
+		}
+		select {
+		case <-news:
+		case <-ctx.Done():
+			return nil, at, nil
+		}
+	}
+}
+
+// since returns the kept changes, the revision, and a channel that tells of the
+// next change.
+func (s *Store) since(ctx context.Context, prefix string, after int64) ([]kv.Event, int64, <-chan kv.Event, error) {
+	news, err := s.Watch(ctx, prefix, s.currentRevision())
+	if err != nil {
+		return nil, 0, nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if after < s.compacted {
+		return nil, 0, nil, kv.ErrCompacted
+	}
+	return s.replay(prefix, after), s.revision, news, nil
+}
+
+func (s *Store) currentRevision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+// Commit implements kv.Feed.
+func (s *Store) Commit(_ context.Context, writes []kv.Write) (int64, error) {
+	for _, w := range writes {
+		if len(w.Value) > kv.MaxValueBytes {
+			return 0, kv.ErrTooLarge
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for _, w := range writes {
+		if s.entries[w.Key].Revision != w.Expect {
+			return 0, kv.ErrConflict
+		}
+	}
+	s.revision++
+	for _, w := range writes {
+		e := kv.Entry{Key: w.Key, Value: w.Value, Revision: s.revision}
+		s.entries[w.Key] = cloned(e)
+		s.record(kv.Event{Entry: cloned(e)})
+	}
+	return s.revision, nil
+}
+
+// Put writes a key without a condition, as an operator or an endpoint does.
+func (s *Store) Put(key string, value []byte) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	s.revision++
+	e := kv.Entry{Key: key, Value: value, Revision: s.revision}
+	s.entries[key] = cloned(e)
+	s.record(kv.Event{Entry: cloned(e)})
+	return s.revision
+}
+
+// Drop deletes a key if it exists.
+func (s *Store) Drop(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.entries[key]; ok {
+		s.remove(key)
+	}
+}
--- a/kv/memkv/memkv_test.go
+++ b/kv/memkv/memkv_test.go
@@ -123,3 +123,31 @@
 	fmt.Println(errors.Is(err, kv.ErrUnknown), string(e.Value))
 	// Output: true v
 }
+
+// TestFeed guards against a follower of the stand-in that misses changes, sees
+// a half-made transaction, or does not learn that the history is gone.
+func TestFeed(t *testing.T) {
+	_, store, _ := setup()
+	if _, err := store.Commit(bg, []kv.Write{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("2")}}); err != nil {
+		t.Fatal(err)
+	}
+	events, at, err := store.Changes(bg, "", 0, 0)
+	if err != nil || len(events) != 2 || at != 1 {
+		t.Fatalf("%v at %d, %v", events, at, err)
+	}
+	if _, err := store.Commit(bg, []kv.Write{{Key: "c"}, {Key: "a", Expect: 7}}); !errors.Is(err, kv.ErrConflict) {
+		t.Errorf("a transaction on an old revision: %v", err)
+	}
+	if _, err := store.Get(bg, "c"); !errors.Is(err, kv.ErrNotFound) {
+		t.Errorf("half of a transaction was made: %v", err)
+	}
+	go store.Drop("a")
+	if events, _, err = store.Changes(bg, "", at, time.Hour); err != nil || len(events) != 1 || !events[0].Deleted {
+		t.Errorf("%v, %v", events, err)
+	}
+	store.Put("d", nil)
+	store.Compact(3)
+	if _, _, err := store.Changes(bg, "", 1, 0); !errors.Is(err, kv.ErrCompacted) {
+		t.Errorf("changes from before the compaction: %v", err)
+	}
+}
