--- /dev/null
+++ b/control/rollouts_test.go
@@ -0,0 +1,245 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/corianderlever/corianderlever/control"
+	"github.com/corianderlever/corianderlever/fleet"
+	"github.com/corianderlever/corianderlever/kv"
+	"github.com/corianderlever/corianderlever/kv/memkv"
+	"github.com/corianderlever/corianderlever/platform"
+	"github.com/corianderlever/corianderlever/rollout"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// host is one host's beliefs over a shared store.
+type host struct {
+	state    *control.State
+	rollouts *control.Rollouts
+	fleet    *fleet.Registry
+	seen     int64
+}
+
+// world is a store with hosts in virtual time.
+type world struct {
+	t     *testing.T
+	store *memkv.Store
+	hosts []*host
+	leads int
+}
+
+func newWorld(t *testing.T, n int) *world {
+	w := &world{t: t, store: memkv.New(clockwork.NewRealClock())}
+	for range n {
+		h := &host{fleet: fleet.NewRegistry(time.Second)}
+		stage := func() rollout.StageConfig { return rollout.StageConfig{ExposureShare: 0.15, ExposureExtra: 30} }
+		h.rollouts = control.NewRollouts(h.fleet, stage, clockwork.NewRealClock(), quiet)
+		h.state = control.NewState(platform.Records{}, h.fleet, h.rollouts, clockwork.NewRealClock(), quiet)
+		w.hosts = append(w.hosts, h)
+	}
+	for i, id := range []string{"av1", "bv1", "av2", "bv2"} {
+		w.store.Put("servers/"+id, fmt.Appendf(nil,
+			`{"Service":"s","Address":"10.0.0.1:%d","Zone":"z","Version":%q,"Slots":4,"State":"ready"}`, 100+i, id[1:]))
+	}
+	return w
+}
+
+// sync hands each host what it has not seen of the store.
+func (w *world) sync() {
+	for _, h := range w.hosts {
+		events, at, err := w.store.Changes(context.Background(), "", h.seen, 0)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		h.state.Apply(events, false)
+		h.seen = max(h.seen, at)
+	}
+}
+
+// gossip hands each host what the others know.
+func (w *world) gossip() {
+	for i, a := range w.hosts {
+		for j, b := range w.hosts {
+			if i != j {
+				b.rollouts.Merge(string(rune('A'+i)), a.rollouts.Export())
+			}
+		}
+	}
+}
+
+// run lets time pass with one coordinator and requests at each host.
+func (w *world) run(d time.Duration, store kv.Feed, request func(h *host, version string)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	for i, h := range w.hosts {
+		c := &control.Coordinator{Rollouts: h.rollouts, Store: store, Codec: platform.Records{}, Leads: func() bool { return w.leads == i }}
+		go func() { _ = c.Run(ctx) }()
+	}
+	point := 0.0
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		w.sync()
+		w.gossip()
+		for _, h := range w.hosts {
+			point += 0.618
+			request(h, h.rollouts.Pick("s", point-float64(int(point))))
+		}
+	}
+	cancel()
+	synctest.Wait()
+	w.sync()
+}
+
+func (w *world) status() string {
+	e, err := w.store.Get(context.Background(), "status/rollout/s")
+	if err != nil {
+		return ""
+	}
+	return string(e.Value)
+}
+
+const order = `{"Service":"s","Target":"v2","DurationS":10}`
+
+// TestGoodVersionIsDone guards against a good version that is not published as
+// done in its time, and against a host that still uses the old version then.
+func TestGoodVersionIsDone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		w.store.Put("op/rollout/s", []byte(order))
+		w.run(9500*time.Millisecond, w.store, func(h *host, version string) {
+			h.rollouts.Observe("s", version, rollout.Observation{Took: 10 * time.Millisecond})
+		})
+		if got := w.status(); got != `{"State":"completed","Target":"v2"}` {
+			t.Errorf("status %s", got)
+		}
+		for i, h := range w.hosts {
+			if v := h.rollouts.Pick("s", 0.99); v != "v2" {
+				t.Errorf("host %d uses %q", i, v)
+			}
+		}
+	})
+}
+
+// TestBadVersionIsReverted guards against a bad version that goes on at hosts
+// which saw little of it, and a verdict that a new host does not know.
+func TestBadVersionIsReverted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		w.store.Put("op/rollout/s", []byte(order))
+		exposed := 0
+		w.run(9500*time.Millisecond, w.store, func(h *host, version string) {
+			bad := version == "v2"
+			if bad {
+				exposed++
+			}
+			h.rollouts.Observe("s", version, rollout.Observation{Bad: bad})
+		})
+		if got := w.status(); got != `{"State":"reverted","Target":"v2"}` || exposed > 15 {
+			t.Errorf("status %s after %d requests", got, exposed)
+		}
+		late := newWorld(t, 1)
+		late.store = w.store
+		late.sync()
+		for _, h := range append(w.hosts, late.hosts...) {
+			if v := h.rollouts.Pick("s", 0); v != "v1" {
+				t.Errorf("a host uses %q", v)
+			}
+		}
+	})
+}
+
+// lossy makes every write take effect and loses its answer.
+type lossy struct{ *memkv.Store }
+
+func (l lossy) Commit(ctx context.Context, writes []kv.Write) (int64, error) {
+	if _, err := l.Store.Commit(ctx, writes); err != nil {
+		return 0, err
+	}
+	return 0, errors.Wrap(kv.ErrUnknown, "answer lost")
+}
+
+// TestRolloutSurvivesLostAnswersAndNewCoordinators guards against a roll-out
+// that halts when the answers of its writes are lost or its host is replaced.
+func TestRolloutSurvivesLostAnswersAndNewCoordinators(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		w.store.Put("op/rollout/s", []byte(order))
+		steps := 0
+		w.run(9500*time.Millisecond, lossy{w.store}, func(h *host, version string) {
+			if steps++; steps%20 == 0 {
+				w.leads = (w.leads + 1) % len(w.hosts)
+			}
+			h.rollouts.Observe("s", version, rollout.Observation{Took: 10 * time.Millisecond})
+		})
+		if got := w.status(); got != `{"State":"completed","Target":"v2"}` {
+			t.Errorf("status %s", got)
+		}
+	})
+}
+
+// TestCutOffHostLearnsOfTheVerdict guards against a host without the store that
+// goes on sending requests to a reverted version.
+func TestCutOffHostLearnsOfTheVerdict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		w.sync()
+		w.store.Put("op/rollout/s", []byte(order))
+		w.sync()
+		cut := w.hosts[2]
+		w.hosts = w.hosts[:2]
+		w.run(5*time.Second, w.store, func(h *host, version string) {
+			h.rollouts.Observe("s", version, rollout.Observation{Bad: version == "v2"})
+		})
+		cut.rollouts.Merge("A", w.hosts[0].rollouts.Export())
+		if v := cut.rollouts.Pick("s", 0); v != "v1" {
+			t.Errorf("the cut off host uses %q", v)
+		}
+	})
+}
+
+// TestConfigurationNeverReverts guards against an older configuration that
+// replaces a newer one, and against a deleted or unreadable one that leaves none.
+func TestConfigurationNeverReverts(t *testing.T) {
+	w := newWorld(t, 1)
+	s := w.hosts[0].state
+	put := func(value string, deleted bool) {
+		s.Apply([]kv.Event{{Entry: kv.Entry{Key: "op/config", Value: []byte(value)}, Deleted: deleted}}, false)
+	}
+	if _, ok := s.Table(); ok {
+		t.Error("a table before the first configuration")
+	}
+	put(`{"Version":5}`, false)
+	put(`{"Version":3}`, false)
+	put(`{"Version":`, false)
+	put(`{"Version":9,"Routes":[{"Prefix":"nowhere","Service":"s"}]}`, false)
+	put("", true)
+	if table, ok := s.Table(); !ok || table.Version() != 5 {
+		t.Errorf("table %+v, %v", table, ok)
+	}
+	put(`{"Version":6}`, false)
+	if table, _ := s.Table(); table.Version() != 6 {
+		t.Errorf("version %d", table.Version())
+	}
+}
+
+// TestUnreadableEntryRemovesItsEndpoint guards against requests to an endpoint
+// whose entry another writer has replaced.
+func TestUnreadableEntryRemovesItsEndpoint(t *testing.T) {
+	w := newWorld(t, 1)
+	w.sync()
+	w.store.Put("servers/av1", []byte(`{"Service":"s"}`))
+	w.sync()
+	if _, ok := w.hosts[0].fleet.Endpoint("av1"); ok || w.hosts[0].fleet.Len() != 3 {
+		t.Error("the endpoint is still used")
+	}
+}
