--- a/control/rollouts_test.go
+++ b/control/rollouts_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,7 +36,7 @@
 	t     *testing.T
 	store *memkv.Store
 	hosts []*host
-	leads int
+	leads atomic.Int64
 }
 
 func newWorld(t *testing.T, n int) *world {
@@ -81,7 +82,7 @@
 func (w *world) run(d time.Duration, store kv.Feed, request func(h *host, version string)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	for i, h := range w.hosts {
-		c := &control.Coordinator{Rollouts: h.rollouts, Store: store, Codec: platform.Records{}, Leads: func() bool { return w.leads == i }}
+		c := &control.Coordinator{Rollouts: h.rollouts, Store: store, Codec: platform.Records{}, Leads: func() bool { return w.leads.Load() == int64(i) }}
 		go func() { _ = c.Run(ctx) }()
 	}
 	point := 0.0
@@ -177,7 +178,7 @@
 		steps := 0
 		w.run(9500*time.Millisecond, lossy{w.store}, func(h *host, version string) {
 			if steps++; steps%20 == 0 {
-				w.leads = (w.leads + 1) % len(w.hosts)
+				w.leads.Store((w.leads.Load() + 1) % int64(len(w.hosts)))
 			}
 			h.rollouts.Observe("s", version, rollout.Observation{Took: 10 * time.Millisecond})
 		})
