--- a/feed/feed.go
+++ b/feed/feed.go
@@ -152,14 +152,17 @@
 	if !synced {
 		return f.list(ctx)
 	}
-	ctx, cancel := kv.WithTimeout(ctx, f.opts.Clock, f.opts.Wait+f.opts.CallTimeout)
+	callCtx, cancel := kv.WithTimeout(ctx, f.opts.Clock, f.opts.Wait+f.opts.CallTimeout)
 	defer cancel()
-	events, now, err := f.opts.Source.Changes(ctx, f.opts.Prefix, at, f.opts.Wait)
+	events, now, err := f.opts.Source.Changes(callCtx, f.opts.Prefix, at, f.opts.Wait)
 	if errors.Is(err, kv.ErrCompacted) {
 		f.opts.Logger.Warn("history of the store is gone, listing again", "after", at)
 		return f.list(ctx)
 	}
 	if err != nil {
+		if callCtx.Err() != nil && ctx.Err() == nil {
+			return errors.Wrapf(err, "no answer within %v", f.opts.Wait+f.opts.CallTimeout)
+		}
 		return err
 	}
 	f.applyChanges(events, now)
--- a/internal/docscheck/doc.go
+++ b/internal/docscheck/doc.go
@@ -1,2 +1,2 @@
-// Package docscheck holds the tests that compare docs/operations.md with the code.
+// Package docscheck holds the tests that compare docs/OPERATIONS.md with the code.
 package docscheck
--- a/internal/docscheck/docscheck_test.go
+++ b/internal/docscheck/docscheck_test.go
@@ -26,7 +26,7 @@
 
 func page(t *testing.T) string {
 	t.Helper()
-	text, err := os.ReadFile(filepath.Join(root, "docs", "operations.md"))
+	text, err := os.ReadFile(filepath.Join(root, "docs", "OPERATIONS.md"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,7 +42,7 @@
 	}
 	for _, name := range names {
 		if !strings.Contains(text, "`"+name+"`") {
-			t.Errorf("docs/operations.md does not name the %s `%s`", what, name)
+			t.Errorf("docs/OPERATIONS.md does not name the %s `%s`", what, name)
 		}
 	}
 }
@@ -161,7 +161,21 @@
 	text := page(t)
 	for _, c := range ctl.New(io.Discard).Subcommands {
 		if !regexp.MustCompile(`(?m)^leverctl .*\b` + c.Name + `\b`).MatchString(text) {
-			t.Errorf("docs/operations.md has no example of leverctl %s", c.Name)
+			t.Errorf("docs/OPERATIONS.md has no example of leverctl %s", c.Name)
 		}
 	}
 }
+
+// Guards against a product that knows the users' platform: its names belong in
+// platform/ alone.
+func TestPlatformNamesStayInTheAdapter(t *testing.T) {
+	foreign := regexp.MustCompile(`Corianderlever-|/corianderlever/(resolution|readiness|report|kv-|hold-)|"op/|"servers/|"status/rollout`)
+	sources(t, func(path, text string) {
+		if strings.Contains(path, "/platform/") {
+			return
+		}
+		if found := foreign.FindString(text); found != "" {
+			t.Errorf("%s has the platform's name %q", path, found)
+		}
+	})
+}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -128,21 +127,11 @@
 func (c *Caller) resolve(ctx context.Context, h *Host) bool {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	url := "http://" + h.Addresses.Directory + "/corianderlever/resolution?Name=" + platformtest.HostName + "&Region=r&Zone=domain-0"
-	req, _ := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	resp, err := c.http.Do(req)
+	addresses, ttl, err := platformtest.Resolve(ctx, c.http, h.Addresses.Directory, "domain-0")
 	if err != nil {
 		return false
 	}
-	defer resp.Body.Close()
-	var reply struct {
-		Addresses []string
-		TtlS      float64 //nolint:revive // the name on the wire
-	}
-	if json.NewDecoder(resp.Body).Decode(&reply) != nil || len(reply.Addresses) == 0 {
-		return false
-	}
-	c.addresses, c.expires = reply.Addresses, time.Now().Add(time.Duration(reply.TtlS*float64(time.Second)))
+	c.addresses, c.expires = addresses, time.Now().Add(ttl)
 	return true
 }
 
@@ -153,12 +142,11 @@
 	if call.Kind == Look {
 		method = http.MethodGet
 	}
-	req, _ := http.NewRequestWithContext(ctx, method, "http://"+call.Host+call.Kind.path()+call.ID, nil)
-	req.Host = platformtest.HostName
-	req.Header.Set("Corianderlever-Attempt-Id", call.ID)
-	req.Header.Set("Corianderlever-Deadline-Remaining", fmt.Sprint(callTimeout.Milliseconds()))
-	req.Header.Set("Authorization", "Token "+call.Key)
-	req.Header.Set("Session", call.ID)
+	req, err := platformtest.NewRequest(ctx, method, call.Host, call.Kind.path(), call.ID, call.Key, callTimeout)
+	if err != nil {
+		call.Cut = true
+		return call
+	}
 	call.Sent = time.Now()
 	resp, err := c.http.Do(req)
 	if err != nil {
--- a/relay/job.go
+++ b/relay/job.go
@@ -153,7 +153,7 @@
 	}
 	return &Refusal{
 		Status: http.StatusServiceUnavailable, Reason: "stale_configuration",
-		Detail: "confirmed " + age.String() + " ago", RetryAfter: staleRetry,
+		Detail: "confirmed " + age.Round(time.Millisecond).String() + " ago", RetryAfter: staleRetry,
 	}
 }
 
@@ -169,7 +169,12 @@
 }
 
 // left returns the time until the request's deadline.
-func (j *job) left() time.Duration { return j.deadline.Sub(j.relay.Clock.Now()) }
+func (j *job) left() time.Duration {
+	if j.deadline.IsZero() {
+		return 0
+	}
+	return j.deadline.Sub(j.relay.Clock.Now())
+}
 
 // recheck repeats, right before a send, the checks whose answer may have
 // changed while the request waited.
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -19,19 +19,19 @@
 func newMetrics(reg prometheus.Registerer) *metrics {
 	m := &metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "corianderlever_relay_requests_total", Help: "Requests by team, priority and outcome.",
+			Namespace: "corianderlever", Name: "relay_requests_total", Help: "Requests by team, priority and outcome.",
 		}, []string{"team", "priority", "outcome"}),
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "corianderlever_relay_attempts_total", Help: "Attempts at endpoints by service and outcome.",
+			Namespace: "corianderlever", Name: "relay_attempts_total", Help: "Attempts at endpoints by service and outcome.",
 		}, []string{"service", "outcome"}),
 		repeats: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "corianderlever_relay_repeats_total", Help: "Repeats by service and whether the budget granted them.",
+			Namespace: "corianderlever", Name: "relay_repeats_total", Help: "Repeats by service and whether the budget granted them.",
 		}, []string{"service", "granted"}),
 		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "corianderlever_relay_first_byte_seconds", Help: "Time to the first byte of an answer.", Buckets: secondsBuckets,
+			Namespace: "corianderlever", Name: "relay_first_byte_seconds", Help: "Time to the first byte of an answer.", Buckets: secondsBuckets,
 		}, []string{"team", "priority"}),
 		total: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "corianderlever_relay_request_seconds", Help: "Time to the end of an answer.", Buckets: secondsBuckets,
+			Namespace: "corianderlever", Name: "relay_request_seconds", Help: "Time to the end of an answer.", Buckets: secondsBuckets,
 		}, []string{"team", "priority"}),
 	}
 	reg.MustRegister(m.requests, m.attempts, m.repeats, m.first, m.total)
