Stop requests that crash the endpoints they run on, at all hosts

Change: a request whose connection is lost and whose endpoint then refuses connections is marked by its content; marks spread with heartbeats, and after two crashes the request is refused with 503 (limiter.CrashGuard, used by dispatch too). Test: TestStopsARequestThatCrashesEndpoints.

--- a/daemon/router/peers.go
+++ b/daemon/router/peers.go
@@ -121,9 +121,25 @@
 		s.fresh[from] = v.Fresh
 	})
 	signal(s, "rollouts", s.host.rollouts.Export, func(from string, v map[string]control.Evidence) { s.host.rollouts.Merge(from, v) })
+	signal(s, "crashes", s.crashMarks, s.observeMarks)
 	signal(s, "load", s.host.relay.Loads, func(from string, v relay.Loads) { s.host.relay.ObservePeer(from, v) })
 }
 
+func (s *peerService) crashMarks() json.RawMessage {
+	marks, err := s.host.crashes.Marks()
+	if err != nil {
+		s.host.opts.Logger.Error("crash marks not sent", "error", err)
+		return nil
+	}
+	return marks
+}
+
+func (s *peerService) observeMarks(from string, marks json.RawMessage) {
+	if err := s.host.crashes.ObserveMarks(marks); err != nil {
+		s.host.opts.Logger.Warn("signal refused", "signal", "crashes", "from", from, "error", err)
+	}
+}
+
 // signal attaches what produce returns to heartbeats and hands what arrives to consume.
 func signal[T any](s *peerService, name string, produce func() T, consume func(from string, v T)) {
 	log := s.host.opts.Logger
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -108,6 +108,7 @@
 	state    *control.State
 	follower *feed.Follower
 	relay    *relay.Relay
+	crashes  *limiter.CrashGuard
 	edge     Handlers
 	peers    *peerService
 	servers  *serverService
@@ -150,10 +151,11 @@
 		Clock: opts.Clock, Boottime: boottime.Now, Rand: h.newRand(), Logger: opts.Logger,
 		Fallback: h.askPeers, FallbackAge: fallbackAge, FallbackInterval: fallbackInterval,
 	})
+	h.crashes = limiter.NewCrashGuard(opts.Clock, limiter.SpreadTime(minHosts, membership.DefaultInterval))
 	h.relay = relay.New(relay.Options{
 		State: h, Fleet: h.registry, Versions: h.rollouts, Codec: opts.Headers,
 		Client: upstream.NewClient(upstream.DefaultOptions()), Settings: h.relaySettings,
-		FailureDomain: opts.Settings.FailureDomain, Clock: opts.Clock, Rand: h.newRand, Logger: opts.Logger, Registry: opts.Registry,
+		Crashes: h.crashes, FailureDomain: opts.Settings.FailureDomain, Clock: opts.Clock, Rand: h.newRand, Logger: opts.Logger, Registry: opts.Registry,
 	})
 	h.edge = opts.NewEdge(h, h.relay)
 	h.peers = &peerService{host: h, run: background.NewGroup(opts.Logger)}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -107,6 +107,7 @@
 	j.reached++
 	j.runs++
 	j.count("lost")
+	j.suspectCrash(ctx, pl)
 	j.observe(pl, true, 0)
 	j.failed(pl, limiter.OutcomeError)
 	return j.mayRepeat(ctx, "answer_lost")
@@ -196,6 +197,7 @@
 	if outcome == limiter.OutcomeOK {
 		j.observe(pl, false, took)
 		j.count("ok")
+		j.relay.Crashes.Succeeded(j.hash)
 	}
 	pl.begun()
 	pl.end(outcome)
--- a/relay/job.go
+++ b/relay/job.go
@@ -46,6 +46,7 @@
 	pool           *pool
 	version        string
 	deadline       time.Time
+	hash           limiter.Hash
 
 	// model is the model that the next attempt runs, and rung its index in the
 	// route's list.
@@ -74,6 +75,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
+	j.hash = j.contentHash()
+	if refusal := j.checkCrashes(); refusal != nil {
+		return refusal
+	}
 	j.pool.budget.Request()
 	for {
 		if refusal := j.attempt(ctx); refusal != nil || j.status != 0 {
@@ -221,6 +226,8 @@
 		return j.giveUp(reason, "endpoints used up", shortRetry)
 	case j.reached == 0:
 		return nil // nothing has arrived, so nothing is repeated
+	case j.checkCrashes() != nil:
+		return j.giveUp("crashes_endpoints", reason, crashRetry)
 	}
 	granted := j.pool.budget.TryRepeat()
 	j.relay.metrics.repeats.WithLabelValues(j.pool.service, strconv.FormatBool(granted)).Inc()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -51,11 +51,13 @@
 
 // Options configure a Relay. All fields are required.
 type Options struct {
-	State         State
-	Fleet         *fleet.Registry
-	Versions      Versions
-	Codec         Codec
-	Client        *upstream.Client
+	State    State
+	Fleet    *fleet.Registry
+	Versions Versions
+	Codec    Codec
+	Client   *upstream.Client
+	// Crashes recognises requests that crash the endpoints they run on.
+	Crashes       *limiter.CrashGuard
 	Settings      func() Settings
 	FailureDomain string
 	Clock         clockwork.Clock
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
@@ -300,3 +301,33 @@
 		}
 	}
 }
+
+// TestStopsARequestThatCrashesEndpoints guards against a request that takes
+// down one endpoint after the other, also when its caller sends it again.
+func TestStopsARequestThatCrashesEndpoints(t *testing.T) {
+	r := newRig(t, plain(route.Idempotent, 2))
+	servers := map[string]*httptest.Server{}
+	for i := range 6 {
+		id := fmt.Sprint("e", i)
+		servers[id] = r.endpoint(id, func(_ http.ResponseWriter, hr *http.Request) {
+			_ = servers[hr.Header.Get("X-Endpoint")].Listener.Close()
+			panic(http.ErrAbortHandler)
+		})
+	}
+	for n := 0; ; n++ {
+		resp, _, err := r.call("GET", "/p/x")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.StatusCode == http.StatusServiceUnavailable && n > 0 {
+			break
+		}
+		if n > 100 {
+			t.Fatalf("not stopped; arrived at %v", r.arrived())
+		}
+	}
+	before := len(r.arrived())
+	if _, _, err := r.call("GET", "/p/x"); err != nil || len(r.arrived()) != before || before > 4 {
+		t.Errorf("%v; arrived at %v", err, r.arrived())
+	}
+}
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -122,8 +122,9 @@
 		State: r.state, Fleet: r.fleet, Versions: r.versions, Codec: codec{}, Client: client,
 		Settings:      func() relay.Settings { return relay.Settings{MaxStaleness: time.Second, Retry: r.retry, Hosts: 1} },
 		FailureDomain: "a", Clock: clockwork.NewRealClock(),
-		Rand:   func() *rand.Rand { return rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())) },
-		Logger: slog.New(slog.NewTextHandler(&syncWriter{w: r.log}, nil)), Registry: prometheus.NewRegistry(),
+		Crashes: limiter.NewCrashGuard(clockwork.NewRealClock(), 0),
+		Rand:    func() *rand.Rand { return rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())) },
+		Logger:  slog.New(slog.NewTextHandler(&syncWriter{w: r.log}, nil)), Registry: prometheus.NewRegistry(),
 	})
 	r.front = httptest.NewServer(http.HandlerFunc(r.serve))
 	t.Cleanup(r.front.Close)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -93,6 +93,7 @@
 	j.status = answer.Status
 	j.note(pl.endpoint.ID, j.model, "confidence", strconv.Itoa(j.confidence), strconv.Itoa(answer.Status))
 	j.count("ok")
+	j.relay.Crashes.Succeeded(j.hash)
 	pl.begun()
 	pl.end(limiter.OutcomeOK)
 	return nil
@@ -101,6 +102,9 @@
 // streamBroken continues a broken stream at another endpoint where that is allowed.
 func (j *job) streamBroken(ctx context.Context, pl *place, events int, err error) *Refusal {
 	detail := "after " + strconv.Itoa(events) + " events: " + err.Error()
+	if ctx.Err() == nil {
+		j.suspectCrash(ctx, pl)
+	}
 	if j.started && !j.route.Resumable {
 		j.note(pl.endpoint.ID, j.model, "cut")
 		j.count("stream_cut")
