Few hosts follow the store, the others follow them; evidence and reading times travel further

Change: two hosts of each failure domain follow the store, the others ask them for what is new, with its age; entries that change nothing but a counter are not passed on. Evidence about versions is passed on for others. Reported load of some hosts stands for all. Reading times are learned faster and shared.

--- a/balance/engines.go
+++ b/balance/engines.go
@@ -56,6 +56,12 @@
 	return total
 }
 
+func (b *backlog) scale(f float64) {
+	for i := range b {
+		b[i] = time.Duration(f * float64(b[i]))
+	}
+}
+
 // worked takes off what an engine has done in a time, the most urgent first.
 func (b *backlog) worked(d time.Duration) {
 	for i := range b {
@@ -78,9 +84,6 @@
 	Backlog time.Duration
 	// Expected is the expected time to the first event.
 	Expected time.Duration
-	// assumed is set if the engine is taken to have parts that this host has not
-	// sent there.
-	assumed bool
 }
 
 // EngineLoad is the load that one host puts on an engine.
@@ -105,6 +108,7 @@
 	order   []*engine
 	rates   map[string]*readRate
 	peers   map[string]peerLoad
+	hosts   int
 }
 
 type engine struct {
@@ -252,7 +256,7 @@
 	uncached := total - cached
 	read := rate.time(uncached)
 	c := EngineChoice{
-		Endpoint: en.spec.ID, Reason: ReasonLoad, Uncached: uncached, Backlog: backlog, Expected: backlog + read, assumed: cached > known,
+		Endpoint: en.spec.ID, Reason: ReasonLoad, Uncached: uncached, Backlog: backlog, Expected: backlog + read,
 	}
 	switch {
 	case home:
@@ -291,10 +295,17 @@
 		sumAge += age
 		reports++
 	}
-	if reports > 0 {
-		// The engine has worked on the backlog of all hosts since it was reported.
-		reported.worked(sumAge / time.Duration(reports))
+	if reports == 0 {
+		return running, en.backlog
+	}
+	// In a large fleet only some hosts have reported lately; they stand for all.
+	if others := e.hosts - 1; others > reports {
+		scale := float64(others) / float64(reports)
+		running = en.running + int(scale*float64(running-en.running))
+		reported.scale(scale)
 	}
+	// The engine has worked on the backlog of all hosts since it was reported.
+	reported.worked(sumAge / time.Duration(reports))
 	for level := range work {
 		work[level] = en.backlog[level] + reported[level]
 	}
@@ -345,7 +356,7 @@
 	if en == nil {
 		return w
 	}
-	w.alone = c.Backlog < aloneBacklog && !c.assumed
+	w.alone = c.Backlog < aloneBacklog
 	w.read = e.rate(req.Model).time(c.Uncached)
 	en.running++
 	en.backlog[w.level] += w.read
@@ -417,10 +428,11 @@
 	return out
 }
 
-// ObservePeer takes in another host's load.
-func (e *Engines) ObservePeer(host string, loads map[string]EngineLoad) {
+// ObservePeer takes in another host's load, in a fleet of a number of hosts.
+func (e *Engines) ObservePeer(host string, loads map[string]EngineLoad, hosts int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.hosts = hosts
 	now := e.clock.Now()
 	e.peers[host] = peerLoad{at: now, loads: loads}
 	for h, p := range e.peers {
@@ -430,6 +442,41 @@
 	}
 }
 
+// ReadRate is what a host has learned of the time to read a token.
+type ReadRate struct {
+	// Nanoseconds is the time for one token.
+	Nanoseconds int64 `json:"ns"`
+	// Samples is the number of answers that it rests on.
+	Samples int `json:"n"`
+}
+
+// Rates returns what this host has learned by model, for the other hosts.
+func (e *Engines) Rates() map[string]ReadRate {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make(map[string]ReadRate)
+	for model, r := range e.rates {
+		if r.samples > 0 {
+			out[model] = ReadRate{Nanoseconds: r.perToken.Nanoseconds(), Samples: r.samples}
+		}
+	}
+	return out
+}
+
+// ObserveRates takes over what another host has learned from more answers.
+func (e *Engines) ObserveRates(rates map[string]ReadRate) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for model, seen := range rates {
+		if r := e.rate(model); seen.Samples > r.samples && r.samples < enoughSamples {
+			r.perToken = time.Duration(seen.Nanoseconds)
+		}
+	}
+}
+
+// enoughSamples is the number of own answers from which a host goes by them.
+const enoughSamples = 20
+
 // EventGap returns the usual time between two events of a model's answers.
 func (e *Engines) EventGap(model string) time.Duration {
 	e.mu.Lock()
--- a/balance/engines_test.go
+++ b/balance/engines_test.go
@@ -77,7 +77,7 @@
 	e := engines(clock, 4)
 	req := prompt("s", 10_000, 500, 0)
 	home, _ := e.Choose(req)
-	e.ObservePeer("other", map[string]balance.EngineLoad{home.Endpoint: {Running: 1, BacklogMS: []int64{0, 0, 0, 0, 0, 60_000}}})
+	e.ObservePeer("other", map[string]balance.EngineLoad{home.Endpoint: {Running: 1, BacklogMS: []int64{0, 0, 0, 0, 0, 60_000}}}, 2)
 	req.Urgency = 1
 	if c, _ := e.Choose(req); c.Endpoint != home.Endpoint || c.Backlog != 0 {
 		t.Errorf("urgent request at %+v, home %s", c, home.Endpoint)
@@ -96,7 +96,7 @@
 	for host := range 3 {
 		e.ObservePeer(fmt.Sprint("h", host), map[string]balance.EngineLoad{
 			"e0": {Running: 1, BacklogMS: []int64{500}}, "e1": {Running: 1, BacklogMS: []int64{500}},
-		})
+		}, 4)
 	}
 	if got := e.Backlog("", 0); got != 1500*time.Millisecond {
 		t.Errorf("backlog %v of three hosts", got)
@@ -180,3 +180,15 @@
 		t.Error("no engine is chosen while all are avoided")
 	}
 }
+
+// TestFewReportsStandForAll guards against engines that look idle in a large
+// fleet because only some of its hosts have reported lately.
+func TestFewReportsStandForAll(t *testing.T) {
+	e := engines(clockwork.NewFakeClock(), 1)
+	for host := range 3 {
+		e.ObservePeer(fmt.Sprint("h", host), map[string]balance.EngineLoad{"e0": {Running: 1, BacklogMS: []int64{10}}}, 61)
+	}
+	if got := e.Backlog("", 0); got != 600*time.Millisecond {
+		t.Errorf("backlog %v, want that of sixty hosts", got)
+	}
+}
--- a/balance/promptcache.go
+++ b/balance/promptcache.go
@@ -26,6 +26,8 @@
 // and the time between two events of its answers.
 type readRate struct {
 	perToken time.Duration
+	// samples is the number of answers that perToken rests on.
+	samples int
 	// eventGap is the usual time between two events, zero before the first answer.
 	eventGap time.Duration
 }
@@ -41,6 +43,8 @@
 	if diff < 0 {
 		gain = readGainDown
 	}
+	r.samples++
+	gain = max(gain, 1/float64(r.samples))
 	r.perToken += time.Duration(gain * diff)
 }
 
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -60,6 +60,7 @@
 // Rollouts steers which version of a service serves a request, and gathers how
 // the versions answer. It is safe for concurrent use.
 type Rollouts struct {
+	self  string
 	fleet *fleet.Registry
 	stage func() rollout.StageConfig
 	clock clockwork.Clock
@@ -69,9 +70,9 @@
 	services map[string]*service
 }
 
-// NewRollouts returns rollouts without orders.
-func NewRollouts(registry *fleet.Registry, stage func() rollout.StageConfig, clock clockwork.Clock, log *slog.Logger) *Rollouts {
-	return &Rollouts{fleet: registry, stage: stage, clock: clock, log: log, services: make(map[string]*service)}
+// NewRollouts returns the rollouts as seen by a host, without orders.
+func NewRollouts(self string, registry *fleet.Registry, stage func() rollout.StageConfig, clock clockwork.Clock, log *slog.Logger) *Rollouts {
+	return &Rollouts{self: self, fleet: registry, stage: stage, clock: clock, log: log, services: make(map[string]*service)}
 }
 
 func (r *Rollouts) service(name string) *service {
@@ -275,11 +276,17 @@
 
 // Evidence is what one host passes on about a service.
 type Evidence struct {
-	Order   int64                    `json:"order"`
-	Step    Step                     `json:"step"`
-	Tallies map[string]rollout.Tally `json:"tallies,omitempty"`
+	Order int64 `json:"order"`
+	Step  Step  `json:"step"`
+	// Tallies are the host's own by version, Others some of those it has heard of,
+	// by host. In a large fleet evidence would come too late from each host alone.
+	Tallies map[string]rollout.Tally            `json:"tallies,omitempty"`
+	Others  map[string]map[string]rollout.Tally `json:"others,omitempty"`
 }
 
+// maxOthers bounds the hosts whose evidence is passed on in one heartbeat.
+const maxOthers = 40
+
 // Export returns what this host knows, for the other hosts.
 func (r *Rollouts) Export() map[string]Evidence {
 	r.mu.Lock()
@@ -287,12 +294,38 @@
 	out := make(map[string]Evidence)
 	for name, s := range r.services {
 		if s.ordered {
-			out[name] = Evidence{Order: s.order.Revision, Step: s.step, Tallies: maps.Clone(s.own)}
+			out[name] = Evidence{Order: s.order.Revision, Step: s.step, Tallies: maps.Clone(s.own), Others: s.someOthers()}
+		}
+	}
+	return out
+}
+
+// someOthers returns the evidence of some other hosts; maps are walked from a
+// random place, so that all get their turn.
+func (s *service) someOthers() map[string]map[string]rollout.Tally {
+	out := make(map[string]map[string]rollout.Tally)
+	for host, tallies := range s.peers {
+		if len(out) == maxOthers {
+			break
 		}
+		out[host] = tallies
 	}
 	return out
 }
 
+// hear takes over the newer of two reports of one host. Its counts only rise.
+func (s *service) hear(host string, tallies map[string]rollout.Tally) {
+	known := maps.Clone(s.peers[host])
+	if known == nil {
+		known = make(map[string]rollout.Tally)
+	}
+	for version, t := range tallies {
+		k := known[version]
+		known[version] = rollout.Tally{Good: max(k.Good, t.Good), Bad: max(k.Bad, t.Bad)}
+	}
+	s.peers[host] = known
+}
+
 // Merge takes in what another host knows.
 func (r *Rollouts) Merge(host string, evidence map[string]Evidence) {
 	r.mu.Lock()
@@ -301,7 +334,12 @@
 		s := r.service(name)
 		r.takeStep(name, s, e.Step, host)
 		if s.ordered && e.Order == s.order.Revision {
-			s.peers[host] = e.Tallies
+			s.hear(host, e.Tallies)
+			for other, tallies := range e.Others {
+				if other != r.self {
+					s.hear(other, tallies)
+				}
+			}
 			r.judge(name, s)
 		}
 	}
--- a/control/rollouts_test.go
+++ b/control/rollouts_test.go
@@ -41,10 +41,10 @@
 
 func newWorld(t *testing.T, n int) *world {
 	w := &world{t: t, store: memkv.New(clockwork.NewRealClock())}
-	for range n {
+	for i := range n {
 		h := &host{fleet: fleet.NewRegistry(time.Second)}
 		stage := func() rollout.StageConfig { return rollout.StageConfig{ExposureShare: 0.15, ExposureExtra: 30} }
-		h.rollouts = control.NewRollouts(h.fleet, stage, clockwork.NewRealClock(), quiet)
+		h.rollouts = control.NewRollouts(hostName(i), h.fleet, stage, clockwork.NewRealClock(), quiet)
 		h.state = control.NewState(platform.Records{}, h.fleet, h.rollouts, clockwork.NewRealClock(), quiet)
 		w.hosts = append(w.hosts, h)
 	}
@@ -55,6 +55,8 @@
 	return w
 }
 
+func hostName(i int) string { return fmt.Sprint("host-", i) }
+
 // sync hands each host what it has not seen of the store.
 func (w *world) sync() {
 	for _, h := range w.hosts {
@@ -72,7 +74,7 @@
 	for i, a := range w.hosts {
 		for j, b := range w.hosts {
 			if i != j {
-				b.rollouts.Merge(string(rune('A'+i)), a.rollouts.Export())
+				b.rollouts.Merge(hostName(i), a.rollouts.Export())
 			}
 		}
 	}
@@ -201,7 +203,7 @@
 		w.run(5*time.Second, w.store, func(h *host, version string) {
 			h.rollouts.Observe("s", version, rollout.Observation{Bad: version == "v2"})
 		})
-		cut.rollouts.Merge("A", w.hosts[0].rollouts.Export())
+		cut.rollouts.Merge(hostName(0), w.hosts[0].rollouts.Export())
 		if v := cut.rollouts.Pick("s", 0); v != "v1" {
 			t.Errorf("the cut off host uses %q", v)
 		}
@@ -244,3 +246,30 @@
 		t.Error("the endpoint is still used")
 	}
 }
+
+// TestEvidenceTravelsThroughHosts guards against a large fleet in which each
+// host sees too few bad answers to stop a version, because it hears of others
+// only directly.
+func TestEvidenceTravelsThroughHosts(t *testing.T) {
+	const hosts = 12
+	w := newWorld(t, hosts)
+	w.store.Put("op/rollout/s", []byte(order))
+	w.sync()
+	for _, h := range w.hosts {
+		for range 10 {
+			h.rollouts.Observe("s", "v1", rollout.Observation{})
+		}
+		h.rollouts.Observe("s", "v2", rollout.Observation{Bad: true})
+	}
+	for i := 1; i < hosts; i++ { // each host hears of the one before it alone
+		w.hosts[i].rollouts.Merge(hostName(i-1), w.hosts[i-1].rollouts.Export())
+	}
+	exported := w.hosts[hosts-1].rollouts.Export()["s"]
+	if got := len(exported.Others); got != hosts-1 {
+		t.Errorf("the last host knows of %d others", got)
+	}
+	w.hosts[hosts-1].rollouts.Merge(hostName(0), w.hosts[0].rollouts.Export())
+	if again := w.hosts[hosts-1].rollouts.Export()["s"]; again.Others[hostName(0)]["v2"].Bad != 1 {
+		t.Errorf("one bad answer counted as %+v", again.Others[hostName(0)])
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -64,6 +64,22 @@
 	}
 }
 
+// Material implements feed.Sink. Foreign keys and heartbeats that change nothing
+// but a counter are of no interest to other hosts.
+func (s *State) Material(ev kv.Event, old *kv.Entry) bool {
+	kind, _ := s.codec.Classify(ev.Entry.Key)
+	if kind == KindForeign {
+		return false
+	}
+	if kind != KindEndpoint || ev.Deleted || old == nil {
+		return true
+	}
+	was, errWas := s.codec.DecodeEndpoint(*old)
+	now, errNow := s.codec.DecodeEndpoint(ev.Entry)
+	was.Revision, was.ColdFor = now.Revision, now.ColdFor
+	return errWas != nil || errNow != nil || was != now
+}
+
 // Tick implements feed.Sink.
 func (s *State) Tick() { s.fleet.Expire(s.clock.Now()) }
 
--- a/daemon/router/peers.go
+++ b/daemon/router/peers.go
@@ -25,11 +25,11 @@
 	serviceServers = "servers"
 )
 
-// methodSnapshot asks a host for its state.
-const methodSnapshot = "feed.Snapshot"
+// methodNews asks a host for what is new in its state.
+const methodNews = "feed.News"
 
-// snapshotCall is the message of methodSnapshot.
-type snapshotCall struct {
+// newsCall is the message of methodNews.
+type newsCall struct {
 	// After is the revision that the asking host has.
 	After int64 `json:"after"`
 }
@@ -81,7 +81,7 @@
 	}
 	s.members.OnChange(s.memberChanged)
 	s.registerSignals()
-	s.server.Handle(methodSnapshot, s.handleSnapshot)
+	s.server.Handle(methodNews, s.handleNews)
 	s.ln, err = net.Listen("tcp", set.Peer)
 	return errors.Wrap(err, "router: listen for peers")
 }
@@ -172,37 +172,89 @@
 	return fresh || !known
 }
 
-func (s *peerService) handleSnapshot(_ context.Context, _ string, params json.RawMessage) (any, error) {
-	var call snapshotCall
+func (s *peerService) handleNews(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var call newsCall
 	if err := json.Unmarshal(params, &call); err != nil {
-		return nil, errors.Wrap(err, "router: decode snapshot call")
+		return nil, errors.Wrap(err, "router: decode news call")
 	}
-	return s.host.follower.Snapshot(call.After)
+	return s.host.follower.News(call.After)
 }
 
-// askPeers asks a live host for its state, one after the other until one has
-// a current one.
-func (h *Host) askPeers(ctx context.Context, after int64) (feed.Snapshot, error) {
-	err := errors.New("router: no other host")
-	members := h.peers.members.Members()
-	h.rngMu.Lock()
-	h.opts.Rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	h.rngMu.Unlock()
+// readersPerDomain is the number of hosts in a failure domain that follow the
+// store themselves. The others follow them, so that the calls to the store do
+// not grow with the fleet.
+const readersPerDomain = 2
+
+// readsStore reports whether this host follows the store itself.
+func (h *Host) readsStore() bool {
+	own := h.opts.Settings
+	for _, m := range h.readers() {
+		if m.Host == own.Host {
+			return true
+		}
+	}
+	return false
+}
+
+// readers returns the live hosts that follow the store: the first ones of each
+// failure domain by name.
+func (h *Host) readers() []membership.Member {
+	count := make(map[string]int)
+	var out []membership.Member
+	for _, m := range h.peers.members.Members() { // ordered by name
+		if m.State != membership.Alive || count[m.FailureDomain] >= readersPerDomain {
+			continue
+		}
+		count[m.FailureDomain]++
+		out = append(out, m)
+	}
+	return out
+}
+
+// maxPeersAsked bounds the hosts asked in one round.
+const maxPeersAsked = 3
+
+// askPeers asks hosts that follow the store for news, near ones first, one
+// after the other until one answers.
+func (h *Host) askPeers(ctx context.Context, after int64) (feed.News, error) {
+	err := errors.New("router: no other host follows the store")
 	asked := 0
-	for _, m := range members {
-		if m.Host == h.opts.Settings.Host || !m.State.Live() || !h.peers.isFresh(m.Host) {
+	for _, m := range h.nearFirst(h.readers()) {
+		if m.Host == h.opts.Settings.Host || !h.peers.isFresh(m.Host) {
 			continue
 		}
 		if asked++; asked > maxPeersAsked {
 			break
 		}
-		var s feed.Snapshot
-		if err = h.peers.client.Call(ctx, m.PeerAddress, methodSnapshot, snapshotCall{After: after}, &s); err == nil {
-			return s, nil
+		var n feed.News
+		if err = h.peers.client.Call(ctx, m.PeerAddress, methodNews, newsCall{After: after}, &n); err == nil {
+			return n, nil
 		}
 	}
-	return feed.Snapshot{}, err
+	return feed.News{}, err
 }
 
-// maxPeersAsked bounds the hosts asked in one round.
-const maxPeersAsked = 2
+// nearFirst returns the hosts at random, a near one first and then alternating
+// with others, so that the loss of a failure domain costs one question.
+func (h *Host) nearFirst(hosts []membership.Member) []membership.Member {
+	h.rngMu.Lock()
+	h.opts.Rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	h.rngMu.Unlock()
+	var near, far, out []membership.Member
+	for _, m := range hosts {
+		if m.FailureDomain == h.opts.Settings.FailureDomain {
+			near = append(near, m)
+		} else {
+			far = append(far, m)
+		}
+	}
+	for i := range max(len(near), len(far)) {
+		if i < len(near) {
+			out = append(out, near[i])
+		}
+		if i < len(far) {
+			out = append(out, far[i])
+		}
+	}
+	return out
+}
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -130,9 +130,10 @@
 	feedWait    = 500 * time.Millisecond
 	feedPause   = 500 * time.Millisecond
 	feedTimeout = time.Second
-	// fallbackAge is the age of the state from which other hosts are asked.
-	fallbackAge      = 1500 * time.Millisecond
-	fallbackInterval = 300 * time.Millisecond
+	// askAge is the age of the state from which a host asks whoever may answer. A
+	// host that follows another one usually knows its state within 1.7 s.
+	askAge      = 2 * time.Second
+	askInterval = 300 * time.Millisecond
 	// stalenessMargin is the part of the time for a revocation that is left for
 	// the way of a request to its endpoint.
 	stalenessMargin = 700 * time.Millisecond
@@ -144,12 +145,12 @@
 	h := &Host{opts: opts, kernel: kernel.New(), registry: fleet.NewRegistry(lapseGrace)}
 	h.admit.Store(true)
 	h.SetBounds(opts.Settings.Bounds)
-	h.rollouts = control.NewRollouts(h.registry, func() rollout.StageConfig { return h.bounds.Load().Exposure }, opts.Clock, opts.Logger)
+	h.rollouts = control.NewRollouts(opts.Settings.Host, h.registry, func() rollout.StageConfig { return h.bounds.Load().Exposure }, opts.Clock, opts.Logger)
 	h.state = control.NewState(opts.Records, h.registry, h.rollouts, opts.Clock, opts.Logger)
 	h.follower = feed.New(feed.Options{
 		Source: opts.Store, Sink: h.state, Wait: feedWait, Pause: feedPause, CallTimeout: feedTimeout, Settle: lapseWindow,
 		Clock: opts.Clock, Boottime: boottime.Now, Rand: h.newRand(), Logger: opts.Logger,
-		Fallback: h.askPeers, FallbackAge: fallbackAge, FallbackInterval: fallbackInterval,
+		Direct: h.readsStore, Ask: h.askPeers, AskAge: askAge, AskInterval: askInterval,
 	})
 	h.crashes = limiter.NewCrashGuard(opts.Clock, limiter.SpreadTime(minHosts, membership.DefaultInterval))
 	h.relay = relay.New(relay.Options{
@@ -189,7 +190,7 @@
 		Retry: limiter.WindowConfig{
 			Window: b.RetryWindow, Share: budgetPart * b.RetryRatio, Extra: budgetPart * b.RetryExtra / float64(hosts),
 		},
-		Hosts: hosts,
+		Hosts: int(h.hosts.Load()),
 	}
 }
 
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -26,6 +26,9 @@
 	Reset(entries []kv.Entry, disturbed bool)
 	// Apply applies changes in their order.
 	Apply(events []kv.Event, disturbed bool)
+	// Material reports whether a change says something new, given the entry that
+	// was there before; nil for none. Other changes are not passed on to hosts.
+	Material(ev kv.Event, old *kv.Entry) bool
 	// Tick is called after each answer of the service.
 	Tick()
 }
@@ -50,25 +53,30 @@
 	Boottime boottime.Clock
 	Rand     *rand.Rand
 	Logger   *slog.Logger
-	// Fallback, if set, asks another host for its state. It is used while the
-	// service does not answer this host.
-	Fallback func(ctx context.Context, after int64) (Snapshot, error)
-	// FallbackAge is the age from which Fallback is asked, FallbackInterval the
-	// time between two questions.
-	FallbackAge, FallbackInterval time.Duration
+	// Direct reports whether this host follows the service itself; nil stands for
+	// always. Other hosts follow one that does.
+	Direct func() bool
+	// Ask, if set, asks another host for what is new after a revision.
+	Ask func(ctx context.Context, after int64) (News, error)
+	// AskAge is the age of the state from which a host asks both the service and
+	// other hosts, whichever it follows; AskInterval is the time between two
+	// questions to hosts then.
+	AskAge, AskInterval time.Duration
 }
 
-// Snapshot is the state of a follower, for another host.
-type Snapshot struct {
+// News is what one host tells another about its state.
+type News struct {
 	// At is the revision up to which the state is complete.
 	At int64 `json:"at"`
 	// AgeMS is how long before the answer the state was known to be current.
 	AgeMS int64 `json:"age_ms"`
-	// Entries are all keys; empty if At is not above the revision asked for.
+	// Full is set if Entries are all keys; else Events are the changes.
+	Full    bool       `json:"full,omitempty"`
 	Entries []kv.Entry `json:"entries,omitempty"`
+	Events  []kv.Event `json:"events,omitempty"`
 }
 
-// ErrNoState reports a follower that has nothing to pass on.
+// ErrNoState reports a follower that has no state to pass on.
 var ErrNoState = errors.New("feed: no state")
 
 // Follower keeps a Sink up to date.
@@ -83,6 +91,9 @@
 	synced   bool
 	returned time.Time // end of the last outage
 	mirror   map[string]kv.Entry
+	// history holds the newest changes, complete after the revision historyFrom.
+	history     []kv.Event
+	historyFrom int64
 
 	mu        sync.Mutex
 	confirmed boottime.Instant
@@ -123,10 +134,15 @@
 func (f *Follower) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	if f.opts.Fallback != nil {
-		wg.Go(func() { f.fallBack(ctx) })
+	if f.opts.Ask != nil {
+		wg.Go(func() { f.askWhileOld(ctx) })
 	}
 	for ctx.Err() == nil {
+		if f.indirect() {
+			f.ask(ctx)
+			f.pause(ctx, f.opts.Pause)
+			continue
+		}
 		started := f.opts.Boottime()
 		err := f.step(ctx)
 		pause := f.opts.Pause
@@ -138,14 +154,28 @@
 		default:
 			f.succeed(started)
 		}
-		select {
-		case <-ctx.Done():
-		case <-f.opts.Clock.After(pause):
-		}
+		f.pause(ctx, pause)
 	}
 	return nil
 }
 
+func (f *Follower) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-f.opts.Clock.After(d):
+	}
+}
+
+// indirect reports whether another host is followed in place of the service. A
+// host whose state grows old asks the service again.
+func (f *Follower) indirect() bool {
+	if f.opts.Direct == nil || f.opts.Ask == nil || f.opts.Direct() {
+		return false
+	}
+	age, ok := f.Age()
+	return ok && age < f.opts.AskAge
+}
+
 // step makes one call and hands on its result.
 func (f *Follower) step(ctx context.Context) error {
 	at, synced := f.position()
@@ -182,11 +212,7 @@
 	// Another host's state may have come meanwhile.
 	events = slices.DeleteFunc(events, func(ev kv.Event) bool { return ev.Entry.Revision <= f.at })
 	for _, ev := range events {
-		if ev.Deleted {
-			delete(f.mirror, ev.Entry.Key)
-		} else {
-			f.mirror[ev.Entry.Key] = ev.Entry
-		}
+		f.keep(ev)
 	}
 	if len(events) > 0 {
 		f.opts.Sink.Apply(events, f.disturbed())
@@ -218,31 +244,66 @@
 		return
 	}
 	clear(f.mirror)
+	f.history, f.historyFrom = nil, at
 	for _, e := range entries {
-		f.mirror[e.Key] = e
+		if f.opts.Sink.Material(kv.Event{Entry: e}, nil) {
+			f.mirror[e.Key] = e
+		}
 	}
 	f.opts.Sink.Reset(entries, f.disturbed())
 	f.at = at
 }
 
-// Snapshot returns the state for a host that has it up to a revision.
-func (f *Follower) Snapshot(after int64) (Snapshot, error) {
+// maxHistory bounds the changes kept for other hosts.
+const maxHistory = 1024
+
+// keep records a change for other hosts if it says something new.
+func (f *Follower) keep(ev kv.Event) {
+	var old *kv.Entry
+	if e, ok := f.mirror[ev.Entry.Key]; ok {
+		old = &e
+	}
+	if !f.opts.Sink.Material(ev, old) {
+		return
+	}
+	if ev.Deleted {
+		delete(f.mirror, ev.Entry.Key)
+	} else {
+		f.mirror[ev.Entry.Key] = ev.Entry
+	}
+	f.history = append(f.history, ev)
+	if len(f.history) > maxHistory {
+		f.historyFrom = f.history[0].Entry.Revision
+		f.history = slices.Clone(f.history[1:])
+	}
+}
+
+// News returns what is new for a host that has the state up to a revision.
+func (f *Follower) News(after int64) (News, error) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	age, ok := f.Age()
 	if !ok {
-		return Snapshot{}, ErrNoState
+		return News{}, ErrNoState
 	}
-	s := Snapshot{At: f.at, AgeMS: age.Milliseconds() + 1}
-	if f.at > after {
-		s.Entries = slices.Collect(maps.Values(f.mirror))
+	n := News{At: f.at, AgeMS: age.Milliseconds() + 1}
+	if f.at <= after {
+		return n, nil
 	}
-	return s, nil
+	if after < f.historyFrom {
+		n.Full, n.Entries = true, slices.Collect(maps.Values(f.mirror))
+		return n, nil
+	}
+	first := slices.IndexFunc(f.history, func(ev kv.Event) bool { return ev.Entry.Revision > after })
+	if first >= 0 {
+		n.Events = slices.Clone(f.history[first:])
+	}
+	return n, nil
 }
 
-// fallBack asks other hosts while the service does not answer.
-func (f *Follower) fallBack(ctx context.Context) {
-	ticker := f.opts.Clock.NewTicker(f.opts.FallbackInterval)
+// askWhileOld asks other hosts while the state is old.
+func (f *Follower) askWhileOld(ctx context.Context) {
+	ticker := f.opts.Clock.NewTicker(f.opts.AskInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -250,27 +311,30 @@
 			return
 		case <-ticker.Chan():
 		}
-		if age, ok := f.Age(); !ok || age >= f.opts.FallbackAge {
-			f.askPeer(ctx)
+		if age, ok := f.Age(); !ok || age >= f.opts.AskAge {
+			f.ask(ctx)
 		}
 	}
 }
 
-// askPeer takes over another host's state. The state was current at an instant
-// that lies at most the reported age before the question, however long the
-// answer took.
-func (f *Follower) askPeer(ctx context.Context) {
+// ask takes over another host's news. The state was current at an instant that
+// lies at most the reported age before the question, however long the answer
+// took.
+func (f *Follower) ask(ctx context.Context) {
 	asked := f.opts.Boottime()
 	at, _ := f.position()
-	s, err := f.opts.Fallback(ctx, at)
-	if err != nil || s.At < at {
-		f.opts.Logger.Debug("no state from another host", "error", err, "at", at, "peer_at", s.At)
+	n, err := f.opts.Ask(ctx, at)
+	if err != nil || n.At < at {
+		f.opts.Logger.Debug("no news from another host", "error", err, "at", at, "peer_at", n.At)
 		return
 	}
-	if s.At > at {
-		f.reset(s.Entries, s.At)
+	if n.Full {
+		f.reset(n.Entries, n.At)
+	} else {
+		f.applyChanges(n.Events, n.At)
 	}
-	f.confirm(asked - boottime.Instant(time.Duration(s.AgeMS)*time.Millisecond))
+	f.opts.Sink.Tick()
+	f.confirm(asked - boottime.Instant(time.Duration(n.AgeMS)*time.Millisecond))
 }
 
 // outageGap is the time without a confirmation, by the service or by another
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -64,6 +64,8 @@
 	s.disturbed = append(s.disturbed, disturbed)
 }
 
+func (s *sink) Material(ev kv.Event, _ *kv.Entry) bool { return ev.Entry.Key != "noise" }
+
 func (s *sink) Tick() { s.ticks <- struct{}{} }
 
 // atomicInstant is a clock that a test moves.
@@ -196,16 +198,16 @@
 	boot := &atomicInstant{}
 	boot.add(time.Hour)
 	asked := make(chan int64, 1)
-	snapshots := make(chan feed.Snapshot)
+	answers := make(chan feed.News)
 	clock := clockwork.NewFakeClock()
 	s := &sink{ticks: make(chan struct{}, 16)}
 	f := feed.New(feed.Options{
 		Source: &source{answers: make(chan answer)}, Sink: s, Clock: clock, Boottime: boot.load,
 		Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		FallbackAge: time.Second, FallbackInterval: time.Second,
-		Fallback: func(_ context.Context, after int64) (feed.Snapshot, error) {
+		AskAge: time.Second, AskInterval: time.Second,
+		Ask: func(_ context.Context, after int64) (feed.News, error) {
 			asked <- after
-			return <-snapshots, nil
+			return <-answers, nil
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -219,16 +221,91 @@
 		t.Errorf("asked for changes after %d", after)
 	}
 	boot.add(2 * time.Second) // the answer is under way
-	snapshots <- feed.Snapshot{At: 7, AgeMS: 1000, Entries: []kv.Entry{entry("a")}}
+	answers <- feed.News{At: 7, AgeMS: 1000, Full: true, Entries: []kv.Entry{entry("a")}}
 	<-f.Ready()
 	if age, _ := f.Age(); age != 3*time.Second {
 		t.Errorf("age %v, want the answer's age and the time of the question", age)
 	}
-	own, err := f.Snapshot(0)
+	own, err := f.News(0)
 	if err != nil || own.At != 7 || len(own.Entries) != 1 {
-		t.Errorf("own snapshot %+v, %v", own, err)
+		t.Errorf("own news %+v, %v", own, err)
 	}
-	if again, _ := f.Snapshot(7); len(again.Entries) != 0 {
+	if again, _ := f.News(7); len(again.Entries) != 0 {
 		t.Error("a host that is up to date got all entries")
 	}
 }
+
+// TestPassesOnOnlyWhatIsNew guards against heartbeats of all endpoints that
+// travel to every host, and against a host that misses a change because of it.
+func TestPassesOnOnlyWhatIsNew(t *testing.T) {
+	r := start(t)
+	r.answer(t, answer{entries: []kv.Entry{{Key: "a", Revision: 1}, {Key: "noise", Revision: 2}}, at: 5})
+	<-r.sink.ticks
+	r.answer(t, answer{events: []kv.Event{{Entry: kv.Entry{Key: "noise", Revision: 6}}, {Entry: kv.Entry{Key: "b", Revision: 7}}}, at: 8})
+	<-r.sink.ticks
+	full, err := r.News(3)
+	if err != nil || !full.Full || len(full.Entries) != 2 || full.At != 8 {
+		t.Errorf("to a host far behind: %+v, %v", full, err)
+	}
+	some, err := r.News(5)
+	if err != nil || some.Full || len(some.Events) != 1 || some.Events[0].Entry.Key != "b" {
+		t.Errorf("to a host that has revision 5: %+v, %v", some, err)
+	}
+}
+
+// TestIndirectHostsMakeNoCalls guards against every host of a large fleet
+// calling the service, and against a host that stays without news when the one
+// it follows is gone.
+func TestIndirectHostsMakeNoCalls(t *testing.T) {
+	boot := &atomicInstant{}
+	var asked atomic.Int64
+	calls := &countingSource{}
+	clock := clockwork.NewFakeClock()
+	f := feed.New(feed.Options{
+		Source: calls, Sink: &sink{ticks: make(chan struct{}, 256)}, Clock: clock, Boottime: boot.load,
+		Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Pause: time.Second,
+		Direct: func() bool { return false }, AskAge: 2 * time.Second, AskInterval: time.Second,
+		Ask: func(context.Context, int64) (feed.News, error) {
+			if asked.Add(1) > 20 {
+				return feed.News{}, feed.ErrNoState
+			}
+			return feed.News{At: 1}, nil
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = f.Run(ctx) }()
+	<-f.Ready()
+	first := calls.n.Load()
+	for asked.Load() < 20 {
+		if err := clock.BlockUntilContext(ctx, 2); err != nil {
+			t.Fatal(err)
+		}
+		clock.Advance(time.Second)
+	}
+	if n := calls.n.Load() - first; n != 0 {
+		t.Errorf("%d calls while another host answered", n)
+	}
+	for calls.n.Load() == first {
+		boot.add(time.Second)
+		if err := clock.BlockUntilContext(ctx, 2); err != nil {
+			t.Fatal(err)
+		}
+		clock.Advance(time.Second)
+	}
+}
+
+// countingSource answers every call with nothing new.
+type countingSource struct{ n atomic.Int64 }
+
+func (s *countingSource) List(context.Context, string) ([]kv.Entry, int64, error) {
+	s.n.Add(1)
+	return nil, 1, nil
+}
+
+func (s *countingSource) Changes(context.Context, string, int64, time.Duration) ([]kv.Event, int64, error) {
+	s.n.Add(1)
+	return nil, 1, nil
+}
+
+func (s *countingSource) Commit(context.Context, []kv.Write) (int64, error) { return 0, nil }
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -11,8 +11,15 @@
 	"github.com/corianderlever/corianderlever/route"
 )
 
-// Loads is the load of one host by service and endpoint.
-type Loads map[string]map[string]balance.EngineLoad
+// Loads is what one host tells the others of the engines of each service.
+type Loads map[string]ServiceLoad
+
+// ServiceLoad is the load that one host puts on the engines of a service, and
+// what it has learned of them.
+type ServiceLoad struct {
+	Engines map[string]balance.EngineLoad `json:"engines,omitempty"`
+	Rates   map[string]balance.ReadRate   `json:"rates,omitempty"`
+}
 
 // pool is what is believed of the endpoints of one service.
 type pool struct {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -45,7 +45,7 @@
 	MaxStaleness time.Duration
 	// Retry is this host's part of the budget of repeats of one service.
 	Retry limiter.WindowConfig
-	// Hosts is the number of hosts believed to serve callers.
+	// Hosts is the number of hosts that serve callers, this one included.
 	Hosts int
 }
 
@@ -126,8 +126,9 @@
 	defer r.mu.Unlock()
 	out := make(Loads)
 	for name, p := range r.pools {
-		if loads := p.engines.Loads(); len(loads) > 0 {
-			out[name] = loads
+		load := ServiceLoad{Engines: p.engines.Loads(), Rates: p.engines.Rates()}
+		if len(load.Engines) > 0 || len(load.Rates) > 0 {
+			out[name] = load
 		}
 	}
 	return out
@@ -136,6 +137,8 @@
 // ObservePeer takes in the load of another host.
 func (r *Relay) ObservePeer(host string, loads Loads) {
 	for service, l := range loads {
-		r.pool(service).engines.ObservePeer(host, l)
+		engines := r.pool(service).engines
+		engines.ObservePeer(host, l.Engines, r.Settings().Hosts)
+		engines.ObserveRates(l.Rates)
 	}
 }
