Begin roll-outs of busy services with few sessions

Change: the first stage takes 2.5 requests a second, at most half of the stated exposure. Ruled out: hosts that disagree about the step (all 89 had it within 1.1 s).

--- a/control/coordinator.go
+++ b/control/coordinator.go
@@ -93,7 +93,9 @@
 	}
 	elapsed := s.seenFrom + r.clock.Since(s.seenAt)
 	target, base := s.tallies()
-	d := r.stage().Advance(s.order, elapsed, step.Share, target, base, r.capacity(name, s.order.Target))
+	d := r.stage().Advance(s.order, elapsed, step.Share, target, base, rollout.Situation{
+		Capacity: r.capacity(name, s.order.Target), Rate: s.arrivals.rate(r.clock.Now()) * float64(r.hosts()),
+	})
 	if s.suspect {
 		d = rollout.Decision{State: rollout.OrderReverted, Reason: "target is worse"}
 	}
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -55,6 +55,8 @@
 	own     map[string]rollout.Tally            // by version, since the order
 	peers   map[string]map[string]rollout.Tally // by host and version
 	pace    *pace
+	// arrivals counts the requests at this host.
+	arrivals arrivals
 }
 
 // Rollouts steers which version of a service serves a request, and gathers how
@@ -63,6 +65,8 @@
 	self  string
 	fleet *fleet.Registry
 	stage func() rollout.StageConfig
+	// hosts returns the number of hosts that serve.
+	hosts func() int
 	clock clockwork.Clock
 	log   *slog.Logger
 
@@ -71,8 +75,8 @@
 }
 
 // NewRollouts returns the rollouts as seen by a host, without orders.
-func NewRollouts(self string, registry *fleet.Registry, stage func() rollout.StageConfig, clock clockwork.Clock, log *slog.Logger) *Rollouts {
-	return &Rollouts{self: self, fleet: registry, stage: stage, clock: clock, log: log, services: make(map[string]*service)}
+func NewRollouts(self string, registry *fleet.Registry, stage func() rollout.StageConfig, hosts func() int, clock clockwork.Clock, log *slog.Logger) *Rollouts {
+	return &Rollouts{self: self, fleet: registry, stage: stage, hosts: hosts, clock: clock, log: log, services: make(map[string]*service)}
 }
 
 func (r *Rollouts) service(name string) *service {
@@ -157,8 +161,9 @@
 func (r *Rollouts) Pick(name string, point float64) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.services[name]
-	if s == nil || !s.ordered {
+	s := r.service(name)
+	s.arrivals.add(r.clock.Now())
+	if !s.ordered {
 		return ""
 	}
 	base := r.baseVersion(name, s.order.Target)
@@ -266,7 +271,7 @@
 		return
 	}
 	target, base := s.tallies()
-	if r.stage().Advance(s.order, 0, step.Share, target, base, 1).State != rollout.OrderReverted {
+	if r.stage().Advance(s.order, 0, step.Share, target, base, rollout.Situation{}).State != rollout.OrderReverted {
 		return
 	}
 	s.suspect = true
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -145,7 +145,8 @@
 	h := &Host{opts: opts, kernel: kernel.New(), registry: fleet.NewRegistry(lapseGrace)}
 	h.admit.Store(true)
 	h.SetBounds(opts.Settings.Bounds)
-	h.rollouts = control.NewRollouts(opts.Settings.Host, h.registry, func() rollout.StageConfig { return h.bounds.Load().Exposure }, opts.Clock, opts.Logger)
+	h.rollouts = control.NewRollouts(opts.Settings.Host, h.registry, func() rollout.StageConfig { return h.bounds.Load().Exposure },
+		func() int { return int(h.hosts.Load()) }, opts.Clock, opts.Logger)
 	h.state = control.NewState(opts.Records, h.registry, h.rollouts, opts.Clock, opts.Logger)
 	h.follower = feed.New(feed.Options{
 		Source: opts.Store, Sink: h.state, Wait: feedWait, Pause: feedPause, CallTimeout: feedTimeout, Settle: lapseWindow,
--- a/rollout/stage.go
+++ b/rollout/stage.go
@@ -40,11 +40,21 @@
 // that the later ones can find what shows only under load.
 const canaryPart = 0.5
 
-// stages returns the steps of a roll-out. Sessions stay on their version in its
-// first half, so the share stays the same there.
-func (c StageConfig) stages() []Stage {
+// canaryRate is the number of requests a second with which the first stage
+// finds a bad version. In a busy service it takes a small share: sessions that
+// are under way when it begins change their version.
+const canaryRate = 2.5
+
+// stages returns the steps of a roll-out of a service that gets so many requests
+// a second. Sessions stay on their version in its first half, so the share stays
+// the same there.
+func (c StageConfig) stages(rate float64) []Stage {
+	canary := canaryPart * min(c.ExposureShare, 1)
+	if rate > 0 {
+		canary = min(canary, canaryRate/rate)
+	}
 	return []Stage{
-		{From: 0, Share: canaryPart * min(c.ExposureShare, 1)},
+		{From: 0, Share: canary},
 		{From: 0.55, Share: 0.3},
 		{From: 0.65, Share: 0.6},
 		{From: 0.74, Share: 1},
@@ -55,6 +65,15 @@
 // done. What is left covers a store that answers late.
 const doneFrom = 0.86
 
+// Situation is what a roll-out finds.
+type Situation struct {
+	// Capacity is the number of endpoints of the target relative to those of the
+	// other versions.
+	Capacity float64
+	// Rate is the number of requests a second for the service, zero if unknown.
+	Rate float64
+}
+
 // Decision is what the coordinator of a roll-out does next.
 type Decision struct {
 	State OrderState
@@ -97,9 +116,8 @@
 }
 
 // Advance decides the next step of an order from the time since it was given,
-// the share in force and the evidence of all hosts. capacity is the number of
-// endpoints of the target relative to those of the other versions.
-func (c StageConfig) Advance(o Order, elapsed time.Duration, share float64, target, base Tally, capacity float64) Decision {
+// the share in force, the evidence of all hosts and the situation of the service.
+func (c StageConfig) Advance(o Order, elapsed time.Duration, share float64, target, base Tally, s Situation) Decision {
 	if worse(target, base) {
 		return Decision{State: OrderReverted, Reason: "target is worse"}
 	}
@@ -108,9 +126,10 @@
 		at = elapsed.Seconds() / o.Within.Seconds()
 	}
 	next := Decision{State: OrderRunning, Share: share, Reason: "stage"}
-	for _, s := range c.stages() {
-		if at >= s.From && s.Share > next.Share && capacity >= min(s.Share, minCapacity) {
-			next.Share = s.Share
+	for _, stage := range c.stages(s.Rate) {
+		begun := at >= stage.From && (stage.From > 0 || share == 0)
+		if begun && stage.Share > next.Share && s.Capacity >= min(stage.Share, minCapacity) {
+			next.Share = stage.Share
 		}
 	}
 	if at >= doneFrom && share >= 1 {
