Refuse an idempotency key that was used for another body; find the holder of a role in a test

Cause: a repeated key with another body received the first answer; TestRolloutAdvancesSurvivesItsHostAndRollsBack assumed that the first host holds the role and failed once beside load. Change: stored answers carry a hash of the request's body, and a mismatch is refused with key_reused, nothing run; the test stops the host that logged that it took the role. Tests: TestBookingRunsAtMostOnce has the case; the roll-out test passes.

--- a/api/api.go
+++ b/api/api.go
@@ -56,6 +56,7 @@
 	CodeUnavailable    = "unavailable"
 	CodeNotClaimed     = "not_claimed"
 	CodeAlreadyRun     = "already_run"
+	CodeKeyReused      = "key_reused"
 	CodeCrashing       = "request_crashes_endpoints"
 	CodeFailed         = "endpoint_failed"
 	CodeConflict       = "conflict"
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -68,6 +68,8 @@
 	ContentType string `json:"content_type,omitempty"`
 	// Body is the whole body.
 	Body []byte `json:"body,omitempty"`
+	// Request is a hash of the body that was answered; zero if it is not known.
+	Request uint64 `json:"request,omitempty"`
 }
 
 // Result tells whether the caller of Claim may run the request.
--- a/daemon/versions_test.go
+++ b/daemon/versions_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"regexp"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -106,6 +108,25 @@
 	}})
 }
 
+// roleHolder returns the index of the host that took a role last: which host
+// is first depends on how fast they start.
+func roleHolder(t *testing.T, log *logBuffer, role string) int {
+	t.Helper()
+	taken := log.lines("role="+role, "msg=\"role taken\"")
+	if len(taken) == 0 {
+		t.Fatalf("no host holds the role %s", role)
+	}
+	self := regexp.MustCompile(`self=entry-(\d+)`).FindStringSubmatch(taken[len(taken)-1])
+	if self == nil {
+		t.Fatalf("no host in %q", taken[len(taken)-1])
+	}
+	n, err := strconv.Atoi(self[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n - 1
+}
+
 // Guards against a roll-out that stands still, that ends with its controller's
 // host, or that goes on with a bad version.
 func TestRolloutAdvancesSurvivesItsHostAndRollsBack(t *testing.T) {
@@ -116,10 +137,7 @@
 	defer func() { stop() }()
 	c.startRollout("small-2", "small-1")
 	c.eventually(verdictBound, "the first step passes", func() bool { return c.rollout().Step > 0 })
-	if len(log.lines("role=rollouts", "msg=\"role taken\"", "self=entry-1")) == 0 {
-		t.Fatal("the first host does not hold the role")
-	}
-	if err := c.StopHost(c.ctx, 0); err != nil {
+	if err := c.StopHost(c.ctx, roleHolder(t, log, "rollouts")); err != nil {
 		t.Fatal(err)
 	}
 	c.eventually(2*verdictBound, "the roll-out is done", func() bool { return c.rollout().State == resource.RolloutDone })
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -201,7 +201,8 @@
 }
 
 // Guards against a booking that runs twice: on a repeat, with an unknown
-// claim, or without a key.
+// claim, or without a key; and against a caller that takes the answer to
+// another booking for its own.
 func TestBookingRunsAtMostOnce(t *testing.T) {
 	r := newRig(t, 1)
 	ctx := context.Background()
@@ -215,6 +216,8 @@
 	if err != nil || !again.Repeat || string(again.Body) != string(first.Body) {
 		t.Errorf("repeat: %s repeat=%t, %v; want the first answer %s", again.Body, again.Repeat, err, first.Body)
 	}
+	_, err = r.client.Call(ctx, client.Request{ID: id}, "booking", "book", map[string]any{"rim": 5})
+	refusedAs(t, err, api.CodeKeyReused, api.OutcomeNotRun)
 	_, err = r.client.Call(ctx, client.Request{ID: "not-a-uuid"}, "booking", "book", body)
 	refusedAs(t, err, api.CodeBadKey, api.OutcomeNotRun)
 	r.kv.Inject(memkv.Outage, memkv.Always)
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/corianderlever/corianderlever/api"
@@ -128,7 +129,9 @@
 	ctx = context.WithoutCancel(ctx)
 	switch {
 	case err == nil:
-		stored := claim.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}
+		stored := claim.Answer{
+			Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body, Request: xxhash.Sum64(c.req.Body),
+		}
 		if err := c.d.Claims.Complete(ctx, key, stored); err != nil {
 			c.d.Logger.WarnContext(ctx, "answer not stored for repeats", "request", c.req.ID, "error", err)
 		}
@@ -148,6 +151,11 @@
 		out.Outcome = api.OutcomeUnknown
 		return ServiceAnswer{}, out
 	}
+	if r := result.Answer.Request; r != 0 && r != xxhash.Sum64(c.req.Body) {
+		c.trace.add("claim", "the key was used for another body")
+		return ServiceAnswer{}, refusal(http.StatusUnprocessableEntity, api.CodeKeyReused,
+			"the Idempotency-Key was used for a request with another body; nothing was run")
+	}
 	c.trace.add("claim", "repeat of an answered request")
 	return ServiceAnswer{
 		Status: result.Answer.Status, ContentType: result.Answer.ContentType, Body: result.Answer.Body, Repeat: true,
