Let a host coordinate roll-outs only while the store answers it

Change: heartbeats say whether the store answers a host; only such a host coordinates. Ruled out: an outage of the store, lost answers. Test: TestReachesOnlyWhileTheServiceAnswers.

--- a/daemon/router/peers.go
+++ b/daemon/router/peers.go
@@ -44,7 +44,7 @@
 	ln      net.Listener
 
 	mu    sync.Mutex
-	fresh map[string]bool
+	fresh map[string]freshness
 }
 
 var _ kernel.Provisioner = (*peerService)(nil)
@@ -57,7 +57,7 @@
 // Provision makes server, client and membership.
 func (s *peerService) Provision(*kernel.Kernel) error {
 	o, set := s.host.opts, s.host.opts.Settings
-	s.fresh = make(map[string]bool)
+	s.fresh = make(map[string]freshness)
 	var err error
 	s.server, err = peer.NewServer(peer.ServerOptions{Key: set.ClusterKey, Clock: o.Clock, Logger: o.Logger})
 	if err != nil {
@@ -109,16 +109,27 @@
 	s.host.hosts.Store(n)
 }
 
-// freshness is the signal that tells whether a host can serve.
+// freshness is the signal that tells what a host can do.
 type freshness struct {
+	// Fresh is set if the host can serve requests.
 	Fresh bool `json:"fresh"`
+	// Store is set if the store answers the host itself.
+	Store bool `json:"store"`
+}
+
+// storeContact is the time since the last answer of the store within which a
+// host reaches it.
+const storeContact = 2 * time.Second
+
+func (s *peerService) ownFreshness() freshness {
+	return freshness{Fresh: s.host.Ready(), Store: s.host.follower.Reaches(storeContact)}
 }
 
 func (s *peerService) registerSignals() {
-	signal(s, "freshness", func() freshness { return freshness{s.host.Ready()} }, func(from string, v freshness) {
+	signal(s, "freshness", s.ownFreshness, func(from string, v freshness) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.fresh[from] = v.Fresh
+		s.fresh[from] = v
 	})
 	signal(s, "rollouts", s.host.rollouts.Export, func(from string, v map[string]control.Evidence) { s.host.rollouts.Merge(from, v) })
 	signal(s, "crashes", s.crashMarks, s.observeMarks)
@@ -168,8 +179,21 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	fresh, known := s.fresh[host]
-	return fresh || !known
+	f, known := s.fresh[host]
+	return f.Fresh || !known
+}
+
+// coordinates reports whether a host can coordinate: it serves and reaches the
+// store.
+func (s *peerService) coordinates(host string) bool {
+	if host == s.host.opts.Settings.Host {
+		own := s.ownFreshness()
+		return own.Fresh && own.Store
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.fresh[host]
+	return f.Fresh && f.Store
 }
 
 func (s *peerService) handleNews(_ context.Context, _ string, params json.RawMessage) (any, error) {
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -257,16 +257,16 @@
 	return listTTL
 }
 
-// leads reports whether this host coordinates the roll-outs: the live member
-// with the lowest name whose state is current.
+// leads reports whether this host coordinates the roll-outs: the first live
+// member by name that can serve and reaches the store.
 func (h *Host) leads() bool {
-	if h.stopping.Load() || !h.fresh() {
+	if h.stopping.Load() {
 		return false
 	}
 	for _, m := range h.peers.members.Members() {
-		if m.State == membership.Alive && h.peers.isFresh(m.Host) {
+		if m.State == membership.Alive && h.peers.coordinates(m.Host) {
 			return m.Host == h.opts.Settings.Host
 		}
 	}
-	return true
+	return false
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -97,8 +97,10 @@
 
 	mu        sync.Mutex
 	confirmed boottime.Instant
-	ever      bool
-	ready     chan struct{}
+	// answered is when the service last answered this host itself.
+	answered boottime.Instant
+	ever     bool
+	ready    chan struct{}
 }
 
 // New returns a follower that knows nothing until Run.
@@ -369,6 +371,16 @@
 	}
 	f.opts.Sink.Tick()
 	f.confirm(started)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answered = f.opts.Boottime()
+}
+
+// Reaches reports whether the service has answered this host itself within a time.
+func (f *Follower) Reaches(within time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ever && f.answered != 0 && f.opts.Boottime().Sub(f.answered) <= within
 }
 
 // confirm records that the state was current at an instant.
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -161,6 +161,25 @@
 	}
 }
 
+// TestReachesOnlyWhileTheServiceAnswers guards against a host that coordinates
+// although the service turns it away and only other hosts confirm its state.
+func TestReachesOnlyWhileTheServiceAnswers(t *testing.T) {
+	r := start(t)
+	if r.Reaches(time.Second) {
+		t.Error("reached before the first answer")
+	}
+	r.boot.add(time.Minute)
+	r.answer(t, answer{at: 1})
+	r.answer(t, answer{err: errors.New("turned away")}) // the first answer has been taken over
+	if !r.Reaches(time.Second) {
+		t.Error("not reached right after an answer")
+	}
+	r.boot.add(2 * time.Second)
+	if r.Reaches(time.Second) {
+		t.Error("reached two seconds after the last answer")
+	}
+}
+
 // TestMarksChangesAfterAnOutage guards against entries that lapsed in an outage
 // and are taken for endpoints that have left.
 func TestMarksChangesAfterAnOutage(t *testing.T) {
