--- a/relay/job.go
+++ b/relay/job.go
@@ -62,6 +62,8 @@
 	// lastEvent is the last event that the caller has.
 	lastEvent int64
 	firstByte time.Duration
+	// longestGap is the longest pause between two events of one endpoint.
+	longestGap time.Duration
 	// confidence is what the endpoint says of its answer, -1 if nothing.
 	confidence int
 	status     int
@@ -301,7 +303,7 @@
 	}
 	j.relay.Logger.Info("request", "request", j.req.ID, "route", name, "team", j.team, "priority", j.priority,
 		"outcome", outcome, "status", status, "detail", detail, "steps", j.trail.String(), "runs", j.runs,
-		"tokens", j.req.PromptTokens, "first_ms", j.firstByte.Milliseconds(), "took_ms", took.Milliseconds(),
+		"tokens", j.req.PromptTokens, "first_ms", j.firstByte.Milliseconds(), "gap_ms", j.longestGap.Milliseconds(), "took_ms", took.Milliseconds(),
 		"left_ms", j.left().Milliseconds(), "config", version, "config_age_ms", age.Milliseconds())
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -53,7 +53,11 @@
 		if err != nil {
 			return j.streamBroken(ctx, pl, n, err)
 		}
-		last = j.relay.Clock.Now()
+		now := j.relay.Clock.Now()
+		if n > 0 {
+			j.longestGap = max(j.longestGap, now.Sub(last))
+		}
+		last = now
 		pl.begun()
 		if n == 0 {
 			first = last
