Keep answers of small models from even odds on

Change: an answer is kept from a confidence of 52 on idle engines and 40 under full pressure (62 and 46 before).

--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -30,7 +30,7 @@
 	// keepLoaded the one at full pressure. Opinions scatter by about ten points
 	// around the truth; below even odds a larger model is worth its time unless
 	// it takes the place of other requests.
-	keepIdle, keepLoaded = 62, 46
+	keepIdle, keepLoaded = 52, 40
 	// keepOverloaded is the confidence from which an answer is kept when the
 	// engines have twice the work that they can do.
 	keepOverloaded = 25
