Tell all hosts of a roll-out's step at once

Change: the coordinator calls all live hosts when it has published a step; store and heartbeats remain behind it.

--- a/control/coordinator.go
+++ b/control/coordinator.go
@@ -26,6 +26,9 @@
 	Codec    Codec
 	// Leads reports whether this host coordinates now.
 	Leads func() bool
+	// Announce tells the other hosts of a step at once. Hosts that learn of it one
+	// after the other would send the requests of one session to different versions.
+	Announce func(service string, step Step)
 }
 
 // Run coordinates until ctx ends.
@@ -153,6 +156,7 @@
 	log.Info("rollout step published", "reason", p.reason, "revision", revision, "elapsed_ms", p.step.ElapsedMS,
 		"target_bad", p.target.Bad, "target_good", p.target.Good, "base_bad", p.base.Bad, "base_good", p.base.Good)
 	c.Rollouts.published(p, revision)
+	c.Announce(p.service, p.step)
 }
 
 // published records an own write before the feed shows it.
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -157,6 +157,13 @@
 	r.log.Info("rollout step", "service", name, "target", step.Target, "state", step.State, "share", step.Share, "from", from)
 }
 
+// TakeStep takes over a step that another host has published.
+func (r *Rollouts) TakeStep(name string, step Step, from string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.takeStep(name, r.service(name), step, from)
+}
+
 // Pick implements relay.Versions.
 func (r *Rollouts) Pick(name string, point float64) string {
 	r.mu.Lock()
--- a/control/rollouts_test.go
+++ b/control/rollouts_test.go
@@ -84,7 +84,11 @@
 func (w *world) run(d time.Duration, store kv.Feed, request func(h *host, version string)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	for i, h := range w.hosts {
-		c := &control.Coordinator{Rollouts: h.rollouts, Store: store, Codec: platform.Records{}, Leads: func() bool { return w.leads.Load() == int64(i) }}
+		c := &control.Coordinator{Rollouts: h.rollouts, Store: store, Codec: platform.Records{}, Leads: func() bool { return w.leads.Load() == int64(i) }, Announce: func(service string, step control.Step) {
+			for _, other := range w.hosts {
+				other.rollouts.TakeStep(service, step, hostName(i))
+			}
+		}}
 		go func() { _ = c.Run(ctx) }()
 	}
 	point := 0.0
--- a/daemon/router/peers.go
+++ b/daemon/router/peers.go
@@ -82,6 +82,7 @@
 	s.members.OnChange(s.memberChanged)
 	s.registerSignals()
 	s.server.Handle(methodNews, s.handleNews)
+	s.server.Handle(methodStep, s.handleStep)
 	s.ln, err = net.Listen("tcp", set.Peer)
 	return errors.Wrap(err, "router: listen for peers")
 }
@@ -151,6 +152,46 @@
 	}
 }
 
+// methodStep tells a host of a step of a roll-out.
+const methodStep = "rollout.Step"
+
+// stepCall is the message of methodStep.
+type stepCall struct {
+	Service string       `json:"service"`
+	Step    control.Step `json:"step"`
+}
+
+func (s *peerService) handleStep(_ context.Context, from string, params json.RawMessage) (any, error) {
+	var call stepCall
+	if err := json.Unmarshal(params, &call); err != nil {
+		return nil, errors.Wrap(err, "router: decode step")
+	}
+	s.host.rollouts.TakeStep(call.Service, call.Step, from)
+	return struct{}{}, nil
+}
+
+// announceAtOnce bounds the hosts told of a step at the same time.
+const announceAtOnce = 32
+
+// announce tells all live hosts of a step. Those that do not answer learn of it
+// from the store or by heartbeats.
+func (h *Host) announce(service string, step control.Step) {
+	slots := make(chan struct{}, announceAtOnce)
+	for _, m := range h.peers.members.Members() {
+		if m.Host == h.opts.Settings.Host || !m.State.Live() {
+			continue
+		}
+		slots <- struct{}{}
+		go func() {
+			defer func() { <-slots }()
+			err := h.peers.client.Call(context.Background(), m.PeerAddress, methodStep, stepCall{Service: service, Step: step}, nil)
+			if err != nil {
+				h.opts.Logger.Debug("rollout step not announced", "to", m.Host, "error", err)
+			}
+		}()
+	}
+}
+
 // signal attaches what produce returns to heartbeats and hands what arrives to consume.
 func signal[T any](s *peerService, name string, produce func() T, consume func(from string, v T)) {
 	log := s.host.opts.Logger
