--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -38,6 +38,9 @@
 	}
 	defer pl.end(limiter.OutcomeIgnored)
 	j.noteChoice(pl)
+	if refusal := j.checkForecast(pl); refusal != nil {
+		return refusal
+	}
 	answer, err := j.relay.Client.Do(ctx, pl.endpoint.Address, j.upstreamRequest(pl))
 	if err != nil {
 		return j.sendFailed(ctx, pl, err)
@@ -46,6 +49,19 @@
 	return j.answered(ctx, pl, answer)
 }
 
+// checkForecast refuses a request at once that cannot begin in its time even at
+// the best engine. It has not run, and its caller may find room later.
+func (j *job) checkForecast(pl *place) *Refusal {
+	over := pl.choice.Expected - j.left()
+	if pl.work == nil || j.runs > 0 || over <= 0 {
+		return nil
+	}
+	return &Refusal{
+		Status: http.StatusServiceUnavailable, Reason: "no_room_in_time", RetryAfter: max(over, shortRetry),
+		Detail: "expected to begin after " + pl.choice.Expected.Round(time.Millisecond).String(),
+	}
+}
+
 // noteChoice notes what decided the choice of an engine.
 func (j *job) noteChoice(pl *place) {
 	if pl.work == nil {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -6,11 +6,14 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/corianderlever/corianderlever/balance"
 	"github.com/corianderlever/corianderlever/limiter"
+	"github.com/corianderlever/corianderlever/relay"
 	"github.com/corianderlever/corianderlever/route"
 )
 
@@ -331,3 +334,19 @@
 		t.Errorf("%v; arrived at %v", err, r.arrived())
 	}
 }
+
+// TestRefusesAtOnceWhatCannotBegin guards against a request that waits until its
+// deadline although its host knows that no engine can begin with it in time.
+func TestRefusesAtOnceWhatCannotBegin(t *testing.T) {
+	r := newRig(t, stream(true, "small"))
+	r.endpoint("e", func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 2, false) })
+	busy := map[string]balance.EngineLoad{"e": {Running: 4, BacklogMS: []int64{60_000}}}
+	r.relay.ObservePeer("other", relay.Loads{"s": {Engines: busy}})
+	resp, _, err := r.call("POST", "/p/x")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || len(r.arrived()) != 0 {
+		t.Fatalf("%v, %v; arrived at %v", resp, err, r.arrived())
+	}
+	if after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err != nil || after < 30 {
+		t.Errorf("told to come back after %q seconds, the work ahead takes a minute", resp.Header.Get("Retry-After"))
+	}
+}
