Tell an outage of the store from news that came late

Change: whether there was an outage is said by the host that follows the store; a host decides it itself only for what the store tells it, after 3 s without any confirmation. Ruled out: slow passing of news (91 hosts had it, half of them within 0.5 s; the late ones dropped it 2.2 s after it). Test: TestLateNewsIsNoOutage.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -70,6 +70,9 @@
 	At int64 `json:"at"`
 	// AgeMS is how long before the answer the state was known to be current.
 	AgeMS int64 `json:"age_ms"`
+	// Disturbed is set right after an outage of the service, as the answering host
+	// saw it. A host whose own news came late must not take that for an outage.
+	Disturbed bool `json:"disturbed,omitempty"`
 	// Full is set if Entries are all keys; else Events are the changes.
 	Full    bool       `json:"full,omitempty"`
 	Entries []kv.Entry `json:"entries,omitempty"`
@@ -197,7 +200,7 @@
 		}
 		return err
 	}
-	f.applyChanges(events, now)
+	f.applyChanges(events, now, f.disturbed)
 	return nil
 }
 
@@ -207,17 +210,17 @@
 	return f.at, f.synced
 }
 
-func (f *Follower) applyChanges(events []kv.Event, at int64) {
+// applyChanges takes over changes; disturbed is asked under the lock.
+func (f *Follower) applyChanges(events []kv.Event, at int64, disturbed func() bool) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
-	f.noteReturn()
 	// Another host's state may have come meanwhile.
 	events = slices.DeleteFunc(events, func(ev kv.Event) bool { return ev.Entry.Revision <= f.at })
 	for _, ev := range events {
 		f.keep(ev)
 	}
-	if len(events) > 0 {
-		f.opts.Sink.Apply(events, f.disturbed())
+	if after := disturbed(); len(events) > 0 {
+		f.opts.Sink.Apply(events, after)
 	}
 	f.at = max(f.at, at)
 }
@@ -232,15 +235,14 @@
 		f.applying.Unlock()
 		return err
 	}
-	f.reset(entries, at)
+	f.reset(entries, at, f.disturbed)
 	return nil
 }
 
 // reset takes over a whole listing unless the state is newer already.
-func (f *Follower) reset(entries []kv.Entry, at int64) {
+func (f *Follower) reset(entries []kv.Entry, at int64, disturbed func() bool) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
-	f.noteReturn()
 	f.synced = true
 	if at < f.at {
 		return
@@ -252,7 +254,7 @@
 			f.mirror[e.Key] = e
 		}
 	}
-	f.opts.Sink.Reset(entries, f.disturbed())
+	f.opts.Sink.Reset(entries, disturbed())
 	f.at = at
 }
 
@@ -288,7 +290,7 @@
 	if !ok {
 		return News{}, ErrNoState
 	}
-	n := News{At: f.at, AgeMS: age.Milliseconds() + 1}
+	n := News{At: f.at, AgeMS: age.Milliseconds() + 1, Disturbed: f.recentlyReturned()}
 	if f.at <= after {
 		return n, nil
 	}
@@ -330,29 +332,32 @@
 		f.opts.Logger.Debug("no news from another host", "error", err, "at", at, "peer_at", n.At)
 		return
 	}
+	disturbed := func() bool { return n.Disturbed }
 	if n.Full {
-		f.reset(n.Entries, n.At)
+		f.reset(n.Entries, n.At, disturbed)
 	} else {
-		f.applyChanges(n.Events, n.At)
+		f.applyChanges(n.Events, n.At, disturbed)
 	}
 	f.opts.Sink.Tick()
 	f.confirm(asked - boottime.Instant(time.Duration(n.AgeMS)*time.Millisecond))
 }
 
 // outageGap is the time without a confirmation, by the service or by another
-// host, from which the service counts as having been away.
-const outageGap = 2 * time.Second
+// host, from which the service counts as having been away. Other hosts are asked
+// well before it.
+const outageGap = 3 * time.Second
 
-// noteReturn records the end of an outage. A service that turns away only this
-// host is no outage: other hosts confirm the state meanwhile.
-func (f *Follower) noteReturn() {
+// disturbed reports whether what the service says now comes right after an
+// outage, so that entries may have lapsed in it. A service that turns away only
+// this host is no outage: other hosts confirm the state meanwhile.
+func (f *Follower) disturbed() bool {
 	if age, ok := f.Age(); ok && age > outageGap {
 		f.returned = f.opts.Clock.Now()
 	}
+	return f.recentlyReturned()
 }
 
-// disturbed reports whether what vanishes now may have lapsed in an outage.
-func (f *Follower) disturbed() bool {
+func (f *Follower) recentlyReturned() bool {
 	return !f.returned.IsZero() && f.opts.Clock.Since(f.returned) < f.opts.Settle
 }
 
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -254,6 +254,43 @@
 	}
 }
 
+// TestLateNewsIsNoOutage guards against requests to an endpoint that has left: a
+// host whose news from another host came late must not take a removal for an
+// entry that lapsed in an outage, unless the other host says that there was one.
+func TestLateNewsIsNoOutage(t *testing.T) {
+	for _, outage := range []bool{false, true} {
+		boot := &atomicInstant{}
+		boot.add(time.Hour)
+		clock := clockwork.NewFakeClock()
+		s := &sink{ticks: make(chan struct{}, 16)}
+		answers := make(chan feed.News)
+		f := feed.New(feed.Options{
+			Source: &source{answers: make(chan answer)}, Sink: s, Clock: clock, Boottime: boot.load,
+			Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			AskAge: time.Second, AskInterval: time.Second,
+			Ask: func(context.Context, int64) (feed.News, error) { return <-answers, nil },
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = f.Run(ctx) }()
+		for _, n := range []feed.News{
+			{At: 7, Full: true, Entries: []kv.Entry{entry("a")}},
+			{At: 8, Events: []kv.Event{{Entry: kv.Entry{Key: "a", Revision: 8}, Deleted: true}}, Disturbed: outage},
+		} {
+			if err := clock.BlockUntilContext(ctx, 1); err != nil {
+				t.Fatal(err)
+			}
+			clock.Advance(time.Second)
+			answers <- n
+			<-s.ticks
+			boot.add(5 * time.Second)
+		}
+		if got := s.disturbed[len(s.disturbed)-1]; got != outage {
+			t.Errorf("disturbed %v, the other host said %v", got, outage)
+		}
+		cancel()
+	}
+}
+
 // TestPassesOnOnlyWhatIsNew guards against heartbeats of all endpoints that
 // travel to every host, and against a host that misses a change because of it.
 func TestPassesOnOnlyWhatIsNew(t *testing.T) {
