--- a/control/rollouts_test.go
+++ b/control/rollouts_test.go
@@ -43,7 +43,7 @@
 	w := &world{t: t, store: memkv.New(clockwork.NewRealClock())}
 	for i := range n {
 		h := &host{fleet: fleet.NewRegistry(time.Second)}
-		stage := func() rollout.StageConfig { return rollout.StageConfig{ExposureShare: 0.15, ExposureExtra: 30} }
+		stage := func() rollout.StageConfig { return rollout.StageConfig{ExposureShare: 0.15} }
 		h.rollouts = control.NewRollouts(hostName(i), h.fleet, stage, func() int { return n }, clockwork.NewRealClock(), quiet)
 		h.state = control.NewState(platform.Records{}, h.fleet, h.rollouts, clockwork.NewRealClock(), quiet)
 		w.hosts = append(w.hosts, h)
--- a/daemon/command/hostcommand.go
+++ b/daemon/command/hostcommand.go
@@ -92,7 +92,7 @@
 	return router.Bounds{
 		Grace: b.Grace, Revocation: b.Revocation,
 		RetryRatio: b.RetryRatio, RetryWindow: b.RetryWindow, RetryExtra: b.RetryExtra,
-		Exposure: rollout.StageConfig{ExposureShare: b.ExposureShare, ExposureExtra: b.ExposureExtra},
+		Exposure: rollout.StageConfig{ExposureShare: b.ExposureShare},
 		ListLife: b.ListLife,
 	}
 }
--- a/rollout/stage.go
+++ b/rollout/stage.go
@@ -25,9 +25,9 @@
 
 // StageConfig bounds a staged roll-out.
 type StageConfig struct {
-	// ExposureShare and ExposureExtra bound the requests that a bad version may
-	// get: a share of the service's requests, and some beside.
-	ExposureShare, ExposureExtra float64
+	// ExposureShare is the part of the service's requests that a bad version may
+	// get.
+	ExposureShare float64
 }
 
 // Stage is a share of the traffic and the part of the order's time at which it begins.
--- a/rollout/stage_test.go
+++ b/rollout/stage_test.go
@@ -10,10 +10,15 @@
 	"github.com/corianderlever/corianderlever/rollout"
 )
 
-const within = 24 * time.Second
+const (
+	within = 24 * time.Second
+	// exposureExtra is the number of requests that a bad version may get beside
+	// its share.
+	exposureExtra = 30
+)
 
 var (
-	stageConfig = rollout.StageConfig{ExposureShare: 0.15, ExposureExtra: 30}
+	stageConfig = rollout.StageConfig{ExposureShare: 0.15}
 	order       = rollout.Order{Service: "s", Target: "v2", Within: within, Revision: 1}
 )
 
@@ -62,7 +67,7 @@
 		badFrom := time.Duration(rapid.IntRange(0, 8).Draw(rt, "from_s")) * time.Second
 		exposed, _, end, _ := drive(rng, 30, 0.4, 0.02, badFrom)
 		all := 30 * within.Seconds()
-		if end != rollout.OrderReverted || float64(exposed) > stageConfig.ExposureShare*all+stageConfig.ExposureExtra {
+		if end != rollout.OrderReverted || float64(exposed) > stageConfig.ExposureShare*all+exposureExtra {
 			rt.Fatalf("%v after %d of %.0f requests", end, exposed, all)
 		}
 	})
