Keep a request without an ordered version on the version of its first endpoint

Change: further attempts stay on the version of the first endpoint, if it still has endpoints. Test: TestStaysOnItsFirstVersion.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"maps"
@@ -28,10 +29,7 @@
 	if refusal := j.recheck(); refusal != nil {
 		return j.afterRecheck(refusal)
 	}
-	pl, err := j.pool.choose(j, j.version)
-	if err != nil && j.version != "" && len(j.exclude) == 0 {
-		pl, err = j.pool.choose(j, "")
-	}
+	pl, err := j.choose()
 	if err != nil {
 		j.note("none")
 		return j.giveUp("no_endpoint", err.Error(), shortRetry)
@@ -49,6 +47,21 @@
 	return j.answered(ctx, pl, answer)
 }
 
+// choose picks an endpoint of the request's version. A request that may run on
+// any version stays on that of its first endpoint: a roll-out may begin while it
+// runs, and its session is then taken for one of the old version.
+func (j *job) choose() (*place, error) {
+	anyAllowed := j.version == "" || len(j.exclude) == 0
+	pl, err := j.pool.choose(j, cmp.Or(j.version, j.firstVersion))
+	if err != nil && anyAllowed {
+		pl, err = j.pool.choose(j, anyVersion)
+	}
+	if err == nil && j.firstVersion == "" {
+		j.firstVersion = pl.endpoint.Version
+	}
+	return pl, err
+}
+
 // checkForecast refuses a request at once that cannot begin in its time even at
 // the best engine. It has not run, and its caller may find room later.
 func (j *job) checkForecast(pl *place) *Refusal {
--- a/relay/job.go
+++ b/relay/job.go
@@ -44,9 +44,11 @@
 	keyed          bool
 	service        *route.Service
 	pool           *pool
-	version        string
-	deadline       time.Time
-	hash           limiter.Hash
+	// version is the only version that may serve the request, empty for any;
+	// firstVersion is that of its first endpoint.
+	version, firstVersion string
+	deadline              time.Time
+	hash                  limiter.Hash
 
 	// model is the model that the next attempt runs, and rung its index in the
 	// route's list.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -350,3 +350,30 @@
 		t.Errorf("told to come back after %q seconds, the work ahead takes a minute", resp.Header.Get("Retry-After"))
 	}
 }
+
+// TestStaysOnItsFirstVersion guards against a request that is under way when a
+// roll-out begins and asks the larger model of the new version: the requests of
+// its session would then have run on two versions.
+func TestStaysOnItsFirstVersion(t *testing.T) {
+	r := newRig(t, stream(true, "small", "large"))
+	began := false
+	doubtful := func(w http.ResponseWriter, hr *http.Request) {
+		if !began {
+			began = true
+			for i := range 20 {
+				r.endpointOf("v2", fmt.Sprint("new", i), func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 1, false) })
+			}
+		}
+		w.Header().Set("X-Confidence", "10")
+		events(w, 1, 1, false)
+	}
+	r.endpoint("old1", doubtful)
+	if _, _, err := r.call("POST", "/p/x"); err != nil {
+		t.Fatal(err)
+	}
+	for _, run := range r.arrived() {
+		if strings.HasPrefix(run, "new") {
+			t.Errorf("ran at %v", r.arrived())
+		}
+	}
+}
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -166,6 +166,12 @@
 // endpoint adds an endpoint that runs a handler. IDs choose the order of the
 // tests' endpoints only by their scripts.
 func (r *rig) endpoint(id string, handler http.HandlerFunc) *httptest.Server {
+	r.t.Helper()
+	return r.endpointOf("v1", id, handler)
+}
+
+// endpointOf adds an endpoint of a version.
+func (r *rig) endpointOf(version, id string, handler http.HandlerFunc) *httptest.Server {
 	r.t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
 		// net/http notices a closed connection only after it has read the body.
@@ -177,7 +183,7 @@
 	}))
 	r.t.Cleanup(server.Close)
 	r.fleet.Set(fleet.Endpoint{
-		ID: id, Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), FailureDomain: "a", Version: "v1", Slots: 4,
+		ID: id, Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), FailureDomain: "a", Version: version, Slots: 4,
 		Revision: int64(r.fleet.Len() + 1),
 	})
 	return server
