Record two faults of the relay found in the last review, with tests that fail

Cause: reading the whole change again. An ejected endpoint is not taken back by a host while others serve, because its weight is only set when a request there ends; and a pool's part of the retry budget never follows the settings or the number of hosts. Ruled out: duplicated Options.complete of daemon and daemon/router (other fields, one sets the logger's name).

--- /dev/null
+++ b/relay/pool_test.go
@@ -0,0 +1,76 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/corianderlever/corianderlever/fleet"
+	"github.com/corianderlever/corianderlever/limiter"
+	"github.com/corianderlever/corianderlever/route"
+)
+
+// newTestPool returns a pool of plain endpoints in virtual time.
+func newTestPool(endpoints int, settings *Settings) (*pool, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	r := &Relay{Options: Options{
+		Fleet: fleet.NewRegistry(0), Clock: clock, Settings: func() Settings { return *settings },
+		Rand: func() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) },
+	}}
+	for i := range endpoints {
+		r.Fleet.Set(fleet.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: fmt.Sprint(i), Slots: 4, Revision: int64(i + 1)})
+	}
+	return newPool(r, "s"), clock
+}
+
+// TestEjectedEndpointReturns guards against an endpoint that failed for a while
+// and gets no request for good.
+func TestEjectedEndpointReturns(t *testing.T) {
+	settings := &Settings{Retry: limiter.WindowConfig{Window: 10 * time.Second}}
+	p, clock := newTestPool(3, settings)
+	j := &job{service: &route.Service{Name: "s"}, pool: p}
+	serve := func(n int, failing bool) (served int) {
+		for range n {
+			pl, err := p.choose(j, anyVersion)
+			if err != nil {
+				t.Fatal(err)
+			}
+			outcome := limiter.OutcomeOK
+			if pl.endpoint.ID == "e0" {
+				served++
+				if failing {
+					outcome = limiter.OutcomeError
+				}
+			}
+			clock.Advance(time.Millisecond)
+			pl.end(outcome)
+		}
+		return served
+	}
+	serve(200, true)
+	if p.ejector.Ejected() != 1 {
+		t.Fatal("the failing endpoint was not ejected")
+	}
+	clock.Advance(10 * time.Minute)
+	if serve(500, false) == 0 {
+		t.Error("the endpoint gets no request ten minutes after its fault")
+	}
+}
+
+// TestBudgetFollowsTheSettings guards against a host that goes on with the part
+// of the retry budget that it had when it knew of few other hosts.
+func TestBudgetFollowsTheSettings(t *testing.T) {
+	settings := &Settings{Retry: limiter.WindowConfig{Window: 10 * time.Second, Extra: 30}}
+	p, _ := newTestPool(1, settings)
+	settings.Retry.Extra = 2
+	granted := 0
+	for granted < 30 && p.budget.TryRepeat() {
+		granted++
+	}
+	if granted > 2 {
+		t.Errorf("%d repeats granted of 2", granted)
+	}
+}
