relay: return ejected endpoints, and keep the retry budget to the settings in force

Cause: relay took over an endpoint's weight only when a request there ended, so an ejected endpoint kept weight 0 at that host for as long as another served. The part of the retry budget was fixed when a pool was made, from at least six hosts; and the divisor fell with the live hosts, so a host that was cut off took a larger part while the others went on with theirs. Change: the pool takes the weights over every 500 ms; each repeat is checked against the settings in force, in one function for retries and escalations; the divisor counts the hosts that failed of late. A reload of the window keeps the repeats made so far. Unused: WindowBudget.Left, Table.Services, the list that refresh returned. Ruled out: counting only live hosts (the parts of a cut-off host and of the others would sum to more than the bound).

--- a/daemon/router/peers.go
+++ b/daemon/router/peers.go
@@ -99,15 +99,25 @@
 	return errors.CombineErrors(s.run.Stop(ctx), s.client.Close())
 }
 
-// memberChanged counts the hosts that serve.
+// memberChanged counts the hosts.
 func (s *peerService) memberChanged(membership.Member) {
-	n := int64(0)
-	for _, m := range s.members.Members() {
+	s.host.countHosts(s.members.Members())
+}
+
+// countHosts counts the hosts that serve, and those that may: a host that does
+// not answer may only be cut off.
+func (h *Host) countHosts(members []membership.Member) {
+	live, possible := int64(0), int64(0)
+	for _, m := range members {
 		if m.State.Live() {
-			n++
+			live++
+		}
+		if m.State != membership.Left {
+			possible++
 		}
 	}
-	s.host.hosts.Store(n)
+	h.hosts.Store(live)
+	h.possibleHosts.Store(possible)
 }
 
 // freshness is the signal that tells what a host can do.
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -115,7 +115,9 @@
 
 	stopping atomic.Bool
 	admit    atomic.Bool
-	hosts    atomic.Int64
+	// hosts is the number of live hosts; possibleHosts includes those that failed
+	// of late.
+	hosts, possibleHosts atomic.Int64
 }
 
 const (
@@ -185,7 +187,7 @@
 
 func (h *Host) relaySettings() relay.Settings {
 	b := h.bounds.Load()
-	hosts := max(minHosts, int(h.hosts.Load()))
+	hosts := max(minHosts, int(h.possibleHosts.Load()))
 	return relay.Settings{
 		MaxStaleness: b.Revocation - stalenessMargin,
 		Retry: limiter.WindowConfig{
--- /dev/null
+++ b/daemon/router/router_test.go
@@ -0,0 +1,34 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/corianderlever/corianderlever/membership"
+)
+
+// TestCutOffHostKeepsItsPartOfTheRetryBudget guards against a host that takes a
+// larger part of the shared budget when it loses sight of the others: they go on
+// with theirs.
+func TestCutOffHostKeepsItsPartOfTheRetryBudget(t *testing.T) {
+	const fleet = 89
+	h := &Host{}
+	h.SetBounds(Bounds{RetryRatio: 0.9, RetryWindow: 10 * time.Second, RetryExtra: 218})
+	members := make([]membership.Member, fleet)
+	for i := range members {
+		members[i] = membership.Member{Host: fmt.Sprint("h", i), State: membership.Alive}
+	}
+	h.countHosts(members)
+	inTouch := h.relaySettings().Retry.Extra
+	for i := range members[1:] {
+		members[i+1].State = membership.Failed
+	}
+	h.countHosts(members)
+	if cutOff := h.relaySettings().Retry.Extra; cutOff > inTouch || cutOff*fleet > 218 {
+		t.Errorf("extra repeats %.2f when cut off, %.2f before, bound 218 for %d hosts", cutOff, inTouch, fleet)
+	}
+	if got := h.relaySettings().Hosts; got != 1 {
+		t.Errorf("%d hosts taken to put load on engines, want the one that is live", got)
+	}
+}
--- a/limiter/window.go
+++ b/limiter/window.go
@@ -40,10 +40,16 @@
 	return &WindowBudget{clock: clock, start: clock.Now(), cfg: cfg}
 }
 
-// SetConfig changes the shares; the window must stay the same.
+// SetConfig changes the bounds. When the window changes, repeats so far count as
+// made now and requests so far no longer count.
 func (b *WindowBudget) SetConfig(cfg WindowConfig) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if cfg.Window != b.cfg.Window {
+		b.advance()
+		b.start, b.current, b.requests = b.clock.Now(), 0, 0
+		b.ring = [windowBuckets + 1]retryCount{{retries: b.repeats}}
+	}
 	b.cfg = cfg
 }
 
@@ -69,14 +75,6 @@
 	return true
 }
 
-// Left returns the number of repeats that the budget allows now.
-func (b *WindowBudget) Left() float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.advance()
-	return b.cfg.Share*float64(b.requests) + b.cfg.Extra - float64(b.repeats)
-}
-
 // advance moves the window to the current bucket. The oldest bucket lies only
 // partly in the window: its repeats count and its requests do not.
 func (b *WindowBudget) advance() {
--- a/limiter/window_test.go
+++ b/limiter/window_test.go
@@ -72,3 +72,23 @@
 		t.Errorf("%d repeats after a long pause, want the extra two", granted)
 	}
 }
+
+// TestWindowBudgetKeepsRepeatsOverAReload guards against repeats that are
+// forgotten when a reload changes the window.
+func TestWindowBudgetKeepsRepeatsOverAReload(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	cfg := limiter.WindowConfig{Window: 10 * time.Second, Extra: 3}
+	b := limiter.NewWindowBudget(clock, cfg)
+	clock.Advance(7 * time.Second)
+	for b.TryRepeat() {
+	}
+	cfg.Window = 2 * time.Second
+	b.SetConfig(cfg)
+	if b.TryRepeat() {
+		t.Error("a repeat beyond the bound after the window changed")
+	}
+	clock.Advance(3 * time.Second)
+	if !b.TryRepeat() {
+		t.Error("no repeat after the new window")
+	}
+}
--- a/relay/escalate.go
+++ b/relay/escalate.go
@@ -33,14 +33,9 @@
 		state.Needed = append(state.Needed, j.answerTime(model))
 	}
 	next, up := ladder.Next(state)
-	if up && !j.pool.budget.TryRepeat() {
-		j.relay.metrics.repeats.WithLabelValues(j.pool.service, "false").Inc()
-		up = false
-	}
-	if !up {
+	if !up || !j.pool.tryRepeat() {
 		return false
 	}
-	j.relay.metrics.repeats.WithLabelValues(j.pool.service, "true").Inc()
 	j.note(pl.endpoint.ID, j.model, "confidence", strconv.Itoa(j.confidence), "pressure", strconv.FormatFloat(state.Pressure, 'f', 2, 64), "escalated")
 	j.count("escalated")
 	pl.begun()
--- a/relay/job.go
+++ b/relay/job.go
@@ -233,9 +233,7 @@
 	case j.checkCrashes() != nil:
 		return j.giveUp("crashes_endpoints", reason, crashRetry)
 	}
-	granted := j.pool.budget.TryRepeat()
-	j.relay.metrics.repeats.WithLabelValues(j.pool.service, strconv.FormatBool(granted)).Inc()
-	if !granted {
+	if !j.pool.tryRepeat() {
 		return j.giveUp(reason, "retry budget used up", shortRetry)
 	}
 	return nil
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -33,8 +34,14 @@
 	mu         sync.Mutex
 	generation uint64
 	loaded     bool
+	listed     []string // the endpoints in use
+	reweighed  time.Time
 }
 
+// reweighInterval is how often the weights of all endpoints are taken over: an
+// ejected one returns with time, not with an answer.
+const reweighInterval = 500 * time.Millisecond
+
 func newPool(r *Relay, service string) *pool {
 	return &pool{
 		relay: r, service: service,
@@ -45,24 +52,41 @@
 	}
 }
 
-// refresh takes over the endpoints that the registry lists now.
-func (p *pool) refresh(svc *route.Service) []fleet.Endpoint {
-	gen := p.relay.Fleet.Generation()
-	list := p.relay.Fleet.Service(p.service)
+// refresh takes over the endpoints that the registry lists now, and how far the
+// ejected ones have returned.
+func (p *pool) refresh(svc *route.Service) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.loaded && gen == p.generation {
-		return list
+	gen, now := p.relay.Fleet.Generation(), p.relay.Clock.Now()
+	if !p.loaded || gen != p.generation {
+		p.loaded, p.generation = true, gen
+		p.setEndpoints(svc)
+	} else if now.Sub(p.reweighed) < reweighInterval {
+		return
+	}
+	p.reweighed = now
+	for _, id := range p.listed {
+		p.reweigh(id)
 	}
-	p.loaded, p.generation = true, gen
+}
+
+// reweigh takes over the weight of an endpoint.
+func (p *pool) reweigh(id string) {
+	weight := p.ejector.Weight(id)
+	p.picker.SetWeight(id, weight)
+	p.engines.SetWeight(id, weight)
+}
+
+// setEndpoints hands the listed endpoints to the parts that choose among them.
+func (p *pool) setEndpoints(svc *route.Service) {
 	var plain []balance.Endpoint
 	var engines []balance.EngineSpec
-	var ids []string
-	for _, e := range list {
+	p.listed = p.listed[:0]
+	for _, e := range p.relay.Fleet.Service(p.service) {
 		if e.Draining {
 			continue
 		}
-		ids = append(ids, e.ID)
+		p.listed = append(p.listed, e.ID)
 		if svc.Engine == nil {
 			plain = append(plain, balance.Endpoint{
 				ID: e.ID, FailureDomain: e.FailureDomain, Versions: []string{anyVersion, e.Version}, Concurrency: max(1, e.Slots),
@@ -75,8 +99,15 @@
 	}
 	p.picker.SetEndpoints(plain)
 	p.engines.SetEngines(engines)
-	p.ejector.SetEndpoints(ids)
-	return list
+	p.ejector.SetEndpoints(p.listed)
+}
+
+// tryRepeat takes one repeat from the budget as the settings bound it now.
+func (p *pool) tryRepeat() bool {
+	p.budget.SetConfig(p.relay.Settings().Retry)
+	granted := p.budget.TryRepeat()
+	p.relay.metrics.repeats.WithLabelValues(p.service, strconv.FormatBool(granted)).Inc()
+	return granted
 }
 
 // anyVersion is the version under which every endpoint is listed.
@@ -159,9 +190,7 @@
 		p.picker.Finished(pl.endpoint.ID, took)
 	}
 	p.ejector.Report(pl.endpoint.ID, outcome)
-	weight := p.ejector.Weight(pl.endpoint.ID)
-	p.picker.SetWeight(pl.endpoint.ID, weight)
-	p.engines.SetWeight(pl.endpoint.ID, weight)
+	p.reweigh(pl.endpoint.ID)
 }
 
 // report takes in an endpoint's own account of its load.
--- a/relay/pool_test.go
+++ b/relay/pool_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/corianderlever/corianderlever/fleet"
 	"github.com/corianderlever/corianderlever/limiter"
@@ -23,6 +24,7 @@
 	for i := range endpoints {
 		r.Fleet.Set(fleet.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: fmt.Sprint(i), Slots: 4, Revision: int64(i + 1)})
 	}
+	r.metrics = newMetrics(prometheus.NewRegistry())
 	return newPool(r, "s"), clock
 }
 
@@ -67,7 +69,7 @@
 	p, _ := newTestPool(1, settings)
 	settings.Retry.Extra = 2
 	granted := 0
-	for granted < 30 && p.budget.TryRepeat() {
+	for granted < 30 && p.tryRepeat() {
 		granted++
 	}
 	if granted > 2 {
--- a/route/route.go
+++ b/route/route.go
@@ -189,9 +189,6 @@
 // Limits returns what callers may send.
 func (t *Table) Limits() Limits { return t.config.Limits }
 
-// Services returns all services.
-func (t *Table) Services() []Service { return t.config.Services }
-
 // Match returns the route with the longest prefix of path. The host may carry a port.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	host, _, _ = strings.Cut(strings.ToLower(host), ":")
