feed: ask several hosts for news, and the store in time

Cause: a host that does not read the store itself asked its readers one after the other, each with a time-out of 700 ms, and took the first answer however old. The question ends when the state grows old, and the host then asks the store itself. Ruled out: the store (it answers these hosts), loss of news (the state was complete after each answer), the processor's clock.

--- a/daemon/router/peers.go
+++ b/daemon/router/peers.go
@@ -289,24 +289,18 @@
 // maxPeersAsked bounds the hosts asked in one round.
 const maxPeersAsked = 3
 
-// askPeers asks hosts that follow the store for news, near ones first, one
-// after the other until one answers.
+// askPeers asks hosts that follow the store for news, near ones first.
 func (h *Host) askPeers(ctx context.Context, after int64) (feed.News, error) {
-	err := errors.New("router: no other host follows the store")
-	asked := 0
+	q := feed.Question{Clock: h.opts.Clock, Call: func(ctx context.Context, host string) (n feed.News, err error) {
+		err = h.peers.client.Call(ctx, host, methodNews, newsCall{After: after}, &n)
+		return n, err
+	}}
 	for _, m := range h.nearFirst(h.readers()) {
-		if m.Host == h.opts.Settings.Host || !h.peers.isFresh(m.Host) {
-			continue
-		}
-		if asked++; asked > maxPeersAsked {
-			break
-		}
-		var n feed.News
-		if err = h.peers.client.Call(ctx, m.PeerAddress, methodNews, newsCall{After: after}, &n); err == nil {
-			return n, nil
+		if len(q.Hosts) < maxPeersAsked && m.Host != h.opts.Settings.Host && h.peers.isFresh(m.Host) {
+			q.Hosts = append(q.Hosts, m.PeerAddress)
 		}
 	}
-	return feed.News{}, err
+	return q.Ask(ctx)
 }
 
 // nearFirst returns the hosts at random, a near one first and then alternating
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -127,9 +127,11 @@
 		wg.Go(func() { f.askWhileOld(ctx) })
 	}
 	for ctx.Err() == nil {
-		if f.indirect() {
-			f.ask(ctx)
-			f.pause(ctx, f.opts.Pause)
+		if left := f.indirect(); left > 0 {
+			askCtx, cancel := kv.WithTimeout(ctx, f.opts.Clock, left)
+			f.ask(askCtx)
+			cancel()
+			f.pause(ctx, min(f.opts.Pause, left))
 			continue
 		}
 		started := f.opts.Boottime()
@@ -155,14 +157,17 @@
 	}
 }
 
-// indirect reports whether another host is followed in place of the service. A
-// host whose state grows old asks the service again.
-func (f *Follower) indirect() bool {
+// indirect returns for how long another host is followed in place of the
+// service: until the state grows old, and never by a direct host.
+func (f *Follower) indirect() time.Duration {
 	if f.opts.Direct == nil || f.opts.Ask == nil || f.opts.Direct() {
-		return false
+		return 0
 	}
 	age, ok := f.Age()
-	return ok && age < f.opts.AskAge
+	if !ok {
+		return 0
+	}
+	return max(0, f.opts.AskAge-age)
 }
 
 // step makes one call and hands on its result.
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -365,3 +365,39 @@
 }
 
 func (s *countingSource) Commit(context.Context, []kv.Write) (int64, error) { return 0, nil }
+
+// TestSilentHostDoesNotDelayTheService guards against a host whose state grows
+// old while it waits for a silent host, although the service answers it.
+func TestSilentHostDoesNotDelayTheService(t *testing.T) {
+	boot := &atomicInstant{}
+	calls := &countingSource{}
+	clock := clockwork.NewFakeClock()
+	const askAge = 2 * time.Second
+	f := feed.New(feed.Options{
+		Source: calls, Sink: &sink{ticks: make(chan struct{}, 256)}, Clock: clock, Boottime: boot.load,
+		Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Pause: time.Second,
+		Direct: func() bool { return false }, AskAge: askAge, AskInterval: time.Hour,
+		Ask: func(ctx context.Context, _ int64) (feed.News, error) {
+			<-ctx.Done()
+			return feed.News{}, ctx.Err()
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = f.Run(ctx) }()
+	<-f.Ready()
+	first, started := calls.n.Load(), clock.Now()
+	for calls.n.Load() == first {
+		if clock.Since(started) > 2*askAge {
+			t.Fatalf("the service was not asked within %v", clock.Since(started))
+		}
+		waiting, stop := context.WithTimeout(ctx, 10*time.Second)
+		err := clock.BlockUntilContext(waiting, 2)
+		stop()
+		if err != nil {
+			t.Fatal("the follower waits for the silent host without a bound")
+		}
+		boot.add(askAge / 4)
+		clock.Advance(askAge / 4)
+	}
+}
--- a/feed/news.go
+++ b/feed/news.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/corianderlever/corianderlever/internal/boottime"
 	"github.com/corianderlever/corianderlever/kv"
@@ -106,5 +105,5 @@
 		f.applyChanges(n.Events, n.At, disturbed)
 	}
 	f.opts.Sink.Tick()
-	f.confirm(asked - boottime.Instant(time.Duration(n.AgeMS)*time.Millisecond))
+	f.confirm(asked - boottime.Instant(n.age()))
 }
