control: leave sessions under way out of the first stage of a roll-out

Cause: the first stage takes the sessions whose points lie below its share, also those that another version has served a moment ago. Callers send nearly each request of a session to another host (13 of 716 to the same), so no host alone knows. Change: each host remembers the sessions below the largest first share for their life; hosts tell each other of them in a small signal of their own while a first stage is in force; the stage takes sessions only from 8% of the order's time on. TestSessionsKeepTheirVersionWhenARolloutBegins fails without the memory or without the signal.

--- a/control/coordinator.go
+++ b/control/coordinator.go
@@ -94,7 +94,7 @@
 	if final(step.State) {
 		return step, "publish"
 	}
-	elapsed := s.seenFrom + r.clock.Since(s.seenAt)
+	elapsed := s.elapsed(r.clock.Now())
 	target, base := s.tallies()
 	d := r.stage().Advance(s.order, elapsed, step.Share, target, base, rollout.Situation{
 		Capacity: r.capacity(name, s.order.Target), Rate: s.arrivals.rate(r.clock.Now()) * float64(r.hosts()),
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -57,6 +57,8 @@
 	pace    *pace
 	// arrivals counts the requests at this host.
 	arrivals arrivals
+	// others are the sessions that no version on trial serves.
+	others *sessions
 }
 
 // Rollouts steers which version of a service serves a request, and gathers how
@@ -82,7 +84,7 @@
 func (r *Rollouts) service(name string) *service {
 	s := r.services[name]
 	if s == nil {
-		s = &service{pace: newPace()}
+		s = &service{pace: newPace(), others: newSessions()}
 		s.reset()
 		r.services[name] = s
 	}
@@ -150,7 +152,7 @@
 	}
 	s.step = step
 	if elapsed := time.Duration(step.ElapsedMS) * time.Millisecond; s.ordered && s.order.Revision == step.Order {
-		if r.clock.Since(s.seenAt)+s.seenFrom < elapsed {
+		if s.elapsed(r.clock.Now()) < elapsed {
 			s.seenAt, s.seenFrom = r.clock.Now(), elapsed
 		}
 	}
@@ -169,23 +171,38 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.service(name)
-	s.arrivals.add(r.clock.Now())
-	if !s.ordered {
-		return ""
-	}
-	base := r.baseVersion(name, s.order.Target)
+	now := r.clock.Now()
+	s.arrivals.add(now)
 	step := s.current()
+	if s.ordered && r.onTrial(s, step, point) {
+		return r.ifServed(name, s.order.Target)
+	}
+	if point < r.stage().MaxCanary() {
+		s.others.add(sessionKey(point), now, r.sessionLife())
+	}
 	switch {
+	case !s.ordered:
+		return ""
 	case step.State == rollout.OrderDone:
 		return r.ifServed(name, s.order.Target)
-	case s.suspect, step.State == rollout.OrderReverted:
-		return base
-	case point < step.Share:
-		return r.ifServed(name, s.order.Target)
 	}
-	return base
+	return r.baseVersion(name, s.order.Target)
 }
 
+// onTrial decides whether a session uses the target of a roll-out under way.
+func (r *Rollouts) onTrial(s *service, step Step, point float64) bool {
+	if s.suspect || final(step.State) || point >= step.Share {
+		return false
+	}
+	if step.Share > r.stage().MaxCanary() {
+		return true
+	}
+	return r.stage().CanaryBegun(s.order, s.elapsed(r.clock.Now())) && !s.others.held(sessionKey(point))
+}
+
+// elapsed returns the time since the order was given.
+func (s *service) elapsed(now time.Time) time.Duration { return s.seenFrom + now.Sub(s.seenAt) }
+
 // current returns the step of the order in force.
 func (s *service) current() Step {
 	if s.step.Order == s.order.Revision {
--- a/control/rollouts_test.go
+++ b/control/rollouts_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -75,6 +76,7 @@
 		for j, b := range w.hosts {
 			if i != j {
 				b.rollouts.Merge(hostName(i), a.rollouts.Export())
+				b.rollouts.MergeSessions(a.rollouts.Sessions())
 			}
 		}
 	}
@@ -277,3 +279,40 @@
 		t.Errorf("one bad answer counted as %+v", again.Others[hostName(0)])
 	}
 }
+
+// TestSessionsKeepTheirVersionWhenARolloutBegins guards against sessions that
+// change their version in the first half of a roll-out: each of their requests
+// comes to another host, and the first stage takes those whose points lie low.
+func TestSessionsKeepTheirVersionWhenARolloutBegins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts = 6
+		w := newWorld(t, hosts)
+		points := make([]float64, 240) // each session makes a request every 4 s
+		for i := range points {
+			points[i] = 0.001 * float64(i)
+		}
+		versions := make(map[float64]string)
+		served := make(map[string]int)
+		turn := 0
+		request := func(*host, string) {
+			turn++
+			i := turn % len(points)
+			if i == 0 { // a new session begins
+				points[i] += 1e-6
+			}
+			host := w.hosts[(turn/len(points)+i)%hosts]
+			got := cmp.Or(host.rollouts.Pick("s", points[i]), "v1")
+			if was, ok := versions[points[i]]; ok && was != got {
+				t.Errorf("session %.6f moved from %s to %s", points[i], was, got)
+			}
+			versions[points[i]] = got
+			served[got]++
+		}
+		w.run(15*time.Second, w.store, request)
+		w.store.Put("op/rollout/s", []byte(`{"Service":"s","Target":"v2","DurationS":60}`))
+		w.run(28*time.Second, w.store, request)
+		if served["v2"] == 0 {
+			t.Error("no new session used the target")
+		}
+	})
+}
--- a/daemon/command/hostcommand.go
+++ b/daemon/command/hostcommand.go
@@ -92,7 +92,7 @@
 	return router.Bounds{
 		Grace: b.Grace, Revocation: b.Revocation,
 		RetryRatio: b.RetryRatio, RetryWindow: b.RetryWindow, RetryExtra: b.RetryExtra,
-		Exposure: rollout.StageConfig{ExposureShare: b.ExposureShare},
+		Exposure: rollout.StageConfig{ExposureShare: b.ExposureShare, SessionLife: b.SessionLife},
 		ListLife: b.ListLife,
 	}
 }
--- a/daemon/router/peers.go
+++ b/daemon/router/peers.go
@@ -143,6 +143,7 @@
 		s.fresh[from] = v
 	})
 	signal(s, "rollouts", s.host.rollouts.Export, func(from string, v map[string]control.Evidence) { s.host.rollouts.Merge(from, v) })
+	signal(s, "sessions", s.host.rollouts.Sessions, func(_ string, v map[string][]uint32) { s.host.rollouts.MergeSessions(v) })
 	signal(s, "crashes", s.crashMarks, s.observeMarks)
 	signal(s, "load", s.host.relay.Loads, func(from string, v relay.Loads) { s.host.relay.ObservePeer(from, v) })
 }
--- a/rollout/stage.go
+++ b/rollout/stage.go
@@ -28,6 +28,9 @@
 	// ExposureShare is the part of the service's requests that a bad version may
 	// get.
 	ExposureShare float64
+	// SessionLife is the time after an answer in which its session goes on. A
+	// session keeps its version in the first half of a roll-out.
+	SessionLife time.Duration
 }
 
 // Stage is a share of the traffic and the part of the order's time at which it begins.
@@ -41,15 +44,27 @@
 const canaryPart = 0.5
 
 // canaryRate is the number of requests a second with which the first stage
-// finds a bad version. In a busy service it takes a small share: sessions that
-// are under way when it begins change their version.
+// finds a bad version. In a busy service it takes a small share, so that hosts
+// can tell each other of the sessions under way in it.
 const canaryRate = 2.5
 
+// MaxCanary is the largest share of the first stage.
+func (c StageConfig) MaxCanary() float64 { return canaryPart * min(c.ExposureShare, 1) }
+
+// canaryFrom is the part of an order's time at which requests of the first stage
+// begin. Until then the hosts tell each other of the sessions under way.
+const canaryFrom = 0.08
+
+// CanaryBegun reports whether the first stage may take sessions.
+func (c StageConfig) CanaryBegun(o Order, elapsed time.Duration) bool {
+	return elapsed.Seconds() >= canaryFrom*o.Within.Seconds()
+}
+
 // stages returns the steps of a roll-out of a service that gets so many requests
 // a second. Sessions stay on their version in its first half, so the share stays
 // the same there.
 func (c StageConfig) stages(rate float64) []Stage {
-	canary := canaryPart * min(c.ExposureShare, 1)
+	canary := c.MaxCanary()
 	if rate > 0 {
 		canary = min(canary, canaryRate/rate)
 	}
