balance: tell loads in digests small enough for every heartbeat of a large fleet

Cause: in a fleet of more than 50 hosts signals above 512 bytes take turns at 1 KB/s. Change: the load travels as a digest of at most 340 bytes, the engines with most work first, named by hashes; learned rates are a signal of their own.

--- /dev/null
+++ b/balance/digest_test.go
@@ -0,0 +1,57 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"github.com/corianderlever/corianderlever/balance"
+)
+
+// TestDigestCarriesTheLoad guards against loads that are distorted on their way
+// to other hosts, and against digests beyond their limit.
+func TestDigestCarriesTheLoad(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		from, to := engines(clock, 30), engines(clock, 30)
+		for i := range rapid.IntRange(0, 120).Draw(rt, "requests") {
+			req := prompt(fmt.Sprint("s", i%7), 2000, rapid.IntRange(1, 9000).Draw(rt, "own"), i)
+			req.Urgency = rapid.IntRange(0, balance.UrgencyLevels-1).Draw(rt, "urgency")
+			c, err := from.Choose(req)
+			if err != nil {
+				rt.Fatal(err)
+			}
+			from.Start(c, req)
+		}
+		limit := rapid.IntRange(0, 1000).Draw(rt, "limit")
+		digest := balance.EncodeLoads(from.Loads(), limit)
+		if len(digest) > limit {
+			rt.Fatalf("%d bytes of %d", len(digest), limit)
+		}
+		if err := to.ObserveDigest("from", digest, 2); err != nil {
+			rt.Fatal(err)
+		}
+		if got, want := to.Backlog("", 9), from.Backlog("", 9); limit == 1000 && (got > want || want-got > balance.UrgencyLevels*10e6) {
+			rt.Errorf("backlog %v told of, %v there", got, want)
+		}
+	})
+}
+
+// TestMalformedDigests guards against a panic, and against loads that are made up
+// from what a faulty host sends.
+func TestMalformedDigests(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		e := engines(clockwork.NewFakeClock(), 3)
+		digest := rapid.SliceOfN(rapid.Byte(), 1, 40).Draw(rt, "digest")
+		err := e.ObserveDigest("faulty", digest, 2)
+		if err != nil && !errors.Is(err, balance.ErrDigest) {
+			rt.Errorf("error %v", err)
+		}
+		if err != nil && e.Backlog("", 9) != 0 {
+			rt.Error("the load of a malformed digest counts")
+		}
+	})
+}
--- a/balance/engineload.go
+++ b/balance/engineload.go
@@ -26,6 +26,14 @@
 
 // ObservePeer takes in another host's load, in a fleet of a number of hosts.
 func (e *Engines) ObservePeer(host string, loads map[string]EngineLoad, hosts int) {
+	byKey := make(map[uint32]EngineLoad, len(loads))
+	for id, l := range loads {
+		byKey[engineKey(id)] = l
+	}
+	e.observe(host, byKey, hosts)
+}
+
+func (e *Engines) observe(host string, loads map[uint32]EngineLoad, hosts int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.hosts = hosts
--- a/balance/engines.go
+++ b/balance/engines.go
@@ -72,6 +72,7 @@
 
 type engine struct {
 	spec    EngineSpec
+	key     uint32 // in digests
 	cache   *promptCache
 	running int
 	backlog backlog
@@ -82,7 +83,7 @@
 
 type peerLoad struct {
 	at    time.Time
-	loads map[string]EngineLoad
+	loads map[uint32]EngineLoad // by key in digests
 }
 
 const (
@@ -119,7 +120,7 @@
 	for _, spec := range specs {
 		en := e.engines[spec.ID]
 		if en == nil {
-			en = &engine{cache: newPromptCache(spec.CacheTokens), weight: 1}
+			en = &engine{key: engineKey(spec.ID), cache: newPromptCache(spec.CacheTokens), weight: 1}
 		}
 		en.spec = spec
 		next[spec.ID] = en
@@ -246,7 +247,7 @@
 		if age > peerLoadLife {
 			continue
 		}
-		l := p.loads[en.spec.ID]
+		l := p.loads[en.key]
 		running += l.Running
 		for level, ms := range l.BacklogMS {
 			reported[clampLevel(level)] += time.Duration(ms) * time.Millisecond
--- a/daemon/router/peers.go
+++ b/daemon/router/peers.go
@@ -145,7 +145,8 @@
 	signal(s, "rollouts", s.host.rollouts.Export, func(from string, v map[string]control.Evidence) { s.host.rollouts.Merge(from, v) })
 	signal(s, "sessions", s.host.rollouts.Sessions, func(_ string, v map[string][]uint32) { s.host.rollouts.MergeSessions(v) })
 	signal(s, "crashes", s.crashMarks, s.observeMarks)
-	signal(s, "load", s.host.relay.Loads, func(from string, v relay.Loads) { s.host.relay.ObservePeer(from, v) })
+	signal(s, "load", s.host.relay.Loads, func(from string, v relay.Loads) { s.host.relay.ObserveLoads(from, v) })
+	signal(s, "rates", s.host.relay.Rates, func(_ string, v relay.Rates) { s.host.relay.ObserveRates(v) })
 }
 
 func (s *peerService) crashMarks() json.RawMessage {
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -12,15 +12,15 @@
 	"github.com/corianderlever/corianderlever/route"
 )
 
-// Loads is what one host tells the others of the engines of each service.
-type Loads map[string]ServiceLoad
-
-// ServiceLoad is the load that one host puts on the engines of a service, and
-// what it has learned of them.
-type ServiceLoad struct {
-	Engines map[string]balance.EngineLoad `json:"engines,omitempty"`
-	Rates   map[string]balance.ReadRate   `json:"rates,omitempty"`
-}
+// Loads are digests of the load that one host puts on the engines of each service.
+type Loads map[string][]byte
+
+// maxDigestBytes bounds the digests of all services. With their encoding they stay
+// below 512 bytes, up to which every heartbeat of a large fleet carries them.
+const maxDigestBytes = 340
+
+// Rates are what one host has learned of the engines of each service, by model.
+type Rates map[string]map[string]balance.ReadRate
 
 // pool is what is believed of the endpoints of one service.
 type pool struct {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/corianderlever/corianderlever/balance"
 	"github.com/corianderlever/corianderlever/fleet"
 	"github.com/corianderlever/corianderlever/limiter"
 	"github.com/corianderlever/corianderlever/rollout"
@@ -124,21 +125,44 @@
 func (r *Relay) Loads() Loads {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	loads := make(map[string]map[string]balance.EngineLoad)
+	for name, p := range r.pools {
+		if l := p.engines.Loads(); len(l) > 0 {
+			loads[name] = l
+		}
+	}
 	out := make(Loads)
+	for name, l := range loads {
+		out[name] = balance.EncodeLoads(l, maxDigestBytes/len(loads))
+	}
+	return out
+}
+
+// ObserveLoads takes in the load of another host.
+func (r *Relay) ObserveLoads(host string, loads Loads) {
+	for service, digest := range loads {
+		if err := r.pool(service).engines.ObserveDigest(host, digest, r.Settings().Hosts); err != nil {
+			r.Logger.Warn("load of a host not read", "from", host, "service", service, "error", err)
+		}
+	}
+}
+
+// Rates returns what this host has learned of the engines of each service.
+func (r *Relay) Rates() Rates {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(Rates)
 	for name, p := range r.pools {
-		load := ServiceLoad{Engines: p.engines.Loads(), Rates: p.engines.Rates()}
-		if len(load.Engines) > 0 || len(load.Rates) > 0 {
-			out[name] = load
+		if rates := p.engines.Rates(); len(rates) > 0 {
+			out[name] = rates
 		}
 	}
 	return out
 }
 
-// ObservePeer takes in the load of another host.
-func (r *Relay) ObservePeer(host string, loads Loads) {
-	for service, l := range loads {
-		engines := r.pool(service).engines
-		engines.ObservePeer(host, l.Engines, r.Settings().Hosts)
-		engines.ObserveRates(l.Rates)
+// ObserveRates takes in what another host has learned.
+func (r *Relay) ObserveRates(rates Rates) {
+	for service, learned := range rates {
+		r.pool(service).engines.ObserveRates(learned)
 	}
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -341,7 +341,7 @@
 	r := newRig(t, stream(true, "small"))
 	r.endpoint("e", func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 2, false) })
 	busy := map[string]balance.EngineLoad{"e": {Running: 4, BacklogMS: []int64{60_000}}}
-	r.relay.ObservePeer("other", relay.Loads{"s": {Engines: busy}})
+	r.relay.ObserveLoads("other", relay.Loads{"s": balance.EncodeLoads(busy, 100)})
 	resp, _, err := r.call("POST", "/p/x")
 	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || len(r.arrived()) != 0 {
 		t.Fatalf("%v, %v; arrived at %v", resp, err, r.arrived())
