control: keep the time of a roll-out when its coordinator starts again

Cause: a host that has started again takes an order that it lists for a new one, but for the time in the last published step. Change: the evidence carries the time since the order; the longest one counts. Ruled out: capacity (the steps are 2.4 s apart as planned). Test: TestRestartedCoordinatorKeepsTheTime fails without the exchange.

--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -151,14 +151,19 @@
 		return
 	}
 	s.step = step
-	if elapsed := time.Duration(step.ElapsedMS) * time.Millisecond; s.ordered && s.order.Revision == step.Order {
-		if s.elapsed(r.clock.Now()) < elapsed {
-			s.seenAt, s.seenFrom = r.clock.Now(), elapsed
-		}
+	if s.ordered && s.order.Revision == step.Order {
+		s.atLeast(step.ElapsedMS, r.clock.Now())
 	}
 	r.log.Info("rollout step", "service", name, "target", step.Target, "state", step.State, "share", step.Share, "from", from)
 }
 
+// atLeast takes over the time since the order from a host that has known it for longer.
+func (s *service) atLeast(elapsedMS int64, now time.Time) {
+	if elapsed := time.Duration(elapsedMS) * time.Millisecond; s.elapsed(now) < elapsed {
+		s.seenAt, s.seenFrom = now, elapsed
+	}
+}
+
 // TakeStep takes over a step that another host has published.
 func (r *Rollouts) TakeStep(name string, step Step, from string) {
 	r.mu.Lock()
@@ -307,6 +312,9 @@
 type Evidence struct {
 	Order int64 `json:"order"`
 	Step  Step  `json:"step"`
+	// ElapsedMS is the time since the order as this host knows it. A host that has
+	// started again does not see when the order was given.
+	ElapsedMS int64 `json:"elapsed_ms"`
 	// Tallies are the host's own by version, Others some of those it has heard of,
 	// by host. In a large fleet evidence would come too late from each host alone.
 	Tallies map[string]rollout.Tally            `json:"tallies,omitempty"`
@@ -323,7 +331,10 @@
 	out := make(map[string]Evidence)
 	for name, s := range r.services {
 		if s.ordered {
-			out[name] = Evidence{Order: s.order.Revision, Step: s.step, Tallies: maps.Clone(s.own), Others: s.someOthers()}
+			out[name] = Evidence{
+				Order: s.order.Revision, Step: s.step, ElapsedMS: s.elapsed(r.clock.Now()).Milliseconds(),
+				Tallies: maps.Clone(s.own), Others: s.someOthers(),
+			}
 		}
 	}
 	return out
@@ -363,6 +374,7 @@
 		s := r.service(name)
 		r.takeStep(name, s, e.Step, host)
 		if s.ordered && e.Order == s.order.Revision {
+			s.atLeast(e.ElapsedMS, r.clock.Now())
 			s.hear(host, e.Tallies)
 			for other, tallies := range e.Others {
 				if other != r.self {
--- a/control/rollouts_test.go
+++ b/control/rollouts_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -316,3 +317,20 @@
 		}
 	})
 }
+
+// TestRestartedCoordinatorKeepsTheTime guards against a good version that is
+// done too late: the host that coordinates has started again and takes the order
+// for a new one.
+func TestRestartedCoordinatorKeepsTheTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		w.store.Put("op/rollout/s", []byte(order))
+		request := func(h *host, version string) { h.rollouts.Observe("s", version, rollout.Observation{}) }
+		w.run(5*time.Second, w.store, request)
+		w.hosts[0] = newWorld(t, 1).hosts[0]
+		w.run(5*time.Second, w.store, request)
+		if got := w.status(); !strings.Contains(got, "completed") {
+			t.Errorf("status after the time of the order: %s", got)
+		}
+	})
+}
