control: spread the evidence on a trial to all hosts; readers with fast links

Cause: in a fleet of more than 50 hosts the evidence of a roll-out, 2 KB, takes turns at 1 KB/s. Readers are the hosts with the fastest links of each failure domain; a host without a state asks one reader at a time. Tests: TestEvidenceTravelsThroughHosts now over digests, and by what the last host does; TestReadersHaveFastLinks.

--- a/control/coordinator.go
+++ b/control/coordinator.go
@@ -79,7 +79,7 @@
 			continue
 		}
 		p := proposal{service: name, step: next, reason: reason, expectStep: s.stepRev, expectStatus: s.status.Revision}
-		p.target, p.base = s.tallies()
+		p.target, p.base = s.tallies(r.self)
 		out = append(out, p)
 	}
 	return out
@@ -95,7 +95,7 @@
 		return step, "publish"
 	}
 	elapsed := s.elapsed(r.clock.Now())
-	target, base := s.tallies()
+	target, base := s.tallies(r.self)
 	d := r.stage().Advance(s.order, elapsed, step.Share, target, base, rollout.Situation{
 		Capacity: r.capacity(name, s.order.Target), Rate: s.arrivals.rate(r.clock.Now()) * float64(r.hosts()),
 	})
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -54,6 +54,7 @@
 	suspect bool
 	own     map[string]rollout.Tally            // by version, since the order
 	peers   map[string]map[string]rollout.Tally // by host and version
+	trial   map[uint32]rollout.Tally            // of the target, by host key
 	pace    *pace
 	// arrivals counts the requests at this host.
 	arrivals arrivals
@@ -94,6 +95,7 @@
 func (s *service) reset() {
 	s.own = make(map[string]rollout.Tally)
 	s.peers = make(map[string]map[string]rollout.Tally)
+	s.trial = make(map[uint32]rollout.Tally)
 	s.suspect = false
 }
 
@@ -274,13 +276,16 @@
 	}
 }
 
-// tallies returns the evidence of all hosts about the target and the others.
-func (s *service) tallies() (target, base rollout.Tally) {
+// tallies returns the evidence about the target, of all hosts, and about the
+// other versions, of the hosts that this one hears of directly.
+func (s *service) tallies(self string) (target, base rollout.Tally) {
+	s.noteTrial(hostKey(self), s.own[s.order.Target])
+	for _, t := range s.trial {
+		target = target.Add(t)
+	}
 	add := func(tallies map[string]rollout.Tally) {
 		for version, t := range tallies {
-			if version == s.order.Target {
-				target = target.Add(t)
-			} else {
+			if version != s.order.Target {
 				base = base.Add(t)
 			}
 		}
@@ -299,7 +304,7 @@
 	if s.suspect || step.State == rollout.OrderDone || step.State == rollout.OrderReverted {
 		return
 	}
-	target, base := s.tallies()
+	target, base := s.tallies(r.self)
 	if r.stage().Advance(s.order, 0, step.Share, target, base, rollout.Situation{}).State != rollout.OrderReverted {
 		return
 	}
@@ -315,15 +320,10 @@
 	// ElapsedMS is the time since the order as this host knows it. A host that has
 	// started again does not see when the order was given.
 	ElapsedMS int64 `json:"elapsed_ms"`
-	// Tallies are the host's own by version, Others some of those it has heard of,
-	// by host. In a large fleet evidence would come too late from each host alone.
-	Tallies map[string]rollout.Tally            `json:"tallies,omitempty"`
-	Others  map[string]map[string]rollout.Tally `json:"others,omitempty"`
+	// Tallies are the host's own by version.
+	Tallies map[string]rollout.Tally `json:"tallies,omitempty"`
 }
 
-// maxOthers bounds the hosts whose evidence is passed on in one heartbeat.
-const maxOthers = 40
-
 // Export returns what this host knows, for the other hosts.
 func (r *Rollouts) Export() map[string]Evidence {
 	r.mu.Lock()
@@ -333,26 +333,13 @@
 		if s.ordered {
 			out[name] = Evidence{
 				Order: s.order.Revision, Step: s.step, ElapsedMS: s.elapsed(r.clock.Now()).Milliseconds(),
-				Tallies: maps.Clone(s.own), Others: s.someOthers(),
+				Tallies: maps.Clone(s.own),
 			}
 		}
 	}
 	return out
 }
 
-// someOthers returns the evidence of some other hosts; maps are walked from a
-// random place, so that all get their turn.
-func (s *service) someOthers() map[string]map[string]rollout.Tally {
-	out := make(map[string]map[string]rollout.Tally)
-	for host, tallies := range s.peers {
-		if len(out) == maxOthers {
-			break
-		}
-		out[host] = tallies
-	}
-	return out
-}
-
 // hear takes over the newer of two reports of one host. Its counts only rise.
 func (s *service) hear(host string, tallies map[string]rollout.Tally) {
 	known := maps.Clone(s.peers[host])
@@ -376,11 +363,7 @@
 		if s.ordered && e.Order == s.order.Revision {
 			s.atLeast(e.ElapsedMS, r.clock.Now())
 			s.hear(host, e.Tallies)
-			for other, tallies := range e.Others {
-				if other != r.self {
-					s.hear(other, tallies)
-				}
-			}
+			s.noteTrial(hostKey(host), e.Tallies[s.order.Target])
 			r.judge(name, s)
 		}
 	}
--- a/control/rollouts_test.go
+++ b/control/rollouts_test.go
@@ -77,6 +77,7 @@
 		for j, b := range w.hosts {
 			if i != j {
 				b.rollouts.Merge(hostName(i), a.rollouts.Export())
+				b.rollouts.MergeTrials(hostName(i), a.rollouts.Trials())
 				b.rollouts.MergeSessions(a.rollouts.Sessions())
 			}
 		}
@@ -260,8 +261,13 @@
 func TestEvidenceTravelsThroughHosts(t *testing.T) {
 	const hosts = 12
 	w := newWorld(t, hosts)
-	w.store.Put("op/rollout/s", []byte(order))
+	revision := w.store.Put("op/rollout/s", []byte(order))
 	w.sync()
+	last := w.hosts[hosts-1].rollouts
+	last.TakeStep("s", control.Step{Order: revision, Target: "v2", State: rollout.OrderRunning, Share: 0.5}, hostName(0))
+	if got := last.Pick("s", 0.1); got != "v2" {
+		t.Fatalf("uses %s on trial", got)
+	}
 	for _, h := range w.hosts {
 		for range 10 {
 			h.rollouts.Observe("s", "v1", rollout.Observation{})
@@ -270,14 +276,22 @@
 	}
 	for i := 1; i < hosts; i++ { // each host hears of the one before it alone
 		w.hosts[i].rollouts.Merge(hostName(i-1), w.hosts[i-1].rollouts.Export())
+		w.hosts[i].rollouts.MergeTrials(hostName(i-1), w.hosts[i-1].rollouts.Trials())
+	}
+	known := last.Trials()["s"]
+	const header, entry = 8, 6
+	if got := (len(known) - header) / entry; got != hosts {
+		t.Errorf("the last host knows of %d hosts, itself included", got)
 	}
-	exported := w.hosts[hosts-1].rollouts.Export()["s"]
-	if got := len(exported.Others); got != hosts-1 {
-		t.Errorf("the last host knows of %d others", got)
+	if got := last.Pick("s", 0.1); got != "v1" {
+		t.Errorf("the last host uses %s after %d bad answers", got, hosts)
 	}
-	w.hosts[hosts-1].rollouts.Merge(hostName(0), w.hosts[0].rollouts.Export())
-	if again := w.hosts[hosts-1].rollouts.Export()["s"]; again.Others[hostName(0)]["v2"].Bad != 1 {
-		t.Errorf("one bad answer counted as %+v", again.Others[hostName(0)])
+	last.Merge(hostName(0), w.hosts[0].rollouts.Export())
+	last.MergeTrials(hostName(0), w.hosts[0].rollouts.Trials())
+	for again := last.Trials()["s"][header:]; len(again) > 0; again = again[entry:] {
+		if again[4] != 0 || again[5] != 1 {
+			t.Errorf("one bad answer counted as %d good, %d bad", again[4], again[5])
+		}
 	}
 }
 
--- a/daemon/command/hostcommand.go
+++ b/daemon/command/hostcommand.go
@@ -84,7 +84,7 @@
 	return router.Settings{
 		Host: s.Host, FailureDomain: s.FailureDomain, Region: s.Region,
 		Frontend: s.Frontend, Readiness: s.Readiness, Directory: s.Directory, Peer: s.Peer, Metrics: s.Metrics,
-		Seeds: s.Seeds, ClusterKey: s.ClusterKey(), Bounds: routerBounds(s.Bounds),
+		LinkMbps: int(s.LinkMbps), Seeds: s.Seeds, ClusterKey: s.ClusterKey(), Bounds: routerBounds(s.Bounds),
 	}
 }
 
--- a/daemon/router/peers.go
+++ b/daemon/router/peers.go
@@ -1,9 +1,11 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -72,6 +74,7 @@
 	s.members, err = membership.New(membership.Options{
 		Self: membership.Member{
 			Host: set.Host, PeerAddress: set.Peer, EntryAddress: set.Frontend, FailureDomain: set.FailureDomain, Region: set.Region,
+			LinkMbps: set.LinkMbps,
 		},
 		Seeds: set.Seeds, Caller: s.client, Registrar: s.server, Clock: o.Clock, Rand: s.host.newRand(), Logger: o.Logger,
 		EntryTTL: listTTL,
@@ -143,6 +146,7 @@
 		s.fresh[from] = v
 	})
 	signal(s, "rollouts", s.host.rollouts.Export, func(from string, v map[string]control.Evidence) { s.host.rollouts.Merge(from, v) })
+	signal(s, "trials", s.host.rollouts.Trials, func(from string, v map[string][]byte) { s.host.rollouts.MergeTrials(from, v) })
 	signal(s, "sessions", s.host.rollouts.Sessions, func(_ string, v map[string][]uint32) { s.host.rollouts.MergeSessions(v) })
 	signal(s, "crashes", s.crashMarks, s.observeMarks)
 	signal(s, "load", s.host.relay.Loads, func(from string, v relay.Loads) { s.host.relay.ObserveLoads(from, v) })
@@ -265,7 +269,7 @@
 // readsStore reports whether this host follows the store itself.
 func (h *Host) readsStore() bool {
 	own := h.opts.Settings
-	for _, m := range h.readers() {
+	for _, m := range readers(h.peers.members.Members()) {
 		if m.Host == own.Host {
 			return true
 		}
@@ -273,12 +277,15 @@
 	return false
 }
 
-// readers returns the live hosts that follow the store: the first ones of each
-// failure domain by name.
-func (h *Host) readers() []membership.Member {
+// readers returns the live hosts that follow the store: in each failure domain
+// those with the fastest links, since they pass whole listings on, and then the
+// first by name.
+func readers(members []membership.Member) []membership.Member {
 	count := make(map[string]int)
 	var out []membership.Member
-	for _, m := range h.peers.members.Members() { // ordered by name
+	for _, m := range slices.SortedFunc(slices.Values(members), func(a, b membership.Member) int {
+		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(a.Host, b.Host))
+	}) {
 		if m.State != membership.Alive || count[m.FailureDomain] >= readersPerDomain {
 			continue
 		}
@@ -297,8 +304,12 @@
 		err = h.peers.client.Call(ctx, host, methodNews, newsCall{After: after}, &n)
 		return n, err
 	}}
-	for _, m := range h.nearFirst(h.readers()) {
-		if len(q.Hosts) < maxPeersAsked && m.Host != h.opts.Settings.Host && h.peers.isFresh(m.Host) {
+	most := maxPeersAsked
+	if after == 0 {
+		most = 1 // the answer is a whole listing
+	}
+	for _, m := range h.nearFirst(readers(h.peers.members.Members())) {
+		if len(q.Hosts) < most && m.Host != h.opts.Settings.Host && h.peers.isFresh(m.Host) {
 			q.Hosts = append(q.Hosts, m.PeerAddress)
 		}
 	}
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -42,6 +42,8 @@
 	Peer string
 	// Metrics is the address of the metrics; empty means none.
 	Metrics string
+	// LinkMbps is the speed of the host's link in Mbit/s, zero if unknown.
+	LinkMbps int
 	// Seeds are peer addresses of some other hosts.
 	Seeds []string
 	// ClusterKey authenticates hosts to each other.
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/corianderlever/corianderlever/membership"
 )
 
@@ -32,3 +34,22 @@
 		t.Errorf("%d hosts taken to put load on engines, want the one that is live", got)
 	}
 }
+
+// TestReadersHaveFastLinks guards against readers that cannot pass the state on
+// when many hosts start at once: a host behind a slow link then serves with an old
+// configuration.
+func TestReadersHaveFastLinks(t *testing.T) {
+	member := func(name, domain string, link int, state membership.State) membership.Member {
+		return membership.Member{Host: name, FailureDomain: domain, LinkMbps: link, State: state}
+	}
+	var got []string
+	for _, m := range readers([]membership.Member{
+		member("a1", "a", 10, membership.Alive), member("a2", "a", 200, membership.Failed), member("a3", "a", 200, membership.Alive),
+		member("a4", "a", 10, membership.Alive), member("b1", "b", 10, membership.Alive), member("b2", "b", 10, membership.Suspect),
+	}) {
+		got = append(got, m.Host)
+	}
+	if diff := cmp.Diff([]string{"a3", "a1", "b1"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/membership/member.go
+++ b/membership/member.go
@@ -73,6 +73,8 @@
 	// FailureDomain and Region locate the host.
 	FailureDomain string `json:"d,omitempty"`
 	Region        string `json:"r,omitempty"`
+	// LinkMbps is the speed of the host's link in Mbit/s, zero if unknown.
+	LinkMbps int `json:"l,omitempty"`
 	// Started is the start of the process in Unix nanoseconds; it tells a
 	// replacement from the process before it.
 	Started int64 `json:"t"`
@@ -97,6 +99,7 @@
 		cmp.Compare(m.EntryAddress, o.EntryAddress),
 		cmp.Compare(m.FailureDomain, o.FailureDomain),
 		cmp.Compare(m.Region, o.Region),
+		cmp.Compare(m.LinkMbps, o.LinkMbps),
 	)
 }
 
