cascade: keep every answer when the engines have four times their work

Change: the threshold falls from 25 at twice the bearable wait to none at four times. Test: TestLadderKeepsAllWhenOverloaded.

--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -34,6 +34,9 @@
 	// keepOverloaded is the confidence from which an answer is kept when the
 	// engines have twice the work that they can do.
 	keepOverloaded = 25
+	// keepAll is the pressure from which every answer is kept: a larger model then
+	// takes the time in which the engines could begin with two other requests.
+	keepAll = 4
 	// overtime is how many times the time left a model may be expected to need:
 	// expectations are wide, and only hopeless attempts are not made.
 	overtime = 2
@@ -48,8 +51,10 @@
 		return keepIdle - pressure*(keepIdle-keepLoaded)
 	case pressure <= 2:
 		return keepLoaded - (pressure-1)*(keepLoaded-keepOverloaded)
+	case pressure <= keepAll:
+		return keepOverloaded * (keepAll - pressure) / (keepAll - 2)
 	}
-	return keepOverloaded
+	return 0
 }
 
 // Next returns the model to ask instead, or false to keep the answer. It is the
--- a/cascade/confidence_test.go
+++ b/cascade/confidence_test.go
@@ -58,3 +58,18 @@
 		t.Error("escalated without the time for any model")
 	}
 }
+
+// TestLadderKeepsAllWhenOverloaded guards against a burst in which each third
+// request is read a second time by a large model, while the requests behind it
+// miss their deadlines.
+func TestLadderKeepsAllWhenOverloaded(t *testing.T) {
+	l := cascade.Ladder{Models: 3}
+	s := cascade.LadderState{Pressure: 5, Left: time.Minute, Needed: make([]time.Duration, 3)}
+	if _, up := l.Next(s); up {
+		t.Error("escalated at five times the work that the engines can do in time")
+	}
+	s.Pressure = 1
+	if _, up := l.Next(s); !up {
+		t.Error("kept a hopeless answer at full pressure")
+	}
+}
