balance, platform, daemon: one piece where two said the same

Found in a last reading of the change; behaviour stays. - balance: ObservePeer and the JSON form of EngineLoad had no caller outside tests since loads travel as digests. Tests and the replay of a burst now go through the digest, as hosts do, with the same bounds and expectations. - balance: the hash of an engine's id is kept, as the picker keeps it, in place of being computed for each engine in each choice. - platform: Bounds repeated router.Bounds, with a function that copied one to the other; the adapter decodes into router.Bounds.

--- a/balance/digest.go
+++ b/balance/digest.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 )
 
@@ -21,7 +20,8 @@
 // levels from there in one byte, and the work of each level in digestUnit.
 // Numbers are unsigned varints.
 
-func engineKey(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+// engineKey names an engine in digests by the hash of its id.
+func engineKey(idHash uint64) uint32 { return uint32(idHash) }
 
 // EncodeLoads packs loads into at most limit bytes. What does not fit are the
 // engines with the least work.
@@ -44,7 +44,7 @@
 	})
 	var out []byte
 	for _, one := range list {
-		next := appendEntry(out, engineKey(one.id), one.load)
+		next := appendEntry(out, engineKey(hashText(one.id)), one.load)
 		if len(next) > limit {
 			break
 		}
@@ -78,7 +78,16 @@
 		}
 		loads[key], digest = l, rest
 	}
-	e.observe(host, loads, hosts)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.hosts = hosts
+	now := e.clock.Now()
+	e.peers[host] = peerLoad{at: now, loads: loads}
+	for h, p := range e.peers {
+		if now.Sub(p.at) > peerLoadLife {
+			delete(e.peers, h)
+		}
+	}
 	return nil
 }
 
--- a/balance/engineload.go
+++ b/balance/engineload.go
@@ -5,10 +5,10 @@
 // EngineLoad is the load that one host puts on an engine.
 type EngineLoad struct {
 	// Running is the number of requests sent and not ended.
-	Running int `json:"r"`
+	Running int
 	// BacklogMS is the reading work of requests that have not begun to answer, in
 	// milliseconds by level; trailing levels without work are left out.
-	BacklogMS []int64 `json:"b,omitempty"`
+	BacklogMS []int64
 }
 
 // Loads returns the host's own load, for the other hosts.
@@ -24,28 +24,6 @@
 	return out
 }
 
-// ObservePeer takes in another host's load, in a fleet of a number of hosts.
-func (e *Engines) ObservePeer(host string, loads map[string]EngineLoad, hosts int) {
-	byKey := make(map[uint32]EngineLoad, len(loads))
-	for id, l := range loads {
-		byKey[engineKey(id)] = l
-	}
-	e.observe(host, byKey, hosts)
-}
-
-func (e *Engines) observe(host string, loads map[uint32]EngineLoad, hosts int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.hosts = hosts
-	now := e.clock.Now()
-	e.peers[host] = peerLoad{at: now, loads: loads}
-	for h, p := range e.peers {
-		if now.Sub(p.at) > peerLoadLife {
-			delete(e.peers, h)
-		}
-	}
-}
-
 // ReadRate is what a host has learned of the time to read a token.
 type ReadRate struct {
 	// Nanoseconds is the time for one token.
--- a/balance/engines.go
+++ b/balance/engines.go
@@ -2,10 +2,10 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 )
 
@@ -72,7 +72,7 @@
 
 type engine struct {
 	spec    EngineSpec
-	key     uint32 // in digests
+	idHash  uint64
 	cache   *promptCache
 	running int
 	backlog backlog
@@ -120,7 +120,7 @@
 	for _, spec := range specs {
 		en := e.engines[spec.ID]
 		if en == nil {
-			en = &engine{key: engineKey(spec.ID), cache: newPromptCache(spec.CacheTokens), weight: 1}
+			en = &engine{idHash: hashText(spec.ID), cache: newPromptCache(spec.CacheTokens), weight: 1}
 		}
 		en.spec = spec
 		next[spec.ID] = en
@@ -187,12 +187,7 @@
 	if req.Version != "" && en.spec.Version != req.Version {
 		return false
 	}
-	for _, id := range req.Exclude {
-		if id == en.spec.ID {
-			return false
-		}
-	}
-	return true
+	return !slices.Contains(req.Exclude, en.spec.ID)
 }
 
 // evaluate returns the choice of an engine and its cost in seconds. The home of
@@ -247,7 +242,7 @@
 		if age > peerLoadLife {
 			continue
 		}
-		l := p.loads[en.key]
+		l := p.loads[engineKey(en.idHash)]
 		running += l.Running
 		for level, ms := range l.BacklogMS {
 			reported[clampLevel(level)] += time.Duration(ms) * time.Millisecond
@@ -285,7 +280,7 @@
 		if !en.serves(req) {
 			continue
 		}
-		score := mix(key ^ xxhash.Sum64String(en.spec.ID))
+		score := mix(key ^ en.idHash)
 		if best == nil || score > bestScore {
 			best, bestScore = en, score
 		}
--- a/balance/engines_test.go
+++ b/balance/engines_test.go
@@ -21,6 +21,15 @@
 	return e
 }
 
+// observe hands a host's load on as hosts do.
+func observe(t *testing.T, e *balance.Engines, host string, loads map[string]balance.EngineLoad, hosts int) {
+	t.Helper()
+	const limit = 340
+	if err := e.ObserveDigest(host, balance.EncodeLoads(loads, limit), hosts); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func prompt(subject string, shared, own int, request int) balance.EngineRequest {
 	return balance.EngineRequest{Model: "m", Parts: []balance.Part{{ID: subject, Tokens: shared}, {ID: fmt.Sprint("own", request), Tokens: own}}}
 }
@@ -77,7 +86,7 @@
 	e := engines(clock, 4)
 	req := prompt("s", 10_000, 500, 0)
 	home, _ := e.Choose(req)
-	e.ObservePeer("other", map[string]balance.EngineLoad{home.Endpoint: {Running: 1, BacklogMS: []int64{0, 0, 0, 0, 0, 60_000}}}, 2)
+	observe(t, e, "other", map[string]balance.EngineLoad{home.Endpoint: {Running: 1, BacklogMS: []int64{0, 0, 0, 0, 0, 60_000}}}, 2)
 	req.Urgency = 1
 	if c, _ := e.Choose(req); c.Endpoint != home.Endpoint || c.Backlog != 0 {
 		t.Errorf("urgent request at %+v, home %s", c, home.Endpoint)
@@ -94,7 +103,7 @@
 	clock := clockwork.NewFakeClock()
 	e := engines(clock, 2)
 	for host := range 3 {
-		e.ObservePeer(fmt.Sprint("h", host), map[string]balance.EngineLoad{
+		observe(t, e, fmt.Sprint("h", host), map[string]balance.EngineLoad{
 			"e0": {Running: 1, BacklogMS: []int64{500}}, "e1": {Running: 1, BacklogMS: []int64{500}},
 		}, 4)
 	}
@@ -186,7 +195,7 @@
 func TestFewReportsStandForAll(t *testing.T) {
 	e := engines(clockwork.NewFakeClock(), 1)
 	for host := range 3 {
-		e.ObservePeer(fmt.Sprint("h", host), map[string]balance.EngineLoad{"e0": {Running: 1, BacklogMS: []int64{10}}}, 61)
+		observe(t, e, fmt.Sprint("h", host), map[string]balance.EngineLoad{"e0": {Running: 1, BacklogMS: []int64{10}}}, 61)
 	}
 	if got := e.Backlog("", 0); got != 600*time.Millisecond {
 		t.Errorf("backlog %v, want that of sixty hosts", got)
--- a/balance/replay_test.go
+++ b/balance/replay_test.go
@@ -113,7 +113,7 @@
 			}
 		}
 		if at%gossipInterval == 0 {
-			r.gossip()
+			r.gossip(t)
 		}
 		r.clock.Advance(tick)
 		for _, e := range r.engines {
@@ -159,12 +159,12 @@
 	}
 }
 
-func (r *replay) gossip() {
+func (r *replay) gossip(t *testing.T) {
 	for i, from := range r.hosts {
 		loads := from.Loads()
 		for j, to := range r.hosts {
 			if i != j {
-				to.ObservePeer(fmt.Sprint("h", i), loads, replayHosts)
+				observe(t, to, fmt.Sprint("h", i), loads, replayHosts)
 			}
 		}
 	}
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -301,7 +301,7 @@
 // publishes the verdict.
 func (r *Rollouts) judge(name string, s *service) {
 	step := s.current()
-	if s.suspect || step.State == rollout.OrderDone || step.State == rollout.OrderReverted {
+	if s.suspect || final(step.State) {
 		return
 	}
 	target, base := s.tallies(r.self)
--- a/daemon/command/hostcommand.go
+++ b/daemon/command/hostcommand.go
@@ -19,7 +19,6 @@
 	"github.com/corianderlever/corianderlever/internal/logqueue"
 	"github.com/corianderlever/corianderlever/platform"
 	"github.com/corianderlever/corianderlever/relay"
-	"github.com/corianderlever/corianderlever/rollout"
 )
 
 const (
@@ -84,16 +83,7 @@
 	return router.Settings{
 		Host: s.Host, FailureDomain: s.FailureDomain, Region: s.Region,
 		Frontend: s.Frontend, Readiness: s.Readiness, Directory: s.Directory, Peer: s.Peer, Metrics: s.Metrics,
-		LinkMbps: int(s.LinkMbps), Seeds: s.Seeds, ClusterKey: s.ClusterKey(), Bounds: routerBounds(s.Bounds),
-	}
-}
-
-func routerBounds(b platform.Bounds) router.Bounds {
-	return router.Bounds{
-		Grace: b.Grace, Revocation: b.Revocation,
-		RetryRatio: b.RetryRatio, RetryWindow: b.RetryWindow, RetryExtra: b.RetryExtra,
-		Exposure: rollout.StageConfig{ExposureShare: b.ExposureShare, SessionLife: b.SessionLife},
-		ListLife: b.ListLife,
+		LinkMbps: int(s.LinkMbps), Seeds: s.Seeds, ClusterKey: s.ClusterKey(), Bounds: s.Bounds,
 	}
 }
 
@@ -122,6 +112,6 @@
 			log.Info("settings reloaded", "cause", cause, "bounds_changed", next.Bounds != current.Bounds)
 		}
 		current = next
-		h.SetBounds(routerBounds(next.Bounds))
+		h.SetBounds(next.Bounds)
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/corianderlever/corianderlever/config"
 	"github.com/corianderlever/corianderlever/internal/background"
+	"github.com/corianderlever/corianderlever/internal/defaults"
 	"github.com/corianderlever/corianderlever/kernel"
 	"github.com/corianderlever/corianderlever/kv"
 )
@@ -31,19 +32,8 @@
 }
 
 func (o *Options) complete() {
-	if o.Clock == nil {
-		o.Clock = clockwork.NewRealClock()
-	}
-	if o.Rand == nil {
-		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	}
-	if o.Logger == nil {
-		o.Logger = slog.Default()
-	}
+	defaults.Fill(&o.Clock, &o.Rand, &o.Logger, &o.Registry)
 	o.Logger = o.Logger.With("self", o.Settings.Host)
-	if o.Registry == nil {
-		o.Registry = prometheus.NewRegistry()
-	}
 }
 
 // base is what all services of a host share.
--- a/daemon/router/edge.go
+++ b/daemon/router/edge.go
@@ -30,7 +30,7 @@
 // fresh reports whether the state is recent enough to serve requests with keys.
 func (h *Host) fresh() bool {
 	age, ok := h.follower.Age()
-	return ok && age <= h.bounds.Load().Revocation-stalenessMargin
+	return ok && age <= h.bounds.Load().maxStaleness()
 }
 
 // Ready reports whether the host takes new callers.
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -19,6 +19,7 @@
 	"github.com/corianderlever/corianderlever/fleet"
 	"github.com/corianderlever/corianderlever/internal/background"
 	"github.com/corianderlever/corianderlever/internal/boottime"
+	"github.com/corianderlever/corianderlever/internal/defaults"
 	"github.com/corianderlever/corianderlever/kernel"
 	"github.com/corianderlever/corianderlever/kv"
 	"github.com/corianderlever/corianderlever/limiter"
@@ -68,6 +69,9 @@
 	ListLife time.Duration
 }
 
+// maxStaleness is the age of the state above which keys are refused.
+func (b *Bounds) maxStaleness() time.Duration { return b.Revocation - stalenessMargin }
+
 // Options configure a Host.
 type Options struct {
 	Settings Settings
@@ -83,21 +87,6 @@
 	Registry *prometheus.Registry
 }
 
-func (o *Options) complete() {
-	if o.Clock == nil {
-		o.Clock = clockwork.NewRealClock()
-	}
-	if o.Rand == nil {
-		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	}
-	if o.Logger == nil {
-		o.Logger = slog.Default()
-	}
-	if o.Registry == nil {
-		o.Registry = prometheus.NewRegistry()
-	}
-}
-
 // Host is one host that relays requests.
 type Host struct {
 	opts   Options
@@ -145,7 +134,7 @@
 
 // New puts a host together without starting it.
 func New(opts Options) (*Host, error) {
-	opts.complete()
+	defaults.Fill(&opts.Clock, &opts.Rand, &opts.Logger, &opts.Registry)
 	h := &Host{opts: opts, kernel: kernel.New(), registry: fleet.NewRegistry(lapseGrace)}
 	h.admit.Store(true)
 	h.SetBounds(opts.Settings.Bounds)
@@ -191,7 +180,7 @@
 	b := h.bounds.Load()
 	hosts := max(minHosts, int(h.possibleHosts.Load()))
 	return relay.Settings{
-		MaxStaleness: b.Revocation - stalenessMargin,
+		MaxStaleness: b.maxStaleness(),
 		Retry: limiter.WindowConfig{
 			Window: b.RetryWindow, Share: budgetPart * b.RetryRatio, Extra: budgetPart * b.RetryExtra / float64(hosts),
 		},
