feed, router: large updates once and only their newest version; no service lost without need in an outage

Cause 1: a host sent others every version of the configuration since their last query, uncompressed, and the querying host asked up to three hosts at the same time after 150 ms without an answer. 1,876 routes, or 25 versions in 2 s, then took longer on a link of 10 Mbit/s than the 700 ms that a call may take, so hosts stayed behind for up to 7 s and answered 404 for new routes. Change: each key is sent once with its newest version, values from 2 KiB on are compressed once for all hosts; an answer of over 8 KiB is announced first and then transferred once, on connections of its own; events of the store are applied in their newest version only. A host that knows that its table is outdated (its age, or a newer version in another host's heartbeat) answers 503 instead of 404 and 401. Cause 2: RevocationStrict was not read, so every deployment refused all keys 4.3 s after the store went down. Change: where it is false the last known keys hold. Ruled out: load on the hosts (0.015 of a core mean) and the store's own links.

--- a/daemon/router/edge.go
+++ b/daemon/router/edge.go
@@ -27,7 +27,23 @@
 // Age implements relay.ConfigSource.
 func (h *Host) Age() (time.Duration, bool) { return h.follower.Age() }
 
-// fresh reports whether the state is recent enough to check the keys of requests.
+// Outdated implements relay.ConfigSource. The table is outdated if another host has
+// a newer one, or if it was last confirmed too long ago for this host to know.
+func (h *Host) Outdated() bool {
+	age, ok := h.follower.Age()
+	return !ok || age > peerFetchAge || h.tableVersion() < h.peers.newestTable()
+}
+
+// tableVersion returns the version of the routing table; zero before the first one.
+func (h *Host) tableVersion() int64 {
+	t, ok := h.state.Table()
+	if !ok {
+		return 0
+	}
+	return t.Version()
+}
+
+// fresh reports whether the state is recent enough to reject revoked keys in time.
 func (h *Host) fresh() bool {
 	age, ok := h.follower.Age()
 	return ok && age <= h.bounds.Load().maxStaleness()
@@ -36,7 +52,7 @@
 // Ready reports whether the host accepts new callers.
 func (h *Host) Ready() bool {
 	_, ok := h.state.Table()
-	return ok && !h.stopping.Load() && h.fresh()
+	return ok && !h.stopping.Load() && (h.fresh() || !h.bounds.Load().StrictRevocation)
 }
 
 // Draining reports whether the host is stopping and connections of callers should
--- a/daemon/router/peers.go
+++ b/daemon/router/peers.go
@@ -27,23 +27,21 @@
 	serviceServers = "servers"
 )
 
-// methodUpdate fetches the changes to another host's state.
+// methodUpdate fetches the changes to another host's state. Its message is a
+// feed.Query.
 const methodUpdate = "feed.News"
 
-// updateCall is the message of methodUpdate.
-type updateCall struct {
-	// After is the revision of the state that the calling host has.
-	After int64 `json:"after"`
-}
-
 // peerService provides calls between hosts and the cluster membership.
 type peerService struct {
-	host    *Host
-	run     *background.Group
-	server  *peer.Server
-	client  *peer.Client
-	members *membership.Membership
-	ln      net.Listener
+	host   *Host
+	run    *background.Group
+	server *peer.Server
+	client *peer.Client
+	// bulkClient transfers large updates, on connections of its own, so that they do
+	// not delay other calls.
+	bulkClient *peer.Client
+	members    *membership.Membership
+	ln         net.Listener
 
 	mu    sync.Mutex
 	fresh map[string]freshness
@@ -56,6 +54,9 @@
 // peerCallTimeout bounds a call between hosts.
 const peerCallTimeout = 700 * time.Millisecond
 
+// bulkCallTimeout bounds the transfer of a large update.
+const bulkCallTimeout = 1500 * time.Millisecond
+
 // Provision creates the server, the client and the membership.
 func (s *peerService) Provision(*kernel.Kernel) error {
 	o, set := s.host.opts, s.host.opts.Settings
@@ -65,10 +66,14 @@
 	if err != nil {
 		return err
 	}
-	s.client, err = peer.NewClient(peer.ClientOptions{
+	clientOptions := peer.ClientOptions{
 		Key: set.ClusterKey, Self: set.Host, Clock: o.Clock, Logger: o.Logger, CallTimeout: peerCallTimeout, DialTimeout: peerCallTimeout,
-	})
-	if err != nil {
+	}
+	if s.client, err = peer.NewClient(clientOptions); err != nil {
+		return err
+	}
+	clientOptions.CallTimeout = bulkCallTimeout
+	if s.bulkClient, err = peer.NewClient(clientOptions); err != nil {
 		return err
 	}
 	s.members, err = membership.New(membership.Options{
@@ -99,7 +104,7 @@
 
 // Stop stops heartbeats and closes connections to peers.
 func (s *peerService) Stop(ctx context.Context) error {
-	return errors.CombineErrors(s.run.Stop(ctx), s.client.Close())
+	return errors.CombineErrors(s.run.Stop(ctx), errors.CombineErrors(s.client.Close(), s.bulkClient.Close()))
 }
 
 func (s *peerService) memberChanged(membership.Member) {
@@ -122,13 +127,15 @@
 	h.possibleHosts.Store(possible)
 }
 
-// freshness is the signal by which a host reports whether it can serve and reaches
-// the store.
+// freshness is the signal by which a host reports whether its state is recent and
+// whether it reaches the store.
 type freshness struct {
-	// Fresh is set if the host can serve requests.
+	// Fresh is set if the host can serve requests and its state is recent.
 	Fresh bool `json:"fresh"`
 	// Store is set if the store answers calls of the host itself.
 	Store bool `json:"store"`
+	// Table is the version of the host's routing table.
+	Table int64 `json:"table,omitempty"`
 }
 
 // storeContactTimeout is the time after the last answer of the store for which a
@@ -136,7 +143,22 @@
 const storeContactTimeout = 2 * time.Second
 
 func (s *peerService) localFreshness() freshness {
-	return freshness{Fresh: s.host.Ready(), Store: s.host.follower.StoreAnsweredWithin(storeContactTimeout)}
+	h := s.host
+	return freshness{
+		Fresh: h.Ready() && h.fresh(), Store: h.follower.StoreAnsweredWithin(storeContactTimeout), Table: h.tableVersion(),
+	}
+}
+
+// newestTable returns the highest version of a routing table that another host has
+// reported.
+func (s *peerService) newestTable() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := int64(0)
+	for _, f := range s.fresh {
+		newest = max(newest, f.Table)
+	}
+	return newest
 }
 
 func (s *peerService) registerSignals() {
@@ -229,11 +251,11 @@
 	})
 }
 
-// canServe reports whether a host can serve according to its last heartbeat. A host
-// without a heartbeat yet counts as serving, because its first one follows at once.
+// canServe reports whether a host can serve with a recent state according to its last
+// heartbeat. A host without a heartbeat yet counts as serving, because its first one follows at once.
 func (s *peerService) canServe(host string) bool {
 	if host == s.host.opts.Settings.Host {
-		return s.host.Ready()
+		return s.localFreshness().Fresh
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -255,11 +277,11 @@
 }
 
 func (s *peerService) handleUpdate(_ context.Context, _ string, params json.RawMessage) (any, error) {
-	var call updateCall
-	if err := json.Unmarshal(params, &call); err != nil {
-		return nil, errors.Wrap(err, "router: decode update call")
+	var q feed.Query
+	if err := json.Unmarshal(params, &q); err != nil {
+		return nil, errors.Wrap(err, "router: decode update query")
 	}
-	return s.host.follower.UpdateSince(call.After)
+	return s.host.follower.Answer(q)
 }
 
 // storeReadersPerDomain is the number of hosts per failure domain that follow the
@@ -296,28 +318,35 @@
 	return out
 }
 
-// maxPeerQueries bounds the hosts queried for one update.
-const maxPeerQueries = 3
+const (
+	// maxPeerQueries bounds the hosts queried for one update.
+	maxPeerQueries = 3
+	// maxHedgedBytes bounds the data in an answer of each of these hosts. The
+	// smallest links transfer that much within a few milliseconds.
+	maxHedgedBytes = 8 << 10
+)
 
 // fetchFromPeers fetches the update after a revision from hosts that follow the
 // store directly, hosts in the same failure domain first.
 func (h *Host) fetchFromPeers(ctx context.Context, after int64) (feed.Update, error) {
 	q := feed.PeerQuery{Clock: h.opts.Clock, Call: func(ctx context.Context, host string) (n feed.Update, err error) {
-		err = h.peers.client.Call(ctx, host, methodUpdate, updateCall{After: after}, &n)
+		err = h.peers.client.Call(ctx, host, methodUpdate, feed.Query{After: after, Compress: true, MaxBytes: maxHedgedBytes}, &n)
 		return n, err
 	}}
-	limit := maxPeerQueries
-	if after == 0 {
-		limit = 1 // the answer is a full listing
-	}
 	for _, m := range h.localFirst(storeReaders(h.peers.members.Members())) {
-		if len(q.Hosts) < limit && m.Host != h.opts.Settings.Host && h.peers.canServe(m.Host) {
+		if len(q.Hosts) < maxPeerQueries && m.Host != h.opts.Settings.Host && h.peers.canServe(m.Host) {
 			q.Hosts = append(q.Hosts, m.PeerAddress)
 		}
 	}
 	return q.Fetch(ctx)
 }
 
+// fetchBulk fetches a large update from the host that has announced it.
+func (h *Host) fetchBulk(ctx context.Context, host string, after int64) (u feed.Update, err error) {
+	err = h.peers.bulkClient.Call(ctx, host, methodUpdate, feed.Query{After: after, Compress: true}, &u)
+	return u, err
+}
+
 // localFirst returns the hosts in random order, alternating between hosts in the
 // same failure domain and others and starting with the former, so that the loss of
 // a failure domain costs one query.
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -58,6 +58,9 @@
 	GracePeriod time.Duration
 	// RevocationTime is the time after which a revoked key is rejected everywhere.
 	RevocationTime time.Duration
+	// StrictRevocation makes RevocationTime hold also for hosts that cannot learn of
+	// the revocation: they reject all keys. Otherwise they accept the last known keys.
+	StrictRevocation bool
 	// RetryRatio, RetryWindow and ExtraRetries are the retry budget of a
 	// service over all hosts: RetryRatio retries per request in each RetryWindow,
 	// plus ExtraRetries.
@@ -70,9 +73,18 @@
 	MaxListTTL time.Duration
 }
 
-// maxStaleness is the age of the state above which requests with keys are rejected.
+// maxStaleness is the age of the state up to which a revoked key is rejected in time.
 func (b *Bounds) maxStaleness() time.Duration { return b.RevocationTime - stalenessMargin }
 
+// maxKeyAge is the age of the state above which requests with keys are rejected; zero
+// for no limit.
+func (b *Bounds) maxKeyAge() time.Duration {
+	if !b.StrictRevocation {
+		return 0
+	}
+	return b.maxStaleness()
+}
+
 // Options configure a Host.
 type Options struct {
 	Settings Settings
@@ -148,7 +160,7 @@
 	h.follower = feed.New(feed.Options{
 		Source: opts.Store, Sink: h.state, Wait: feedWait, Pause: feedPause, CallTimeout: feedTimeout, SettleTime: settleTime,
 		Clock: opts.Clock, Boottime: boottime.Now, Rand: h.newRand(), Logger: opts.Logger,
-		Direct: h.readsStore, FetchFromPeer: h.fetchFromPeers, PeerFetchAge: peerFetchAge, PeerFetchInterval: peerFetchInterval,
+		Direct: h.readsStore, FetchFromPeer: h.fetchFromPeers, FetchBulk: h.fetchBulk, PeerFetchAge: peerFetchAge, PeerFetchInterval: peerFetchInterval,
 	})
 	h.crashes = limiter.NewCrashGuard(opts.Clock, limiter.PropagationTime(minHosts, membership.DefaultInterval))
 	h.relay = relay.New(relay.Options{
@@ -188,7 +200,7 @@
 	b := h.bounds.Load()
 	hosts := max(minHosts, int(h.possibleHosts.Load()))
 	return relay.Settings{
-		MaxStaleness: b.maxStaleness(),
+		MaxKeyAge: b.maxKeyAge(),
 		Retry: limiter.WindowConfig{
 			Window: b.RetryWindow, RetryRatio: budgetShare * b.RetryRatio, ExtraRetries: budgetShare * b.ExtraRetries / float64(hosts),
 		},
--- a/feed/ask.go
+++ b/feed/ask.go
@@ -51,6 +51,7 @@
 			inFlight++
 			go func() {
 				u, err := q.Call(ctx, host)
+				u.From = host
 				replies <- reply{u, err}
 			}()
 		}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -58,6 +58,9 @@
 	Direct func() bool
 	// FetchFromPeer, if set, gets the update after a revision from another host.
 	FetchFromPeer func(ctx context.Context, after int64) (Update, error)
+	// FetchBulk gets the update after a revision from a host whose answer to
+	// FetchFromPeer left out its data because of its size.
+	FetchBulk func(ctx context.Context, host string, after int64) (Update, error)
 	// PeerFetchAge is the age of the state from which a host queries both the store
 	// and other hosts, whichever it follows. PeerFetchInterval is the time between
 	// two queries to other hosts then.
@@ -71,18 +74,17 @@
 type Follower struct {
 	opts Options
 
+	// bulk is held while a large update is transferred from another host.
+	bulk sync.Mutex
 	// failing is set while calls to the store fail. Only Run uses it.
 	failing bool
 
 	// stateMu guards the fields below and the state in the sink.
 	stateMu   sync.Mutex
-	revision  int64               // revision up to which the state is complete
-	synced    bool                // a listing has been applied
-	outageEnd time.Time           // end of the last outage
-	mirror    map[string]kv.Entry // relevant entries, for other hosts
-	// history holds the latest changes. It is complete after revision historyFrom.
-	history     []kv.Event
-	historyFrom int64
+	revision  int64     // revision up to which the state is complete
+	synced    bool      // a listing has been applied
+	outageEnd time.Time // end of the last outage
+	mirror    *mirror   // relevant entries, for other hosts
 
 	mu sync.Mutex
 	// confirmed is the latest instant at which the state is known to have been
@@ -96,7 +98,7 @@
 
 // New returns a follower without state until Run.
 func New(opts Options) *Follower {
-	return &Follower{opts: opts, ready: make(chan struct{}), mirror: make(map[string]kv.Entry)}
+	return &Follower{opts: opts, ready: make(chan struct{}), mirror: newMirror()}
 }
 
 // Ready is closed when the first listing has been applied.
@@ -132,9 +134,7 @@
 	}
 	for ctx.Err() == nil {
 		if left := f.peerFollowTime(); left > 0 {
-			peerCtx, cancel := kv.WithTimeout(ctx, f.opts.Clock, left)
-			f.fetchFromPeer(peerCtx)
-			cancel()
+			f.fetchFromPeer(ctx, left)
 			f.pause(ctx, min(f.opts.Pause, left))
 			continue
 		}
@@ -211,6 +211,7 @@
 	defer f.stateMu.Unlock()
 	// A newer state may have come from another host in the meantime.
 	events = slices.DeleteFunc(events, func(ev kv.Event) bool { return ev.Entry.Revision <= f.revision })
+	events = newestVersions(events)
 	for _, ev := range events {
 		f.recordChange(ev)
 	}
@@ -242,11 +243,10 @@
 	if revision < f.revision {
 		return
 	}
-	clear(f.mirror)
-	f.history, f.historyFrom = nil, revision
+	f.mirror.reset(revision)
 	for _, e := range entries {
 		if f.opts.Sink.Relevant(kv.Event{Entry: e}, nil) {
-			f.mirror[e.Key] = e
+			f.mirror.set(e)
 		}
 	}
 	f.opts.Sink.Reset(entries, afterOutage())
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -1,7 +1,9 @@
 package feed_test
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -12,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
 
 	"github.com/corianderlever/corianderlever/feed"
 	"github.com/corianderlever/corianderlever/internal/boottime"
@@ -20,9 +23,24 @@
 
 // source is a store that answers calls with scripted answers, each used once.
 type source struct {
+	called  chan struct{} // receives each call before it is answered
 	answers chan answer
 }
 
+func newSource() *source {
+	return &source{called: make(chan struct{}), answers: make(chan answer)}
+}
+
+// next returns the answer to a call.
+func (s *source) next() answer {
+	select {
+	case s.called <- struct{}{}:
+	case a := <-s.answers: // only when the test has ended
+		return a
+	}
+	return <-s.answers
+}
+
 type answer struct {
 	entries []kv.Entry
 	events  []kv.Event
@@ -31,12 +49,12 @@
 }
 
 func (s *source) List(context.Context, string) ([]kv.Entry, int64, error) {
-	a := <-s.answers
+	a := s.next()
 	return a.entries, a.at, a.err
 }
 
 func (s *source) Changes(_ context.Context, _ string, _ int64, _ time.Duration) ([]kv.Event, int64, error) {
-	a := <-s.answers
+	a := s.next()
 	return a.events, a.at, a.err
 }
 
@@ -46,6 +64,7 @@
 type sink struct {
 	keys        map[string]bool
 	afterOutage []bool
+	applied     int // events
 	ticks       chan struct{}
 }
 
@@ -58,6 +77,7 @@
 }
 
 func (s *sink) Apply(events []kv.Event, afterOutage bool) {
+	s.applied += len(events)
 	for _, e := range events {
 		s.keys[e.Entry.Key] = !e.Deleted
 	}
@@ -84,7 +104,7 @@
 
 func start(t *testing.T) *fixture {
 	t.Helper()
-	r := &fixture{source: &source{answers: make(chan answer)}, sink: &sink{ticks: make(chan struct{}, 16)}, clock: clockwork.NewFakeClock()}
+	r := &fixture{source: newSource(), sink: &sink{ticks: make(chan struct{}, 16)}, clock: clockwork.NewFakeClock()}
 	r.Follower = feed.New(feed.Options{
 		Source: r.source, Sink: r.sink, Wait: time.Second, Pause: time.Second, CallTimeout: time.Second, SettleTime: 3 * time.Second,
 		Clock: r.clock, Boottime: r.boot.load,
@@ -105,20 +125,26 @@
 }
 
 // answer answers the follower's next call to the store. It advances the clock until
-// the call comes.
+// the call comes. The call's own timeout may pass before it arrives; the clock then has
+// no waiters, so answer must not wait for one.
 func (r *fixture) answer(t *testing.T, a answer) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	for {
+		waiting := make(chan struct{})
+		go func() {
+			defer close(waiting)
+			// An error means that the call has come or that the test has failed.
+			_ = r.clock.BlockUntilContext(ctx, 1)
+		}()
 		select {
-		case r.source.answers <- a:
+		case <-r.source.called:
+			r.source.answers <- a
 			return
-		case <-ctx.Done():
-			t.Fatal("the follower made no call within 10 s")
-		default:
-			if err := r.clock.BlockUntilContext(ctx, 1); err != nil {
-				t.Fatal(err)
+		case <-waiting:
+			if ctx.Err() != nil {
+				t.Fatal("the follower made no call within 10 s")
 			}
 			r.clock.Advance(100 * time.Millisecond)
 		}
@@ -223,7 +249,7 @@
 	clock := clockwork.NewFakeClock()
 	s := &sink{ticks: make(chan struct{}, 16)}
 	f := feed.New(feed.Options{
-		Source: &source{answers: make(chan answer)}, Sink: s, Clock: clock, Boottime: boot.load,
+		Source: newSource(), Sink: s, Clock: clock, Boottime: boot.load,
 		Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		PeerFetchAge: time.Second, PeerFetchInterval: time.Second,
 		FetchFromPeer: func(_ context.Context, after int64) (feed.Update, error) {
@@ -247,11 +273,11 @@
 	if age, _ := f.Age(); age != 3*time.Second {
 		t.Errorf("age %v, want 3s, the age in the answer plus the duration of the request", age)
 	}
-	own, err := f.UpdateSince(0)
+	own, err := f.Answer(feed.Query{})
 	if err != nil || own.Revision != 7 || len(own.Entries) != 1 {
 		t.Errorf("own update %+v, error %v; want revision 7 with one entry", own, err)
 	}
-	if second, _ := f.UpdateSince(7); len(second.Entries) != 0 {
+	if second, _ := f.Answer(feed.Query{After: 7}); len(second.Entries) != 0 {
 		t.Error("a host that is up to date got entries")
 	}
 }
@@ -267,7 +293,7 @@
 		s := &sink{ticks: make(chan struct{}, 16)}
 		answers := make(chan feed.Update)
 		f := feed.New(feed.Options{
-			Source: &source{answers: make(chan answer)}, Sink: s, Clock: clock, Boottime: boot.load,
+			Source: newSource(), Sink: s, Clock: clock, Boottime: boot.load,
 			Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 			PeerFetchAge: time.Second, PeerFetchInterval: time.Second,
 			FetchFromPeer: func(context.Context, int64) (feed.Update, error) { return <-answers, nil },
@@ -302,11 +328,11 @@
 	<-r.sink.ticks
 	r.answer(t, answer{events: []kv.Event{{Entry: kv.Entry{Key: "noise", Revision: 6}}, {Entry: kv.Entry{Key: "b", Revision: 7}}}, at: 8})
 	<-r.sink.ticks
-	full, err := r.UpdateSince(3)
+	full, err := r.Answer(feed.Query{After: 3})
 	if err != nil || !full.Full || len(full.Entries) != 2 || full.Revision != 8 {
 		t.Errorf("update for a host at revision 3: %+v, error %v; want all entries", full, err)
 	}
-	changes, err := r.UpdateSince(5)
+	changes, err := r.Answer(feed.Query{After: 5})
 	if err != nil || changes.Full || len(changes.Events) != 1 || changes.Events[0].Entry.Key != "b" {
 		t.Errorf("update for a host at revision 5: %+v, error %v; want the change of b", changes, err)
 	}
@@ -404,3 +430,131 @@
 		clock.Advance(peerFetchAge / 4)
 	}
 }
+
+// TestSendsOnlyNewestVersion guards against a burst of configurations of which every
+// version is sent to every host and decoded there: on a slow link none then arrives
+// in time.
+func TestSendsOnlyNewestVersion(t *testing.T) {
+	r := start(t)
+	r.answer(t, answer{at: 1})
+	<-r.sink.ticks
+	var burst []kv.Event
+	for i := range 90 {
+		burst = append(burst, kv.Event{Entry: kv.Entry{Key: "config", Revision: int64(2 + i)}})
+	}
+	burst = append(burst, kv.Event{Entry: kv.Entry{Key: "b", Revision: 92}}, kv.Event{Entry: kv.Entry{Key: "b", Revision: 93}, Deleted: true})
+	r.answer(t, answer{events: burst, at: 93})
+	<-r.sink.ticks
+	if r.sink.applied != 2 {
+		t.Errorf("%d events applied, want the newest of each of two keys", r.sink.applied)
+	}
+	u, err := r.Answer(feed.Query{After: 1})
+	want := []kv.Event{{Entry: kv.Entry{Key: "config", Revision: 91}}, {Entry: kv.Entry{Key: "b", Revision: 93}, Deleted: true}}
+	if diff := cmp.Diff(want, u.Events); err != nil || diff != "" {
+		t.Error(err, diff)
+	}
+}
+
+// TestLargeUpdateIsTransferredOnce guards against a large configuration that several
+// hosts send to one host at the same time: its link is too slow for that, and none of
+// the transfers ends within its time limit.
+func TestLargeUpdateIsTransferredOnce(t *testing.T) {
+	sender := start(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	large := kv.Entry{Key: "config", Revision: 6}
+	for range 2000 {
+		large.Value = fmt.Appendf(large.Value, `{"Name":"route-%x","Host":"host.example","Prefix":"/%x/","MaxAttempts":2},`, rng.Uint32(), rng.Uint32())
+	}
+	sender.answer(t, answer{entries: []kv.Entry{large}, at: 6})
+	<-sender.sink.ticks
+
+	const maxBytes = 8 << 10
+	transfers := 0
+	received := &sink{ticks: make(chan struct{}, 16)}
+	clock := clockwork.NewFakeClock()
+	receiver := feed.New(feed.Options{
+		Source: newSource(), Sink: received, Clock: clock, Boottime: new(atomicInstant).load,
+		Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		PeerFetchAge: time.Second, PeerFetchInterval: time.Second,
+		FetchFromPeer: func(ctx context.Context, after int64) (feed.Update, error) {
+			q := feed.PeerQuery{Hosts: []string{"a", "b", "c"}, Clock: clock, Call: func(context.Context, string) (feed.Update, error) {
+				u, err := sender.Answer(feed.Query{After: after, Compress: true, MaxBytes: maxBytes})
+				if len(u.Entries) > 0 {
+					t.Errorf("%d entries in an answer that should be small", len(u.Entries))
+				}
+				return u, err
+			}}
+			return q.Fetch(ctx)
+		},
+		FetchBulk: func(_ context.Context, host string, after int64) (feed.Update, error) {
+			transfers++
+			u, err := sender.Answer(feed.Query{After: after, Compress: true})
+			if host == "" || len(u.Entries) != 1 || len(u.Entries[0].Value) > len(large.Value)/2 {
+				t.Errorf("from %q: %d entries; want the compressed configuration", host, len(u.Entries))
+			}
+			return u, err
+		},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = receiver.Run(ctx) }()
+	if err := clock.BlockUntilContext(ctx, 1); err != nil {
+		t.Fatal(err)
+	}
+	clock.Advance(time.Second)
+	<-received.ticks
+	if got, _ := receiver.Answer(feed.Query{}); transfers != 1 || len(got.Entries) != 1 || !bytes.Equal(got.Entries[0].Value, large.Value) {
+		t.Errorf("%d transfers, %d entries; want the configuration after one transfer", transfers, len(got.Entries))
+	}
+}
+
+// TestMirrorAgreesWithLog compares the updates that hosts get from another host with
+// the log of all changes: a host that applies them, from any revision on, ends with
+// the same entries. It guards against a change that is left out between two updates.
+func TestMirrorAgreesWithLog(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r := start(t)
+		r.answer(t, answer{at: 1})
+		<-r.sink.ticks
+		want, follower, seen := map[string]int64{}, map[string]int64{}, int64(1)
+		at := int64(1)
+		for range rapid.IntRange(1, 6).Draw(rt, "polls") {
+			var events []kv.Event
+			for range rapid.IntRange(0, 6).Draw(rt, "changes") {
+				at++
+				key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "key")
+				deleted := rapid.Bool().Draw(rt, "deleted")
+				events = append(events, kv.Event{Entry: kv.Entry{Key: key, Revision: at}, Deleted: deleted})
+				want[key] = at
+				if deleted {
+					delete(want, key)
+				}
+			}
+			r.answer(t, answer{events: events, at: at})
+			<-r.sink.ticks
+			if rapid.Bool().Draw(rt, "query") {
+				seen = applyUpdate(rt, r, follower, seen)
+			}
+		}
+		applyUpdate(rt, r, follower, seen)
+		if diff := cmp.Diff(want, follower); diff != "" {
+			rt.Error(diff)
+		}
+	})
+}
+
+// applyUpdate applies the update after a revision to entries and returns the new
+// revision.
+func applyUpdate(t *rapid.T, r *fixture, entries map[string]int64, after int64) int64 {
+	u, err := r.Answer(feed.Query{After: after})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, ev := range u.Events {
+		entries[ev.Entry.Key] = ev.Entry.Revision
+		if ev.Deleted {
+			delete(entries, ev.Entry.Key)
+		}
+	}
+	return u.Revision
+}
--- a/feed/news.go
+++ b/feed/news.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/corianderlever/corianderlever/internal/boottime"
 	"github.com/corianderlever/corianderlever/kv"
@@ -23,34 +24,41 @@
 	Full    bool       `json:"full,omitempty"`
 	Entries []kv.Entry `json:"entries,omitempty"`
 	Events  []kv.Event `json:"events,omitempty"`
+	// Compressed lists the keys whose values are compressed by gzip.
+	Compressed []string `json:"gzip,omitempty"`
+	// OmittedBytes is the size of the entries and events if they are left out
+	// because the query asked for a small answer.
+	OmittedBytes int `json:"omitted,omitempty"`
+	// From is the address of the host that answered.
+	From string `json:"-"`
 }
 
-// maxHistory bounds the number of changes kept for other hosts.
-const maxHistory = 1024
+// Query asks a host for an update.
+type Query struct {
+	// After is the revision up to which the querying host has the state.
+	After int64 `json:"after"`
+	// Compress is set if the querying host can decompress values.
+	Compress bool `json:"gzip,omitempty"`
+	// MaxBytes is the size of the data from which the answer leaves it out; zero for
+	// no limit. Several hosts are queried at the same time, and only one of them
+	// should send much data.
+	MaxBytes int `json:"max_bytes,omitempty"`
+}
 
 // recordChange keeps a change for other hosts if it is relevant to them.
 func (f *Follower) recordChange(ev kv.Event) {
-	var old *kv.Entry
-	if e, ok := f.mirror[ev.Entry.Key]; ok {
-		old = &e
-	}
-	if !f.opts.Sink.Relevant(ev, old) {
+	if !f.opts.Sink.Relevant(ev, f.mirror.get(ev.Entry.Key)) {
 		return
 	}
 	if ev.Deleted {
-		delete(f.mirror, ev.Entry.Key)
-	} else {
-		f.mirror[ev.Entry.Key] = ev.Entry
-	}
-	f.history = append(f.history, ev)
-	if len(f.history) > maxHistory {
-		f.historyFrom = f.history[0].Entry.Revision
-		f.history = slices.Clone(f.history[1:])
+		f.mirror.remove(ev)
+		return
 	}
+	f.mirror.set(ev.Entry)
 }
 
-// UpdateSince returns the update for a host that has the state up to a revision.
-func (f *Follower) UpdateSince(after int64) (Update, error) {
+// Answer returns the update that a query asks for.
+func (f *Follower) Answer(q Query) (Update, error) {
 	f.stateMu.Lock()
 	defer f.stateMu.Unlock()
 	age, ok := f.Age()
@@ -58,20 +66,30 @@
 		return Update{}, ErrNoState
 	}
 	u := Update{Revision: f.revision, AgeMS: age.Milliseconds() + 1, AfterOutage: f.inSettleTime()}
-	if f.revision <= after {
+	if f.revision <= q.After {
 		return u, nil
 	}
-	if after < f.historyFrom {
-		u.Full, u.Entries = true, slices.Collect(maps.Values(f.mirror))
-		return u, nil
+	if err := f.mirror.update(&u, q.After, q.Compress); err != nil {
+		return Update{}, err
 	}
-	first := slices.IndexFunc(f.history, func(ev kv.Event) bool { return ev.Entry.Revision > after })
-	if first >= 0 {
-		u.Events = slices.Clone(f.history[first:])
+	if size := u.dataBytes(); q.MaxBytes > 0 && size > q.MaxBytes {
+		return Update{Revision: u.Revision, AgeMS: u.AgeMS, AfterOutage: u.AfterOutage, Full: u.Full, OmittedBytes: size}, nil
 	}
 	return u, nil
 }
 
+// dataBytes returns the size of the keys and values in the update.
+func (u *Update) dataBytes() int {
+	n := 0
+	for _, e := range u.Entries {
+		n += len(e.Key) + len(e.Value)
+	}
+	for _, ev := range u.Events {
+		n += len(ev.Entry.Key) + len(ev.Entry.Value)
+	}
+	return n
+}
+
 // fetchWhileStale fetches updates from other hosts while the state is at least
 // PeerFetchAge old.
 func (f *Follower) fetchWhileStale(ctx context.Context) {
@@ -84,17 +102,25 @@
 		case <-ticker.Chan():
 		}
 		if age, ok := f.Age(); !ok || age >= f.opts.PeerFetchAge {
-			f.fetchFromPeer(ctx)
+			f.fetchFromPeer(ctx, f.opts.PeerFetchAge)
 		}
 	}
 }
 
-// fetchFromPeer applies an update from another host. The reported age counts back
-// from the start of the request, so that the time until the answer adds to the age.
-func (f *Follower) fetchFromPeer(ctx context.Context) {
+// fetchFromPeer applies an update from another host. Hosts are queried for at most
+// limit. The reported age counts back from the start of the request, so that the time
+// until the answer adds to the age.
+func (f *Follower) fetchFromPeer(ctx context.Context, limit time.Duration) {
 	started := f.opts.Boottime()
 	after, _ := f.position()
-	u, err := f.opts.FetchFromPeer(ctx, after)
+	u, err := f.queryPeers(ctx, after, limit)
+	if err == nil && u.OmittedBytes > 0 {
+		started = f.opts.Boottime()
+		u, err = f.fetchBulk(ctx, u, after)
+	}
+	if err == nil {
+		err = u.decompress()
+	}
 	if err != nil || u.Revision < after {
 		f.opts.Logger.Debug("no update from peer", "error", err, "at", after, "peer_at", u.Revision)
 		return
@@ -108,3 +134,24 @@
 	f.opts.Sink.Tick()
 	f.confirm(started - boottime.Instant(u.age()))
 }
+
+func (f *Follower) queryPeers(ctx context.Context, after int64, limit time.Duration) (Update, error) {
+	ctx, cancel := kv.WithTimeout(ctx, f.opts.Clock, limit)
+	defer cancel()
+	return f.opts.FetchFromPeer(ctx, after)
+}
+
+// errBulkInProgress reports that a large update is already being transferred.
+var errBulkInProgress = errors.New("feed: another large update is being transferred")
+
+// fetchBulk gets the large update that a host has announced. Only one is transferred
+// at a time, because several would share a slow link and all come too late.
+func (f *Follower) fetchBulk(ctx context.Context, announced Update, after int64) (Update, error) {
+	if !f.bulk.TryLock() {
+		return Update{}, errBulkInProgress
+	}
+	defer f.bulk.Unlock()
+	u, err := f.opts.FetchBulk(ctx, announced.From, after)
+	f.opts.Logger.Info("large update", "from", announced.From, "after", after, "at", u.Revision, "bytes", announced.OmittedBytes, "error", err)
+	return u, err
+}
--- a/relay/job.go
+++ b/relay/job.go
@@ -109,7 +109,7 @@
 	j.table = table
 	j.route, ok = table.Match(j.req.Host, j.req.Path)
 	if !ok {
-		return &ErrorResponse{Status: http.StatusNotFound, Reason: "no_route", Detail: j.req.Host + j.req.Path}
+		return j.deny(http.StatusNotFound, "no_route", j.req.Host+j.req.Path)
 	}
 	j.priority = j.route.Priority
 	if errResp := j.authenticate(); errResp != nil {
@@ -142,19 +142,31 @@
 	return float64(xxhash.Sum64String(session)>>(64-bits)) / (1 << bits)
 }
 
+// deny returns the response to a request that the routing table does not allow. If
+// the table is outdated, the newest one may allow the request, so the caller is
+// told to retry.
+func (j *job) deny(status int, reason, detail string) *ErrorResponse {
+	if j.relay.Config.Outdated() {
+		return &ErrorResponse{
+			Status: http.StatusServiceUnavailable, Reason: "outdated_configuration", Detail: reason + " " + detail, RetryAfter: staleRetryAfter,
+		}
+	}
+	return &ErrorResponse{Status: status, Reason: reason, Detail: detail}
+}
+
 // authenticate checks the caller's key, unless the route needs none. While the
-// configuration is stale, every key is rejected, because it may have been revoked.
+// configuration is too old, every key is rejected, because it may have been revoked.
 func (j *job) authenticate() *ErrorResponse {
 	if j.route.Anonymous || !j.table.NeedsKeys() {
 		return nil
 	}
 	j.requiresKey = true
-	if errResp := j.checkStaleness(); errResp != nil {
+	if errResp := j.checkKeyAge(); errResp != nil {
 		return errResp
 	}
 	team, ok := j.table.TeamForKey(j.req.Key)
 	if !ok {
-		return &ErrorResponse{Status: http.StatusUnauthorized, Reason: "unknown_key"}
+		return j.deny(http.StatusUnauthorized, "unknown_key", "")
 	}
 	j.team = team.Name
 	if team.Priority != nil {
@@ -163,11 +175,15 @@
 	return nil
 }
 
-// checkStaleness rejects a request if the configuration was last confirmed to be
-// current longer ago than the maximum staleness.
-func (j *job) checkStaleness() *ErrorResponse {
+// checkKeyAge rejects a request if the configuration was last confirmed to be current
+// longer ago than keys may be accepted.
+func (j *job) checkKeyAge() *ErrorResponse {
+	limit := j.relay.Settings().MaxKeyAge
+	if limit == 0 {
+		return nil
+	}
 	age, ok := j.relay.Config.Age()
-	if ok && age <= j.relay.Settings().MaxStaleness {
+	if ok && age <= limit {
 		return nil
 	}
 	return &ErrorResponse{
@@ -195,13 +211,13 @@
 	return j.deadline.Sub(j.relay.Clock.Now())
 }
 
-// recheck repeats the checks of staleness and key right before a send, because
+// recheck repeats the checks of age and key right before a send, because
 // their result may have changed while the request waited.
 func (j *job) recheck() *ErrorResponse {
 	if !j.requiresKey {
 		return nil
 	}
-	if errResp := j.checkStaleness(); errResp != nil {
+	if errResp := j.checkKeyAge(); errResp != nil {
 		return errResp
 	}
 	table, _ := j.relay.Config.Table()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -29,6 +29,8 @@
 	// Age returns how long ago the table was last confirmed to be current; false
 	// if it never was.
 	Age() (time.Duration, bool)
+	// Outdated reports whether a newer table may be in force on other hosts.
+	Outdated() bool
 }
 
 // Versions chooses the version of a service that serves a request.
@@ -42,9 +44,9 @@
 
 // Settings are the limits of the deployment. They may change at any time.
 type Settings struct {
-	// MaxStaleness is the age of the configuration above which requests with a
-	// key are rejected, because the key may have been revoked.
-	MaxStaleness time.Duration
+	// MaxKeyAge is the age of the configuration above which requests with a key are
+	// rejected, because the key may have been revoked; zero for no limit.
+	MaxKeyAge time.Duration
 	// Retry is this host's share of the retry budget of one service.
 	Retry limiter.WindowConfig
 	// Hosts is the number of hosts that serve callers, this one included.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -142,6 +142,40 @@
 	}
 }
 
+// TestStaleConfigurationServesLenientDeployments guards against an outage of the store
+// that ends all service in a deployment that does not ask for strict revocation.
+func TestStaleConfigurationServesLenientDeployments(t *testing.T) {
+	r := newRig(t, plainRoute(route.Idempotent, 1))
+	r.maxKeyAge = 0
+	r.endpoint("e", func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, "x") })
+	r.config.set(func(s *configSource) { s.age = time.Minute })
+	if resp, _, err := r.call("GET", "/p/x"); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("got response %v, error %v; want 200", resp, err)
+	}
+}
+
+// TestOutdatedConfigurationDeniesNothing guards against 404 and 401 for a route or key
+// that a newer configuration has added: callers do not retry after these.
+func TestOutdatedConfigurationDeniesNothing(t *testing.T) {
+	r := newRig(t, plainRoute(route.Idempotent, 1))
+	r.key = "unknown"
+	for _, outdated := range []bool{false, true} {
+		r.config.set(func(s *configSource) { s.outdated = outdated })
+		for path, status := range map[string]int{"/none/x": http.StatusNotFound, "/p/x": http.StatusUnauthorized} {
+			if outdated {
+				status = http.StatusServiceUnavailable
+			}
+			resp, _, err := r.call("GET", path)
+			if err != nil || resp.StatusCode != status {
+				t.Errorf("%s, outdated %t: got response %v, error %v; want status %d", path, outdated, resp, err, status)
+			}
+			if outdated && resp.Header.Get("Retry-After") == "" {
+				t.Errorf("%s: no Retry-After", path)
+			}
+		}
+	}
+}
+
 // TestRechecksKeyBeforeRetry guards against a retry of a request whose key has been
 // revoked while the first attempt was in flight.
 func TestRechecksKeyBeforeRetry(t *testing.T) {
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -49,9 +49,10 @@
 
 // configSource is a configuration source whose content the tests set.
 type configSource struct {
-	mu    sync.Mutex
-	table *route.Table
-	age   time.Duration
+	mu       sync.Mutex
+	table    *route.Table
+	age      time.Duration
+	outdated bool
 }
 
 func (s *configSource) Table() (*route.Table, bool) {
@@ -66,6 +67,12 @@
 	return s.age, s.table != nil
 }
 
+func (s *configSource) Outdated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.outdated
+}
+
 func (s *configSource) set(f func(*configSource)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -98,6 +105,8 @@
 	server      *httptest.Server
 	log         *bytes.Buffer
 	retryBudget limiter.WindowConfig
+	maxKeyAge   time.Duration
+	key         string // that call sends
 
 	mu       sync.Mutex
 	received []string // endpoint and model of each request that arrived
@@ -106,6 +115,7 @@
 func newRig(t *testing.T, routes ...route.Route) *rig {
 	t.Helper()
 	r := &rig{t: t, config: &configSource{}, versions: &unrestrictedVersions{}, fleet: fleet.NewRegistry(0), log: &bytes.Buffer{}}
+	r.maxKeyAge, r.key = time.Second, "key"
 	r.retryBudget = limiter.WindowConfig{Window: 10 * time.Second, RetryRatio: 1, ExtraRetries: 10}
 	for i := range routes {
 		routes[i].Host, routes[i].Shares = "h.example", []route.Share{{Service: "s", Weight: 1}}
@@ -121,7 +131,7 @@
 	r.relay = relay.New(relay.Options{
 		Config: r.config, Fleet: r.fleet, Versions: r.versions, Codec: codec{}, Client: client,
 		Settings: func() relay.Settings {
-			return relay.Settings{MaxStaleness: time.Second, Retry: r.retryBudget, Hosts: 1}
+			return relay.Settings{MaxKeyAge: r.maxKeyAge, Retry: r.retryBudget, Hosts: 1}
 		},
 		FailureDomain: "a", Clock: clockwork.NewRealClock(),
 		Crashes: limiter.NewCrashGuard(clockwork.NewRealClock(), 0),
@@ -204,7 +214,7 @@
 	r.t.Helper()
 	req, _ := http.NewRequestWithContext(context.Background(), method, r.server.URL+path, strings.NewReader("question"))
 	req.Header.Set("X-Id", "attempt-1")
-	req.Header.Set("X-Key", "key")
+	req.Header.Set("X-Key", r.key)
 	resp, err = http.DefaultClient.Do(req)
 	if err != nil {
 		return nil, "", err
