upstream, relay, limiter: bound the bytes that an endpoint or a caller can make a host hold

Cause: http.ReadResponse reads a head without limit, foreign and interim responses were read without a bound on their number, an event of short lines grew without limit, a body took up to 16 MiB each, a caller could send a body for ever. Other readers (store, key-value service, engines, ratings, entry list) got limits too. Ruled out: a limit by number of responses, which bytes bound already.

--- a/api/api.go
+++ b/api/api.go
@@ -13,6 +13,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// MaxHeaderBytes bounds the header of a response that a client of the system accepts.
+const MaxHeaderBytes = 64 << 10
+
 // Outcome states whether a request has run, so that the caller can decide
 // whether a retry is safe.
 type Outcome string
--- a/client/client.go
+++ b/client/client.go
@@ -63,7 +63,7 @@
 		opts.Scheme = "http"
 	}
 	if opts.HTTP == nil {
-		opts.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}}
+		opts.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: api.MaxHeaderBytes}}
 	}
 	if opts.Attempts <= 0 {
 		opts.Attempts = defaultAttempts
--- a/client/entries.go
+++ b/client/entries.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -141,5 +142,5 @@
 		return out, errors.Wrap(err, "client: get entries")
 	}
 	defer resp.Body.Close()
-	return out, errors.Wrap(json.NewDecoder(resp.Body).Decode(&out), "client: decode entries")
+	return out, errors.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(&out), "client: decode entries")
 }
--- a/daemon/base.go
+++ b/daemon/base.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/corianderlever/corianderlever/api"
 	"github.com/corianderlever/corianderlever/certs"
 	"github.com/corianderlever/corianderlever/kernel"
 	"github.com/corianderlever/corianderlever/kv"
@@ -77,7 +78,7 @@
 
 // transport returns the HTTP transport for endpoints.
 func (s *certsService) transport() *http.Transport {
-	t := &http.Transport{MaxIdleConnsPerHost: idleConnsPerEndpoint, IdleConnTimeout: time.Minute}
+	t := &http.Transport{MaxIdleConnsPerHost: idleConnsPerEndpoint, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: api.MaxHeaderBytes}
 	if s.reloader != nil {
 		t.DialTLSContext = s.reloader.DialTLS
 	}
--- a/daemon/command/hostcommand.go
+++ b/daemon/command/hostcommand.go
@@ -85,7 +85,7 @@
 	return router.Settings{
 		Host: s.Host, FailureDomain: s.FailureDomain, Region: s.Region,
 		Frontend: s.Frontend, Readiness: s.Readiness, Directory: s.Directory, Peer: s.Peer, Metrics: s.Metrics,
-		LinkMbps: int(s.LinkMbps), Seeds: s.Seeds, ClusterKey: s.ClusterKey(), Bounds: s.Bounds,
+		LinkMbps: int(s.LinkMbps), MemoryBytes: s.MemoryBytes, Seeds: s.Seeds, ClusterKey: s.ClusterKey(), Bounds: s.Bounds,
 	}
 }
 
--- a/daemon/router/edge.go
+++ b/daemon/router/edge.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/corianderlever/corianderlever/limiter"
 	"github.com/corianderlever/corianderlever/membership"
 	"github.com/corianderlever/corianderlever/relay"
 	"github.com/corianderlever/corianderlever/route"
@@ -73,6 +74,9 @@
 	return defaultMaxBodyBytes
 }
 
+// Buffers returns the budget for buffered requests and answers.
+func (h *Host) Buffers() *limiter.ByteBudget { return h.buffers }
+
 // minLocalHosts is the number of hosts in a caller's failure domain from which
 // hosts in other failure domains are left out of its list.
 const minLocalHosts = 2
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -45,6 +45,8 @@
 	Metrics string
 	// LinkMbps is the bandwidth of the host's network link in Mbit/s, zero if unknown.
 	LinkMbps int
+	// MemoryBytes is the memory limit of the host, zero if unknown.
+	MemoryBytes int64
 	// Seeds are the peer addresses of some other hosts, used to join the cluster.
 	Seeds []string
 	// ClusterKey authenticates hosts to each other.
@@ -113,6 +115,7 @@
 	follower *feed.Follower
 	relay    *relay.Relay
 	crashes  *limiter.CrashGuard
+	buffers  *limiter.ByteBudget
 	edge     Handlers
 	peers    *peerService
 	servers  *serverService
@@ -162,11 +165,12 @@
 		Clock: opts.Clock, Boottime: boottime.Now, Rand: h.newRand(), Logger: opts.Logger,
 		Direct: h.readsStore, FetchFromPeer: h.fetchFromPeers, FetchBulk: h.fetchBulk, PeerFetchAge: peerFetchAge, PeerFetchInterval: peerFetchInterval,
 	})
+	h.buffers = limiter.NewByteBudget(bufferBytes(opts.Settings.MemoryBytes))
 	h.crashes = limiter.NewCrashGuard(opts.Clock, limiter.PropagationTime(minHosts, membership.DefaultInterval))
 	h.relay = relay.New(relay.Options{
 		Config: h, Fleet: h.registry, Versions: h.rollouts, Codec: opts.Headers,
 		Client: upstream.NewClient(upstream.DefaultOptions()), Settings: h.relaySettings,
-		Crashes: h.crashes, FailureDomain: opts.Settings.FailureDomain, Clock: opts.Clock, Rand: h.newRand, Logger: opts.Logger, Registry: opts.Registry,
+		Crashes: h.crashes, Buffers: h.buffers, FailureDomain: opts.Settings.FailureDomain, Clock: opts.Clock, Rand: h.newRand, Logger: opts.Logger, Registry: opts.Registry,
 	})
 	h.edge = opts.NewEdge(h, h.relay)
 	h.peers = &peerService{host: h, run: background.NewGroup(opts.Logger)}
@@ -175,6 +179,23 @@
 	return h, errors.Wrap(err, "router: register services")
 }
 
+const (
+	// bufferShare is the part of a host's memory in which requests and answers are
+	// buffered.
+	bufferShare = 0.2
+	// defaultBufferBytes applies if the memory limit is unknown.
+	defaultBufferBytes = 32 << 20
+)
+
+// bufferBytes returns the budget for buffered requests and answers at a host with the
+// given memory limit.
+func bufferBytes(memoryLimit int64) int64 {
+	if memoryLimit <= 0 {
+		return defaultBufferBytes
+	}
+	return int64(bufferShare * float64(memoryLimit))
+}
+
 // newRand returns a new independent source of random numbers.
 func (h *Host) newRand() *rand.Rand {
 	h.rngMu.Lock()
--- a/engine/client.go
+++ b/engine/client.go
@@ -52,7 +52,7 @@
 
 func newClient(transport *http.Transport, scheme string) *Client {
 	if transport == nil {
-		transport = &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}
+		transport = &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: api.MaxHeaderBytes}
 	}
 	probeTransport := transport.Clone()
 	probeTransport.DisableKeepAlives = true
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -466,7 +466,7 @@
 		large.Value = fmt.Appendf(large.Value, `{"Name":"route-%x","Host":"host.example","Prefix":"/%x/","MaxAttempts":2},`, rng.Uint32(), rng.Uint32())
 	}
 	sender.answer(t, answer{entries: []kv.Entry{large}, at: 6})
-	<-sender.sink.ticks
+	<-sender.Ready()
 
 	const maxBytes = 8 << 10
 	transfers := 0
@@ -502,7 +502,7 @@
 		t.Fatal(err)
 	}
 	clock.Advance(time.Second)
-	<-received.ticks
+	<-receiver.Ready()
 	if got, _ := receiver.Answer(feed.Query{}); transfers != 1 || len(got.Entries) != 1 || !bytes.Equal(got.Entries[0].Value, large.Value) {
 		t.Errorf("%d transfers, %d entries; want the configuration after one transfer", transfers, len(got.Entries))
 	}
--- a/kv/httpkv/client.go
+++ b/kv/httpkv/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
@@ -16,6 +17,9 @@
 	"github.com/corianderlever/corianderlever/kv"
 )
 
+// maxReplyBytes bounds a reply of the service. A listing may hold many entries.
+const maxReplyBytes = 64 << 20
+
 // Client is a kv.KV that calls a key-value service over HTTP. It is safe for concurrent use.
 type Client struct {
 	baseURL string
@@ -107,12 +111,14 @@
 func forwardEvents(ctx context.Context, httpResp *http.Response, out chan<- kv.Event) {
 	defer close(out)
 	defer httpResp.Body.Close()
-	dec := json.NewDecoder(httpResp.Body)
+	limited := &io.LimitedReader{R: httpResp.Body, N: maxBodyBytes}
+	dec := json.NewDecoder(limited)
 	for {
 		var ev kv.Event
 		if dec.Decode(&ev) != nil {
 			return
 		}
+		limited.N = maxBodyBytes // for the next event
 		select {
 		case out <- ev:
 		case <-ctx.Done():
@@ -155,7 +161,7 @@
 // of a write is unknown.
 func decode(httpResp *http.Response, op string) (response, error) {
 	var resp response
-	if err := json.NewDecoder(httpResp.Body).Decode(&resp); err != nil {
+	if err := json.NewDecoder(io.LimitReader(httpResp.Body, maxReplyBytes)).Decode(&resp); err != nil {
 		return response{}, transportError(op, true, err)
 	}
 	if resp.Code == "" && httpResp.StatusCode == http.StatusOK {
--- a/rating/rating.go
+++ b/rating/rating.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -33,6 +34,9 @@
 	return &Client{url: url, http: hc, limiter: rate.NewLimiter(rate.Limit(perSecond), burst)}
 }
 
+// maxReplyBytes bounds a reply of the service.
+const maxReplyBytes = 64 << 10
+
 type request struct {
 	RequestID string `json:"request_id"`
 	Answer    string `json:"answer"`
@@ -63,5 +67,5 @@
 	var out struct {
 		Passed bool `json:"passed"`
 	}
-	return out.Passed, errors.Wrap(json.NewDecoder(resp.Body).Decode(&out), "rating: decode reply")
+	return out.Passed, errors.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(&out), "rating: decode reply")
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -114,9 +114,14 @@
 	j.relay.Codec.Encode(header, a)
 	return &upstream.Request{
 		Method: j.req.Method, Target: j.req.Target, Host: j.req.Host, Header: header, Body: j.req.Body,
-		Matches: func(h http.Header) bool {
-			id := j.relay.Codec.Decode(h).ID
-			return id == "" || id == j.req.ID
+		Match: func(h http.Header) upstream.Match {
+			switch j.relay.Codec.Decode(h).ID {
+			case j.req.ID:
+				return upstream.MatchOwn
+			case "":
+				return upstream.MatchUnknown
+			}
+			return upstream.MatchOther
 		},
 	}
 }
@@ -227,10 +232,12 @@
 
 // forwardBody reads the whole body and then sends the answer to the caller.
 func (j *job) forwardBody(ctx context.Context, sl *slot, answer *upstream.Response, outcome limiter.Outcome) *ErrorResponse {
-	body, err := io.ReadAll(io.LimitReader(answer, maxBodyBytes+1))
-	if err != nil || len(body) > maxBodyBytes {
-		return j.handleBrokenAnswer(ctx, sl, "answer_cut", "after "+strconv.Itoa(len(body))+" bytes")
+	buffer, err := j.relay.Buffers.Read(answer, maxBodyBytes, answer.ContentLength)
+	if err != nil {
+		return j.handleBrokenAnswer(ctx, sl, "answer_cut", err.Error())
 	}
+	defer buffer.Release()
+	body := buffer.Data
 	took := j.relay.Clock.Since(sl.started)
 	j.addStep(sl.endpoint.ID, j.model, strconv.Itoa(answer.Status))
 	if outcome == limiter.OutcomeOK {
--- /dev/null
+++ b/relay/bounds_test.go
@@ -0,0 +1,121 @@
+package relay_test
+
+import (
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/corianderlever/corianderlever/route"
+)
+
+// TestBoundsAnswersWithoutEnd guards against a host that runs out of memory because
+// endpoints send bodies or events without end. The request is served by another
+// endpoint, and the bytes are released.
+func TestBoundsAnswersWithoutEnd(t *testing.T) {
+	const maxAllocated = 64 << 20 // bytes; a body may take 16 MiB before it is given up
+	plain, stream := plainRoute(route.Idempotent, 2), streamRoute(true)
+	for name, c := range map[string]struct {
+		route route.Route
+		part  string
+	}{
+		"body":                 {plain, strings.Repeat("x", 32<<10)},
+		"event of one line":    {stream, strings.Repeat("x", 32<<10)},
+		"event of short lines": {stream, strings.Repeat("data: x\n", 4<<10)},
+	} {
+		r := newRig(t, c.route)
+		var first sync.Once
+		handler := func(w http.ResponseWriter, _ *http.Request) {
+			endless := false
+			first.Do(func() { endless = true })
+			if !endless {
+				answer(w, http.StatusOK, eventSeries(1, 3))
+				return
+			}
+			answer(w, http.StatusOK, "")
+			part := []byte(c.part)
+			for {
+				if _, err := w.Write(part); err != nil {
+					return
+				}
+			}
+		}
+		r.endpoint("e1", handler)
+		r.endpoint("e2", handler)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		resp, body, err := r.call("POST", "/p/x")
+		runtime.ReadMemStats(&after)
+		if err != nil || resp.StatusCode != http.StatusOK || body != eventSeries(1, 3) {
+			t.Errorf("%s: got %.60q, response %v, error %v; want the answer of the other endpoint", name, body, resp, err)
+		}
+		if n := after.TotalAlloc - before.TotalAlloc; n > maxAllocated {
+			t.Errorf("%s: %d bytes allocated, want at most %d", name, n, maxAllocated)
+		}
+		if n := r.relay.Buffers.Used(); n != 0 {
+			t.Errorf("%s: %d bytes still reserved", name, n)
+		}
+	}
+}
+
+// TestShedsAnswerThatGrew guards against a host that runs out of memory because many
+// large bodies arrive at the same time: an answer without room is given up, and the
+// others are delivered whole.
+func TestShedsAnswerThatGrew(t *testing.T) {
+	const size, calls = bufferBytes / 4, 12
+	r := newRig(t, plainRoute(route.NonIdempotent, 1))
+	want := strings.Repeat("x", size)
+	held := make(chan struct{}, calls)
+	release := make(chan struct{})
+	r.endpoint("e", func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, http.StatusOK, want[:size-1])
+		w.(http.Flusher).Flush()
+		held <- struct{}{}
+		<-release
+		_, _ = io.WriteString(w, want[size-1:])
+	})
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	whole, shed := 0, 0
+	for range calls {
+		wg.Go(func() {
+			resp, body, err := r.call("POST", "/p/x")
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err == nil && resp.StatusCode == http.StatusOK && body == want:
+				whole++
+			case err == nil && resp.StatusCode == http.StatusBadGateway:
+				shed++
+			default:
+				t.Errorf("got %d bytes, response %v, error %v; want the answer or 502", len(body), resp, err)
+			}
+		})
+	}
+	for range calls {
+		<-held
+	}
+	close(release)
+	wg.Wait()
+	if whole == 0 || shed == 0 || r.relay.Buffers.Used() != 0 {
+		t.Errorf("%d whole, %d shed, %d bytes still reserved; want some of each and none reserved", whole, shed, r.relay.Buffers.Used())
+	}
+}
+
+// TestLongLineIsOneLine guards against the rest of a line that is longer than a buffer
+// being read as a line of its own: as an event id, or as the end of the event.
+func TestLongLineIsOneLine(t *testing.T) {
+	r := newRig(t, streamRoute(true))
+	var events strings.Builder
+	for _, rest := range []string{"id: 99", "", "id: x"} {
+		for length := 2040; length < 2056; length++ {
+			events.WriteString("data: " + strings.Repeat("x", length-len("data: ")) + rest + "\n\n")
+		}
+	}
+	r.endpoint("e", func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, events.String()) })
+	if _, body, err := r.call("POST", "/p/x"); err != nil || body != events.String() {
+		t.Errorf("got %d bytes, error %v; want the %d bytes of the stream", len(body), err, events.Len())
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -61,7 +61,9 @@
 	Codec    Codec
 	Client   *upstream.Client
 	// Crashes recognises requests that crash the endpoints they run on.
-	Crashes       *limiter.CrashGuard
+	Crashes *limiter.CrashGuard
+	// Buffers bounds the bytes of answers that are buffered for all requests.
+	Buffers       *limiter.ByteBudget
 	Settings      func() Settings
 	FailureDomain string
 	Clock         clockwork.Clock
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -47,6 +47,9 @@
 	return r
 }
 
+// bufferBytes is the budget for buffered answers in the tests.
+const bufferBytes = 4 << 20
+
 // configSource is a configuration source whose content the tests set.
 type configSource struct {
 	mu       sync.Mutex
@@ -134,9 +137,9 @@
 			return relay.Settings{MaxKeyAge: r.maxKeyAge, Retry: r.retryBudget, Hosts: 1}
 		},
 		FailureDomain: "a", Clock: clockwork.NewRealClock(),
-		Crashes: limiter.NewCrashGuard(clockwork.NewRealClock(), 0),
-		Rand:    func() *rand.Rand { return rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())) },
-		Logger:  slog.New(slog.NewTextHandler(&syncWriter{w: r.log}, nil)), Registry: prometheus.NewRegistry(),
+		Crashes: limiter.NewCrashGuard(clockwork.NewRealClock(), 0), Buffers: limiter.NewByteBudget(bufferBytes),
+		Rand:   func() *rand.Rand { return rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())) },
+		Logger: slog.New(slog.NewTextHandler(&syncWriter{w: r.log}, nil)), Registry: prometheus.NewRegistry(),
 	})
 	r.server = httptest.NewServer(http.HandlerFunc(r.serve))
 	t.Cleanup(r.server.Close)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -34,7 +34,8 @@
 	if j.escalate(sl) {
 		return nil
 	}
-	events := newEventReader(answer)
+	events := newEventReader(answer, j.relay.Buffers)
+	defer events.close()
 	var first, last time.Time
 	for n := 0; ; n++ {
 		ev, err := events.next()
@@ -129,33 +130,56 @@
 
 // eventReader splits a stream into complete events.
 type eventReader struct {
-	br *bufio.Reader
+	br      *bufio.Reader
+	buffers *limiter.ByteBudget
+	// data is the current event. Its bytes beyond eventBufferBytes are reserved.
+	data     []byte
+	reserved int64
 }
 
 const eventBufferBytes = 2 << 10
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{br: bufio.NewReaderSize(r, eventBufferBytes)}
+func newEventReader(r io.Reader, buffers *limiter.ByteBudget) *eventReader {
+	return &eventReader{br: bufio.NewReaderSize(r, eventBufferBytes), buffers: buffers}
 }
 
-// next returns the next event. It returns io.EOF only if the stream ends between
-// two events; a truncated event is an error.
+// close releases the buffer. The last event must not be used any more.
+func (r *eventReader) close() {
+	r.buffers.Release(r.reserved)
+	r.reserved, r.data = 0, nil
+}
+
+// add appends to the current event, within the limits of an event and of the host.
+func (r *eventReader) add(line []byte) error {
+	size := len(r.data) + len(line)
+	if size > maxEventBytes {
+		return errors.Wrapf(errEvent, "event over %d bytes", maxEventBytes)
+	}
+	if size > cap(r.data) {
+		grown := int64(max(2*cap(r.data), size, eventBufferBytes))
+		extra := grown - eventBufferBytes - r.reserved
+		if extra > 0 && !r.buffers.Reserve(extra) {
+			return errors.Mark(limiter.ErrBufferFull, errEvent)
+		}
+		r.reserved += max(extra, 0)
+		r.data = append(make([]byte, 0, grown), r.data...)
+	}
+	r.data = append(r.data, line...)
+	return nil
+}
+
+// next returns the next event, which is valid until the next call. It returns io.EOF
+// only if the stream ends between two events; a truncated event is an error.
 func (r *eventReader) next() (event, error) {
 	ev := event{id: -1}
+	r.data = r.data[:0]
 	for {
-		line, err := r.br.ReadSlice('\n')
-		ev.data = append(ev.data, line...)
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(ev.data) < maxEventBytes:
-			continue
-		case errors.Is(err, io.EOF) && len(ev.data) == 0:
-			return ev, io.EOF
-		case errors.Is(err, io.EOF):
-			return ev, errors.Wrap(errEvent, "stream ends in the middle of an event")
-		case err != nil:
-			return ev, errors.Wrap(err, "relay: read events")
+		start := len(r.data)
+		if err := r.readLine(); err != nil {
+			return ev, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
+		ev.data = r.data
+		text := bytes.TrimRight(r.data[start:], "\r\n")
 		if len(text) == 0 {
 			return ev, nil
 		}
@@ -169,6 +193,26 @@
 	}
 }
 
+// readLine adds a whole line to the current event. A line may be longer than the buffer
+// of the reader.
+func (r *eventReader) readLine() error {
+	for {
+		part, err := r.br.ReadSlice('\n')
+		if tooLarge := r.add(part); tooLarge != nil {
+			return tooLarge
+		}
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case errors.Is(err, io.EOF) && len(r.data) == 0:
+			return io.EOF
+		case errors.Is(err, io.EOF):
+			return errors.Wrap(errEvent, "stream ends in the middle of an event")
+		}
+		return errors.Wrap(err, "relay: read events")
+	}
+}
+
 // splitList yields the elements of a comma-separated header value.
 func splitList(value string) iter.Seq[string] {
 	return func(yield func(string) bool) {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -16,8 +16,11 @@
 	// response is read. A larger request may fill the TCP windows while the
 	// endpoint already responds, so it is written concurrently.
 	inlineSendBytes = 4 << 10
-	// maxDiscardBytes bounds the body of a discarded response.
+	// maxDiscardBytes bounds the bodies of the discarded responses.
 	maxDiscardBytes = 1 << 20
+	// sentGrace is the time after a complete response in which the end of the write is
+	// awaited. An endpoint may also answer without reading the whole request.
+	sentGrace = 10 * time.Millisecond
 	// keepAliveMargin is subtracted from the endpoint's keep-alive timeout, so that
 	// a request does not arrive while the endpoint closes the idle connection.
 	keepAliveMargin = time.Second
@@ -66,29 +69,68 @@
 	e.written, e.sendErr = e.conn.Write(payload)
 }
 
-// receive reads responses until one belongs to the request.
+// receive reads responses until one belongs to the request. The heads of all responses
+// together are bounded, and so are the bodies of those that are discarded.
 func (e *exchange) receive(req *Request, out *http.Request) (*http.Response, error) {
+	headLeft, discardLeft := int64(maxHeadBytes), int64(maxDiscardBytes)
 	for {
-		if _, err := e.conn.br.Peek(1); err != nil {
-			return nil, errors.Mark(err, ErrConnectionLost)
-		}
-		resp, err := http.ReadResponse(e.conn.br, out)
+		resp, err := e.receiveHead(out, &headLeft)
 		if err != nil {
-			return nil, errors.Mark(err, ErrMalformed)
+			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue // an interim response without a body
 		}
-		if req.Matches == nil || req.Matches(resp.Header) {
-			return resp, nil
+		own, err := e.belongs(req, resp)
+		if own || err != nil {
+			return resp, err
 		}
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes))
-		if err != nil || n == maxDiscardBytes || resp.Close {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, discardLeft))
+		discardLeft -= n
+		if err != nil || discardLeft == 0 || resp.Close {
 			return nil, errors.Mark(errors.New("upstream: cannot discard the response to another request"), ErrMalformed)
 		}
 	}
 }
 
+// belongs reports whether a response belongs to the request. It returns an error if that
+// cannot be known.
+func (e *exchange) belongs(req *Request, resp *http.Response) (bool, error) {
+	if req.Match == nil {
+		return true, nil
+	}
+	switch req.Match(resp.Header) {
+	case MatchOwn:
+		return true, nil
+	case MatchOther:
+		return false, nil
+	}
+	if e.reused {
+		return false, errors.Mark(errors.New("upstream: response on a reused connection does not name its request"), ErrMalformed)
+	}
+	return true, nil
+}
+
+// receiveHead reads the head of a response, of at most left bytes, and reduces left by
+// its size.
+func (e *exchange) receiveHead(out *http.Request, left *int64) (*http.Response, error) {
+	e.conn.head.start(*left)
+	defer e.conn.head.stop()
+	if _, err := e.conn.br.Peek(1); err != nil {
+		return nil, errors.Mark(err, ErrConnectionLost)
+	}
+	before := e.conn.head.received - int64(e.conn.br.Buffered())
+	resp, err := http.ReadResponse(e.conn.br, out)
+	*left -= e.conn.head.received - int64(e.conn.br.Buffered()) - before
+	if err == nil && *left < 0 {
+		err = errHeadTooLarge
+	}
+	if err != nil {
+		return nil, errors.Mark(err, ErrMalformed)
+	}
+	return resp, nil
+}
+
 // abort closes the connection.
 func (e *exchange) abort() {
 	e.stopCancel()
@@ -133,12 +175,13 @@
 	e.client.pool.put(e.addr, e.conn, keepAliveTimeout(a.Header))
 }
 
-// fullySent reports whether the complete request has been written.
+// fullySent reports whether the complete request has been written. If the endpoint has
+// read it, the goroutine that wrote it may still be about to say so.
 func (e *exchange) fullySent() bool {
 	select {
 	case <-e.sent:
 		return e.sendErr == nil
-	default:
+	case <-e.client.opts.Clock.After(sentGrace):
 		return false
 	}
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -16,7 +16,8 @@
 // conn is a connection to an endpoint.
 type conn struct {
 	net.Conn
-	br *bufio.Reader
+	br   *bufio.Reader
+	head *headLimit
 	// uses counts the requests sent on the connection.
 	uses int
 	// idleUntil is the time from which the idle connection must not be reused.
@@ -24,7 +25,8 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	return &conn{Conn: raw, br: bufio.NewReaderSize(raw, readBufferBytes)}
+	head := &headLimit{conn: raw}
+	return &conn{Conn: raw, br: bufio.NewReaderSize(head, readBufferBytes), head: head}
 }
 
 // reusable reports whether an idle connection may carry another request. It may
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -55,11 +55,26 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response with this header belongs to the request.
-	// A response that does not is discarded, and the next one is read.
-	Matches func(http.Header) bool
+	// Match reports whether a response with this header belongs to the request. Nil
+	// takes every response.
+	Match func(http.Header) Match
 }
 
+// Match is the result of comparing a response with a request.
+type Match int
+
+// The results of a comparison.
+const (
+	// MatchOwn responses belong to the request.
+	MatchOwn Match = iota
+	// MatchOther responses belong to another request. They are discarded, and the next
+	// one is read.
+	MatchOther
+	// MatchUnknown responses do not name their request. They are taken only from a
+	// connection that has carried no other request.
+	MatchUnknown
+)
+
 // Options configure a Client.
 type Options struct {
 	// DialTimeout bounds the time to open a connection.
@@ -155,6 +170,9 @@
 		return nil, errors.Newf("upstream: invalid request target %q", req.Target)
 	}
 	header := req.Header
+	if header == nil {
+		header = make(http.Header)
+	}
 	if _, ok := header["User-Agent"]; !ok {
 		header = header.Clone()
 		header["User-Agent"] = []string{""} // stops net/http from adding its own
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -7,9 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -61,8 +63,16 @@
 func request(id, body string) *upstream.Request {
 	return &upstream.Request{
 		Method: "POST", Target: "/a%2Fb/./c?x=%20", Host: "h.example", Body: []byte(body),
-		Header:  http.Header{idHeader: {id}},
-		Matches: func(h http.Header) bool { return h.Get(idHeader) == id },
+		Header: http.Header{idHeader: {id}},
+		Match: func(h http.Header) upstream.Match {
+			switch h.Get(idHeader) {
+			case id:
+				return upstream.MatchOwn
+			case "":
+				return upstream.MatchUnknown
+			}
+			return upstream.MatchOther
+		},
 	}
 }
 
@@ -257,3 +267,131 @@
 	}
 	<-gone
 }
+
+// TestBoundsBytesThatAreNoAnswer guards against a host that runs out of memory, or waits
+// until the deadline, because an endpoint sends without end what is not a response to
+// the request.
+func TestBoundsBytesThatAreNoAnswer(t *testing.T) {
+	const maxAllocated = 2 << 20 // bytes, for all that one request allocates
+	long := strings.Repeat("x", 32<<10)
+	foreign := "HTTP/1.1 200 OK\r\n" + idHeader + ": other\r\nContent-Length: 32768\r\n\r\n" + long
+	for name, script := range map[string]struct{ first, then string }{
+		"no status line":                  {"", long},
+		"status line":                     {"HTTP/1.1 200 ", long},
+		"header line":                     {"HTTP/1.1 200 OK\r\nA: ", long},
+		"header lines":                    {"HTTP/1.1 200 OK\r\n", strings.Repeat("A: b\r\n", 4<<10)},
+		"interim responses":               {"", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1<<10)},
+		"responses to others":             {"", foreign},
+		"body of a response to another":   {"HTTP/1.1 200 OK\r\n" + idHeader + ": other\r\nTransfer-Encoding: chunked\r\n\r\n", "8000\r\n" + long + "\r\n"},
+		"chunk size of another":           {"HTTP/1.1 200 OK\r\n" + idHeader + ": other\r\nTransfer-Encoding: chunked\r\n\r\n", long},
+		"response of a length of another": {"HTTP/1.1 200 OK\r\n" + idHeader + ": other\r\nContent-Length: 1000000000000\r\n\r\n", long},
+	} {
+		addr, _ := serve(t, func(_ int, conn net.Conn, br *bufio.Reader) {
+			if _, _, _, err := read(br); err != nil {
+				return
+			}
+			_, err := io.WriteString(conn, script.first)
+			then := []byte(script.then)
+			for err == nil {
+				_, err = conn.Write(then)
+			}
+		})
+		c := upstream.NewClient(upstream.DefaultOptions())
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, err := exchange(t, c, addr, request("1", ""))
+		runtime.ReadMemStats(&after)
+		c.Close()
+		var failed *upstream.Error
+		if !errors.As(err, &failed) || !failed.MaybeSent || !errors.Is(err, upstream.ErrMalformed) {
+			t.Errorf("%s: error %v, want one that says that the request may have been sent", name, err)
+		}
+		if n := after.TotalAlloc - before.TotalAlloc; n > maxAllocated {
+			t.Errorf("%s: %d bytes allocated, want at most %d", name, n, maxAllocated)
+		}
+	}
+}
+
+// TestDropsUnnamedAnswerOnReusedConnection guards against a late duplicate response
+// without an id that is taken for the response to the next request.
+func TestDropsUnnamedAnswerOnReusedConnection(t *testing.T) {
+	addr, _ := serve(t, func(_ int, conn net.Conn, br *bufio.Reader) {
+		for {
+			id, body, _, err := read(br)
+			if err != nil {
+				return
+			}
+			if body == "unnamed" {
+				id = ""
+			}
+			respond(conn, id, "answer")
+		}
+	})
+	c := upstream.NewClient(upstream.DefaultOptions())
+	defer c.Close()
+	if got, err := exchange(t, c, addr, request("1", "unnamed")); err != nil || got != "answer" {
+		t.Errorf("on a new connection: got %q, error %v; want the answer", got, err)
+	}
+	if got, err := exchange(t, c, addr, request("2", "unnamed")); !errors.Is(err, upstream.ErrMalformed) {
+		t.Errorf("on a reused connection: got %q, error %v; want ErrMalformed", got, err)
+	}
+}
+
+// TestSendsRequestWithoutHeader guards against a panic on a request without a header.
+func TestSendsRequestWithoutHeader(t *testing.T) {
+	addr, _ := serve(t, func(_ int, conn net.Conn, br *bufio.Reader) {
+		if _, _, _, err := read(br); err == nil {
+			respond(conn, "", "answer")
+		}
+	})
+	c := upstream.NewClient(upstream.DefaultOptions())
+	defer c.Close()
+	if got, err := exchange(t, c, addr, &upstream.Request{Method: "GET", Target: "/", Host: "h.example"}); err != nil || got != "answer" {
+		t.Errorf("got %q, error %v; want the answer", got, err)
+	}
+}
+
+// FuzzResponses sends arbitrary bytes as the response to a request. It guards against a
+// panic, a hang and memory without bound in the reader of responses.
+func FuzzResponses(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nab"))
+	f.Add([]byte("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 2\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n"))
+	responses := make(chan []byte, 1)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_, _, _, err = read(bufio.NewReader(conn))
+			if err == nil {
+				_, _ = conn.Write(<-responses)
+			}
+			_ = conn.Close()
+		}
+	}()
+	f.Fuzz(func(t *testing.T, response []byte) {
+		c := upstream.NewClient(upstream.DefaultOptions())
+		defer c.Close()
+		responses <- response
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		a, err := c.Do(ctx, ln.Addr().String(), request("1", ""))
+		if err != nil {
+			return
+		}
+		defer a.Close()
+		if id := a.Header.Get(idHeader); id != "1" && id != "" {
+			t.Errorf("took the response to request %q", id)
+		}
+		if n, err := io.Copy(io.Discard, a); err == nil && n > int64(len(response)) {
+			t.Errorf("read %d bytes of a response of %d", n, len(response))
+		}
+	})
+}
