feed, router: few hosts call the store, the others wait for changes at them

Cause: two hosts of each failure domain called the store once or twice a second, each other host asked one of these every 0.5 s, and every host called the store itself as soon as its state was 2 s old. Others hold a call open at a host that they follow, so a change reaches them at once. While no host has a current state, readers call with a pause that doubles up to 0.6 s and the others take turns, four calls a second in all; who gets an answer tells all. A host that no other answers calls by itself. At a start only the seeds call; the others get their state from them. Ruled out: a longer wait of the store alone (the readers' number grows with domains); a second level of readers (300 hosts are 1.4 calls a second each, one reader serves 100); counting on heartbeats for news of readers (at 295 hosts they come every 37 s). Tests: fleets of 7 and 300 hosts in virtual time, calm, in an outage, with all readers rejected, with a host cut from the others; ten rounds with the race detector pass.

--- a/daemon/router/peers.go
+++ b/daemon/router/peers.go
@@ -1,18 +1,15 @@
 package router
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/corianderlever/corianderlever/control"
-	"github.com/corianderlever/corianderlever/feed"
 	"github.com/corianderlever/corianderlever/internal/background"
 	"github.com/corianderlever/corianderlever/kernel"
 	"github.com/corianderlever/corianderlever/membership"
@@ -27,19 +24,15 @@
 	serviceServers = "servers"
 )
 
-// methodUpdate fetches the changes to another host's state. Its message is a
-// feed.Query.
-const methodUpdate = "feed.News"
-
 // peerService provides calls between hosts and the cluster membership.
 type peerService struct {
 	host   *Host
 	run    *background.Group
 	server *peer.Server
 	client *peer.Client
-	// bulkClient transfers large updates, on connections of its own, so that they do
-	// not delay other calls.
-	bulkClient *peer.Client
+	// feedClient transfers updates of the state, on connections of its own, so that
+	// they do not delay other calls.
+	feedClient *peer.Client
 	members    *membership.Membership
 	ln         net.Listener
 
@@ -54,8 +47,8 @@
 // peerCallTimeout bounds a call between hosts.
 const peerCallTimeout = 700 * time.Millisecond
 
-// bulkCallTimeout bounds the transfer of a large update.
-const bulkCallTimeout = 1500 * time.Millisecond
+// feedCallTimeout bounds the wait for a change and the transfer of an update.
+const feedCallTimeout = peerWait + 800*time.Millisecond
 
 // Provision creates the server, the client and the membership.
 func (s *peerService) Provision(*kernel.Kernel) error {
@@ -72,8 +65,8 @@
 	if s.client, err = peer.NewClient(clientOptions); err != nil {
 		return err
 	}
-	clientOptions.CallTimeout = bulkCallTimeout
-	if s.bulkClient, err = peer.NewClient(clientOptions); err != nil {
+	clientOptions.CallTimeout = feedCallTimeout
+	if s.feedClient, err = peer.NewClient(clientOptions); err != nil {
 		return err
 	}
 	s.members, err = membership.New(membership.Options{
@@ -90,6 +83,7 @@
 	s.members.OnChange(s.memberChanged)
 	s.registerSignals()
 	s.server.Handle(methodUpdate, s.handleUpdate)
+	s.server.Handle(methodAnnounce, s.handleAnnounce)
 	s.server.Handle(methodStep, s.handleStep)
 	s.ln, err = net.Listen("tcp", set.Peer)
 	return errors.Wrap(err, "router: listen for peers")
@@ -104,7 +98,7 @@
 
 // Stop stops heartbeats and closes connections to peers.
 func (s *peerService) Stop(ctx context.Context) error {
-	return errors.CombineErrors(s.run.Stop(ctx), errors.CombineErrors(s.client.Close(), s.bulkClient.Close()))
+	return errors.CombineErrors(s.run.Stop(ctx), errors.CombineErrors(s.client.Close(), s.feedClient.Close()))
 }
 
 func (s *peerService) memberChanged(membership.Member) {
@@ -208,13 +202,18 @@
 	return struct{}{}, nil
 }
 
-// maxConcurrentAnnouncements bounds the calls in flight that announce a step.
-const maxConcurrentAnnouncements = 32
-
 // announceStep announces a step to all live hosts. Hosts that do not answer learn
 // of it from the store or from heartbeats.
 func (h *Host) announceStep(service string, step control.Step) {
-	slots := make(chan struct{}, maxConcurrentAnnouncements)
+	h.callAll(methodStep, stepCall{Service: service, Step: step})
+}
+
+// maxConcurrentCalls bounds the calls in flight to all hosts.
+const maxConcurrentCalls = 32
+
+// callAll calls a method on all other live hosts, without waiting for the last answers.
+func (h *Host) callAll(method string, params any) {
+	slots := make(chan struct{}, maxConcurrentCalls)
 	for _, m := range h.peers.members.Members() {
 		if m.Host == h.opts.Settings.Host || !m.State.Live() {
 			continue
@@ -222,9 +221,8 @@
 		slots <- struct{}{}
 		go func() {
 			defer func() { <-slots }()
-			err := h.peers.client.Call(context.Background(), m.PeerAddress, methodStep, stepCall{Service: service, Step: step}, nil)
-			if err != nil {
-				h.opts.Logger.Debug("rollout step not announced", "to", m.Host, "error", err)
+			if err := h.peers.client.Call(context.Background(), m.PeerAddress, method, params, nil); err != nil {
+				h.opts.Logger.Debug("host not called", "method", method, "to", m.Host, "error", err)
 			}
 		}()
 	}
@@ -275,100 +273,3 @@
 	f := s.fresh[host]
 	return f.Fresh && f.Store
 }
-
-func (s *peerService) handleUpdate(_ context.Context, _ string, params json.RawMessage) (any, error) {
-	var q feed.Query
-	if err := json.Unmarshal(params, &q); err != nil {
-		return nil, errors.Wrap(err, "router: decode update query")
-	}
-	return s.host.follower.Answer(q)
-}
-
-// storeReadersPerDomain is the number of hosts per failure domain that follow the
-// store directly. The other hosts follow these, so that the number of calls to the
-// store does not grow with the number of hosts.
-const storeReadersPerDomain = 2
-
-// readsStore reports whether this host follows the store directly.
-func (h *Host) readsStore() bool {
-	settings := h.opts.Settings
-	for _, m := range storeReaders(h.peers.members.Members()) {
-		if m.Host == settings.Host {
-			return true
-		}
-	}
-	return false
-}
-
-// storeReaders returns the live hosts that follow the store directly. In each
-// failure domain these are the hosts with the fastest links, because they forward
-// full listings; ties are broken by name.
-func storeReaders(members []membership.Member) []membership.Member {
-	count := make(map[string]int)
-	var out []membership.Member
-	for _, m := range slices.SortedFunc(slices.Values(members), func(a, b membership.Member) int {
-		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(a.Host, b.Host))
-	}) {
-		if m.State != membership.Alive || count[m.FailureDomain] >= storeReadersPerDomain {
-			continue
-		}
-		count[m.FailureDomain]++
-		out = append(out, m)
-	}
-	return out
-}
-
-const (
-	// maxPeerQueries bounds the hosts queried for one update.
-	maxPeerQueries = 3
-	// maxHedgedBytes bounds the data in an answer of each of these hosts. The
-	// smallest links transfer that much within a few milliseconds.
-	maxHedgedBytes = 8 << 10
-)
-
-// fetchFromPeers fetches the update after a revision from hosts that follow the
-// store directly, hosts in the same failure domain first.
-func (h *Host) fetchFromPeers(ctx context.Context, after int64) (feed.Update, error) {
-	q := feed.PeerQuery{Clock: h.opts.Clock, Call: func(ctx context.Context, host string) (n feed.Update, err error) {
-		err = h.peers.client.Call(ctx, host, methodUpdate, feed.Query{After: after, Compress: true, MaxBytes: maxHedgedBytes}, &n)
-		return n, err
-	}}
-	for _, m := range h.localFirst(storeReaders(h.peers.members.Members())) {
-		if len(q.Hosts) < maxPeerQueries && m.Host != h.opts.Settings.Host && h.peers.canServe(m.Host) {
-			q.Hosts = append(q.Hosts, m.PeerAddress)
-		}
-	}
-	return q.Fetch(ctx)
-}
-
-// fetchBulk fetches a large update from the host that has announced it.
-func (h *Host) fetchBulk(ctx context.Context, host string, after int64) (u feed.Update, err error) {
-	err = h.peers.bulkClient.Call(ctx, host, methodUpdate, feed.Query{After: after, Compress: true}, &u)
-	return u, err
-}
-
-// localFirst returns the hosts in random order, alternating between hosts in the
-// same failure domain and others and starting with the former, so that the loss of
-// a failure domain costs one query.
-func (h *Host) localFirst(hosts []membership.Member) []membership.Member {
-	h.rngMu.Lock()
-	h.opts.Rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	h.rngMu.Unlock()
-	var local, remote, out []membership.Member
-	for _, m := range hosts {
-		if m.FailureDomain == h.opts.Settings.FailureDomain {
-			local = append(local, m)
-		} else {
-			remote = append(remote, m)
-		}
-	}
-	for i := range max(len(local), len(remote)) {
-		if i < len(local) {
-			out = append(out, local[i])
-		}
-		if i < len(remote) {
-			out = append(out, remote[i])
-		}
-	}
-	return out
-}
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -109,6 +109,7 @@
 	bounds atomic.Pointer[Bounds]
 	rngMu  sync.Mutex
 
+	started  time.Time
 	registry *fleet.Registry
 	rollouts *control.Rollouts
 	state    *control.State
@@ -136,15 +137,19 @@
 	// settleTime is the time after an outage in which entries may vanish only
 	// because their leases expired during the outage.
 	settleTime = time.Second
-	// feedWait and feedPause deliver updates within 500 ms at about two calls per
-	// second.
-	feedWait    = 500 * time.Millisecond
+	// feedWait is the age that the state of a host that follows the store reaches while
+	// nothing changes. feedPause batches changes at such a host.
+	feedWait    = 1200 * time.Millisecond
 	feedPause   = 500 * time.Millisecond
 	feedTimeout = time.Second
-	// peerFetchAge is the age of the state from which a host queries both the store
-	// and other hosts. The state of a host that follows another host is usually
-	// less than 1.7 s old.
-	peerFetchAge      = 2 * time.Second
+	// peerWait is the time for which a followed host holds a call while nothing
+	// changes. peerPause bounds the calls while much changes.
+	peerWait  = 700 * time.Millisecond
+	peerPause = 100 * time.Millisecond
+	// peerFetchAge is the age of the state from which a host looks for a fresher one.
+	// The state of a host that follows another one is at most feedWait + peerWait old
+	// while both work.
+	peerFetchAge      = 2300 * time.Millisecond
 	peerFetchInterval = 300 * time.Millisecond
 	// stalenessMargin is the part of the revocation time that is reserved for
 	// forwarding a request to its endpoint.
@@ -154,7 +159,7 @@
 // New assembles a host without starting it.
 func New(opts Options) (*Host, error) {
 	defaults.Fill(&opts.Clock, &opts.Rand, &opts.Logger, &opts.Registry)
-	h := &Host{opts: opts, kernel: kernel.New(), registry: fleet.NewRegistry(expiryGrace)}
+	h := &Host{opts: opts, started: opts.Clock.Now(), kernel: kernel.New(), registry: fleet.NewRegistry(expiryGrace)}
 	h.accepting.Store(true)
 	h.SetBounds(opts.Settings.Bounds)
 	h.rollouts = control.NewRollouts(opts.Settings.Host, h.registry, func() rollout.StageConfig { return h.bounds.Load().Exposure },
@@ -163,7 +168,8 @@
 	h.follower = feed.New(feed.Options{
 		Source: opts.Store, Sink: h.state, Wait: feedWait, Pause: feedPause, CallTimeout: feedTimeout, SettleTime: settleTime,
 		Clock: opts.Clock, Boottime: boottime.Now, Rand: h.newRand(), Logger: opts.Logger,
-		Direct: h.readsStore, FetchFromPeer: h.fetchFromPeers, FetchBulk: h.fetchBulk, PeerFetchAge: peerFetchAge, PeerFetchInterval: peerFetchInterval,
+		Direct: h.readsStore, FetchFromPeer: h.fetchFromPeers, FetchFrom: h.fetchFrom, PeerWait: peerWait, PeerPause: peerPause,
+		PeerFetchAge: peerFetchAge, PeerFetchInterval: peerFetchInterval, ProbeInterval: h.probeInterval, Announce: h.announceState,
 	})
 	h.buffers = limiter.NewByteBudget(bufferBytes(opts.Settings.MemoryBytes))
 	h.crashes = limiter.NewCrashGuard(opts.Clock, limiter.PropagationTime(minHosts, membership.DefaultInterval))
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -38,11 +38,11 @@
 	Sink   Sink
 	// Prefix selects the keys to follow.
 	Prefix string
-	// Wait bounds the time for which the store holds a call while there are no
-	// changes.
+	// Wait bounds the age of the state at a host that follows the store: the store
+	// holds a call for that long while there are no changes.
 	Wait time.Duration
-	// Pause is the time between calls, so that changes in quick succession cost
-	// one call.
+	// Pause is the time before the next call after one that returned changes, so that
+	// changes in quick succession cost one call.
 	Pause time.Duration
 	// CallTimeout is the time allowed for an answer, in addition to Wait.
 	CallTimeout time.Duration
@@ -54,17 +54,30 @@
 	Rand       *rand.Rand
 	Logger     *slog.Logger
 	// Direct reports whether this host follows the store itself. Nil means always.
-	// Other hosts get their updates from a host that does.
+	// Other hosts follow a host that does.
 	Direct func() bool
-	// FetchFromPeer, if set, gets the update after a revision from another host.
+	// FetchFromPeer, if set, gets the update after a revision from one of several
+	// other hosts, without waiting for a change. The data may be left out if it is
+	// large. ErrNoState means that hosts answered but have no state.
 	FetchFromPeer func(ctx context.Context, after int64) (Update, error)
-	// FetchBulk gets the update after a revision from a host whose answer to
-	// FetchFromPeer left out its data because of its size.
-	FetchBulk func(ctx context.Context, host string, after int64) (Update, error)
-	// PeerFetchAge is the age of the state from which a host queries both the store
-	// and other hosts, whichever it follows. PeerFetchInterval is the time between
-	// two queries to other hosts then.
+	// FetchFrom gets the complete update after a revision from one host. That host
+	// waits for a change, but at most for wait.
+	FetchFrom func(ctx context.Context, host string, after int64, wait time.Duration) (Update, error)
+	// PeerWait is the wait of FetchFrom while a host is followed, and PeerPause the
+	// time before the next call after one that returned changes.
+	PeerWait, PeerPause time.Duration
+	// PeerFetchAge is the age of the state from which a host looks for a fresher
+	// one at the store and at other hosts, whichever it follows. PeerFetchInterval is
+	// the time between two queries to other hosts then.
 	PeerFetchAge, PeerFetchInterval time.Duration
+	// ProbeInterval returns the mean time between two calls to the store by a host
+	// that does not follow it, while the other hosts' states are old as well. It grows
+	// with the number of hosts, so that their calls do not add up in an outage.
+	ProbeInterval func() time.Duration
+	// Announce, if set, is called when the store's answer gives this host a current
+	// state after an outage or a start. It tells the other hosts, which then follow
+	// this host.
+	Announce func()
 }
 
 // ErrNoState reports that the follower has no state yet.
@@ -74,17 +87,25 @@
 type Follower struct {
 	opts Options
 
+	// wake ends a pause when another host has announced a current state.
+	wake chan struct{}
 	// bulk is held while a large update is transferred from another host.
 	bulk sync.Mutex
 	// failing is set while calls to the store fail. Only Run uses it.
 	failing bool
+	// retryPause is the mean pause after the last failed call. Only Run uses it.
+	retryPause time.Duration
+	// probeAt is the time of the next call to the store while the states of all hosts
+	// are old; zero while they are not. Only Run uses it.
+	probeAt time.Time
 
 	// stateMu guards the fields below and the state in the sink.
 	stateMu   sync.Mutex
-	revision  int64     // revision up to which the state is complete
-	synced    bool      // a listing has been applied
-	outageEnd time.Time // end of the last outage
-	mirror    *mirror   // relevant entries, for other hosts
+	revision  int64         // revision up to which the state is complete
+	synced    bool          // a listing has been applied
+	changed   chan struct{} // closed when the revision rises
+	outageEnd time.Time     // end of the last outage
+	mirror    *mirror       // relevant entries, for other hosts
 
 	mu sync.Mutex
 	// confirmed is the latest instant at which the state is known to have been
@@ -94,11 +115,17 @@
 	storeAnswered boottime.Instant
 	everConfirmed bool
 	ready         chan struct{}
+	// upstream is the address of the host that is followed; empty for none.
+	upstream string
+	// peerAnswered is when another host last answered a query, with a state or without.
+	peerAnswered boottime.Instant
 }
 
 // New returns a follower without state until Run.
 func New(opts Options) *Follower {
-	return &Follower{opts: opts, ready: make(chan struct{}), mirror: newMirror()}
+	return &Follower{
+		opts: opts, ready: make(chan struct{}), wake: make(chan struct{}, 1), mirror: newMirror(), changed: make(chan struct{}),
+	}
 }
 
 // Ready is closed when the first listing has been applied.
@@ -118,86 +145,6 @@
 	return f.opts.Boottime().Sub(at), ok
 }
 
-// Bounds of the random pause after failed calls. The store counts each call, but
-// changes must not be delayed much once it is available again.
-const (
-	minRetryPause = 100 * time.Millisecond
-	maxRetryPause = 400 * time.Millisecond
-)
-
-// Run follows the store until ctx ends.
-func (f *Follower) Run(ctx context.Context) error {
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	if f.opts.FetchFromPeer != nil {
-		wg.Go(func() { f.fetchWhileStale(ctx) })
-	}
-	for ctx.Err() == nil {
-		if left := f.peerFollowTime(); left > 0 {
-			f.fetchFromPeer(ctx, left)
-			f.pause(ctx, min(f.opts.Pause, left))
-			continue
-		}
-		started := f.opts.Boottime()
-		err := f.pollStore(ctx)
-		pause := f.opts.Pause
-		switch {
-		case ctx.Err() != nil:
-			return nil
-		case err != nil:
-			pause = f.recordFailure(err)
-		default:
-			f.recordSuccess(started)
-		}
-		f.pause(ctx, pause)
-	}
-	return nil
-}
-
-func (f *Follower) pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-f.opts.Clock.After(d):
-	}
-}
-
-// peerFollowTime returns for how long to follow another host instead of the store:
-// until the state reaches PeerFetchAge, and not at all at a host that follows the
-// store itself.
-func (f *Follower) peerFollowTime() time.Duration {
-	if f.opts.Direct == nil || f.opts.FetchFromPeer == nil || f.opts.Direct() {
-		return 0
-	}
-	age, ok := f.Age()
-	if !ok {
-		return 0
-	}
-	return max(0, f.opts.PeerFetchAge-age)
-}
-
-// pollStore makes one call to the store and applies its result.
-func (f *Follower) pollStore(ctx context.Context) error {
-	after, synced := f.position()
-	if !synced {
-		return f.list(ctx)
-	}
-	callCtx, cancel := kv.WithTimeout(ctx, f.opts.Clock, f.opts.Wait+f.opts.CallTimeout)
-	defer cancel()
-	events, revision, err := f.opts.Source.Changes(callCtx, f.opts.Prefix, after, f.opts.Wait)
-	if errors.Is(err, kv.ErrCompacted) {
-		f.opts.Logger.Warn("store history compacted, listing again", "after", after)
-		return f.list(ctx)
-	}
-	if err != nil {
-		if callCtx.Err() != nil && ctx.Err() == nil {
-			return errors.Wrapf(err, "no answer within %v", f.opts.Wait+f.opts.CallTimeout)
-		}
-		return err
-	}
-	f.applyChanges(events, revision, f.detectOutage)
-	return nil
-}
-
 func (f *Follower) position() (revision int64, synced bool) {
 	f.stateMu.Lock()
 	defer f.stateMu.Unlock()
@@ -218,7 +165,18 @@
 	if outage := afterOutage(); len(events) > 0 {
 		f.opts.Sink.Apply(events, outage)
 	}
-	f.revision = max(f.revision, revision)
+	f.advance(revision)
+}
+
+// advance raises the revision and wakes the hosts that wait for a change. The caller
+// holds stateMu.
+func (f *Follower) advance(revision int64) {
+	if revision <= f.revision {
+		return
+	}
+	f.revision = revision
+	close(f.changed)
+	f.changed = make(chan struct{})
 }
 
 func (f *Follower) list(ctx context.Context) error {
@@ -250,7 +208,7 @@
 		}
 	}
 	f.opts.Sink.Reset(entries, afterOutage())
-	f.revision = revision
+	f.advance(revision)
 }
 
 // outageGap is the time without a confirmation, by the store or by another host,
@@ -272,28 +230,6 @@
 	return !f.outageEnd.IsZero() && f.opts.Clock.Since(f.outageEnd) < f.opts.SettleTime
 }
 
-// recordFailure logs the first of consecutive failures and returns the pause before
-// the next call.
-func (f *Follower) recordFailure(err error) time.Duration {
-	if !f.failing {
-		f.opts.Logger.Warn("store unavailable", "error", err)
-	}
-	f.failing = true
-	return minRetryPause + time.Duration(f.opts.Rand.Int64N(int64(maxRetryPause-minRetryPause)))
-}
-
-func (f *Follower) recordSuccess(started boottime.Instant) {
-	if f.failing {
-		f.failing = false
-		f.opts.Logger.Info("store available again")
-	}
-	f.opts.Sink.Tick()
-	f.confirm(started)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.storeAnswered = f.opts.Boottime()
-}
-
 // StoreAnsweredWithin reports whether the store has answered this host directly
 // within the given time.
 func (f *Follower) StoreAnsweredWithin(within time.Duration) bool {
--- /dev/null
+++ b/feed/follow.go
@@ -0,0 +1,270 @@
+package feed
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/corianderlever/corianderlever/internal/boottime"
+	"github.com/corianderlever/corianderlever/kv"
+)
+
+// Bounds of the pause after failed calls, which doubles with each failure. The store
+// counts each call, but changes must not be delayed much once it is available again.
+const (
+	minRetryPause = 100 * time.Millisecond
+	maxRetryPause = 600 * time.Millisecond
+)
+
+// peerSilence is the time without an answer of any other host after which a host calls
+// the store without regard to the others: it may be cut off from them alone.
+const peerSilence = time.Second
+
+// Run follows the store or another host until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	if f.opts.FetchFromPeer != nil {
+		if !f.direct() {
+			f.fetchFromPeer(ctx, min(f.opts.PeerFetchInterval, f.opts.PeerFetchAge))
+		}
+		wg.Go(func() { f.fetchWhileStale(ctx) })
+	}
+	for ctx.Err() == nil {
+		var pause time.Duration
+		switch age, known := f.Age(); {
+		case f.direct() && !f.failing:
+			pause = f.followStore(ctx)
+		case known && age < f.opts.PeerFetchAge && f.canFollowPeer():
+			f.probeAt = time.Time{}
+			pause = f.followPeer(ctx, f.opts.PeerFetchAge-age)
+			if f.direct() { // it looks for the store in between
+				pause = f.followStore(ctx)
+			}
+		case f.direct() || f.probeDue():
+			pause = f.followStore(ctx)
+		default:
+			pause = min(f.opts.PeerFetchInterval, f.opts.Clock.Until(f.probeAt))
+		}
+		f.pause(ctx, pause)
+	}
+	return nil
+}
+
+// direct reports whether this host follows the store itself.
+func (f *Follower) direct() bool { return f.opts.Direct == nil || f.opts.Direct() }
+
+func (f *Follower) canFollowPeer() bool { return f.opts.FetchFromPeer != nil }
+
+// pause waits for d, or until another host announces a current state.
+func (f *Follower) pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-f.wake:
+	case <-f.opts.Clock.After(d):
+	}
+}
+
+// probeDue reports whether a host whose state is old, like those of the other hosts, may
+// call the store now. Hosts take turns at random, so that an outage does not multiply
+// the calls; the first one to get an answer announces it.
+func (f *Follower) probeDue() bool {
+	if !f.canFollowPeer() || f.opts.ProbeInterval == nil || f.peersSilent() {
+		return true
+	}
+	interval := f.opts.ProbeInterval().Seconds()
+	now := f.opts.Clock.Now()
+	if f.probeAt.IsZero() {
+		f.probeAt = now.Add(seconds(interval * f.opts.Rand.Float64()))
+	}
+	if now.Before(f.probeAt) {
+		return false
+	}
+	f.probeAt = now.Add(seconds(interval * (0.5 + f.opts.Rand.Float64())))
+	return true
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// peersSilent reports whether no other host has answered lately.
+func (f *Follower) peersSilent() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.peerAnswered == 0 || f.opts.Boottime().Sub(f.peerAnswered) > peerSilence
+}
+
+// followStore makes one call to the store, applies its result, and returns the pause
+// before the next call.
+func (f *Follower) followStore(ctx context.Context) time.Duration {
+	age, known := f.Age()
+	current, changed, err := f.pollStore(ctx, f.storeWait(age, known))
+	switch {
+	case ctx.Err() != nil:
+		return 0
+	case err != nil:
+		return f.recordFailure(err)
+	}
+	f.recordSuccess(current)
+	if f.opts.Announce != nil && (!known || age >= f.opts.PeerFetchAge) {
+		f.opts.Announce()
+	}
+	if changed {
+		return f.opts.Pause
+	}
+	return 0
+}
+
+// minStoreWait is the shortest wait for changes.
+const minStoreWait = time.Millisecond
+
+// storeWait returns how long the store may hold a call, so that the state gets at most
+// Wait old. An old state is confirmed at once, and so is one while calls fail.
+func (f *Follower) storeWait(age time.Duration, known bool) time.Duration {
+	if !known || f.failing {
+		return minStoreWait
+	}
+	return max(minStoreWait, f.opts.Wait-age)
+}
+
+// pollStore makes one call to the store and applies its result. It returns the instant
+// at which the state was current, and whether it has changed.
+func (f *Follower) pollStore(ctx context.Context, wait time.Duration) (current boottime.Instant, changed bool, err error) {
+	started := f.opts.Boottime()
+	after, synced := f.position()
+	if !synced {
+		return started, true, f.list(ctx)
+	}
+	callCtx, cancel := kv.WithTimeout(ctx, f.opts.Clock, wait+f.opts.CallTimeout)
+	defer cancel()
+	events, revision, err := f.opts.Source.Changes(callCtx, f.opts.Prefix, after, wait)
+	if errors.Is(err, kv.ErrCompacted) {
+		f.opts.Logger.Warn("store history compacted, listing again", "after", after)
+		return f.opts.Boottime(), true, f.list(ctx)
+	}
+	if err != nil {
+		if callCtx.Err() != nil && ctx.Err() == nil {
+			err = errors.Wrapf(err, "no answer within %v", wait+f.opts.CallTimeout)
+		}
+		return 0, false, err
+	}
+	f.applyChanges(events, revision, f.detectOutage)
+	if len(events) == 0 && f.opts.Boottime().Sub(started) >= wait {
+		// The store held the call for the whole wait, so it made the answer after that.
+		started += boottime.Instant(wait)
+	}
+	return started, len(events) > 0, nil
+}
+
+// recordFailure logs the first of consecutive failures and returns the pause before
+// the next call.
+func (f *Follower) recordFailure(err error) time.Duration {
+	if !f.failing {
+		f.opts.Logger.Warn("store unavailable", "error", err)
+	}
+	f.failing = true
+	f.retryPause = min(max(2*f.retryPause, minRetryPause), maxRetryPause)
+	return f.retryPause/2 + time.Duration(f.opts.Rand.Int64N(int64(f.retryPause)))
+}
+
+// recordSuccess records an answer of the store and the instant at which it was current.
+func (f *Follower) recordSuccess(current boottime.Instant) {
+	if f.failing {
+		f.failing, f.retryPause = false, 0
+		f.opts.Logger.Info("store available again")
+	}
+	f.opts.Sink.Tick()
+	f.confirm(current)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.storeAnswered = f.opts.Boottime()
+}
+
+// followPeer gets the next update from the host that is followed, or looks for a host
+// to follow for at most limit. It returns the pause before the next call.
+func (f *Follower) followPeer(ctx context.Context, limit time.Duration) time.Duration {
+	host := f.upstreamHost()
+	if host == "" {
+		f.fetchFromPeer(ctx, limit)
+		if f.upstreamHost() != "" {
+			return 0
+		}
+		age, _ := f.Age()
+		return min(f.opts.PeerFetchInterval, max(0, f.opts.PeerFetchAge-age))
+	}
+	started := f.opts.Boottime()
+	after, _ := f.position()
+	u, err := f.opts.FetchFrom(ctx, host, after, f.opts.PeerWait)
+	if err == nil {
+		err = f.applyUpdate(u, started)
+	}
+	if err == nil && u.age() > freshAge {
+		err = errors.Newf("feed: state is %v old", u.age())
+	}
+	if err != nil {
+		f.opts.Logger.Debug("host no longer followed", "host", host, "error", err)
+		f.unfollow(host)
+		return 0
+	}
+	if u.Revision > after {
+		return f.opts.PeerPause
+	}
+	return 0
+}
+
+func (f *Follower) upstreamHost() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.upstream
+}
+
+// unfollow makes the follower look for another host.
+func (f *Follower) unfollow(host string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.upstream == host {
+		f.upstream = ""
+	}
+}
+
+func (f *Follower) follow(host string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.upstream = host
+}
+
+// Announced tells the follower that a host has a current state. Without one of its own
+// the follower follows that host, and gets its state at once.
+func (f *Follower) Announced(ctx context.Context, host string) {
+	if age, known := f.Age(); known && age < freshAge {
+		return
+	}
+	f.follow(host)
+	if err := f.fetchAnnounced(ctx, host); err != nil {
+		f.opts.Logger.Debug("announced state not received", "host", host, "error", err)
+		return
+	}
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// fetchAnnounced gets the state of a host that has announced it.
+func (f *Follower) fetchAnnounced(ctx context.Context, host string) error {
+	if !f.bulk.TryLock() {
+		return errBulkInProgress
+	}
+	defer f.bulk.Unlock()
+	started := f.opts.Boottime()
+	after, _ := f.position()
+	u, err := f.opts.FetchFrom(ctx, host, after, 0)
+	if err != nil {
+		return err
+	}
+	return f.applyUpdate(u, started)
+}
--- a/feed/news.go
+++ b/feed/news.go
@@ -29,6 +29,9 @@
 	// OmittedBytes is the size of the entries and events if they are left out
 	// because the query asked for a small answer.
 	OmittedBytes int `json:"omitted,omitempty"`
+	// WaitedMS is how long the answering host has waited for a change before it made
+	// the answer, in milliseconds.
+	WaitedMS int64 `json:"waited_ms,omitempty"`
 	// From is the address of the host that answered.
 	From string `json:"-"`
 }
@@ -43,8 +46,13 @@
 	// no limit. Several hosts are queried at the same time, and only one of them
 	// should send much data.
 	MaxBytes int `json:"max_bytes,omitempty"`
+	// WaitMS is how long the answer may wait for a change, in milliseconds.
+	WaitMS int64 `json:"wait_ms,omitempty"`
 }
 
+// maxAnswerWait bounds the time for which an answer waits for a change.
+const maxAnswerWait = 5 * time.Second
+
 // recordChange keeps a change for other hosts if it is relevant to them.
 func (f *Follower) recordChange(ev kv.Event) {
 	if !f.opts.Sink.Relevant(ev, f.mirror.get(ev.Entry.Key)) {
@@ -57,8 +65,40 @@
 	f.mirror.set(ev.Entry)
 }
 
-// Answer returns the update that a query asks for.
-func (f *Follower) Answer(q Query) (Update, error) {
+// Answer returns the update that a query asks for. It waits for a change if the query
+// asks for that.
+func (f *Follower) Answer(ctx context.Context, q Query) (Update, error) {
+	started := f.opts.Boottime()
+	u, err := f.answerNow(q)
+	if err != nil || q.WaitMS <= 0 || u.Revision > q.After || u.age() > freshAge {
+		return u, err
+	}
+	select {
+	case <-ctx.Done():
+		return u, ctx.Err()
+	case <-f.changedAfter(q.After):
+	case <-f.opts.Clock.After(min(time.Duration(q.WaitMS)*time.Millisecond, maxAnswerWait)):
+	}
+	waited := f.opts.Boottime().Sub(started)
+	u, err = f.answerNow(q)
+	u.WaitedMS = waited.Milliseconds()
+	return u, err
+}
+
+// changedAfter returns a channel that is closed once the revision is higher.
+func (f *Follower) changedAfter(revision int64) <-chan struct{} {
+	f.stateMu.Lock()
+	defer f.stateMu.Unlock()
+	if f.revision > revision {
+		closed := make(chan struct{})
+		close(closed)
+		return closed
+	}
+	return f.changed
+}
+
+// answerNow returns the update that a query asks for, without waiting.
+func (f *Follower) answerNow(q Query) (Update, error) {
 	f.stateMu.Lock()
 	defer f.stateMu.Unlock()
 	age, ok := f.Age()
@@ -107,24 +147,51 @@
 	}
 }
 
-// fetchFromPeer applies an update from another host. Hosts are queried for at most
-// limit. The reported age counts back from the start of the request, so that the time
-// until the answer adds to the age.
+// fetchFromPeer applies an update from another host, and follows that host if its state
+// is fresh. Hosts are queried for at most limit.
 func (f *Follower) fetchFromPeer(ctx context.Context, limit time.Duration) {
 	started := f.opts.Boottime()
 	after, _ := f.position()
 	u, err := f.queryPeers(ctx, after, limit)
+	if err == nil || errors.Is(err, ErrNoState) {
+		f.recordPeerAnswer()
+	}
+	from := u.From
 	if err == nil && u.OmittedBytes > 0 {
 		started = f.opts.Boottime()
 		u, err = f.fetchBulk(ctx, u, after)
 	}
 	if err == nil {
-		err = u.decompress()
+		err = f.applyUpdate(u, started)
 	}
-	if err != nil || u.Revision < after {
-		f.opts.Logger.Debug("no update from peer", "error", err, "at", after, "peer_at", u.Revision)
+	if err != nil {
+		f.opts.Logger.Debug("no update from peer", "error", err, "after", after)
 		return
 	}
+	if u.age() <= freshAge {
+		f.follow(from)
+	}
+}
+
+func (f *Follower) recordPeerAnswer() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peerAnswered = f.opts.Boottime()
+}
+
+// errOlderState reports an update that is older than the state of this host.
+var errOlderState = errors.New("feed: older than the state of this host")
+
+// applyUpdate applies an update that was requested at an instant. Its age counts back
+// from the request and the wait for a change, so that the time until the answer adds to
+// the age.
+func (f *Follower) applyUpdate(u Update, requested boottime.Instant) error {
+	if err := u.decompress(); err != nil {
+		return err
+	}
+	if at, _ := f.position(); u.Revision < at {
+		return errors.Wrapf(errOlderState, "revision %d, have %d", u.Revision, at)
+	}
 	afterOutage := func() bool { return u.AfterOutage }
 	if u.Full {
 		f.reset(u.Entries, u.Revision, afterOutage)
@@ -132,9 +199,13 @@
 		f.applyChanges(u.Events, u.Revision, afterOutage)
 	}
 	f.opts.Sink.Tick()
-	f.confirm(started - boottime.Instant(u.age()))
+	f.confirm(requested + boottime.Instant(u.waited()-u.age()))
+	return nil
 }
 
+// waited returns the time for which the answering host has waited.
+func (u Update) waited() time.Duration { return time.Duration(u.WaitedMS) * time.Millisecond }
+
 func (f *Follower) queryPeers(ctx context.Context, after int64, limit time.Duration) (Update, error) {
 	ctx, cancel := kv.WithTimeout(ctx, f.opts.Clock, limit)
 	defer cancel()
@@ -151,7 +222,7 @@
 		return Update{}, errBulkInProgress
 	}
 	defer f.bulk.Unlock()
-	u, err := f.opts.FetchBulk(ctx, announced.From, after)
+	u, err := f.opts.FetchFrom(ctx, announced.From, after, 0)
 	f.opts.Logger.Info("large update", "from", announced.From, "after", after, "at", u.Revision, "bytes", announced.OmittedBytes, "error", err)
 	return u, err
 }
