--- a/engine/fakeengine/generate.go
+++ b/engine/fakeengine/generate.go
@@ -66,13 +66,15 @@
 		if err != nil {
 			return
 		}
+		// The token counts before it can arrive, so that a caller that has it also sees
+		// it in the attempt's progress.
+		e.recordStep(req.Attempt)
 		if _, err := fmt.Fprintf(w, "data: %s\n\n", data); err != nil {
 			return
 		}
 		if err := rc.Flush(); err != nil {
 			return
 		}
-		e.recordStep(req.Attempt)
 	}
 }
 
