--- a/daemon/router/feed.go
+++ b/daemon/router/feed.go
@@ -129,9 +129,9 @@
 	maxHedgedBytes = 24 << 10
 )
 
-// fetchFromPeers fetches the update after a revision from one of several hosts, without
-// the data if that is large.
-func (h *Host) fetchFromPeers(ctx context.Context, after int64) (feed.Update, error) {
+// queryPeers gets the update after a revision from one of several hosts, without the
+// data if that is large.
+func (h *Host) queryPeers(ctx context.Context, after int64) (feed.Update, error) {
 	q := feed.PeerQuery{Hosts: h.feedHosts(), Clock: h.opts.Clock, Call: func(ctx context.Context, host string) (u feed.Update, err error) {
 		err = h.peers.client.Call(ctx, host, methodUpdate, updateQuery{Query: feed.Query{After: after, Pack: true, MaxBytes: maxHedgedBytes}}, &u)
 		var remote *peer.RemoteError
--- a/daemon/router/loads.go
+++ b/daemon/router/loads.go
@@ -141,8 +141,8 @@
 // sumsLoads reports whether the fleet is so large that store readers sum up the load.
 func (h *Host) sumsLoads() bool { return h.hosts.Load() > maxGossipHosts }
 
-// exchangeLoads reports the load of this host and its followers to the other store
-// readers while this host is one of them.
+// exchangeLoads exchanges loads with the other store readers while this host is one of
+// them.
 func (h *Host) exchangeLoads(ctx context.Context) error {
 	ticker := h.opts.Clock.NewTicker(loadInterval)
 	defer ticker.Stop()
@@ -152,26 +152,30 @@
 			return nil
 		case <-ticker.Chan():
 		}
-		if !h.sumsLoads() || !h.readsStore() {
-			continue
+		if h.sumsLoads() && h.readsStore() {
+			h.reportToReaders(ctx)
 		}
-		partial, err := h.loads.partial()
-		if err != nil {
-			h.opts.Logger.Warn("load not summed up", "error", err)
+	}
+}
+
+// reportToReaders reports the load of this host and its followers to the other store
+// readers, and applies the sum that they have reported to this one.
+func (h *Host) reportToReaders(ctx context.Context) {
+	partial, err := h.loads.partial()
+	if err != nil {
+		h.opts.Logger.Warn("load not summed up", "error", err)
+		return
+	}
+	h.relay.ObserveLoadSums(h.loads.total(), h.relay.OwnLoads())
+	for _, m := range storeReaders(h.peers.members.Members()) {
+		if m.Host == h.opts.Settings.Host {
 			continue
 		}
-		own := h.relay.OwnLoads()
-		h.relay.ObserveLoadSums(h.loads.total(), own)
-		for _, m := range storeReaders(h.peers.members.Members()) {
-			if m.Host == h.opts.Settings.Host {
-				continue
+		go func() {
+			if err := h.peers.client.Call(ctx, m.PeerAddress, methodLoads, partial, nil); err != nil {
+				h.opts.Logger.Debug("load not reported", "to", m.Host, "error", err)
 			}
-			go func() {
-				if err := h.peers.client.Call(ctx, m.PeerAddress, methodLoads, partial, nil); err != nil {
-					h.opts.Logger.Debug("load not reported", "to", m.Host, "error", err)
-				}
-			}()
-		}
+		}()
 	}
 }
 
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -169,7 +169,7 @@
 	h.follower = feed.New(feed.Options{
 		Source: opts.Store, Sink: h.state, Wait: feedWait, Pause: feedPause, CallTimeout: feedTimeout, SettleTime: settleTime,
 		Clock: opts.Clock, Boottime: boottime.Now, Rand: h.newRand(), Logger: opts.Logger,
-		Direct: h.readsStore, FetchFromPeer: h.fetchFromPeers, FetchFrom: h.fetchFrom, PeerWait: peerWait, PeerPause: peerPause,
+		Direct: h.readsStore, QueryPeers: h.queryPeers, FetchFrom: h.fetchFrom, PeerWait: peerWait, PeerPause: peerPause,
 		PeerFetchAge: peerFetchAge, PeerFetchInterval: peerFetchInterval, ProbeInterval: h.probeInterval, Announce: h.announceState,
 	})
 	h.buffers = limiter.NewByteBudget(bufferBytes(opts.Settings.MemoryBytes))
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -57,10 +57,10 @@
 	// Direct reports whether this host follows the store itself. Nil means always.
 	// Other hosts follow a host that does.
 	Direct func() bool
-	// FetchFromPeer, if set, gets the update after a revision from one of several
-	// other hosts, without waiting for a change. The data may be left out if it is
-	// large. ErrNoState means that hosts answered but have no state.
-	FetchFromPeer func(ctx context.Context, after int64) (Update, error)
+	// QueryPeers, if set, asks several other hosts for the update after a revision and
+	// returns the best answer, without waiting for a change. The data may be left out
+	// if it is large. ErrNoState means that hosts answered but have no state.
+	QueryPeers func(ctx context.Context, after int64) (Update, error)
 	// FetchFrom gets the complete update after a revision from one host. That host
 	// waits for a change, but at most for wait.
 	FetchFrom func(ctx context.Context, host string, after int64, wait time.Duration) (Update, error)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -252,7 +252,7 @@
 		Source: newSource(), Sink: s, Clock: clock, Boottime: boot.load,
 		Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		PeerFetchAge: time.Second, PeerFetchInterval: time.Second,
-		FetchFromPeer: func(_ context.Context, after int64) (feed.Update, error) {
+		QueryPeers: func(_ context.Context, after int64) (feed.Update, error) {
 			queried <- after
 			return <-answers, nil
 		},
@@ -296,7 +296,7 @@
 			Source: newSource(), Sink: s, Clock: clock, Boottime: boot.load,
 			Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 			PeerFetchAge: time.Second, PeerFetchInterval: time.Second,
-			FetchFromPeer: func(context.Context, int64) (feed.Update, error) { return <-answers, nil },
+			QueryPeers: func(context.Context, int64) (feed.Update, error) { return <-answers, nil },
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		go func() { _ = f.Run(ctx) }()
@@ -350,7 +350,7 @@
 		Source: store, Sink: &sink{ticks: make(chan struct{}, 256)}, Clock: clock, Boottime: boot.load,
 		Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Pause: time.Second,
 		Direct: func() bool { return false }, PeerFetchAge: 2 * time.Second, PeerFetchInterval: time.Second,
-		FetchFromPeer: func(context.Context, int64) (feed.Update, error) {
+		QueryPeers: func(context.Context, int64) (feed.Update, error) {
 			if queries.Add(1) > 20 {
 				return feed.Update{}, feed.ErrNoState
 			}
@@ -406,7 +406,7 @@
 		Source: store, Sink: &sink{ticks: make(chan struct{}, 256)}, Clock: clock, Boottime: boot.load,
 		Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Pause: time.Second,
 		Direct: func() bool { return false }, PeerFetchAge: peerFetchAge, PeerFetchInterval: time.Hour,
-		FetchFromPeer: func(ctx context.Context, _ int64) (feed.Update, error) {
+		QueryPeers: func(ctx context.Context, _ int64) (feed.Update, error) {
 			<-ctx.Done()
 			return feed.Update{}, ctx.Err()
 		},
@@ -482,7 +482,7 @@
 		Source: newSource(), Sink: received, Clock: clock, Boottime: new(atomicInstant).load,
 		Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		PeerFetchAge: time.Second, PeerFetchInterval: time.Second,
-		FetchFromPeer: func(ctx context.Context, after int64) (feed.Update, error) {
+		QueryPeers: func(ctx context.Context, after int64) (feed.Update, error) {
 			q := feed.PeerQuery{Hosts: []string{"a", "b", "c"}, Clock: clock, Call: func(context.Context, string) (feed.Update, error) {
 				u, err := sender.Answer(t.Context(), feed.Query{After: after, Pack: true, MaxBytes: maxBytes})
 				if len(u.Entries) > 0 {
@@ -564,3 +564,40 @@
 	}
 	return u.Revision
 }
+
+// TestPauseCountsTowardsAge guards against a host that was paused while another host
+// held its call, and takes the old answer that it finds afterwards for a current one.
+func TestPauseCountsTowardsAge(t *testing.T) {
+	const pause, waited, age = 5 * time.Second, 700 * time.Millisecond, 100 * time.Millisecond
+	boot := &atomicInstant{}
+	boot.add(time.Hour)
+	clock := clockwork.NewFakeClock()
+	received := &sink{ticks: make(chan struct{}, 16)}
+	calls := 0
+	f := feed.New(feed.Options{
+		Source: newSource(), Sink: received, Clock: clock, Boottime: boot.load, Direct: func() bool { return false },
+		Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		PeerFetchAge: 10 * time.Second, PeerFetchInterval: time.Second, PeerWait: waited,
+		QueryPeers: func(context.Context, int64) (feed.Update, error) {
+			return feed.Update{Revision: 1, Full: true, From: "a"}, nil
+		},
+		FetchFrom: func(ctx context.Context, _ string, _ int64, _ time.Duration) (feed.Update, error) {
+			if calls++; calls > 1 {
+				<-ctx.Done()
+				return feed.Update{}, ctx.Err()
+			}
+			boot.add(pause)
+			return feed.Update{Revision: 1, WaitedMS: waited.Milliseconds(), AgeMS: age.Milliseconds()}, nil
+		},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- f.Run(ctx) }()
+	<-received.ticks
+	<-received.ticks
+	cancel()
+	<-done
+	if got, _ := f.Age(); got != pause-waited+age {
+		t.Errorf("age %v, want %v", got, pause-waited+age)
+	}
+}
--- a/feed/fleet_test.go
+++ b/feed/fleet_test.go
@@ -167,7 +167,7 @@
 	o.FetchFrom = func(ctx context.Context, host string, after int64, wait time.Duration) (feed.Update, error) {
 		return f.query(ctx, i, host, feed.Query{After: after, WaitMS: wait.Milliseconds()})
 	}
-	o.FetchFromPeer = func(ctx context.Context, after int64) (feed.Update, error) {
+	o.QueryPeers = func(ctx context.Context, after int64) (feed.Update, error) {
 		mu.Lock()
 		targets := append(order.Perm(testReaders)[:2], order.IntN(hosts))
 		mu.Unlock()
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -26,7 +26,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	if f.opts.FetchFromPeer != nil {
+	if f.opts.QueryPeers != nil {
 		if !f.direct() {
 			f.fetchFromPeer(ctx, min(f.opts.PeerFetchInterval, f.opts.PeerFetchAge))
 		}
@@ -56,7 +56,7 @@
 // direct reports whether this host follows the store itself.
 func (f *Follower) direct() bool { return f.opts.Direct == nil || f.opts.Direct() }
 
-func (f *Follower) canFollowPeer() bool { return f.opts.FetchFromPeer != nil }
+func (f *Follower) canFollowPeer() bool { return f.opts.QueryPeers != nil }
 
 // pause waits for d, or until another host announces a current state.
 func (f *Follower) pause(ctx context.Context, d time.Duration) {
--- a/feed/news.go
+++ b/feed/update.go
@@ -228,7 +228,7 @@
 func (f *Follower) queryPeers(ctx context.Context, after int64, limit time.Duration) (Update, error) {
 	ctx, cancel := kv.WithTimeout(ctx, f.opts.Clock, limit)
 	defer cancel()
-	return f.opts.FetchFromPeer(ctx, after)
+	return f.opts.QueryPeers(ctx, after)
 }
 
 // errBulkInProgress reports that a large update is already being transferred.
