--- a/relay/bounds_test.go
+++ b/relay/bounds_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/corianderlever/corianderlever/route"
 )
@@ -119,3 +120,49 @@
 		t.Errorf("got %d bytes, error %v; want the %d bytes of the stream", len(body), err, events.Len())
 	}
 }
+
+// TestStalledStreamEndsAtTimeout guards against a stalled stream that sends a byte now and
+// then and so never ends.
+func TestStalledStreamEndsAtTimeout(t *testing.T) {
+	stalling := streamRoute(true)
+	stalling.Timeout = 100 * time.Millisecond
+	r := newRig(t, stalling)
+	released := make(chan struct{}, 1)
+	r.endpoint("e", func(w http.ResponseWriter, hr *http.Request) {
+		answer(w, http.StatusOK, eventSeries(1, 2))
+		for {
+			select {
+			case <-hr.Context().Done():
+				released <- struct{}{}
+				return
+			case <-time.After(time.Millisecond):
+			}
+			_, _ = io.WriteString(w, ":")
+			w.(http.Flusher).Flush()
+		}
+	})
+	_, body, err := r.call("POST", "/p/x")
+	if err == nil || body != eventSeries(1, 2) {
+		t.Errorf("got %q, error %v; want the complete events and an answer that does not look complete", body, err)
+	}
+	<-released
+}
+
+// TestSlowStreamIsNotCut guards against a slow but sound stream that is ended because of
+// its pauses: only the timeout of the route ends it.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	slow := streamRoute(false)
+	slow.TargetLatency, slow.TargetGap = time.Millisecond, time.Millisecond
+	r := newRig(t, slow)
+	r.endpoint("e", func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, http.StatusOK, "")
+		for i := range 4 {
+			<-time.After(50 * slow.TargetGap)
+			_, _ = io.WriteString(w, eventSeries(i, i))
+			w.(http.Flusher).Flush()
+		}
+	})
+	if _, body, err := r.call("POST", "/p/x"); err != nil || body != eventSeries(0, 3) {
+		t.Errorf("got %q, error %v; want all events", body, err)
+	}
+}
