feed: pace a host that cannot follow another one; platform: further figures of a load report are read past

Cause, found in the last reading: a host whose followed host answers queries but not the calls of followers asked again without a pause. Change: PeerPause after a failure; test TestFailingFollowIsPaced did not end on the code before.

--- a/feed/fleet_test.go
+++ b/feed/fleet_test.go
@@ -310,6 +310,36 @@
 	})
 }
 
+// TestFailingFollowIsPaced guards against a host that queries others without a pause
+// because one answers queries but not the calls of hosts that follow it.
+func TestFailingFollowIsPaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const testTime = 10 * time.Second
+		f := &fleet{store: &fleetStore{revision: 1, changed: make(chan struct{}), rejects: func(int) bool { return false }}}
+		o := f.options(testReaders, testReaders+1, time.Now())
+		var queries atomic.Int64
+		o.QueryPeers = func(context.Context, int64) (feed.Update, error) {
+			queries.Add(1)
+			return feed.Update{Revision: 1, Full: true, From: "0"}, nil
+		}
+		o.FetchFrom = func(context.Context, string, int64, time.Duration) (feed.Update, error) {
+			return feed.Update{}, errors.New("message too large")
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = feed.New(o).Run(ctx)
+		}()
+		time.Sleep(testTime)
+		cancel()
+		<-done
+		if n := queries.Load(); n > int64(2*testTime/o.PeerPause) {
+			t.Errorf("%d queries in %v, want at most two in each %v", n, testTime, o.PeerPause)
+		}
+	})
+}
+
 // ExampleFollower_Answer shows how a host waits for a change at another host.
 func ExampleFollower_Answer() {
 	f := feed.New(feed.Options{Boottime: boottime.Now})
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -40,7 +40,7 @@
 		case known && age < f.opts.PeerFetchAge && f.canFollowPeer():
 			f.probeAt = time.Time{}
 			pause = f.followPeer(ctx, f.opts.PeerFetchAge-age)
-			if f.direct() { // it looks for the store in between
+			if f.direct() { // the store may be back
 				pause = f.followStore(ctx)
 			}
 		case f.direct() || f.probeDue():
@@ -208,9 +208,8 @@
 	if err != nil {
 		f.opts.Logger.Debug("host no longer followed", "host", host, "error", err)
 		f.unfollow(host)
-		return 0
 	}
-	if u.Revision > after {
+	if err != nil || u.Revision > after {
 		return f.opts.PeerPause
 	}
 	return 0
--- a/relay/request.go
+++ b/relay/request.go
@@ -99,9 +99,6 @@
 // slots in total.
 type Load struct {
 	Running, Waiting, Slots int
-	// Slowdown is the duration of work at the endpoint relative to the usual
-	// duration, because other work shares its machine; zero if not reported.
-	Slowdown float64
 }
 
 // Codec translates between the relay's types and the headers that router and
