router, platform: late in a stop accept only requests that can end in time

Ruled out: rejecting earlier, which takes one of a caller's few retries without need. Test: TestLateInAStopOnlyShortRequestsAreAccepted.

--- a/daemon/router/edge.go
+++ b/daemon/router/edge.go
@@ -60,8 +60,19 @@
 // be closed.
 func (h *Host) Draining() bool { return h.stopping.Load() }
 
-// Accepting reports whether new requests are accepted.
-func (h *Host) Accepting() bool { return h.accepting.Load() }
+// Accepting reports whether a new request with a timeout is accepted; zero means that
+// it has none. Late in a stop, a request is accepted only if it can end before the
+// process does.
+func (h *Host) Accepting(timeout time.Duration) bool {
+	if !h.accepting.Load() || !h.stopping.Load() {
+		return h.accepting.Load()
+	}
+	stoppingFor := h.opts.Clock.Since(*h.stopBegan.Load())
+	if stoppingFor < acceptAllTime {
+		return true
+	}
+	return timeout > 0 && stoppingFor+timeout <= h.bounds.Load().GracePeriod-stopMargin
+}
 
 // defaultMaxBodyBytes bounds request bodies until the first configuration arrives.
 const defaultMaxBodyBytes = 4 << 20
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -126,6 +126,8 @@
 	// requests are rejected, after the address lists given out have expired.
 	stopping  atomic.Bool
 	accepting atomic.Bool
+	// stopBegan is the time of the stop signal; nil before.
+	stopBegan atomic.Pointer[time.Time]
 	// hosts is the number of live hosts; possibleHosts also counts hosts that
 	// failed recently.
 	hosts, possibleHosts atomic.Int64
@@ -263,6 +265,9 @@
 	// leavePropagation is the time in which the other hosts learn that a host is
 	// stopping.
 	leavePropagation = 300 * time.Millisecond
+	// acceptAllTime is the time after the stop signal in which all requests are accepted.
+	// Some callers still have an address list from before.
+	acceptAllTime = 2900 * time.Millisecond
 	// stopMargin is the part of the grace period that remains when the last
 	// requests are cut.
 	stopMargin = 600 * time.Millisecond
@@ -273,6 +278,7 @@
 func (h *Host) drain(ctx context.Context) {
 	grace := h.bounds.Load().GracePeriod
 	began := h.opts.Clock.Now()
+	h.stopBegan.Store(&began)
 	h.stopping.Store(true)
 	h.peers.members.Leave()
 	h.wait(ctx, leavePropagation+listTTLFactor*h.listTTL())
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
 
 	"github.com/corianderlever/corianderlever/membership"
 )
@@ -53,3 +54,38 @@
 		t.Error(diff)
 	}
 }
+
+// TestLateInAStopOnlyShortRequestsAreAccepted guards against requests that a stopping host
+// accepts although they may outlast it, and that are cut without a complete answer.
+func TestLateInAStopOnlyShortRequestsAreAccepted(t *testing.T) {
+	const grace = 8 * time.Second
+	clock := clockwork.NewFakeClock()
+	h := &Host{opts: Options{Clock: clock}}
+	h.SetBounds(Bounds{GracePeriod: grace})
+	h.accepting.Store(true)
+	if !h.Accepting(20 * time.Second) {
+		t.Error("a running host rejects a request")
+	}
+	began := clock.Now()
+	h.stopBegan.Store(&began)
+	h.stopping.Store(true)
+	for _, step := range []struct {
+		after, timeout time.Duration
+		want           bool
+	}{
+		{time.Second, 20 * time.Second, true},
+		{3 * time.Second, 20 * time.Second, false},
+		{3 * time.Second, 0, false},
+		{3 * time.Second, 1500 * time.Millisecond, true},
+		{6500 * time.Millisecond, 1500 * time.Millisecond, false},
+	} {
+		clock.Advance(began.Add(step.after).Sub(clock.Now()))
+		if got := h.Accepting(step.timeout); got != step.want {
+			t.Errorf("%v after the signal, timeout %v: accepted %t, want %t", step.after, step.timeout, got, step.want)
+		}
+	}
+	h.accepting.Store(false)
+	if h.Accepting(time.Millisecond) {
+		t.Error("a request is accepted after the last address list has expired")
+	}
+}
