--- a/daemon/router/feed.go
+++ b/daemon/router/feed.go
@@ -33,7 +33,8 @@
 		return nil, errors.Wrap(err, "router: decode update query")
 	}
 	if err := s.host.loads.observeFollower(from, q.Loads); err != nil {
-		return nil, err
+		// The state matters more than the load, so the query is answered all the same.
+		s.host.opts.Logger.Warn("load of a follower rejected", "from", from, "error", err)
 	}
 	u, err := s.host.follower.Answer(ctx, q.Query)
 	reply := updateReply{Update: u}
--- a/feed/ask.go
+++ b/feed/ask.go
@@ -13,8 +13,7 @@
 	// as well.
 	hedgeDelay = 150 * time.Millisecond
 	// freshAge is the age up to which an answer is accepted without waiting for
-	// further hosts. The state of a host that the store answers is usually at most
-	// 1.5 s old.
+	// further hosts. It exceeds the age that the state of a store reader reaches.
 	freshAge = 1600 * time.Millisecond
 )
 
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -243,7 +243,13 @@
 		return
 	}
 	f.follow(host)
-	if err := f.fetchAnnounced(ctx, host); err != nil {
+	started := f.opts.Boottime()
+	after, _ := f.position()
+	u, err := f.fetchBulk(ctx, host, after)
+	if err == nil {
+		err = f.applyUpdate(u, started)
+	}
+	if err != nil {
 		f.opts.Logger.Debug("announced state not received", "host", host, "error", err)
 		return
 	}
@@ -252,18 +258,3 @@
 	default:
 	}
 }
-
-// fetchAnnounced gets the state of a host that has announced it.
-func (f *Follower) fetchAnnounced(ctx context.Context, host string) error {
-	if !f.bulk.TryLock() {
-		return errBulkInProgress
-	}
-	defer f.bulk.Unlock()
-	started := f.opts.Boottime()
-	after, _ := f.position()
-	u, err := f.opts.FetchFrom(ctx, host, after, 0)
-	if err != nil {
-		return err
-	}
-	return f.applyUpdate(u, started)
-}
--- a/feed/update.go
+++ b/feed/update.go
@@ -178,7 +178,7 @@
 	from := u.From
 	if err == nil && u.OmittedBytes > 0 {
 		started = f.opts.Boottime()
-		u, err = f.fetchBulk(ctx, u, after)
+		u, err = f.fetchBulk(ctx, from, after)
 	}
 	if err == nil {
 		err = f.applyUpdate(u, started)
@@ -234,14 +234,14 @@
 // errBulkInProgress reports that a large update is already being transferred.
 var errBulkInProgress = errors.New("feed: another large update is being transferred")
 
-// fetchBulk gets the large update that a host has announced. Only one is transferred
-// at a time, because several would share a slow link and all come too late.
-func (f *Follower) fetchBulk(ctx context.Context, announced Update, after int64) (Update, error) {
+// fetchBulk gets an update from one host that may be large. Only one is transferred at a
+// time, because several would share a slow link and all come too late.
+func (f *Follower) fetchBulk(ctx context.Context, host string, after int64) (Update, error) {
 	if !f.bulk.TryLock() {
 		return Update{}, errBulkInProgress
 	}
 	defer f.bulk.Unlock()
-	u, err := f.opts.FetchFrom(ctx, announced.From, after, 0)
-	f.opts.Logger.Info("large update", "from", announced.From, "after", after, "at", u.Revision, "bytes", announced.OmittedBytes, "error", err)
+	u, err := f.opts.FetchFrom(ctx, host, after, 0)
+	f.opts.Logger.Info("large update", "from", host, "after", after, "at", u.Revision, "bytes", u.dataBytes(), "error", err)
 	return u, err
 }
