--- a/control/coordinator.go
+++ b/control/coordinator.go
@@ -159,8 +159,8 @@
 		return
 	}
 	log.Info("rollout step published", "reason", p.reason, "revision", revision, "elapsed_ms", p.step.ElapsedMS,
-		"target_bad", p.target.Bad, "target_slow", p.target.Slow, "target_good", p.target.Good,
-		"base_bad", p.baseline.Bad, "base_slow", p.baseline.Slow, "base_good", p.baseline.Good)
+		"target_sent", p.target.Requests(), "target_bad", p.target.Bad, "target_slow", p.target.Slow, "target_good", p.target.Good,
+		"base_sent", p.baseline.Requests(), "base_bad", p.baseline.Bad, "base_slow", p.baseline.Slow, "base_good", p.baseline.Good)
 	c.Rollouts.recordPublished(p, revision)
 	c.Announce(p.service, p.step)
 }
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -264,6 +264,19 @@
 	return ""
 }
 
+// Sent implements relay.Versions.
+func (r *Rollouts) Sent(name, version string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.service(name)
+	if !s.hasOrder {
+		return
+	}
+	t := s.ownTallies[version]
+	t.Sent++
+	s.ownTallies[version] = t
+}
+
 // Observe implements relay.Versions.
 func (r *Rollouts) Observe(name, version string, o rollout.Observation) {
 	r.mu.Lock()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -50,6 +50,7 @@
 	if wait := j.relay.Permits.Acquire(ctx, sl.endpoint.ID); wait > 0 {
 		return j.handleDenial(sl, wait)
 	}
+	j.relay.Versions.Sent(j.pool.service, sl.endpoint.Version)
 	sl.run = j.relay.Parts.Start(endpointStart(sl.endpoint), j.parts)
 	defer j.endRun(ctx, sl)
 	answer, err := j.relay.Client.Do(ctx, sl.endpoint.Address, j.upstreamRequest(sl))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -38,6 +38,8 @@
 	// Pick returns the version for the session that hashes to point in [0, 1), or
 	// an empty string if any version may serve it.
 	Pick(service string, point float64) string
+	// Sent records that an attempt is sent to a version.
+	Sent(service, version string)
 	// Observe records the outcome of an attempt at a version.
 	Observe(service, version string, o rollout.Observation)
 }
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -102,6 +102,8 @@
 
 func (*unrestrictedVersions) Pick(string, float64) string { return "" }
 
+func (*unrestrictedVersions) Sent(string, string) {}
+
 func (v *unrestrictedVersions) Observe(_, _ string, o rollout.Observation) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/rollout/stage.go
+++ b/rollout/stage.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// Tally counts the answers of one version since the roll-out was ordered.
+// Tally counts the requests sent to one version since the roll-out was ordered, and
+// their answers.
 type Tally struct {
+	// Sent counts requests, also those that are not answered yet. Hosts of earlier
+	// releases leave it out; use Requests.
+	Sent int `json:"n,omitempty"`
 	Good int `json:"g"`
 	// Bad counts requests without a usable answer, Slow usable answers that came
 	// slowly.
@@ -15,14 +19,19 @@
 }
 
 // Add returns the sum of two tallies.
-func (t Tally) Add(o Tally) Tally { return Tally{t.Good + o.Good, t.Bad + o.Bad, t.Slow + o.Slow} }
+func (t Tally) Add(o Tally) Tally {
+	return Tally{Sent: t.Requests() + o.Requests(), Good: t.Good + o.Good, Bad: t.Bad + o.Bad, Slow: t.Slow + o.Slow}
+}
 
 // Max returns the higher counts of two reports of one host. Counts only rise, so a late
 // report changes nothing.
 func (t Tally) Max(o Tally) Tally {
-	return Tally{max(t.Good, o.Good), max(t.Bad, o.Bad), max(t.Slow, o.Slow)}
+	return Tally{Sent: max(t.Sent, o.Sent), Good: max(t.Good, o.Good), Bad: max(t.Bad, o.Bad), Slow: max(t.Slow, o.Slow)}
 }
 
+// Requests returns the number of requests that were sent, at least those with an answer.
+func (t Tally) Requests() int { return max(t.Sent, t.total()) }
+
 func (t Tally) total() int { return t.Good + t.Bad + t.Slow }
 
 // StageConfig configures a staged roll-out.
