--- a/control/coordinator.go
+++ b/control/coordinator.go
@@ -98,8 +98,10 @@
 	}
 	elapsed := s.elapsed(r.clock.Now())
 	target, baseline := s.tallies(r.self)
+	hosts := r.hosts()
 	d := r.stage().Advance(s.order, elapsed, step.Share, target, baseline, rollout.Conditions{
-		CapacityRatio: r.capacityRatio(name, s.order.Target), RequestRate: s.arrivals.rate(r.clock.Now()) * float64(r.hosts()),
+		CapacityRatio: r.capacityRatio(name, s.order.Target), RequestRate: s.arrivals.rate(r.clock.Now()) * float64(hosts),
+		Requests: s.requests(hosts),
 	})
 	if s.targetWorse {
 		d = rollout.Decision{State: rollout.OrderReverted, Reason: "target is worse"}
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -327,6 +327,22 @@
 	return target, baseline
 }
 
+// requests estimates the requests for the service since the order at a number of hosts,
+// of which some report to this one.
+func (s *service) requests(hosts int) float64 {
+	sum := 0
+	for _, t := range s.ownTallies {
+		sum += t.Requests()
+	}
+	for _, tallies := range s.peerTallies {
+		for _, t := range tallies {
+			sum += t.Requests()
+		}
+	}
+	reporting := 1 + len(s.peerTallies)
+	return float64(sum) * float64(max(hosts, reporting)) / float64(reporting)
+}
+
 // evaluateTarget stops the use of the target at this host at once when it is
 // worse than the baseline. The coordinator publishes the verdict.
 func (r *Rollouts) evaluateTarget(name string, s *service) {
--- a/rollout/stage.go
+++ b/rollout/stage.go
@@ -39,18 +39,14 @@
 	// ExposureShare is the maximum share of the service's requests that a bad
 	// version may receive.
 	ExposureShare float64
+	// ExposureTolerance is the number of requests that a bad version may receive in
+	// addition.
+	ExposureTolerance float64
 	// SessionTTL is the idle time after which a session ends. A session keeps
 	// its version during the first half of a roll-out.
 	SessionTTL time.Duration
 }
 
-// Stage is one stage of a roll-out. Start is the fraction of the order's time
-// limit at which the stage begins, and Share is its share of the traffic.
-type Stage struct {
-	Start float64
-	Share float64
-}
-
 // canaryExposureFraction is the fraction of ExposureShare that the first stage
 // may use. The rest is left for later stages, which can reveal faults that
 // appear only under load.
@@ -76,26 +72,32 @@
 	return elapsed.Seconds() >= canaryStartFraction*o.TimeLimit.Seconds()
 }
 
-// stages returns the stages of a roll-out for a service that receives rate
-// requests per second (zero if unknown). The share stays the same in the first
-// half, in which sessions keep their version.
-func (c StageConfig) stages(rate float64) []Stage {
-	canary := c.MaxCanaryShare()
+// canaryShare returns the share of the first stage of a service that receives rate
+// requests per second (zero if unknown).
+func (c StageConfig) canaryShare(rate float64) float64 {
 	if rate > 0 {
-		canary = min(canary, canaryRequestRate/rate)
-	}
-	return []Stage{
-		{Start: 0, Share: canary},
-		{Start: 0.55, Share: 0.3},
-		{Start: 0.65, Share: 0.6},
-		{Start: 0.74, Share: 1},
+		return min(c.MaxCanaryShare(), canaryRequestRate/rate)
 	}
+	return c.MaxCanaryShare()
 }
 
-// completionFraction is the fraction of the order's time limit at which a good
-// version is declared done. The remaining time allows for a store that responds
-// late.
-const completionFraction = 0.86
+// canaryFraction is the fraction of an order's time limit in which the share stays that
+// of the first stage. Sessions keep their version in the first half.
+const canaryFraction = 0.55
+
+const (
+	// completionFraction is the fraction of the order's time limit at which a good
+	// version is declared done. The remaining time allows for a store that responds
+	// late.
+	completionFraction = 0.96
+	// minCompletionTime is the minimum of that time.
+	minCompletionTime = 900 * time.Millisecond
+)
+
+// completes reports whether it is time to declare a good version done.
+func completes(o Order, elapsed time.Duration) bool {
+	return o.TimeLimit-elapsed <= max(minCompletionTime, time.Duration((1-completionFraction)*float64(o.TimeLimit)))
+}
 
 // Conditions describes the service at the time of a decision.
 type Conditions struct {
@@ -105,6 +107,9 @@
 	// RequestRate is the number of requests per second for the service, or zero
 	// if unknown.
 	RequestRate float64
+	// Requests is the number of requests for the service since the order, over all
+	// hosts, or zero if unknown.
+	Requests float64
 }
 
 // Decision is the next step of a roll-out as decided by its coordinator.
@@ -132,7 +137,14 @@
 // worseRatio times the baseline's bad rate plus worseMargin. One good and one bad answer
 // are added to the baseline.
 func exceeds(bad, total, baselineBad, baselineTotal int) bool {
-	return bad >= minBadAnswers && wilsonLowerBound(bad, total) > acceptedRate(baselineBad, baselineTotal)
+	return bad >= minBadAnswers && wilsonLowerBound(bad, total, boundZ) > acceptedRate(baselineBad, baselineTotal)
+}
+
+// isProbablyWorse is isWorse with less confidence. It decides on the traffic of a target
+// whose time runs out.
+func isProbablyWorse(target, baseline Tally) bool {
+	bad := target.Bad + target.Slow
+	return bad >= minSuspectAnswers && wilsonLowerBound(bad, target.total(), probableZ) > acceptedRate(baseline.Bad+baseline.Slow, baseline.total())
 }
 
 // acceptedRate returns the bad rate up to which a target counts as as good as the
@@ -159,16 +171,19 @@
 	// boundZ is the normal quantile of the confidence bound. It gives about one
 	// false alarm per hundred evaluations.
 	boundZ = 2.3
+	// probableZ is the normal quantile of a bound that a bad rate of an as good target
+	// exceeds once in six evaluations.
+	probableZ = 1
 )
 
 // wilsonLowerBound returns the lower bound of the Wilson confidence interval of
-// the bad rate.
-func wilsonLowerBound(bad, total int) float64 {
+// the bad rate for a normal quantile.
+func wilsonLowerBound(bad, total int, quantile float64) float64 {
 	n := float64(total)
 	p := float64(bad) / n
-	z2 := boundZ * boundZ
+	z2 := quantile * quantile
 	centre := p + z2/(2*n)
-	spread := boundZ * math.Sqrt(p*(1-p)/n+z2/(4*n*n))
+	spread := quantile * math.Sqrt(p*(1-p)/n+z2/(4*n*n))
 	return (centre - spread) / (1 + z2/n)
 }
 
@@ -179,27 +194,43 @@
 	if isWorse(target, baseline) {
 		return Decision{State: OrderReverted, Reason: "target is worse"}
 	}
-	progress := 1.0
-	if o.TimeLimit > 0 {
-		progress = elapsed.Seconds() / o.TimeLimit.Seconds()
-	}
 	next := Decision{State: OrderRunning, Share: share, Reason: "stage"}
-	if looksWorse(target, baseline) {
+	if isProbablyWorse(target, baseline) {
+		if o.TimeLimit > 0 && completes(o, elapsed) {
+			return Decision{State: OrderReverted, Reason: "target looks worse at its deadline"}
+		}
 		next.Reason = "target looks worse"
 		return next // the next answers show whether it is
 	}
-	for _, stage := range c.stages(cond.RequestRate) {
-		started := progress >= stage.Start && (stage.Start > 0 || share == 0)
-		if started && stage.Share > next.Share && cond.CapacityRatio >= min(stage.Share, fullTrafficCapacityRatio) {
-			next.Share = stage.Share
-		}
+	wanted := c.wantedShare(o, elapsed, share, target, baseline, cond)
+	if wanted > next.Share && cond.CapacityRatio >= min(wanted, fullTrafficCapacityRatio) {
+		next.Share = wanted
 	}
-	if progress >= completionFraction && share >= 1 {
+	if share >= 1 && completes(o, elapsed) {
 		next.State, next.Reason = OrderDone, "target is as good"
 	}
 	return next
 }
 
+// wantedShare returns the share that the target may have now, if its endpoints can serve
+// it.
+func (c StageConfig) wantedShare(o Order, elapsed time.Duration, share float64, target, baseline Tally, cond Conditions) float64 {
+	if elapsed.Seconds() < canaryFraction*o.TimeLimit.Seconds() {
+		if share > 0 {
+			return share
+		}
+		return c.canaryShare(cond.RequestRate)
+	}
+	left := c.exposure(o, elapsed, target, baseline, cond)
+	if left.permitsFullTraffic() {
+		return 1
+	}
+	if trial := left.trialShare(); trial >= minShareIncrease*share && !looksWorse(target, baseline) {
+		return trial
+	}
+	return share
+}
+
 // fullTrafficCapacityRatio is the CapacityRatio from which the target may
 // receive all traffic.
 const fullTrafficCapacityRatio = 0.5
