--- a/control/pace.go
+++ b/control/pace.go
@@ -20,13 +20,17 @@
 	// slowPaceFactor is the multiple of the usual time between events above which an
 	// answer is slow.
 	slowPaceFactor = 2.5
-	// paceSamples is the number of recent answers of each model by which the usual time
-	// between events is known, and minPaceSamples the number from which it is.
-	paceSamples    = 64
-	minPaceSamples = 12
+	// maxRecent is the number of recent answers by which a usual time is known, and
+	// minRecent the number from which it is.
+	maxRecent = 64
+	minRecent = 12
+	// jitter is the time by which the network and a busy host may delay an answer. It
+	// is added to the usual time of short answers.
+	jitter = 10 * time.Millisecond
 )
 
-// latencyBaseline detects answers that take several times as long as usual. It
+// latencyBaseline detects answers that take several times as long as usual, where that
+// time is estimated from the load and the size of the request. It
 // keeps an exponentially weighted moving average of the time relative to the
 // expected time, over the versions that are not the target of a roll-out.
 type latencyBaseline struct {
@@ -42,6 +46,9 @@
 }
 
 func (b *latencyBaseline) observe(o rollout.Observation) {
+	if o.ExpectedLatency == 0 {
+		return
+	}
 	b.samples++
 	gain := max(baselineGain, 1/float64(b.samples))
 	b.mean += gain * (relativeLatency(o) - b.mean)
@@ -49,56 +56,89 @@
 
 // slow reports whether an answer took more than slowFactor times the usual time.
 func (b *latencyBaseline) slow(o rollout.Observation) bool {
-	return b.samples >= minBaselineSamples && o.Latency > minSlowTime && relativeLatency(o) > slowFactor*b.mean
+	return b.samples >= minBaselineSamples && o.ExpectedLatency > 0 && o.Latency > minSlowTime && relativeLatency(o) > slowFactor*b.mean
 }
 
-// paceBaseline detects answers whose events come several times as slowly as usual. The
-// usual time is the median over the last answers of the same model by versions that are
-// not the target of a roll-out.
-type paceBaseline struct {
-	byModel map[string]*recentGaps
+// recentTimes holds a time of each of the last answers of one kind.
+type recentTimes struct {
+	times []time.Duration
+	next  int // the oldest, once there are maxRecent
 }
 
-func newPaceBaseline() *paceBaseline { return &paceBaseline{byModel: make(map[string]*recentGaps)} }
+func (r *recentTimes) add(d time.Duration) {
+	if len(r.times) < maxRecent {
+		r.times = append(r.times, d)
+		return
+	}
+	r.times[r.next] = d
+	r.next = (r.next + 1) % maxRecent
+}
 
-// recentGaps holds the times between events of the last answers of one model.
-type recentGaps struct {
-	gaps []time.Duration
-	next int // the oldest, once there are paceSamples
+// median returns the usual time, or false if there are too few answers to know it.
+func (r *recentTimes) median() (time.Duration, bool) {
+	if r == nil || len(r.times) < minRecent {
+		return 0, false
+	}
+	sorted := slices.Sorted(slices.Values(r.times))
+	return sorted[len(sorted)/2], true
 }
 
-func (r *recentGaps) add(gap time.Duration) {
-	if len(r.gaps) < paceSamples {
-		r.gaps = append(r.gaps, gap)
-		return
+// kindTimes holds the recent times of each kind of answer.
+type kindTimes map[string]*recentTimes
+
+func (k kindTimes) add(kind string, d time.Duration) {
+	if k[kind] == nil {
+		k[kind] = &recentTimes{}
 	}
-	r.gaps[r.next] = gap
-	r.next = (r.next + 1) % paceSamples
+	k[kind].add(d)
 }
 
-func (r *recentGaps) median() time.Duration {
-	sorted := slices.Sorted(slices.Values(r.gaps))
-	return sorted[len(sorted)/2]
+// routeBaseline detects answers that take several times as long as usual at services
+// whose time to an answer is not estimated, such as plain ones. The usual time is the
+// median over the last answers on the same route by versions that are not the target of
+// a roll-out; on a route with few answers, over those on all routes.
+type routeBaseline struct {
+	byRoute kindTimes
+	all     recentTimes
 }
 
-func (b *paceBaseline) observe(o rollout.Observation) {
-	if o.EventGap == 0 {
+func newRouteBaseline() *routeBaseline { return &routeBaseline{byRoute: make(kindTimes)} }
+
+func (b *routeBaseline) observe(o rollout.Observation) {
+	if o.ExpectedLatency > 0 {
 		return
 	}
-	r := b.byModel[o.Model]
-	if r == nil {
-		r = &recentGaps{}
-		b.byModel[o.Model] = r
+	b.byRoute.add(o.Route, o.Latency)
+	b.all.add(o.Latency)
+}
+
+// slow reports whether an answer took more than slowFactor times the usual time.
+func (b *routeBaseline) slow(o rollout.Observation) bool {
+	usual, ok := b.byRoute[o.Route].median()
+	if !ok {
+		usual, ok = b.all.median()
+	}
+	return ok && o.ExpectedLatency == 0 && o.Latency > slowFactor*usual+jitter
+}
+
+// paceBaseline detects answers whose events come several times as slowly as usual. The
+// usual time is the median over the last answers of the same model by versions that are
+// not the target of a roll-out.
+type paceBaseline struct {
+	byModel kindTimes
+}
+
+func newPaceBaseline() *paceBaseline { return &paceBaseline{byModel: make(kindTimes)} }
+
+func (b *paceBaseline) observe(o rollout.Observation) {
+	if o.EventGap > 0 {
+		b.byModel.add(o.Model, o.EventGap)
 	}
-	r.add(o.EventGap)
 }
 
 // slow reports whether the events of an answer came more slowly than slowPaceFactor
 // times the usual.
 func (b *paceBaseline) slow(o rollout.Observation) bool {
-	r := b.byModel[o.Model]
-	if r == nil || len(r.gaps) < minPaceSamples || o.EventGap == 0 {
-		return false
-	}
-	return float64(o.EventGap) > slowPaceFactor*float64(r.median())
+	usual, ok := b.byModel[o.Model].median()
+	return ok && float64(o.EventGap) > slowPaceFactor*float64(usual)
 }
--- a/control/pace_test.go
+++ b/control/pace_test.go
@@ -99,3 +99,35 @@
 		}
 	})
 }
+
+// TestPlainVersionThatAnswersSlowlyIsReverted guards against a version of a plain service that
+// takes many times as long as usual and was declared done, because both times are short or
+// because the answers of another route usually take as long.
+func TestPlainVersionThatAnswersSlowlyIsReverted(t *testing.T) {
+	for _, longRoute := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			tc := newTestCluster(t, 3)
+			n, exposed := 0, 0
+			request := func(h *host, version string) {
+				n++
+				o := rollout.Observation{Route: "short", Latency: time.Duration(8+n%9) * time.Millisecond}
+				if longRoute && n%2 == 0 {
+					o.Route, o.Latency = "long", time.Duration(100+n%31)*time.Millisecond
+				}
+				if version == "v2" {
+					exposed++
+					if o.Route == "short" && exposed%4 != 0 {
+						o.Latency *= 8
+					}
+				}
+				h.rollouts.Observe("s", version, o)
+			}
+			tc.run(4*time.Second, tc.store, request)
+			tc.store.Put("op/rollout/s", []byte(order))
+			tc.run(9500*time.Millisecond, tc.store, request)
+			if got := tc.status(); got != `{"State":"reverted","Target":"v2"}` {
+				t.Errorf("another, longer route %t: got status %s after %d requests to v2, want reverted", longRoute, got, exposed)
+			}
+		})
+	}
+}
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -58,6 +58,7 @@
 	peerTallies   map[string]map[string]rollout.Tally // by host and version
 	canaryTallies map[uint32]rollout.Tally            // of the target, by host key
 	latency       *latencyBaseline
+	routeLatency  *routeBaseline
 	pace          *paceBaseline
 	// arrivals counts the requests at this host.
 	arrivals arrivals
@@ -91,7 +92,7 @@
 func (r *Rollouts) service(name string) *service {
 	s := r.services[name]
 	if s == nil {
-		s = &service{latency: newLatencyBaseline(), pace: newPaceBaseline(), baselineSessions: newSessions()}
+		s = &service{latency: newLatencyBaseline(), routeLatency: newRouteBaseline(), pace: newPaceBaseline(), baselineSessions: newSessions()}
 		s.reset()
 		r.services[name] = s
 	}
@@ -283,9 +284,10 @@
 	defer r.mu.Unlock()
 	s := r.service(name)
 	isTarget := s.hasOrder && version == s.order.Target
-	slow := !o.Bad && (s.latency.slow(o) || s.pace.slow(o))
+	slow := !o.Bad && (s.latency.slow(o) || s.routeLatency.slow(o) || s.pace.slow(o))
 	if !o.Bad && !isTarget {
 		s.latency.observe(o)
+		s.routeLatency.observe(o)
 		s.pace.observe(o)
 	}
 	if !s.hasOrder {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -311,7 +311,7 @@
 
 func (j *job) observeOutcome(sl *slot, o rollout.Observation) {
 	sl.observed = true
-	o.ExpectedLatency, o.Model = sl.choice.TimeToFirstEvent, j.model
+	o.ExpectedLatency, o.Model, o.Route = sl.choice.TimeToFirstEvent, j.model, j.route.Name
 	j.relay.Versions.Observe(j.pool.service, sl.endpoint.Version, o)
 }
 
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -51,6 +51,8 @@
 	// Latency is the time to the answer or its first event. ExpectedLatency is
 	// the estimate of that time from the load and the size of the request.
 	Latency, ExpectedLatency time.Duration
+	// Route is the name of the request's route.
+	Route string
 	// Model is the model that answered; empty for plain services.
 	Model string
 	// EventGap is a time between two events of the answer that prompts of other requests
