--- a/control/pace_test.go
+++ b/control/pace_test.go
@@ -131,3 +131,33 @@
 		})
 	}
 }
+
+// TestVersionThatFailsOnOneRouteIsReverted guards against a version that fails on one route and
+// was declared done, because on another route all versions fail often.
+func TestVersionThatFailsOnOneRouteIsReverted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t, 3)
+		n, exposed, sound := 0, 0, 0
+		request := func(h *host, version string) {
+			n++
+			o := rollout.Observation{Route: "sound", Latency: 10 * time.Millisecond}
+			if n%3 > 0 {
+				o.Route, o.Bad = "poor", n%7 < 3
+			}
+			if version == "v2" {
+				exposed++
+				if o.Route == "sound" {
+					sound++
+					o.Bad = sound%2 == 0
+				}
+			}
+			h.rollouts.Observe("s", version, o)
+		}
+		tc.run(4*time.Second, tc.store, request)
+		tc.store.Put("op/rollout/s", []byte(order))
+		tc.run(9500*time.Millisecond, tc.store, request)
+		if got := tc.status(); got != `{"State":"reverted","Target":"v2"}` {
+			t.Errorf("got status %s after %d requests to v2, want reverted", got, exposed)
+		}
+	})
+}
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -57,6 +57,7 @@
 	ownTallies    map[string]rollout.Tally            // by version, since the order
 	peerTallies   map[string]map[string]rollout.Tally // by host and version
 	canaryTallies map[uint32]rollout.Tally            // of the target, by host key
+	routes        routeTallies
 	latency       *latencyBaseline
 	routeLatency  *routeBaseline
 	pace          *paceBaseline
@@ -104,6 +105,7 @@
 	s.ownTallies = make(map[string]rollout.Tally)
 	s.peerTallies = make(map[string]map[string]rollout.Tally)
 	s.canaryTallies = make(map[uint32]rollout.Tally)
+	s.routes = newRouteTallies()
 	s.targetWorse = false
 }
 
@@ -293,15 +295,18 @@
 	if !s.hasOrder {
 		return
 	}
-	t := s.ownTallies[version]
+	var answer rollout.Tally
 	switch {
 	case o.Bad:
-		t.Bad++
+		answer.Bad = 1
 	case slow:
-		t.Slow++
+		answer.Slow = 1
 	default:
-		t.Good++
+		answer.Good = 1
 	}
+	s.routes.count(o.Route, isTarget, answer)
+	t := s.ownTallies[version]
+	t.Good, t.Bad, t.Slow = t.Good+answer.Good, t.Bad+answer.Bad, t.Slow+answer.Slow
 	s.ownTallies[version] = t
 	if isTarget && (o.Bad || slow) {
 		r.evaluateTarget(name, s)
@@ -353,11 +358,12 @@
 		return
 	}
 	target, baseline := s.tallies(r.self)
-	if r.stage().Advance(s.order, 0, step.Share, target, baseline, rollout.Conditions{}).State != rollout.OrderReverted {
+	route, worse := s.routes.worse()
+	if !worse && r.stage().Advance(s.order, 0, step.Share, target, baseline, rollout.Conditions{}).State != rollout.OrderReverted {
 		return
 	}
 	s.targetWorse = true
-	r.log.Warn("rollout target worse", "service", name, "target", s.order.Target,
+	r.log.Warn("rollout target worse", "service", name, "target", s.order.Target, "route", route,
 		"target_bad", target.Bad, "target_slow", target.Slow, "target_good", target.Good,
 		"base_bad", baseline.Bad, "base_slow", baseline.Slow, "base_good", baseline.Good)
 }
@@ -372,6 +378,8 @@
 	ElapsedMS int64 `json:"elapsed_ms"`
 	// Tallies are the host's own answer counts by version.
 	Tallies map[string]rollout.Tally `json:"tallies,omitempty"`
+	// Routes are the host's own answer counts by route.
+	Routes map[string]RouteTally `json:"routes,omitempty"`
 }
 
 // Reports returns this host's reports for its peers, by service.
@@ -383,7 +391,7 @@
 		if s.hasOrder {
 			out[name] = Report{
 				Order: s.order.Revision, Step: s.step, ElapsedMS: s.elapsed(r.clock.Now()).Milliseconds(),
-				Tallies: maps.Clone(s.ownTallies),
+				Tallies: maps.Clone(s.ownTallies), Routes: s.routes.report(),
 			}
 		}
 	}
@@ -413,6 +421,7 @@
 		if s.hasOrder && e.Order == s.order.Revision {
 			s.raiseElapsed(e.ElapsedMS, r.clock.Now())
 			s.mergePeerTallies(host, e.Tallies)
+			s.routes.merge(host, e.Routes)
 			s.mergeCanaryTally(hostKey(host), e.Tallies[s.order.Target])
 			r.evaluateTarget(name, s)
 		}
--- a/rollout/stage.go
+++ b/rollout/stage.go
@@ -133,6 +133,13 @@
 		exceeds(target.Bad+target.Slow, target.total(), baseline.Bad+baseline.Slow, baseline.total())
 }
 
+// IsWorseOnRoute reports whether the target is worse than the baseline by the answers on
+// one of several routes. It asks for more confidence than a single comparison.
+func IsWorseOnRoute(target, baseline Tally) bool {
+	bad, total := target.Bad, target.total()
+	return bad >= minBadAnswers && wilsonLowerBound(bad, total, routeZ) > acceptedRate(baseline.Bad, baseline.total())
+}
+
 // exceeds reports whether the lower confidence bound of the target's bad rate exceeds
 // worseRatio times the baseline's bad rate plus worseMargin. One good and one bad answer
 // are added to the baseline.
@@ -171,6 +178,8 @@
 	// boundZ is the normal quantile of the confidence bound. It gives about one
 	// false alarm per hundred evaluations.
 	boundZ = 2.3
+	// routeZ is the normal quantile of the bound on each of several routes.
+	routeZ = 2.6
 	// probableZ is the normal quantile of a bound that a bad rate of an as good target
 	// exceeds once in six evaluations.
 	probableZ = 1
