--- a/control/pace_test.go
+++ b/control/pace_test.go
@@ -161,3 +161,33 @@
 		}
 	})
 }
+
+// TestSlowVersionIsRevertedAmongFailingAnswers guards against a version that answers a quarter of
+// its requests slowly and was declared done, because a route fails at all versions and slow
+// answers were only counted together with failures.
+func TestSlowVersionIsRevertedAmongFailingAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t, 3)
+		n, exposed := 0, 0
+		request := func(h *host, version string) {
+			n++
+			o := rollout.Observation{Route: "sound", Latency: 10 * time.Millisecond}
+			if n%2 == 0 {
+				o.Route, o.Bad = "poor", true
+			}
+			if version == "v2" {
+				exposed++
+				if exposed%4 == 0 {
+					o.Bad, o.Latency = false, 80*time.Millisecond
+				}
+			}
+			h.rollouts.Observe("s", version, o)
+		}
+		tc.run(4*time.Second, tc.store, request)
+		tc.store.Put("op/rollout/s", []byte(order))
+		tc.run(9500*time.Millisecond, tc.store, request)
+		if got := tc.status(); got != `{"State":"reverted","Target":"v2"}` {
+			t.Errorf("got status %s after %d requests to v2, want reverted", got, exposed)
+		}
+	})
+}
--- a/rollout/stage.go
+++ b/rollout/stage.go
@@ -126,10 +126,12 @@
 const minBadAnswers = 4
 
 // isWorse reports whether the target is worse than the baseline, the other versions: by
-// its failures, or by failures and slow answers together. Under load many answers of all
-// versions are slow, and failures would be hidden among them.
+// its failures, its slow answers, or both together. Under load many answers of all
+// versions are slow, and failures would be hidden among them; likewise slow answers are
+// hidden among failures where all versions fail often.
 func isWorse(target, baseline Tally) bool {
 	return exceeds(target.Bad, target.total(), baseline.Bad, baseline.total()) ||
+		exceeds(target.Slow, target.total(), baseline.Slow, baseline.total()) ||
 		exceeds(target.Bad+target.Slow, target.total(), baseline.Bad+baseline.Slow, baseline.total())
 }
 
