--- a/rollout/exposure.go
+++ b/rollout/exposure.go
@@ -4,9 +4,10 @@
 
 const (
 	// exposureReserve is the fraction of the permitted exposure that a roll-out plans
-	// to use. The rest covers requests that are not yet counted and a request rate
-	// that rises.
-	exposureReserve = 0.85
+	// to use. The rest covers a request rate that rises.
+	exposureReserve = 0.8
+	// countDelay is the time after which the counts of other hosts are known.
+	countDelay = 1200 * time.Millisecond
 	// maxTrialShare is the maximum share before the target receives all traffic.
 	maxTrialShare = 0.5
 	// minShareIncrease is the factor by which a new share exceeds the last one, so that
@@ -34,15 +35,16 @@
 	limit     time.Duration
 }
 
-// exposure returns what is left of the exposure after some time.
-func (c StageConfig) exposure(o Order, elapsed time.Duration, target, baseline Tally, cond Conditions) exposure {
+// exposure returns what is left of the exposure after some time with a share.
+func (c StageConfig) exposure(o Order, elapsed time.Duration, share float64, target, baseline Tally, cond Conditions) exposure {
 	e := exposure{rate: cond.RequestRate, remaining: max(0, o.TimeLimit-elapsed), limit: o.TimeLimit}
 	total := max(cond.Requests, float64(target.Requests()+baseline.Requests()))
 	if elapsed > 0 {
 		e.rate = max(e.rate, total/elapsed.Seconds())
 	}
 	total += e.rate * e.remaining.Seconds()
-	e.requests = exposureReserve*(c.ExposureShare*total+c.ExposureTolerance) - float64(target.Requests())
+	sent := float64(target.Requests()) + share*e.rate*countDelay.Seconds()
+	e.requests = exposureReserve*(c.ExposureShare*total+c.ExposureTolerance) - sent
 	return e
 }
 
--- a/rollout/stage.go
+++ b/rollout/stage.go
@@ -232,7 +232,7 @@
 		}
 		return c.canaryShare(cond.RequestRate)
 	}
-	left := c.exposure(o, elapsed, target, baseline, cond)
+	left := c.exposure(o, elapsed, share, target, baseline, cond)
 	if left.permitsFullTraffic() {
 		return 1
 	}
--- a/rollout/stage_test.go
+++ b/rollout/stage_test.go
@@ -122,6 +122,41 @@
 	})
 }
 
+// TestExposureHoldsInABurst guards against a target that exceeds its exposure because the
+// requests become more while it gets all traffic, and the counts of other hosts come late.
+func TestExposureHoldsInABurst(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const (
+			tick      = 300 * time.Millisecond // time between two decisions
+			reportLag = 4                      // ticks until another host's counts arrive
+		)
+		config := rollout.StageConfig{ExposureShare: rapid.Float64Range(0.08, 0.2).Draw(rt, "share"), ExposureTolerance: exposureExtra}
+		o := rollout.Order{Service: "s", Target: "v2", TimeLimit: time.Duration(rapid.IntRange(15, 60).Draw(rt, "limit_s")) * time.Second, Revision: 1}
+		rate := rapid.Float64Range(10, 900).Draw(rt, "rate")
+		burstAt := time.Duration(rapid.IntRange(2, 60).Draw(rt, "burst_s")) * time.Second
+		targets, others, share := []float64{0}, []float64{0}, 0.0
+		state := rollout.OrderRunning
+		for at := time.Duration(0); at < o.TimeLimit; at += tick {
+			known := max(0, len(targets)-1-reportLag)
+			if state == rollout.OrderRunning {
+				d := config.Advance(o, at, share, rollout.Tally{Sent: int(targets[known])}, rollout.Tally{Sent: int(others[known])},
+					rollout.Conditions{CapacityRatio: 1, RequestRate: rate, Requests: targets[known] + others[known]})
+				share, state = max(share, d.Share), d.State
+			}
+			now := rate * tick.Seconds()
+			if at >= burstAt && at < burstAt+8*time.Second {
+				now *= 1.2
+			}
+			targets = append(targets, targets[len(targets)-1]+now*share)
+			others = append(others, others[len(others)-1]+now*(1-share))
+		}
+		got := targets[len(targets)-1]
+		if allowed := config.ExposureShare*(got+others[len(others)-1]) + exposureExtra; got > allowed {
+			rt.Errorf("%.0f requests went to the target until its deadline, allowed %.0f", got, allowed)
+		}
+	})
+}
+
 // TestShareIsConstantInTheFirstHalf guards against sessions that change their
 // version in the first half of a roll-out because the share changes.
 func TestShareIsConstantInTheFirstHalf(t *testing.T) {
@@ -174,7 +209,7 @@
 		{14 * time.Second, 0.6, 1, rollout.Tally{Good: 13, Slow: 1}, rollout.Tally{Good: 246, Slow: 31}},
 		{14 * time.Second, 0.3, 1, rollout.Tally{Good: 25, Slow: 3}, rollout.Tally{Good: 246, Slow: 31}},
 	} {
-		d := config.Advance(o, c.elapsed, c.share, c.target, c.baseline, rollout.Conditions{CapacityRatio: 1, RequestRate: 37})
+		d := config.Advance(o, c.elapsed, c.share, c.target, c.baseline, rollout.Conditions{CapacityRatio: 1, RequestRate: 37, Requests: 37 * c.elapsed.Seconds()})
 		if d.State != rollout.OrderRunning || d.Share != c.want {
 			t.Errorf("target %+v, baseline %+v: state %v, share %v, want running with share %v", c.target, c.baseline, d.State, d.Share, c.want)
 		}
