--- a/control/state.go
+++ b/control/state.go
@@ -41,12 +41,12 @@
 }
 
 // Reset implements feed.Sink.
-func (s *State) Reset(entries []kv.Entry, afterOutage bool) {
+func (s *State) Reset(l feed.Listing) {
 	var endpoints []fleet.Endpoint
-	for _, e := range entries {
+	for _, e := range l.Entries {
 		kind, _ := s.codec.Classify(e.Key)
 		if kind != KindEndpoint {
-			s.apply(kv.Event{Entry: e}, afterOutage)
+			s.apply(kv.Event{Entry: e}, l.AfterOutage)
 			continue
 		}
 		ep, err := s.codec.DecodeEndpoint(e)
@@ -56,8 +56,9 @@
 		}
 		endpoints = append(endpoints, ep)
 	}
-	s.fleet.Replace(endpoints, afterOutage, s.clock.Now())
-	s.log.Info("state listed", "entries", len(entries), "endpoints", len(endpoints), "disturbed", afterOutage)
+	s.fleet.Replace(endpoints, l.AfterOutage, s.clock.Now())
+	s.log.Info("state listed", "entries", len(l.Entries), "endpoints", len(endpoints), "disturbed", l.AfterOutage,
+		"era", kv.RevisionEra(l.Revision), "revision", kv.RevisionNumber(l.Revision))
 }
 
 // Apply implements feed.Sink.
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -21,9 +21,8 @@
 
 // Sink receives the state. Its methods are not called concurrently.
 type Sink interface {
-	// Reset replaces the state with a full listing. afterOutage is set right after
-	// an outage of the store, in which leases may have expired.
-	Reset(entries []kv.Entry, afterOutage bool)
+	// Reset replaces the state with a full listing.
+	Reset(l Listing)
 	// Apply applies changes in order.
 	Apply(events []kv.Event, afterOutage bool)
 	// Relevant reports whether other hosts need a change. old is the previous
@@ -33,6 +32,16 @@
 	Tick()
 }
 
+// Listing is the complete contents of the store.
+type Listing struct {
+	Entries []kv.Entry
+	// Revision is the revision up to which the listing is complete.
+	Revision int64
+	// AfterOutage is set right after an outage of the store, in which leases may have
+	// expired, or after a restore.
+	AfterOutage bool
+}
+
 // Options configure a Follower.
 type Options struct {
 	Source kv.Feed
@@ -207,13 +216,19 @@
 	if revision < f.revision {
 		return
 	}
+	if kv.RevisionEra(revision) > kv.RevisionEra(f.revision) && f.revision > 0 {
+		// The keys of leases are missing in the copy, although their holders may be alive.
+		f.outageEnd = f.opts.Clock.Now()
+		f.opts.Logger.Warn("store restored from a copy", "era", kv.RevisionEra(revision), "revision", kv.RevisionNumber(revision),
+			"before", kv.RevisionNumber(f.revision))
+	}
 	f.mirror.reset(revision)
 	for _, e := range entries {
 		if f.opts.Sink.Relevant(kv.Event{Entry: e}, nil) {
 			f.mirror.set(e)
 		}
 	}
-	f.opts.Sink.Reset(entries, afterOutage())
+	f.opts.Sink.Reset(Listing{Entries: entries, Revision: revision, AfterOutage: afterOutage() || f.inSettleTime()})
 	f.advance(revision)
 }
 
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -68,12 +68,12 @@
 	ticks       chan struct{}
 }
 
-func (s *sink) Reset(entries []kv.Entry, afterOutage bool) {
+func (s *sink) Reset(l feed.Listing) {
 	s.keys = map[string]bool{}
-	for _, e := range entries {
+	for _, e := range l.Entries {
 		s.keys[e.Key] = true
 	}
-	s.afterOutage = append(s.afterOutage, afterOutage)
+	s.afterOutage = append(s.afterOutage, l.AfterOutage)
 }
 
 func (s *sink) Apply(events []kv.Event, afterOutage bool) {
--- a/feed/fleet_test.go
+++ b/feed/fleet_test.go
@@ -122,7 +122,7 @@
 // discardSink ignores the state.
 type discardSink struct{}
 
-func (discardSink) Reset([]kv.Entry, bool)            {}
+func (discardSink) Reset(feed.Listing)                {}
 func (discardSink) Apply([]kv.Event, bool)            {}
 func (discardSink) Relevant(kv.Event, *kv.Entry) bool { return true }
 func (discardSink) Tick()                             {}
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -79,7 +80,7 @@
 	}},
 	{"store history compacted", func(s *soak, _ context.Context, _ func(int) int, _ time.Duration) {
 		s.d.Store.Put("other/key", nil)
-		s.d.Store.Compact(1 << 40)
+		s.d.Store.Compact(math.MaxInt64)
 	}},
 	{"endpoint loses answers", func(s *soak, ctx context.Context, pick func(int) int, d time.Duration) {
 		e := s.endpoints()[pick(len(s.endpoints()))]
--- a/kv/memkv/feed.go
+++ b/kv/memkv/feed.go
@@ -19,7 +19,7 @@
 			return events, at, err
 		}
 		select {
-		case <-changed:
+		case <-changed: // also at a restore, after which the revision is compacted
 		case <-ctx.Done():
 			return nil, at, nil
 		}
@@ -29,7 +29,7 @@
 // changesSince returns the kept changes after a revision, the current revision, and
 // a channel that receives the next change.
 func (s *Store) changesSince(ctx context.Context, prefix string, after int64) ([]kv.Event, int64, <-chan kv.Event, error) {
-	changed, err := s.Watch(ctx, prefix, s.currentRevision())
+	changed, err := s.Watch(ctx, prefix, s.Revision())
 	if err != nil {
 		return nil, 0, nil, err
 	}
@@ -42,7 +42,8 @@
 	return s.replay(prefix, after), s.revision, changed, nil
 }
 
-func (s *Store) currentRevision() int64 {
+// Revision returns the current revision.
+func (s *Store) Revision() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.revision
