--- a/rollout/stage.go
+++ b/rollout/stage.go
@@ -152,8 +152,10 @@
 // isProbablyWorse is isWorse with less confidence. It decides on the traffic of a target
 // whose time runs out.
 func isProbablyWorse(target, baseline Tally) bool {
-	bad := target.Bad + target.Slow
-	return bad >= minSuspectAnswers && wilsonLowerBound(bad, target.total(), probableZ) > acceptedRate(baseline.Bad+baseline.Slow, baseline.total())
+	probably := func(bad, baselineBad int) bool {
+		return bad >= minSuspectAnswers && wilsonLowerBound(bad, target.total(), probableZ) > acceptedRate(baselineBad, baseline.total())
+	}
+	return probably(target.Slow, baseline.Slow) || probably(target.Bad+target.Slow, baseline.Bad+baseline.Slow)
 }
 
 // acceptedRate returns the bad rate up to which a target counts as as good as the
--- a/rollout/stage_test.go
+++ b/rollout/stage_test.go
@@ -215,3 +215,19 @@
 		}
 	}
 }
+
+// TestTargetWithFewSlowAnswersIsNotCompleted guards against a slow version that is declared
+// done, because a service with few requests has too few slow answers to be sure of it.
+func TestTargetWithFewSlowAnswersIsNotCompleted(t *testing.T) {
+	o := rollout.Order{Service: "s", Target: "v2", TimeLimit: 15 * time.Second, Revision: 1}
+	config := rollout.StageConfig{ExposureShare: 0.15, ExposureTolerance: exposureExtra}
+	baseline := rollout.Tally{Good: 179, Bad: 42}
+	d := config.Advance(o, 14200*time.Millisecond, 1, rollout.Tally{Good: 15, Bad: 4, Slow: 3}, baseline, rollout.Conditions{CapacityRatio: 1, RequestRate: 18})
+	if d.State != rollout.OrderReverted {
+		t.Errorf("3 of 22 answers slow, none of 221 of the baseline: %v, want reverted", d.State)
+	}
+	d = config.Advance(o, 14200*time.Millisecond, 1, rollout.Tally{Good: 20, Bad: 4, Slow: 1}, baseline, rollout.Conditions{CapacityRatio: 1, RequestRate: 18})
+	if d.State != rollout.OrderDone {
+		t.Errorf("one of 25 answers slow: %v, want done", d.State)
+	}
+}
