--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -65,6 +65,7 @@
 	mu         sync.RWMutex
 	byID       map[string]Endpoint
 	graceUntil map[string]time.Time // until when a vanished entry is still used
+	removals   removals
 	services   map[string][]Endpoint
 	onChange   []func(Change)
 	// generation counts the rebuilds of services.
@@ -75,7 +76,7 @@
 func NewRegistry(grace time.Duration) *Registry {
 	return &Registry{
 		grace: grace, byID: make(map[string]Endpoint), graceUntil: make(map[string]time.Time),
-		services: make(map[string][]Endpoint),
+		services: make(map[string][]Endpoint), removals: newRemovals(),
 	}
 }
 
@@ -88,13 +89,18 @@
 func (r *Registry) Set(e Endpoint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.removals.forget(e.ID)
 	r.set(e)
 	r.index()
 }
 
 func (r *Registry) set(e Endpoint) {
 	old, known := r.byID[e.ID]
-	if known && old.Revision > e.Revision {
+	switch {
+	case known && old.Revision > e.Revision:
+		return
+	case known && old.Revision == e.Revision: // known, and perhaps reconciled
+		delete(r.graceUntil, e.ID)
 		return
 	}
 	for id, o := range r.byID {
@@ -119,7 +125,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e, known := r.byID[id]
-	if !known || e.Revision > revision {
+	if !known {
+		delete(r.removals.held, id)
+		return
+	}
+	if e.Revision > revision {
 		return
 	}
 	if afterOutage && !e.Draining {
@@ -138,6 +148,12 @@
 	listed := make(map[string]bool, len(all))
 	for _, e := range all {
 		listed[e.ID] = true
+		known, ok := r.byID[e.ID]
+		if ok {
+			e = reconcile(known, e)
+		} else if r.removals.hold(e, now) {
+			continue
+		}
 		r.set(e)
 	}
 	for id, e := range maps.Clone(r.byID) {
@@ -159,6 +175,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := false
+	for _, e := range r.removals.due(now) {
+		r.set(e)
+		changed = true
+	}
 	for id, until := range r.graceUntil {
 		if !now.Before(until) {
 			r.remove(id)
@@ -181,6 +201,7 @@
 	e := r.byID[id]
 	delete(r.byID, id)
 	delete(r.graceUntil, id)
+	r.removals.add(e)
 	r.notify(Change{Endpoint: e, Previous: &e, Removed: true})
 }
 
