--- a/control/coordinator.go
+++ b/control/coordinator.go
@@ -72,11 +72,12 @@
 		}
 		step := s.current()
 		published := s.status.Target == s.order.Target && s.status.Revision > s.order.Revision
-		if isFinal(step.State) && published && s.status.State == step.State {
+		stored := published && s.storedStep == step
+		if isFinal(step.State) && stored && s.status.State == step.State {
 			continue
 		}
 		next, reason := r.nextStep(name, s, step)
-		if next == step && published {
+		if next == step && stored {
 			continue
 		}
 		p := proposal{service: name, step: next, reason: reason, expectStep: s.stepRevision, expectStatus: s.status.Revision}
@@ -173,7 +174,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.service(p.service)
-	s.stepRevision = max(s.stepRevision, revision)
+	if revision > s.stepRevision {
+		s.stepRevision, s.storedStep = revision, p.step
+	}
 	if revision > s.status.Revision {
 		s.status = rollout.OrderStatus{Service: p.service, Target: p.step.Target, State: p.step.State, Revision: revision}
 	}
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -49,8 +49,10 @@
 	hasOrder         bool
 	referenceTime    time.Time     // when the order arrived or a longer elapsed time was adopted
 	referenceElapsed time.Duration // time since the order at referenceTime
+	orders           orderHistory
 	step             Step
 	stepRevision     int64
+	storedStep       Step // the step that the store has
 	status           rollout.OrderStatus
 	// targetWorse is set once this host finds the target worse than the baseline.
 	targetWorse   bool
@@ -113,9 +115,23 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.service(o.Service)
-	if s.hasOrder && o.Revision <= s.order.Revision {
+	switch {
+	case s.hasOrder && o.Revision <= s.order.Revision:
+		return
+	case s.orders.replaced(o):
+		r.log.Warn("rollout order ignored, a later one has replaced it", "service", o.Service, "target", o.Target, "revision", o.Revision)
+		return
+	case s.hasOrder && s.orders.isCurrent(o, s.order):
+		s.adoptRevision(o.Revision)
+		r.log.Info("rollout order kept after a restore", "service", o.Service, "target", o.Target, "revision", o.Revision)
 		return
 	}
+	var previous *rollout.Order
+	if s.hasOrder {
+		known := s.order
+		previous = &known
+	}
+	s.orders.start(o, previous)
 	s.order, s.hasOrder = o, true
 	s.referenceTime, s.referenceElapsed = r.clock.Now(), 0
 	s.reset()
@@ -153,7 +169,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.service(name)
-	s.stepRevision = max(s.stepRevision, ev.Entry.Revision)
+	if ev.Entry.Revision >= s.stepRevision {
+		s.stepRevision, s.storedStep = ev.Entry.Revision, step
+	}
 	r.mergeStep(name, s, step, "store")
 	return nil
 }
--- a/control/state.go
+++ b/control/state.go
@@ -43,8 +43,15 @@
 // Reset implements feed.Sink.
 func (s *State) Reset(l feed.Listing) {
 	var endpoints []fleet.Endpoint
+	steps, statuses := make(map[string]bool), make(map[string]bool)
 	for _, e := range l.Entries {
-		kind, _ := s.codec.Classify(e.Key)
+		kind, name := s.codec.Classify(e.Key)
+		switch kind {
+		case KindStep:
+			steps[name] = true
+		case KindStatus:
+			statuses[name] = true
+		}
 		if kind != KindEndpoint {
 			s.apply(kv.Event{Entry: e}, l.AfterOutage)
 			continue
@@ -56,6 +63,7 @@
 		}
 		endpoints = append(endpoints, ep)
 	}
+	s.rollouts.forgetUnlisted(l.Revision, steps, statuses)
 	s.fleet.Replace(endpoints, l.AfterOutage, s.clock.Now())
 	s.log.Info("state listed", "entries", len(l.Entries), "endpoints", len(endpoints), "disturbed", l.AfterOutage,
 		"era", kv.RevisionEra(l.Revision), "revision", kv.RevisionNumber(l.Revision))
