--- a/control/state.go
+++ b/control/state.go
@@ -25,6 +25,9 @@
 	// OnCrashRecord is called with the stored record of the prompt parts that crash
 	// endpoints. It must be set before the first entry.
 	OnCrashRecord func(kv.Entry)
+	// OnNoCrashRecord is called for a listing at a revision without that record. It must
+	// be set before the first entry.
+	OnNoCrashRecord func(revision int64)
 }
 
 var _ feed.Sink = (*State)(nil)
@@ -44,6 +47,7 @@
 func (s *State) Reset(l feed.Listing) {
 	var endpoints []fleet.Endpoint
 	steps, statuses := make(map[string]bool), make(map[string]bool)
+	crashRecord := false
 	for _, e := range l.Entries {
 		kind, name := s.codec.Classify(e.Key)
 		switch kind {
@@ -51,6 +55,8 @@
 			steps[name] = true
 		case KindStatus:
 			statuses[name] = true
+		case KindCrashRecord:
+			crashRecord = true
 		}
 		if kind != KindEndpoint {
 			s.apply(kv.Event{Entry: e}, l.AfterOutage)
@@ -63,6 +69,9 @@
 		}
 		endpoints = append(endpoints, ep)
 	}
+	if !crashRecord && s.OnNoCrashRecord != nil {
+		s.OnNoCrashRecord(l.Revision)
+	}
 	s.rollouts.forgetUnlisted(l.Revision, steps, statuses)
 	s.fleet.Replace(endpoints, l.AfterOutage, s.clock.Now())
 	s.log.Info("state listed", "entries", len(l.Entries), "endpoints", len(endpoints), "disturbed", l.AfterOutage,
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -185,6 +185,7 @@
 	h.parts.Tries = func() bool { return h.peers.reports.Tries() }
 	h.crashRecord = &crashreports.Recorder{Guard: h.parts, Write: h.writeCrashRecord, Writes: h.isCoordinator, Clock: opts.Clock, Logger: opts.Logger}
 	h.state.OnCrashRecord = h.crashRecord.Apply
+	h.state.OnNoCrashRecord = h.crashRecord.Missing
 	h.permits = limiter.NewPermits(opts.Clock, opts.Logger, h.permitPeers())
 	h.relay = relay.New(relay.Options{
 		Config: h, Fleet: h.registry, Versions: h.rollouts, Codec: opts.Headers,
--- a/internal/crashreports/record.go
+++ b/internal/crashreports/record.go
@@ -59,6 +59,15 @@
 	}
 }
 
+// Missing takes over that a listing of the store at a revision holds no record.
+func (r *Recorder) Missing(revision int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.revision <= revision {
+		r.revision, r.stored = 0, nil
+	}
+}
+
 // Run takes over the stored record and writes it when the rejected parts have changed,
 // until ctx ends.
 func (r *Recorder) Run(ctx context.Context) error {
--- a/internal/crashreports/record_test.go
+++ b/internal/crashreports/record_test.go
@@ -119,3 +119,32 @@
 		t.Error("a host that starts later rejects the part")
 	}
 }
+
+// TestRecordIsWrittenAgainAfterARestore guards against a record that is lost for good when
+// the store is restored from a copy that does not have it, because each write expects the
+// revision from before.
+func TestRecordIsWrittenAgainAfterARestore(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(time.Unix(1_000_000, 0))
+	store := memkv.New(clock)
+	store.Put("other", nil)
+	logger := slog.New(slog.DiscardHandler)
+	r := &crashreports.Recorder{
+		Guard: limiter.NewPartGuard(clock, logger, true), Writes: func() bool { return true }, Clock: clock, Logger: logger,
+		Write: func(ctx context.Context, expect int64, record []byte) (int64, error) {
+			return store.CompareAndSwap(ctx, "crashes", expect, record, 0)
+		},
+	}
+	for endpoint := limiter.Hash(10); endpoint < 15; endpoint++ {
+		r.Guard.Start(endpoint, []limiter.Hash{1}).End()
+		r.Guard.RecordCrash(endpoint)
+		clock.Advance(time.Second)
+	}
+	backup := store.Copy()
+	r.Update(context.Background())
+	store.Restore(backup)
+	r.Missing(store.Revision())
+	r.Update(context.Background())
+	if _, err := store.Get(context.Background(), "crashes"); err != nil {
+		t.Errorf("record after the restore: %v", err)
+	}
+}
