--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -213,6 +213,9 @@
 	if j.isStream() && answer.Status == http.StatusOK {
 		return j.forwardStream(ctx, sl, answer, reply)
 	}
+	if j.headerSent { // the caller is in the middle of another endpoint's stream
+		return j.handleBrokenAnswer(ctx, sl, "stream_not_resumed", strconv.Itoa(answer.Status))
+	}
 	return j.forwardBody(ctx, sl, answer, limiter.OutcomeOK)
 }
 
