--- a/relay/stream.go
+++ b/relay/stream.go
@@ -41,6 +41,10 @@
 	defer func() { j.observePace(sl, first, last, &pace) }()
 	for n := 0; ; n++ {
 		ev, err := events.next()
+		if errors.Is(err, io.EOF) && n == 0 && answer.EndsWithConnection() {
+			// Nothing tells a stream without events from one that was cut after its header.
+			err = errors.Wrap(errEvent, "connection closed before the first event")
+		}
 		if errors.Is(err, io.EOF) {
 			if n > 1 {
 				sl.recordEventGap(last.Sub(first) / time.Duration(n-1))
