--- a/engine/client.go
+++ b/engine/client.go
@@ -85,9 +85,12 @@
 		return Final{}, err
 	}
 	defer resp.Body.Close()
-	c.reportLimit(resp, sent)
+	c.reportLimit(resp.Response, sent)
 	if resp.StatusCode != http.StatusOK {
-		return Final{}, statusError(resp)
+		if err := resp.checkAttempt(req.Attempt); err != nil {
+			return Final{}, err
+		}
+		return Final{}, statusError(resp.Response)
 	}
 	return readEvents(resp.Body, req, onToken)
 }
@@ -151,12 +154,12 @@
 		return Reply{}, err
 	}
 	defer resp.Body.Close()
-	c.reportLimit(resp, sent)
-	if got := resp.Header.Get(HeaderAttemptID); got != "" && got != attempt {
-		return Reply{}, lost(errors.Wrapf(errWrongAttempt, "%q", got))
+	c.reportLimit(resp.Response, sent)
+	if err := resp.checkAttempt(attempt); err != nil {
+		return Reply{}, err
 	}
 	if resp.StatusCode >= http.StatusInternalServerError || resp.StatusCode == http.StatusTooManyRequests {
-		return Reply{}, statusError(resp)
+		return Reply{}, statusError(resp.Response)
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
 	if err != nil {
@@ -168,11 +171,32 @@
 	return Reply{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: data}, nil
 }
 
+// response is a response and the connection on which it came.
+type response struct {
+	*http.Response
+	// reused is set if the connection had carried another request before.
+	reused bool
+}
+
+// checkAttempt returns an error unless the response belongs to the attempt. An endpoint may
+// repeat an earlier response on a kept connection, so a response that names no attempt is
+// taken from a new connection only.
+func (r *response) checkAttempt(attempt string) error {
+	got := r.Header.Get(HeaderAttemptID)
+	if got == attempt || got == "" && !r.reused {
+		return nil
+	}
+	return lost(errors.Wrapf(errWrongAttempt, "%q", got))
+}
+
 // post sends a request. An error has the outcome not_run only if no connection
 // was obtained, so that no byte can have reached the endpoint.
-func (c *Client) post(ctx context.Context, url string, body []byte, set func(http.Header)) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+func (c *Client) post(ctx context.Context, url string, body []byte, set func(http.Header)) (*response, error) {
+	var connected, reused atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		reused.Store(info.Reused)
+		connected.Store(true)
+	}}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, notRun(err)
@@ -188,7 +212,7 @@
 	resp, err := c.http.Do(req)
 	switch {
 	case err == nil:
-		return resp, nil
+		return &response{Response: resp, reused: reused.Load()}, nil
 	case connected.Load():
 		return nil, lost(err)
 	default:
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -12,6 +12,8 @@
 
 // Names of headers in requests to endpoints.
 const (
+	// HeaderAttemptID names the attempt. Endpoints repeat it in their answers, also in
+	// rejections; without it, an answer on a kept connection has an unknown outcome.
 	HeaderAttemptID  = "X-Attempt-Id"
 	HeaderDeadlineMS = "X-Deadline-Ms"
 	HeaderPriority   = "X-Priority"
--- a/engine/fakeengine/fakeengine.go
+++ b/engine/fakeengine/fakeengine.go
@@ -217,7 +217,12 @@
 	mux.HandleFunc("GET /v1/load", e.load)
 	mux.HandleFunc("GET /v1/attempts/{id}", e.attempt)
 	mux.HandleFunc("GET /v1/cache/events", e.cacheEvents)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if attempt := r.Header.Get(engine.HeaderAttemptID); attempt != "" {
+			w.Header().Set(engine.HeaderAttemptID, attempt)
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // reject sends an error for a request that was not run.
@@ -286,7 +291,6 @@
 		<-r.Context().Done()
 		return
 	}
-	w.Header().Set(engine.HeaderAttemptID, attempt)
 	writeJSON(w, map[string]any{"service": service, "operation": operation, "number": len(e.Runs()), "request": body})
 }
 
