--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -102,6 +103,36 @@
 	}},
 }
 
+// laterFaults are drawn by a generator of their own, so that a seed keeps the faults
+// that it draws from the list above.
+var laterFaults = []fault{
+	{"store restored from a copy", func(s *soak, ctx context.Context, _ func(int) int, d time.Duration) {
+		backup := s.d.Store.Copy()
+		wait(ctx, d)
+		s.d.Store.Down.Store(true)
+		wait(ctx, d/4)
+		s.d.RestoreStore(backup)
+		s.d.Store.Down.Store(false)
+	}},
+	{"answers end after their header", func(s *soak, ctx context.Context, pick func(int) int, d time.Duration) {
+		e := s.d.Engines[pick(len(s.d.Engines))]
+		e.HeaderOnlyEvery.Store(2)
+		wait(ctx, d)
+		e.HeaderOnlyEvery.Store(0)
+	}},
+	{"streams cut and not resumed", func(s *soak, ctx context.Context, _ func(int) int, d time.Duration) {
+		for _, e := range s.d.Engines {
+			e.CutEvery.Store(3)
+			e.UnknownEvery.Store(2)
+		}
+		wait(ctx, d)
+		for _, e := range s.d.Engines {
+			e.CutEvery.Store(0)
+			e.UnknownEvery.Store(0)
+		}
+	}},
+}
+
 const (
 	// minFaultTime and maxFaultTime bound the duration of a fault. maxFaultGap
 	// bounds the time between the starts of two faults and is shorter than
@@ -118,6 +149,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	var processes sync.Mutex
+	wg.Go(func() { s.injectLaterFaults(ctx) })
 	revokeAt := time.Now().Add(s.Duration / 2)
 	end := time.Now().Add(s.Duration)
 	for time.Now().Before(end) && ctx.Err() == nil {
@@ -141,6 +173,21 @@
 	}
 }
 
+// maxLaterFaultGap bounds the time between two faults of laterFaults.
+const maxLaterFaultGap = 4 * time.Second
+
+// injectLaterFaults runs random faults of laterFaults, one after the other.
+func (s *soak) injectLaterFaults(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(s.Seed, 2))
+	for end := time.Now().Add(s.Duration); time.Now().Before(end) && ctx.Err() == nil; {
+		wait(ctx, time.Duration(rng.Int64N(int64(maxLaterFaultGap))))
+		f := laterFaults[rng.IntN(len(laterFaults))]
+		target, d := rng.Int(), minFaultTime+time.Duration(rng.Int64N(int64(maxFaultTime-minFaultTime)))
+		s.log("%s, %v", f.name, d.Round(time.Millisecond))
+		f.run(s, ctx, func(n int) int { return target % n }, d)
+	}
+}
+
 // processFaults is the number of faults that act on processes; they come first
 // in faults.
 const processFaults = 4
