--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -191,6 +191,7 @@
 func (j *job) handleAnswer(ctx context.Context, sl *slot, answer *upstream.Response) *ErrorResponse {
 	reply := j.relay.Codec.Decode(answer.Header)
 	sl.observeLoad(reply.Load)
+	j.observeHold(sl, answer, reply)
 	// An answer of another endpoint at the address, or one that names no limit because it
 	// is only a rejection, says nothing.
 	if answer.Status != http.StatusMisdirectedRequest && (reply.Signed || reply.RateLimit > 0) {
@@ -219,6 +220,23 @@
 	return j.forwardBody(ctx, sl, answer, limiter.OutcomeOK)
 }
 
+// observeHold records that an endpoint is leaving, or wants no requests for some time.
+func (j *job) observeHold(sl *slot, answer *upstream.Response, reply Reply) {
+	if answer.Status == http.StatusMisdirectedRequest {
+		return // an answer of another endpoint
+	}
+	retryAfter := time.Duration(0)
+	if answer.Status == http.StatusServiceUnavailable {
+		retryAfter = reply.RetryAfter
+	}
+	if !reply.Leaving && retryAfter == 0 {
+		return
+	}
+	j.relay.Logger.Info("endpoint takes no requests", "request", j.req.ID, "endpoint", sl.endpoint.ID,
+		"leaving", reply.Leaving, "retry_after_ms", retryAfter.Milliseconds())
+	j.relay.holds.observe(sl.endpoint, reply.Leaving, retryAfter, j.relay.Clock.Now())
+}
+
 // handleRejection handles an answer that states that the endpoint did not run the
 // request.
 func (j *job) handleRejection(ctx context.Context, sl *slot, answer *upstream.Response) *ErrorResponse {
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -174,16 +174,31 @@
 	return &slot{pool: p, endpoint: e, started: p.relay.Clock.Now()}, nil
 }
 
-// denied returns how long each endpoint is left out that has reached its rate limit.
+// denied returns how long each endpoint is left out that has reached its rate limit or
+// wants no requests.
 func (p *pool) denied() map[string]time.Duration {
 	denials := p.relay.Permits.Denials()
-	if len(denials) == 0 {
+	held := p.relay.holds.any()
+	if len(denials) == 0 && !held {
 		return nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	maps.DeleteFunc(denials, func(id string, _ time.Duration) bool { return !slices.Contains(p.endpointIDs, id) })
-	return denials
+	if !held {
+		return denials
+	}
+	out := maps.Clone(denials)
+	if out == nil {
+		out = make(map[string]time.Duration)
+	}
+	now := p.relay.Clock.Now()
+	for _, e := range p.relay.Fleet.Service(p.service) {
+		if wait := p.relay.holds.wait(e, now); wait > 0 {
+			out[e.ID] = max(out[e.ID], wait)
+		}
+	}
+	return out
 }
 
 // excluded returns the endpoints that must not get the request.
@@ -195,12 +210,12 @@
 	return slices.AppendSeq(slices.Clone(j.exclude), maps.Keys(denied))
 }
 
-// shortestDenial returns the time until an endpoint that has reached its rate limit may
-// take a request again; zero if there is none.
+// shortestDenial returns the time until an endpoint that is left out may take a request
+// again; zero if there is none.
 func (p *pool) shortestDenial() time.Duration {
 	shortest := time.Duration(0)
 	for _, wait := range p.denied() {
-		if shortest == 0 || wait < shortest {
+		if wait != leavingWait && (shortest == 0 || wait < shortest) {
 			shortest = wait
 		}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -82,6 +82,7 @@
 type Relay struct {
 	Options
 	metrics *metrics
+	holds   endpointHolds
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -102,6 +103,7 @@
 	case c.Removed:
 		r.Client.CloseIdle(e.Address)
 		r.Permits.Forget(e.ID)
+		r.holds.forget(e.ID)
 		r.Logger.Info("endpoint gone", "endpoint", e.ID, "service", e.Service, "address", e.Address)
 	case c.Restarted():
 		r.Client.CloseIdle(e.Address)
--- a/relay/request.go
+++ b/relay/request.go
@@ -96,6 +96,11 @@
 	// RateLimit is the number of requests a second that the endpoint takes from all
 	// hosts together; zero if it named no limit.
 	RateLimit float64
+	// Leaving is set if the endpoint is about to stop and wants no more requests.
+	Leaving bool
+	// RetryAfter is how long an endpoint that has rejected the request wants no more
+	// requests from this host; zero if it did not say.
+	RetryAfter time.Duration
 }
 
 // Load is the load that an endpoint reports: requests running and waiting, and
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -43,6 +43,10 @@
 
 func (codec) Decode(h http.Header) relay.Reply {
 	r := relay.Reply{ID: h.Get("X-Id"), Signed: h.Get("X-Signature") != "", NotRun: h.Get("X-Not-Run") != "", Confidence: -1}
+	r.Leaving = h.Get("X-Leaving") == "1"
+	if s, err := strconv.Atoi(h.Get("Retry-After")); err == nil {
+		r.RetryAfter = time.Duration(s) * time.Second
+	}
 	if c, err := strconv.Atoi(h.Get("X-Confidence")); err == nil {
 		r.Confidence = c
 	}
