--- a/control/pace.go
+++ b/control/pace.go
@@ -29,10 +29,10 @@
 	jitter = 10 * time.Millisecond
 )
 
-// latencyBaseline detects answers that take several times as long as usual, where that
-// time is estimated from the load and the size of the request. It
-// keeps an exponentially weighted moving average of the time relative to the
-// expected time, over the versions that are not the target of a roll-out.
+// latencyBaseline detects answers that take several times as long as usual, where their
+// time is estimated from the load and the size of the request. It keeps an exponentially
+// weighted moving average of the time relative to the expected time, over the versions
+// that are not the target of a roll-out.
 type latencyBaseline struct {
 	mean    float64
 	samples int
--- a/relay/holds.go
+++ b/relay/holds.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -46,18 +47,26 @@
 // leavingWait is the wait that stands for an endpoint that does not take requests again.
 const leavingWait = time.Hour
 
-// wait returns how long an endpoint takes no requests; zero if it does.
-func (h *endpointHolds) wait(e fleet.Endpoint, now time.Time) time.Duration {
+// waits returns how long each of the endpoints takes no requests, for those that take none.
+func (h *endpointHolds) waits(endpoints []fleet.Endpoint, now time.Time) map[string]time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	hold, ok := h.byID[e.ID]
-	switch {
-	case !ok || hold.started != e.Started:
-		return 0
-	case hold.leaving:
-		return leavingWait
+	maps.DeleteFunc(h.byID, func(_ string, hold endpointHold) bool { return !hold.leaving && !now.Before(hold.until) })
+	if len(h.byID) == 0 {
+		return nil
 	}
-	return max(0, hold.until.Sub(now))
+	out := make(map[string]time.Duration)
+	for _, e := range endpoints {
+		hold, ok := h.byID[e.ID]
+		switch {
+		case !ok || hold.started != e.Started:
+		case hold.leaving:
+			out[e.ID] = leavingWait
+		default:
+			out[e.ID] = hold.until.Sub(now)
+		}
+	}
+	return out
 }
 
 // forget drops an endpoint that is gone.
@@ -66,10 +75,3 @@
 	defer h.mu.Unlock()
 	delete(h.byID, id)
 }
-
-// any reports whether an endpoint may be held.
-func (h *endpointHolds) any() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return len(h.byID) > 0
-}
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -177,25 +177,19 @@
 // denied returns how long each endpoint is left out that has reached its rate limit or
 // wants no requests.
 func (p *pool) denied() map[string]time.Duration {
+	out := p.relay.holds.waits(p.relay.Fleet.Service(p.service), p.relay.Clock.Now())
 	denials := p.relay.Permits.Denials()
-	held := p.relay.holds.any()
-	if len(denials) == 0 && !held {
-		return nil
+	if len(denials) == 0 {
+		return out
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	maps.DeleteFunc(denials, func(id string, _ time.Duration) bool { return !slices.Contains(p.endpointIDs, id) })
-	if !held {
-		return denials
-	}
-	out := maps.Clone(denials)
 	if out == nil {
 		out = make(map[string]time.Duration)
 	}
-	now := p.relay.Clock.Now()
-	for _, e := range p.relay.Fleet.Service(p.service) {
-		if wait := p.relay.holds.wait(e, now); wait > 0 {
-			out[e.ID] = max(out[e.ID], wait)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, wait := range denials {
+		if slices.Contains(p.endpointIDs, id) {
+			out[id] = max(out[id], wait)
 		}
 	}
 	return out
