--- a/control/restore.go
+++ b/control/restore.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// maxPastOrders bounds the replaced orders of a service that are remembered.
+	// maxPastOrders bounds the orders of a service that are remembered after their end.
 	maxPastOrders = 8
 	// maxRevisionsPerEra is how often an order may be met in an era after the one in which
 	// it was given: in the copy from which the store was restored, and when the operator
@@ -18,26 +18,28 @@
 
 // orderHistory recognizes the orders of a service after the store was restored.
 type orderHistory struct {
-	past []rollout.Order // replaced by later ones
+	past []rollout.Order // replaced or withdrawn
 	// givenEra is the era of the store in which the current order was given, metEra the
 	// last one in which it was met and met how often there.
 	givenEra, metEra int64
 	met              int
 }
 
-// start records that an order replaces the previous one, nil for none.
-func (h *orderHistory) start(o rollout.Order, previous *rollout.Order) {
-	if previous != nil {
-		h.past = append(h.past, *previous)
-		h.past = h.past[max(0, len(h.past)-maxPastOrders):]
-	}
+// start records that an order was given.
+func (h *orderHistory) start(o rollout.Order) {
 	h.givenEra = kv.RevisionEra(o.Revision)
 	h.metEra, h.met = h.givenEra, 1
 }
 
-// replaced reports whether a restored store has listed an order that was replaced since
-// the copy was made.
-func (h *orderHistory) replaced(o rollout.Order) bool {
+// retire records that an order was replaced or withdrawn.
+func (h *orderHistory) retire(o rollout.Order) {
+	h.past = append(h.past, o)
+	h.past = h.past[max(0, len(h.past)-maxPastOrders):]
+}
+
+// isPast reports whether a restored store has listed an order that was replaced or
+// withdrawn since the copy was made.
+func (h *orderHistory) isPast(o rollout.Order) bool {
 	return slices.ContainsFunc(h.past, func(p rollout.Order) bool {
 		return kv.RevisionEra(p.Revision) < kv.RevisionEra(o.Revision) &&
 			kv.RevisionNumber(p.Revision) == kv.RevisionNumber(o.Revision) && sameContents(p, o)
--- a/control/restore_test.go
+++ b/control/restore_test.go
@@ -130,3 +130,30 @@
 		}
 	})
 }
+
+// TestWithdrawnOrderIsNotCarriedOutOverARestore guards against requests to a version whose
+// order was withdrawn, because the store was restored from a copy that still holds it.
+func TestWithdrawnOrderIsNotCarriedOutOverARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t, 3)
+		exposed := 0
+		request := func(h *host, version string) {
+			if version == "v2" {
+				exposed++
+			}
+			h.rollouts.Observe("s", version, rollout.Observation{})
+		}
+		tc.store.Put("op/rollout/s", []byte(order))
+		backup := tc.store.Copy()
+		tc.run(time.Second, tc.store, request)
+		tc.store.Drop("op/rollout/s")
+		tc.run(time.Second, tc.store, request)
+		exposed = 0
+		tc.store.Restore(backup)
+		tc.list()
+		tc.run(5*time.Second, tc.store, request)
+		if exposed > 0 {
+			t.Errorf("%d requests to v2 after its order was withdrawn", exposed)
+		}
+	})
+}
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -117,20 +117,18 @@
 	switch {
 	case s.hasOrder && o.Revision <= s.order.Revision:
 		return
-	case s.orders.replaced(o):
-		r.log.Warn("rollout order ignored, a later one has replaced it", "service", o.Service, "target", o.Target, "revision", o.Revision)
+	case s.orders.isPast(o):
+		r.log.Warn("rollout order ignored, it was replaced or withdrawn", "service", o.Service, "target", o.Target, "revision", o.Revision)
 		return
 	case s.hasOrder && s.orders.isCurrent(o, s.order):
 		s.adoptRevision(o.Revision)
 		r.log.Info("rollout order kept after a restore", "service", o.Service, "target", o.Target, "revision", o.Revision)
 		return
 	}
-	var previous *rollout.Order
 	if s.hasOrder {
-		known := s.order
-		previous = &known
+		s.orders.retire(s.order)
 	}
-	s.orders.start(o, previous)
+	s.orders.start(o)
 	s.order, s.hasOrder = o, true
 	s.referenceTime, s.referenceElapsed = r.clock.Now(), 0
 	s.reset()
@@ -143,7 +141,11 @@
 func (r *Rollouts) dropOrder(name string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.service(name).hasOrder = false
+	s := r.service(name)
+	if s.hasOrder {
+		s.orders.retire(s.order)
+	}
+	s.hasOrder = false
 	r.log.Info("rollout order withdrawn", "service", name)
 }
 
