--- a/daemon/command/hostcommand.go
+++ b/daemon/command/hostcommand.go
@@ -59,7 +59,7 @@
 	store := platform.NewStore(settings.StoreAddress)
 	defer store.Close()
 	h, err := router.New(router.Options{
-		Settings: routerSettings(settings), Store: store, Records: platform.Records{}, Headers: platform.Headers{},
+		Settings: settings.Router(), Store: store, Records: platform.Records{}, Headers: platform.Headers{},
 		NewEdge: func(h *router.Host, r *relay.Relay) router.Handlers { return platform.NewEdge(h, r, log) },
 		Logger:  log,
 	})
@@ -81,14 +81,6 @@
 	}
 }
 
-func routerSettings(s platform.Settings) router.Settings {
-	return router.Settings{
-		Host: s.Host, FailureDomain: s.FailureDomain, Region: s.Region,
-		Frontend: s.Frontend, Readiness: s.Readiness, Directory: s.Directory, Peer: s.Peer, Metrics: s.Metrics,
-		LinkMbps: int(s.LinkMbps), MemoryBytes: s.MemoryBytes, Seeds: s.Seeds, ClusterKey: s.ClusterKey(), Bounds: s.Bounds,
-	}
-}
-
 // followSettings applies changed bounds, on SIGHUP and every settingsInterval.
 func followSettings(ctx context.Context, path string, current platform.Settings, h *router.Host, log *slog.Logger) {
 	hup := make(chan os.Signal, 1)
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -96,6 +96,8 @@
 	Headers  relay.Codec
 	// NewEdge returns the edge that serves the deployment's protocol.
 	NewEdge func(h *Host, r *relay.Relay) Handlers
+	// DialEndpoint opens connections to endpoints; it defaults to TCP.
+	DialEndpoint upstream.DialFunc
 	// Clock, Rand, Logger and Registry are optional.
 	Clock    clockwork.Clock
 	Rand     *rand.Rand
@@ -189,7 +191,7 @@
 	h.permits = limiter.NewPermits(opts.Clock, opts.Logger, h.permitPeers())
 	h.relay = relay.New(relay.Options{
 		Config: h, Fleet: h.registry, Versions: h.rollouts, Codec: opts.Headers,
-		Client: upstream.NewClient(upstream.DefaultOptions()), Settings: h.relaySettings,
+		Client: upstream.NewClient(endpointOptions(opts)), Settings: h.relaySettings,
 		Crashes: h.crashes, Parts: h.parts, Permits: h.permits, Buffers: h.buffers, FailureDomain: opts.Settings.FailureDomain, Clock: opts.Clock, Rand: h.newRand, Logger: opts.Logger, Registry: opts.Registry,
 	})
 	h.loads = newLoadHub(opts.Clock, h.relay.OwnLoads)
@@ -200,6 +202,13 @@
 	return h, errors.Wrap(err, "router: register services")
 }
 
+// endpointOptions returns the options of the connections to endpoints.
+func endpointOptions(opts Options) upstream.Options {
+	out := upstream.DefaultOptions()
+	out.Dial = opts.DialEndpoint
+	return out
+}
+
 const (
 	// bufferShare is the part of a host's memory in which requests and answers are
 	// buffered.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -151,6 +151,9 @@
 	closed   bool
 }
 
+// Reused reports whether the connection had carried another request before.
+func (a *Response) Reused() bool { return a.exchange.reused }
+
 // EndsWithConnection reports whether the response states neither a length nor chunks, so
 // that its body cannot be told from one that was cut off between two parts.
 func (a *Response) EndsWithConnection() bool {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -86,9 +86,14 @@
 	// UserTimeout ends connections on which sent data stays unacknowledged for
 	// this long; zero leaves the system's default.
 	UserTimeout time.Duration
-	Clock       clockwork.Clock
+	// Dial opens a connection; it defaults to TCP with Keepalive and UserTimeout.
+	Dial  DialFunc
+	Clock clockwork.Clock
 }
 
+// DialFunc opens a connection, like net.Dialer.DialContext.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // DefaultOptions returns options that detect a silent connection within about
 // four seconds.
 func DefaultOptions() Options {
@@ -103,9 +108,8 @@
 
 // Client sends requests to endpoints. It is safe for concurrent use.
 type Client struct {
-	opts   Options
-	dialer net.Dialer
-	pool   pool
+	opts Options
+	pool pool
 }
 
 // NewClient returns a client without connections.
@@ -113,11 +117,11 @@
 	if opts.Clock == nil {
 		opts.Clock = clockwork.NewRealClock()
 	}
-	return &Client{
-		opts:   opts,
-		dialer: net.Dialer{Timeout: opts.DialTimeout, KeepAliveConfig: opts.Keepalive, Control: userTimeout(opts.UserTimeout)},
-		pool:   pool{clock: opts.Clock, idleTimeout: opts.IdleTimeout, idle: make(map[string][]*conn)},
+	if opts.Dial == nil {
+		dialer := net.Dialer{KeepAliveConfig: opts.Keepalive, Control: userTimeout(opts.UserTimeout)}
+		opts.Dial = dialer.DialContext
 	}
+	return &Client{opts: opts, pool: pool{clock: opts.Clock, idleTimeout: opts.IdleTimeout, idle: make(map[string][]*conn)}}
 }
 
 // Do sends the request to addr and returns its response with an unread body.
@@ -140,7 +144,7 @@
 // Dial opens a connection and closes it again, to check that the endpoint
 // accepts connections at addr.
 func (c *Client) Dial(ctx context.Context, addr string) error {
-	cn, err := c.dialer.DialContext(ctx, "tcp", addr)
+	cn, err := c.dial(ctx, addr)
 	if err != nil {
 		return errors.Mark(err, ErrDial)
 	}
@@ -157,7 +161,17 @@
 	if cn := c.pool.get(addr); cn != nil {
 		return cn, nil
 	}
-	raw, err := c.dialer.DialContext(ctx, "tcp", addr)
+	return c.dial(ctx, addr)
+}
+
+// dial opens a connection within the dial timeout.
+func (c *Client) dial(ctx context.Context, addr string) (*conn, error) {
+	if c.opts.DialTimeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.opts.DialTimeout)
+		defer cancel()
+	}
+	raw, err := c.opts.Dial(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
