--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -52,8 +52,11 @@
 	}
 	j.relay.Versions.Sent(j.pool.service, sl.endpoint.Version)
 	sl.run = j.relay.Parts.Start(endpointStart(sl.endpoint), j.parts)
-	defer j.endRun(ctx, sl)
-	answer, err := j.relay.Client.Do(ctx, sl.endpoint.Address, j.upstreamRequest(sl))
+	defer j.endRun(sl)
+	sendCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer j.watch(sl, cancel)()
+	answer, err := j.send(sendCtx, sl)
 	if err != nil {
 		return j.handleSendError(ctx, sl, err)
 	}
@@ -61,6 +64,31 @@
 	return j.handleAnswer(ctx, sl, answer)
 }
 
+// watch keeps track of the attempt for the checks of the paths to its service, until the
+// returned function is called.
+func (j *job) watch(sl *slot, cancel context.CancelFunc) (unwatch func()) {
+	sl.received = j.relay.Clock.Now()
+	if j.route.Retryable() {
+		sl.cancel = cancel
+	}
+	return j.pool.paths.track(sl)
+}
+
+// send sends the request to the endpoint of the attempt and waits for the header of its
+// answer.
+func (j *job) send(ctx context.Context, sl *slot) (*upstream.Response, error) {
+	defer j.pool.paths.watchSilence(sl)()
+	answer, err := j.relay.Client.Do(ctx, sl.endpoint.Address, j.upstreamRequest(sl))
+	if err != nil {
+		return nil, err
+	}
+	j.pool.paths.received(sl)
+	if !answer.Reused() {
+		j.pool.paths.opened(sl.endpoint.ID)
+	}
+	return answer, nil
+}
+
 // choose picks an endpoint of the request's version. A request that may run on
 // any version prefers the version of its first endpoint: a roll-out may begin
 // while the request is in flight, and its session then counts as one of the old
@@ -164,6 +192,8 @@
 	if ctx.Err() != nil {
 		if sent {
 			j.possibleRuns++
+		} else if j.relay.Clock.Since(sl.started) >= checkDialTimeout {
+			j.pool.paths.failed(sl.endpoint.ID, err)
 		}
 		j.count("cancelled")
 		return j.giveUp(cancelReason(ctx), err.Error(), shortRetryAfter)
@@ -174,15 +204,14 @@
 		j.count("unreachable")
 		sl.markUnreachable(ctx)
 		sl.run.Discard()
-		j.checkRefusedDial(sl, err)
+		j.checkFailedDial(sl, err)
 		j.excludeEndpoint(sl, limiter.OutcomeError)
 		return j.checkRetry(ctx, "endpoint_unreachable")
 	}
 	j.delivered++
 	j.possibleRuns++
 	j.count("lost")
-	j.checkForCrash(ctx, sl)
-	j.observe(sl, true, 0)
+	j.investigateLoss(sl, true)
 	j.excludeEndpoint(sl, limiter.OutcomeError)
 	return j.checkRetry(ctx, "answer_lost")
 }
@@ -269,7 +298,9 @@
 	if ctx.Err() != nil {
 		return j.giveUp(cancelReason(ctx), reason, shortRetryAfter)
 	}
-	j.observe(sl, true, 0)
+	if !sl.investigated {
+		j.observe(sl, true, 0)
+	}
 	j.excludeEndpoint(sl, limiter.OutcomeError)
 	return j.checkRetry(ctx, reason)
 }
@@ -332,8 +363,13 @@
 
 func (j *job) observeOutcome(sl *slot, o rollout.Observation) {
 	sl.observed = true
+	j.relay.Versions.Observe(j.pool.service, sl.endpoint.Version, j.observation(sl, o))
+}
+
+// observation adds to an observation what was expected of the attempt.
+func (j *job) observation(sl *slot, o rollout.Observation) rollout.Observation {
 	o.ExpectedLatency, o.Model, o.Route = sl.choice.TimeToFirstEvent, j.model, j.route.Name
-	j.relay.Versions.Observe(j.pool.service, sl.endpoint.Version, o)
+	return o
 }
 
 // connectionHeaders are the hop-by-hop headers, which are not forwarded.
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -1,25 +1,20 @@
 package relay
 
 import (
-	"context"
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 
 	"github.com/corianderlever/corianderlever/fleet"
 	"github.com/corianderlever/corianderlever/limiter"
+	"github.com/corianderlever/corianderlever/rollout"
 	"github.com/corianderlever/corianderlever/upstream"
 )
 
 const (
-	// crashDialTimeout bounds the connection attempt that checks whether an
-	// endpoint has crashed.
-	crashDialTimeout = 300 * time.Millisecond
 	// crashRetryAfter is the Retry-After of a request that crashes endpoints.
 	crashRetryAfter = 30 * time.Second
 )
@@ -78,28 +73,26 @@
 	sl.run.Prove()
 }
 
-// checkForCrash checks in the background whether an endpoint that lost the
-// connection still accepts connections, and records a crash caused by the request
-// if it does not. The loss of a single connection is not a crash.
-func (j *job) checkForCrash(ctx context.Context, sl *slot) {
-	sl.crashChecked = true
-	ctx = context.WithoutCancel(ctx)
+// investigateLoss finds out in the background why an endpoint has lost the connection of
+// an attempt. A crash of the endpoint is recorded as caused by the request. If blame is
+// set, the loss counts against the version of the endpoint. Neither happens if the links
+// of this host are at fault.
+func (j *job) investigateLoss(sl *slot, blame bool) {
+	observation := j.observation(sl, rollout.Observation{Bad: true})
+	sl.investigated, sl.observed = true, sl.observed || blame
 	go func() {
-		if !j.dialFails(ctx, sl.endpoint) {
-			return
+		found := j.pool.paths.investigate(sl.endpoint)
+		if found == endpointDown {
+			j.logCrash(sl)
+			j.relay.Crashes.RecordCrash(sl.endpoint.ID, []limiter.Hash{j.hash})
+			j.relay.Parts.RecordCrash(endpointStart(sl.endpoint))
+		}
+		if found != linksDown && blame {
+			j.relay.Versions.Observe(j.pool.service, sl.endpoint.Version, observation)
 		}
-		j.logCrash(sl)
-		j.relay.Crashes.RecordCrash(sl.endpoint.ID, []limiter.Hash{j.hash})
-		j.relay.Parts.RecordCrash(endpointStart(sl.endpoint))
 	}()
 }
 
-func (j *job) dialFails(ctx context.Context, e fleet.Endpoint) bool {
-	ctx, cancel := context.WithTimeout(ctx, crashDialTimeout)
-	defer cancel()
-	return j.relay.Client.Dial(ctx, e.Address) != nil
-}
-
 func (j *job) logCrash(sl *slot) {
 	j.relay.Logger.Warn("endpoint crashed while running a request", "request", j.req.ID, "endpoint", sl.endpoint.ID, "hash", uint64(j.hash), "parts", j.partIDs())
 }
@@ -113,13 +106,17 @@
 	return strings.Join(ids, ",")
 }
 
-// checkRefusedDial records a crash if an endpoint refuses connections shortly after it
-// had a request of this host whose prompt is not known to be sound.
-func (j *job) checkRefusedDial(sl *slot, err error) {
-	start := endpointStart(sl.endpoint)
-	if errors.Is(err, syscall.ECONNREFUSED) && j.relay.Parts.Watches(start) {
-		j.relay.Parts.RecordCrash(start)
-	}
+// checkFailedDial checks in the background whether other endpoints accept connections
+// after one did not. It records a crash if the endpoint refuses connections shortly after
+// it had a request of this host whose prompt is not known to be sound.
+func (j *job) checkFailedDial(sl *slot, err error) {
+	j.pool.paths.failed(sl.endpoint.ID, err)
+	go func() {
+		start := endpointStart(sl.endpoint)
+		if j.pool.paths.othersAccept(sl.endpoint) && upstream.Refused(err) && j.relay.Parts.Watches(start) {
+			j.relay.Parts.RecordCrash(start)
+		}
+	}()
 }
 
 // droppedCheckDelay is the time after which the host checks whether an endpoint has
@@ -129,13 +126,12 @@
 // endRun ends an attempt for the guard. If the host dropped the answer, for a larger
 // model or because the caller left, it does not see the endpoint crash on the request,
 // so it checks the endpoint.
-func (j *job) endRun(ctx context.Context, sl *slot) {
-	if !sl.run.End() || sl.crashChecked {
+func (j *job) endRun(sl *slot) {
+	if !sl.run.End() || sl.investigated {
 		return
 	}
-	ctx = context.WithoutCancel(ctx)
 	j.relay.Clock.AfterFunc(droppedCheckDelay, func() {
-		if !j.dialFails(ctx, sl.endpoint) {
+		if j.pool.paths.investigate(sl.endpoint) != endpointDown {
 			return
 		}
 		j.logCrash(sl)
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -9,6 +9,7 @@
 	requests  *prometheus.CounterVec
 	attempts  *prometheus.CounterVec
 	retries   *prometheus.CounterVec
+	lost      *prometheus.GaugeVec
 	firstByte *prometheus.HistogramVec
 	duration  *prometheus.HistogramVec
 }
@@ -28,6 +29,9 @@
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "corianderlever", Name: "relay_repeats_total", Help: "Retries by service and whether the retry budget granted them.",
 		}, []string{"service", "granted"}),
+		lost: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: "corianderlever", Name: "relay_service_lost", Help: "Whether this host cannot connect to the endpoints of a service.",
+		}, []string{"service"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: "corianderlever", Name: "relay_first_byte_seconds", Help: "Time from arrival to the first byte of an answer.", Buckets: latencyBuckets,
 		}, []string{"team", "priority"}),
@@ -35,6 +39,6 @@
 			Namespace: "corianderlever", Name: "relay_request_seconds", Help: "Time from arrival to the end of an answer.", Buckets: latencyBuckets,
 		}, []string{"team", "priority"}),
 	}
-	reg.MustRegister(m.requests, m.attempts, m.retries, m.firstByte, m.duration)
+	reg.MustRegister(m.requests, m.attempts, m.retries, m.lost, m.firstByte, m.duration)
 	return m
 }
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -34,6 +34,7 @@
 	engines *balance.EngineChooser
 	ejector *limiter.Ejector
 	budget  *limiter.WindowBudget
+	paths   *paths
 
 	mu               sync.Mutex
 	fleetGeneration  uint64
@@ -48,13 +49,15 @@
 const weightUpdateInterval = 500 * time.Millisecond
 
 func newPool(r *Relay, service string) *pool {
-	return &pool{
+	p := &pool{
 		relay: r, service: service,
 		picker:  balance.NewPicker(r.Clock, r.Rand(), balance.DefaultConfig(r.FailureDomain)),
 		engines: balance.NewEngineChooser(r.Clock, r.FailureDomain),
 		ejector: limiter.NewEjector(r.Clock),
 		budget:  limiter.NewWindowBudget(r.Clock, r.Settings().Retry),
 	}
+	p.paths = newPaths(p)
+	return p
 }
 
 // refresh applies changes in the registry and updates the weights of the endpoints,
@@ -105,6 +108,7 @@
 	p.picker.SetEndpoints(plain)
 	p.engines.SetEngines(engines)
 	p.ejector.SetEndpoints(p.endpointIDs)
+	p.paths.reach.SetEndpoints(p.endpointIDs)
 }
 
 // hasEngines reports whether the service has model engines.
@@ -133,11 +137,16 @@
 	inFlight *balance.InFlight // nil for plain services
 	run      *limiter.PartRun  // nil before the send and without shared parts
 	started  time.Time
-	// crashChecked is set if the host has begun to check whether the endpoint crashed.
-	crashChecked bool
+	// investigated is set if the host has begun to find out why the answer was lost.
+	investigated bool
 	// observed is set once the outcome has been recorded for the version's roll-out.
 	observed bool
 	released bool
+	// received is when the endpoint last sent something, or the start before that. cancel
+	// ends the attempt if another endpoint may go on with it, and is nil otherwise. The
+	// lock of paths guards received.
+	received time.Time
+	cancel   context.CancelFunc
 }
 
 // choose picks an endpoint for the job and takes a slot there.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -86,11 +86,14 @@
 
 	mu    sync.Mutex
 	pools map[string]*pool
+
+	rngMu sync.Mutex
+	rng   *rand.Rand
 }
 
 // New returns a relay.
 func New(opts Options) *Relay {
-	r := &Relay{Options: opts, metrics: newMetrics(opts.Registry), pools: make(map[string]*pool)}
+	r := &Relay{Options: opts, metrics: newMetrics(opts.Registry), pools: make(map[string]*pool), rng: opts.Rand()}
 	opts.Fleet.OnChange(r.endpointChanged)
 	return r
 }
@@ -117,6 +120,13 @@
 	}
 }
 
+// random returns a random number.
+func (r *Relay) random() uint64 {
+	r.rngMu.Lock()
+	defer r.rngMu.Unlock()
+	return r.rng.Uint64()
+}
+
 // pool returns the pool of a service and creates it if necessary.
 func (r *Relay) pool(service string) *pool {
 	r.mu.Lock()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -61,6 +61,7 @@
 			return j.handleBrokenStream(ctx, sl, n, err)
 		}
 		now := j.relay.Clock.Now()
+		j.pool.paths.received(sl)
 		if n > 0 {
 			j.longestEventGap = max(j.longestEventGap, now.Sub(last))
 			pace.add(now.Sub(last))
@@ -122,7 +123,7 @@
 func (j *job) handleBrokenStream(ctx context.Context, sl *slot, events int, err error) *ErrorResponse {
 	detail := "after " + strconv.Itoa(events) + " events: " + err.Error()
 	if ctx.Err() == nil {
-		j.checkForCrash(ctx, sl)
+		j.investigateLoss(sl, !j.headerSent || j.route.Resumable)
 	}
 	if j.headerSent && !j.route.Resumable {
 		j.addStep(sl.endpoint.ID, j.model, "cut")
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -141,14 +142,15 @@
 	return e.run(req, httpReq)
 }
 
-// Dial opens a connection and closes it again, to check that the endpoint
-// accepts connections at addr.
+// Dial opens a connection, to check that the endpoint accepts connections at addr.
+// The connection is kept for the next request.
 func (c *Client) Dial(ctx context.Context, addr string) error {
 	cn, err := c.dial(ctx, addr)
 	if err != nil {
 		return errors.Mark(err, ErrDial)
 	}
-	return errors.Wrap(cn.Close(), "upstream: close")
+	c.pool.put(addr, cn, 0)
+	return nil
 }
 
 // CloseIdle closes the idle connections to addr.
@@ -200,3 +202,6 @@
 	}
 	return out, nil
 }
+
+// Refused reports whether an error says that the endpoint's host refused a connection.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
