--- a/peer/stream.go
+++ b/peer/stream.go
@@ -1,13 +1,7 @@
 package peer
 
 import (
-	"bufio"
-	"crypto/hmac"
-	"crypto/sha256"
-	"encoding/binary"
 	"encoding/json"
-	"hash"
-	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -17,48 +11,20 @@
 	"github.com/sourcegraph/jsonrpc2"
 )
 
-const (
-	frameHeaderBytes = 4
-	// frameMACBytes is the length of the truncated HMAC. 128 bits cannot be
-	// guessed within a connection, which ends at the first wrong one.
-	frameMACBytes = 16
-)
-
-// stream is a jsonrpc2.ObjectStream of frames. A frame consists of a length, a
-// JSON message, and an HMAC of the frame's sequence number and the message. The
-// sequence number detects replayed, dropped and reordered frames.
+// stream is a jsonrpc2.ObjectStream that sends each message in an authenticated frame.
 type stream struct {
-	conn     net.Conn
-	r        *bufio.Reader
-	clock    clockwork.Clock
-	maxBytes int
+	conn   net.Conn
+	frames *frames
+	clock  clockwork.Clock
 
-	sendMAC, receiveMAC hash.Hash
-	sendSeq, receiveSeq uint64
-	received            atomic.Uint64
-	onReceive           func()
+	received  atomic.Uint64
+	onReceive func()
 }
 
 var _ jsonrpc2.ObjectStream = (*stream)(nil)
 
 func newStream(conn net.Conn, clock clockwork.Clock, maxBytes int, send, receive []byte) *stream {
-	return &stream{
-		conn:       conn,
-		r:          bufio.NewReader(conn),
-		clock:      clock,
-		maxBytes:   maxBytes,
-		sendMAC:    hmac.New(sha256.New, send),
-		receiveMAC: hmac.New(sha256.New, receive),
-	}
-}
-
-func frameMAC(mac hash.Hash, seq uint64, payload []byte) []byte {
-	var number [8]byte
-	binary.BigEndian.PutUint64(number[:], seq)
-	mac.Reset()
-	mac.Write(number[:])
-	mac.Write(payload)
-	return mac.Sum(nil)[:frameMACBytes]
+	return &stream{conn: conn, frames: newFrames(conn, maxBytes, send, receive), clock: clock}
 }
 
 // WriteObject implements jsonrpc2.ObjectStream. jsonrpc2 never calls it
@@ -69,14 +35,10 @@
 	if err != nil {
 		return errors.Wrap(err, "encode message")
 	}
-	if len(payload) > s.maxBytes {
+	if len(payload) > s.frames.maxBytes {
 		return errors.Wrapf(ErrTooLarge, "%d bytes", len(payload))
 	}
-	frame := make([]byte, frameHeaderBytes, frameHeaderBytes+len(payload)+frameMACBytes)
-	binary.BigEndian.PutUint32(frame, uint32(len(payload)))
-	frame = append(frame, payload...)
-	frame = append(frame, frameMAC(s.sendMAC, s.sendSeq, payload)...)
-	s.sendSeq++
+	frame := s.frames.encode(payload)
 	return withTimeout(s.clock, writeTimeout, s.conn, func() error {
 		if _, err := s.conn.Write(frame); err != nil {
 			// A partial frame leaves the stream unusable.
@@ -89,23 +51,10 @@
 
 // ReadObject implements jsonrpc2.ObjectStream.
 func (s *stream) ReadObject(v any) error {
-	var header [frameHeaderBytes]byte
-	if _, err := io.ReadFull(s.r, header[:]); err != nil {
-		return err
-	}
-	size := int(binary.BigEndian.Uint32(header[:]))
-	if size > s.maxBytes {
-		return errors.Wrapf(ErrTooLarge, "incoming frame of %d bytes", size)
-	}
-	frame := make([]byte, size+frameMACBytes)
-	if _, err := io.ReadFull(s.r, frame); err != nil {
+	payload, err := s.frames.read()
+	if err != nil {
 		return err
 	}
-	payload, code := frame[:size], frame[size:]
-	if !hmac.Equal(code, frameMAC(s.receiveMAC, s.receiveSeq, payload)) {
-		return errors.Wrap(ErrAuthentication, "frame HMAC")
-	}
-	s.receiveSeq++
 	s.received.Add(1)
 	if s.onReceive != nil {
 		s.onReceive()
