--- /dev/null
+++ b/daemon/router/forward.go
@@ -0,0 +1,115 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/corianderlever/corianderlever/forward"
+	"github.com/corianderlever/corianderlever/membership"
+	"github.com/corianderlever/corianderlever/relay"
+	"github.com/corianderlever/corianderlever/upstream"
+)
+
+// lostSignalTTL is the time for which a host's report of the services that it does not
+// reach counts.
+const lostSignalTTL = 3 * time.Second
+
+// forwarding passes requests to the hosts that reach the endpoints of a service, and serves
+// those of other hosts.
+type forwarding struct {
+	host   *Host
+	client *forward.Client
+	hosts  *forward.Hosts
+
+	mu sync.Mutex
+	// lost holds the services that other hosts do not reach, by host.
+	lost map[string]lostReport
+}
+
+// lostReport is the last report of a host.
+type lostReport struct {
+	services []string
+	at       time.Time
+}
+
+var _ relay.Forwarder = (*forwarding)(nil)
+
+func newForwarding(h *Host) *forwarding {
+	set := h.opts.Settings
+	return &forwarding{
+		host: h, lost: make(map[string]lostReport),
+		client: forward.NewClient(forward.ClientOptions{Key: set.ClusterKey, Self: set.Host, Clock: h.opts.Clock}),
+		hosts:  forward.NewHosts(h.opts.Clock, h.newRand()),
+	}
+}
+
+// observeLost records the services that another host does not reach.
+func (f *forwarding) observeLost(from string, services []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lost[from] = lostReport{services: services, at: f.host.opts.Clock.Now()}
+}
+
+// reaches reports whether a host reaches a service as far as is known.
+func (f *forwarding) reaches(host, service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	report := f.lost[host]
+	return f.host.opts.Clock.Since(report.at) >= lostSignalTTL || !slices.Contains(report.services, service)
+}
+
+// Choose implements relay.Forwarder.
+func (f *forwarding) Choose(service string, exclude []string) (string, bool) {
+	var candidates []string
+	for _, m := range f.host.peers.members.Members() {
+		if m.State == membership.Alive && m.ForwardAddress != "" && m.Host != f.host.opts.Settings.Host &&
+			f.host.peers.canServe(m.Host) && f.reaches(m.Host, service) {
+			candidates = append(candidates, m.Host)
+		}
+	}
+	return f.hosts.Choose(service, candidates, exclude)
+}
+
+// Forward implements relay.Forwarder.
+func (f *forwarding) Forward(ctx context.Context, host string, message relay.Forwarded, body []byte) (*upstream.Response, error) {
+	members := f.host.peers.members.Members()
+	i := slices.IndexFunc(members, func(m membership.Member) bool { return m.Host == host })
+	if i < 0 {
+		return nil, &upstream.Error{Cause: upstream.ErrDial}
+	}
+	ended := f.hosts.Started(host)
+	context.AfterFunc(ctx, ended)
+	return f.client.Do(ctx, members[i].ForwardAddress, message, body)
+}
+
+// Refused implements relay.Forwarder.
+func (f *forwarding) Refused(host, service string) { f.hosts.Refused(host, service) }
+
+// serve answers the requests that other hosts forward.
+func (f *forwarding) serve(w http.ResponseWriter, r *http.Request) {
+	h := f.host
+	req, err := forward.Read(w, r, h.MaxBodyBytes()+maxForwardMessageBytes)
+	var message relay.Forwarded
+	if err == nil {
+		err = json.Unmarshal(req.Message, &message)
+	}
+	if err != nil || message.Request == nil {
+		h.opts.Logger.Warn("forwarded request refused", "from", req.From, "remote", r.RemoteAddr, "error", err)
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if !h.Accepting(message.TimeLeft) {
+		relay.RejectStopping(w)
+		return
+	}
+	message.Request.Body = req.Body
+	h.relay.ServeForwarded(r.Context(), w, req.From, message)
+}
+
+// maxForwardMessageBytes bounds what a host says about a forwarded request. It has room for
+// the largest header of a request.
+const maxForwardMessageBytes = 4 * maxHeaderBytes
--- a/daemon/router/peers.go
+++ b/daemon/router/peers.go
@@ -77,7 +77,7 @@
 	}
 	s.members, err = membership.New(membership.Options{
 		Self: membership.Member{
-			Host: set.Host, PeerAddress: set.Peer, EntryAddress: set.Frontend, FailureDomain: set.FailureDomain, Region: set.Region,
+			Host: set.Host, PeerAddress: set.Peer, EntryAddress: set.Frontend, ForwardAddress: set.Forward, FailureDomain: set.FailureDomain, Region: set.Region,
 			LinkMbps: set.LinkMbps,
 		},
 		Seeds: set.Seeds, Caller: s.client, Registrar: s.server, Clock: o.Clock, Rand: s.host.newRand(), Logger: o.Logger,
@@ -179,6 +179,7 @@
 	signal(s, "crashes", s.crashMarks, s.mergeCrashMarks)
 	signal(s, "parts", s.partMarks, func(from string, v json.RawMessage) { s.mergePartMarks(from, v) })
 	signal(s, "limits", s.limitMarks, s.mergeLimitMarks)
+	signal(s, "lost", s.host.relay.LostServices, s.host.forwarding.observeLost)
 	signal(s, "load", s.host.relay.Loads, func(from string, v relay.Loads) { s.host.relay.ObserveLoads(from, v) })
 	signal(s, "rates", s.host.relay.PrefillEstimates, func(_ string, v relay.PrefillEstimates) { s.host.relay.ObservePrefillEstimates(v) })
 }
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -42,6 +42,9 @@
 	Frontend, Readiness, Directory string
 	// Peer is the listen address for calls between hosts.
 	Peer string
+	// Forward is the listen address for requests that other hosts forward; empty if the
+	// host takes none.
+	Forward string
 	// Metrics is the listen address of the metrics endpoint; empty disables it.
 	Metrics string
 	// LinkMbps is the bandwidth of the host's network link in Mbit/s, zero if unknown.
@@ -125,6 +128,7 @@
 	crashRecord *crashreports.Recorder
 	buffers     *limiter.ByteBudget
 	loads       *loadHub
+	forwarding  *forwarding
 	edge        Handlers
 	peers       *peerService
 	servers     *serverService
@@ -189,8 +193,10 @@
 	h.state.OnCrashRecord = h.crashRecord.Apply
 	h.state.OnNoCrashRecord = h.crashRecord.Missing
 	h.permits = limiter.NewPermits(opts.Clock, opts.Logger, h.permitPeers())
+	h.forwarding = newForwarding(h)
 	h.relay = relay.New(relay.Options{
-		Config: h, Fleet: h.registry, Versions: h.rollouts, Codec: opts.Headers,
+		Forwarder: h.forwarding,
+		Config:    h, Fleet: h.registry, Versions: h.rollouts, Codec: opts.Headers,
 		Client: upstream.NewClient(endpointOptions(opts)), Settings: h.relaySettings,
 		Crashes: h.crashes, Parts: h.parts, Permits: h.permits, Buffers: h.buffers, FailureDomain: opts.Settings.FailureDomain, Clock: opts.Clock, Rand: h.newRand, Logger: opts.Logger, Registry: opts.Registry,
 	})
--- a/daemon/router/services.go
+++ b/daemon/router/services.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/corianderlever/corianderlever/control"
+	"github.com/corianderlever/corianderlever/forward"
 	"github.com/corianderlever/corianderlever/internal/background"
 	"github.com/corianderlever/corianderlever/kernel"
 )
@@ -70,20 +71,34 @@
 	for addr, handler := range map[string]http.Handler{
 		set.Frontend: s.countRequests(edge.Frontend()), set.Readiness: edge.Readiness(), set.Directory: edge.Directory(), set.Metrics: metrics,
 	} {
-		if addr == "" {
-			continue
+		if err := s.listen(addr, handler); err != nil {
+			return err
 		}
-		lc := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}}
-		ln, err := lc.Listen(context.Background(), "tcp", addr)
-		if err != nil {
-			return errors.Wrapf(err, "router: listen at %s", addr)
-		}
-		s.listeners = append(s.listeners, ln)
-		s.servers = append(s.servers, &http.Server{
-			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ErrorLog: slog.NewLogLogger(s.host.opts.Logger.Handler(), slog.LevelDebug),
-		})
 	}
+	if err := s.listen(set.Forward, s.countRequests(http.HandlerFunc(s.host.forwarding.serve))); err != nil || set.Forward == "" {
+		return err
+	}
+	last := len(s.servers) - 1
+	s.listeners[last] = forward.Listener(s.listeners[last], set.ClusterKey)
+	s.servers[last].ConnContext = forward.ConnContext
+	return nil
+}
+
+// listen opens the listener of a handler; an empty address opens none.
+func (s *serverService) listen(addr string, handler http.Handler) error {
+	if addr == "" {
+		return nil
+	}
+	lc := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}}
+	ln, err := lc.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return errors.Wrapf(err, "router: listen at %s", addr)
+	}
+	s.listeners = append(s.listeners, ln)
+	s.servers = append(s.servers, &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(s.host.opts.Logger.Handler(), slog.LevelDebug),
+	})
 	return nil
 }
 
--- a/membership/member.go
+++ b/membership/member.go
@@ -73,6 +73,9 @@
 	PeerAddress string `json:"p"`
 	// EntryAddress is the IP:port for callers.
 	EntryAddress string `json:"e,omitempty"`
+	// ForwardAddress is the IP:port for requests that other hosts forward; empty if the
+	// host takes none.
+	ForwardAddress string `json:"f,omitempty"`
 	// FailureDomain and Region are the location of the host.
 	FailureDomain string `json:"d,omitempty"`
 	Region        string `json:"r,omitempty"`
@@ -100,6 +103,7 @@
 		cmp.Compare(m.Started, o.Started),
 		cmp.Compare(m.PeerAddress, o.PeerAddress),
 		cmp.Compare(m.EntryAddress, o.EntryAddress),
+		cmp.Compare(m.ForwardAddress, o.ForwardAddress),
 		cmp.Compare(m.FailureDomain, o.FailureDomain),
 		cmp.Compare(m.Region, o.Region),
 		cmp.Compare(m.LinkMbps, o.LinkMbps),
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/corianderlever/corianderlever/balance"
+	"github.com/corianderlever/corianderlever/fleet"
 	"github.com/corianderlever/corianderlever/limiter"
 	"github.com/corianderlever/corianderlever/rollout"
 	"github.com/corianderlever/corianderlever/upstream"
@@ -34,13 +35,9 @@
 	if errResp := j.checkCrashGuard(); errResp != nil {
 		return j.giveUp(errResp.Reason, errResp.Detail, errResp.RetryAfter)
 	}
-	sl, err := j.choose()
-	if err != nil {
-		j.addStep("none")
-		if wait := j.pool.shortestDenial(); wait > 0 {
-			return j.giveUp("endpoints_limited", err.Error(), wait)
-		}
-		return j.giveUp("no_endpoint", err.Error(), shortRetryAfter)
+	sl, errResp := j.chooseReachable(ctx)
+	if sl == nil {
+		return errResp
 	}
 	defer sl.release(limiter.OutcomeIgnored)
 	j.addChoiceStep(sl)
@@ -200,12 +197,10 @@
 	}
 	j.relay.Logger.Warn("attempt failed", "request", j.req.ID, "endpoint", sl.endpoint.ID, "address", sl.endpoint.Address, "sent", sent, "error", err)
 	if !sent {
-		j.dialFailures++
 		j.count("unreachable")
 		sl.markUnreachable(ctx)
 		sl.run.Discard()
-		j.checkFailedDial(sl, err)
-		j.excludeEndpoint(sl, limiter.OutcomeError)
+		j.noteDialFailure(sl, err)
 		return j.checkRetry(ctx, "endpoint_unreachable")
 	}
 	j.delivered++
@@ -220,12 +215,8 @@
 func (j *job) handleAnswer(ctx context.Context, sl *slot, answer *upstream.Response) *ErrorResponse {
 	reply := j.relay.Codec.Decode(answer.Header)
 	sl.observeLoad(reply.Load)
-	j.observeHold(sl, answer, reply)
-	// An answer of another endpoint at the address, or one that names no limit because it
-	// is only a rejection, says nothing.
-	if answer.Status != http.StatusMisdirectedRequest && (reply.Signed || reply.RateLimit > 0) {
-		j.relay.Permits.Observe(sl.endpoint.ID, sl.started, reply.RateLimit)
-	}
+	j.endpoint = sl.endpoint.ID
+	j.observeAnswer(sl.endpoint, sl.started, answer, reply)
 	j.delivered++
 	if reply.NotRun || answer.Status == http.StatusMisdirectedRequest {
 		sl.run.Discard()
@@ -249,11 +240,16 @@
 	return j.forwardBody(ctx, sl, answer, limiter.OutcomeOK)
 }
 
-// observeHold records that an endpoint is leaving, or wants no requests for some time.
-func (j *job) observeHold(sl *slot, answer *upstream.Response, reply Reply) {
+// observeAnswer records what an endpoint says in its answers about the requests that it
+// takes: its rate limit, that it is leaving, or that it wants none for some time.
+func (j *job) observeAnswer(e fleet.Endpoint, sent time.Time, answer *upstream.Response, reply Reply) {
 	if answer.Status == http.StatusMisdirectedRequest {
 		return // an answer of another endpoint
 	}
+	// An answer that names no limit because it is only a rejection says nothing.
+	if reply.Signed || reply.RateLimit > 0 {
+		j.relay.Permits.Observe(e.ID, sent, reply.RateLimit)
+	}
 	retryAfter := time.Duration(0)
 	if answer.Status == http.StatusServiceUnavailable {
 		retryAfter = reply.RetryAfter
@@ -261,9 +257,9 @@
 	if !reply.Leaving && retryAfter == 0 {
 		return
 	}
-	j.relay.Logger.Info("endpoint takes no requests", "request", j.req.ID, "endpoint", sl.endpoint.ID,
+	j.relay.Logger.Info("endpoint takes no requests", "request", j.req.ID, "endpoint", e.ID,
 		"leaving", reply.Leaving, "retry_after_ms", retryAfter.Milliseconds())
-	j.relay.holds.observe(sl.endpoint, reply.Leaving, retryAfter, j.relay.Clock.Now())
+	j.relay.holds.observe(e, reply.Leaving, retryAfter, j.relay.Clock.Now())
 }
 
 // handleRejection handles an answer that states that the endpoint did not run the
@@ -340,16 +336,22 @@
 	sl.recordFirstByte()
 	sl.release(outcome)
 	answer.Close()
+	j.writeAnswer(answer, body)
+	return nil
+}
+
+// writeAnswer sends a complete answer to the caller.
+func (j *job) writeAnswer(answer *upstream.Response, body []byte) {
 	j.firstByte = j.relay.Clock.Since(j.arrived)
 	j.status = answer.Status
 	copyHeader(j.w.Header(), answer.Header)
+	j.markAnswer(outcomeAnswered, "")
 	j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	j.w.WriteHeader(answer.Status)
 	if j.req.Method != http.MethodHead {
 		// A write error means that the caller has disconnected.
 		_, _ = j.w.Write(body)
 	}
-	return nil
 }
 
 func (j *job) count(outcome string) {
--- a/relay/escalate.go
+++ b/relay/escalate.go
@@ -26,7 +26,7 @@
 // in its answer and the engines have room. It reports whether the current answer,
 // none of which has been sent to the caller, is dropped.
 func (j *job) escalate(sl *slot) bool {
-	if j.headerSent || j.modelIndex >= len(j.route.Models)-1 || j.possibleRuns >= j.route.MaxAttempts {
+	if j.headerSent || j.headerSentBefore || j.modelIndex >= len(j.route.Models)-1 || j.possibleRuns >= j.route.MaxAttempts {
 		return false
 	}
 	policy := cascade.EscalationPolicy{Models: len(j.route.Models)}
--- /dev/null
+++ b/relay/forward.go
@@ -0,0 +1,372 @@
+package relay
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/corianderlever/corianderlever/limiter"
+	"github.com/corianderlever/corianderlever/upstream"
+)
+
+// Forwarded is a request that another host serves in place of the one that received it.
+type Forwarded struct {
+	Request *Request `json:"request"`
+	// TimeLeft is the time until the deadline of the request.
+	TimeLeft time.Duration `json:"time_left"`
+	// Exclude lists the endpoints that failed or rejected the request.
+	Exclude []string `json:"exclude,omitempty"`
+	// Delivered counts the endpoints that have received the request, Runs those that may
+	// have run it.
+	Delivered int `json:"delivered,omitempty"`
+	Runs      int `json:"runs,omitempty"`
+	// ModelIndex is the index of the next model in the list of the route.
+	ModelIndex int `json:"model_index,omitempty"`
+	// Version is the version of the first endpoint that was chosen; empty for none.
+	Version string `json:"version,omitempty"`
+	// LastEvent is the id of the last event that the caller has received, also from earlier
+	// attempts; negative for none.
+	LastEvent int64 `json:"last_event"`
+	// HeaderSent is set if the caller has received the header of an answer.
+	HeaderSent bool `json:"header_sent,omitempty"`
+}
+
+// Forwarder reaches the hosts that may serve requests in place of this one.
+type Forwarder interface {
+	// Choose returns a host that may reach the endpoints of a service, other than those
+	// given; false if there is none.
+	Choose(service string, exclude []string) (host string, ok bool)
+	// Forward sends a request to a host and returns the host's answer, or an
+	// *upstream.Error.
+	Forward(ctx context.Context, host string, f Forwarded, body []byte) (*upstream.Response, error)
+	// Refused records that a host could not serve a request of a service.
+	Refused(host, service string)
+}
+
+// Headers of a host's answer to a forwarded request, in addition to those of the answer
+// to the caller.
+const (
+	// headerOutcome is outcomeAnswered, or the reason of the host's own error response.
+	headerOutcome = "Forward-Outcome"
+	headerDetail  = "Forward-Detail"
+	// headerDelivered and headerRuns are the numbers of endpoints that have received the
+	// request from the host, and that may have run it.
+	headerDelivered = "Forward-Delivered"
+	headerRuns      = "Forward-Runs"
+	// headerEndpoint is the id of the endpoint that has answered.
+	headerEndpoint = "Forward-Endpoint"
+	// outcomeAnswered means that the answer comes from an endpoint.
+	outcomeAnswered = "answered"
+)
+
+const (
+	// maxForwards is the number of hosts to which one request is sent at most.
+	maxForwards = 3
+	// maxForwardedDialFailures is the number of unreachable endpoints after which a host
+	// gives a forwarded request back.
+	maxForwardedDialFailures = 2
+	// maxOwnDialFailures is the number of endpoints that refuse connections after which a
+	// request is forwarded.
+	maxOwnDialFailures = 2
+)
+
+// reasonUnreachable is the reason of an error response if this host reaches no endpoint of
+// the service.
+const reasonUnreachable = "service_unreachable"
+
+// mustForward reports whether the request has to be served by another host, because this
+// one cannot connect to the endpoints of its service.
+func (j *job) mustForward() bool {
+	return j.unreachable || j.dialFailures >= maxOwnDialFailures || j.pool.paths.reach.Lost()
+}
+
+// forward lets another host serve the request. It returns false if no host can.
+func (j *job) forward(ctx context.Context) (forwarded bool, errResp *ErrorResponse) {
+	if j.from != "" || j.relay.Forwarder == nil || j.forwards >= maxForwards {
+		return false, nil
+	}
+	host, ok := j.relay.Forwarder.Choose(j.pool.service, j.excludeHosts)
+	if !ok {
+		return false, nil
+	}
+	j.forwards++
+	sent := j.relay.Clock.Now()
+	answer, err := j.relay.Forwarder.Forward(ctx, host, Forwarded{
+		Request: j.req, TimeLeft: j.remaining(), Exclude: j.exclude, Delivered: j.delivered, Runs: j.possibleRuns,
+		ModelIndex: j.modelIndex, Version: j.firstVersion, LastEvent: j.lastEvent, HeaderSent: j.headerSent,
+	}, j.req.Body)
+	if err != nil {
+		return true, j.handleForwardError(ctx, host, err)
+	}
+	defer answer.Close()
+	return true, j.handleForwardedAnswer(ctx, host, sent, answer)
+}
+
+// handleForwardError handles a host that has not answered.
+func (j *job) handleForwardError(ctx context.Context, host string, err error) *ErrorResponse {
+	var failed *upstream.Error
+	sent := !errors.As(err, &failed) || failed.MaybeSent
+	j.addStep("host", host, "failed")
+	j.countForward("failed")
+	if sent {
+		j.delivered++
+		j.possibleRuns++
+	}
+	if ctx.Err() != nil {
+		return j.giveUp(cancelReason(ctx), err.Error(), shortRetryAfter)
+	}
+	j.relay.Logger.Warn("request not forwarded", "request", j.req.ID, "host", host, "sent", sent, "error", err)
+	j.excludeHost(host)
+	return j.checkRetry(ctx, "answer_lost")
+}
+
+func (j *job) excludeHost(host string) {
+	j.excludeHosts = append(j.excludeHosts, host)
+	j.relay.Forwarder.Refused(host, j.pool.service)
+}
+
+func (j *job) countForward(outcome string) {
+	j.relay.metrics.forwards.WithLabelValues(j.pool.service, outcome).Inc()
+}
+
+// forwardResult is what a host says of a forwarded request in the header of its answer.
+type forwardResult struct {
+	outcome, detail string
+	endpoint        string
+	delivered, runs int
+}
+
+// errForwardHeader reports a host's answer without the headers of a forwarded request.
+var errForwardHeader = errors.New("relay: malformed answer of a host")
+
+// takeForwardResult removes the result from the header of a host's answer.
+func takeForwardResult(h http.Header) (forwardResult, error) {
+	res := forwardResult{outcome: h.Get(headerOutcome), detail: h.Get(headerDetail), endpoint: h.Get(headerEndpoint)}
+	var err, runsErr error
+	res.delivered, err = strconv.Atoi(h.Get(headerDelivered))
+	res.runs, runsErr = strconv.Atoi(h.Get(headerRuns))
+	for _, name := range []string{headerOutcome, headerDetail, headerEndpoint, headerDelivered, headerRuns} {
+		h.Del(name)
+	}
+	if err != nil || runsErr != nil || res.outcome == "" || res.runs < 0 || res.delivered < 0 {
+		return res, errForwardHeader
+	}
+	return res, nil
+}
+
+// handleForwardedAnswer passes the answer of a host on to the caller.
+func (j *job) handleForwardedAnswer(ctx context.Context, host string, sent time.Time, answer *upstream.Response) *ErrorResponse {
+	res, err := takeForwardResult(answer.Header)
+	if err != nil {
+		return j.handleForwardError(ctx, host, err)
+	}
+	j.possibleRuns += res.runs
+	j.delivered += res.delivered
+	j.addStep("host", host, res.outcome, strconv.Itoa(answer.Status))
+	j.countForward(res.outcome)
+	if res.outcome != outcomeAnswered {
+		return j.handleForwardRefusal(host, answer, res)
+	}
+	reply := j.relay.Codec.Decode(answer.Header)
+	if e, ok := j.relay.Fleet.Endpoint(res.endpoint); ok {
+		j.observeAnswer(e, sent, answer, reply)
+	}
+	if !reply.Signed || reply.ID != "" && reply.ID != j.req.ID || answer.Header.Get("Content-Encoding") != "" {
+		return j.handleLostForward(ctx, host, "unsigned_answer", strconv.Itoa(answer.Status))
+	}
+	if j.isStream() && answer.Status == http.StatusOK {
+		j.confidence = reply.Confidence
+		return j.forwardHostStream(ctx, host, answer)
+	}
+	if j.headerSent {
+		return j.handleLostForward(ctx, host, "stream_not_resumed", strconv.Itoa(answer.Status))
+	}
+	buffer, err := j.relay.Buffers.Read(answer, maxBodyBytes, answer.ContentLength)
+	if err != nil {
+		return j.handleLostForward(ctx, host, "answer_cut", err.Error())
+	}
+	defer buffer.Release()
+	j.writeAnswer(answer, buffer.Data)
+	return nil
+}
+
+// handleForwardRefusal handles the error response of a host. If the host has not run the
+// request and another one may be able to, that one is tried next.
+func (j *job) handleForwardRefusal(host string, answer *upstream.Response, res forwardResult) *ErrorResponse {
+	if j.possibleRuns == 0 && answer.Status == http.StatusServiceUnavailable && slices.Contains(reasonsOfHost, res.outcome) {
+		j.excludeHost(host)
+		return nil
+	}
+	reason, detail := res.outcome, "host "+host+": "+res.detail
+	var retryAfter time.Duration
+	if s, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64); err == nil {
+		retryAfter = time.Duration(s * float64(time.Second))
+	}
+	if j.possibleRuns > 0 {
+		return j.giveUp(reason, detail, retryAfter)
+	}
+	return &ErrorResponse{Status: answer.Status, Reason: reason, Detail: detail, RetryAfter: retryAfter}
+}
+
+// reasonsOfHost are the reasons of error responses that lie with the host that gives them.
+var reasonsOfHost = []string{
+	reasonUnreachable, reasonStopping, "endpoint_unreachable", "no_configuration", "no_service", "outdated_configuration", "stale_configuration", "buffers_full",
+}
+
+// reasonStopping is the reason of the error response of a host that is stopping.
+const reasonStopping = "stopping"
+
+// handleLostForward handles an answer of a host that is incomplete or cannot be used.
+func (j *job) handleLostForward(ctx context.Context, host, reason, detail string) *ErrorResponse {
+	j.addStep("host", host, reason)
+	j.relay.Logger.Warn("answer incomplete or invalid", "request", j.req.ID, "host", host, "reason", reason, "detail", detail)
+	if ctx.Err() != nil {
+		return j.giveUp(cancelReason(ctx), reason, shortRetryAfter)
+	}
+	if j.headerSent && !j.route.Resumable {
+		return j.giveUp(reason, detail, 0)
+	}
+	j.excludeHost(host)
+	return j.checkRetry(ctx, reason)
+}
+
+// forwardHostStream passes the events of a stream that another host forwards on to the
+// caller.
+func (j *job) forwardHostStream(ctx context.Context, host string, answer *upstream.Response) *ErrorResponse {
+	events := newEventReader(answer, j.relay.Buffers)
+	defer events.close()
+	for n := 0; ; n++ {
+		ev, err := j.nextEvent(events, answer, n)
+		if errors.Is(err, errStreamEnd) {
+			j.sendHeader(answer)
+			j.status = answer.Status
+			return nil
+		}
+		if err != nil {
+			return j.handleLostForward(ctx, host, "stream_cut", "after "+strconv.Itoa(n)+" events: "+err.Error())
+		}
+		if errResp := j.sendEvent(answer, ev); errResp != nil {
+			return errResp
+		}
+	}
+}
+
+// ServeForwarded answers a request that another host has forwarded to this one. It never
+// forwards the request again. ctx must end when the host that forwards it disconnects.
+func (r *Relay) ServeForwarded(ctx context.Context, w http.ResponseWriter, from string, f Forwarded) {
+	now := r.Clock.Now()
+	f.Request.Timeout = max(time.Millisecond, f.TimeLeft)
+	j := &job{
+		relay: r, req: f.Request, w: w, arrived: now, lastEvent: f.LastEvent, from: from, exclude: f.Exclude,
+		delivered: f.Delivered, possibleRuns: f.Runs, deliveredBefore: f.Delivered, runsBefore: f.Runs,
+		firstVersion: f.Version, modelIndex: f.ModelIndex, headerSentBefore: f.HeaderSent,
+	}
+	errResp := j.run(ctx)
+	j.finish(ctx, errResp)
+}
+
+// markAnswer adds what the host needs to know that forwarded the request; it must be called
+// before the header of the answer is sent.
+func (j *job) markAnswer(outcome, detail string) {
+	if j.from == "" {
+		return
+	}
+	const maxDetailBytes = 256
+	h := j.w.Header()
+	h.Set(headerOutcome, outcome)
+	h.Set(headerDetail, detail[:min(len(detail), maxDetailBytes)])
+	h.Set(headerEndpoint, j.endpoint)
+	h.Set(headerDelivered, strconv.Itoa(j.delivered-j.deliveredBefore))
+	h.Set(headerRuns, strconv.Itoa(j.possibleRuns-j.runsBefore))
+}
+
+// RejectForwarded answers a forwarded request that this host does not take.
+func RejectForwarded(w http.ResponseWriter, reason string) {
+	h := w.Header()
+	h.Set(headerOutcome, reason)
+	h.Set(headerDelivered, "0")
+	h.Set(headerRuns, "0")
+	(&ErrorResponse{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: shortRetryAfter}).Write(w)
+}
+
+// RejectStopping answers a forwarded request at a host that is stopping.
+func RejectStopping(w http.ResponseWriter) { RejectForwarded(w, reasonStopping) }
+
+// chooseIdle picks an endpoint with an open connection, while new ones cannot be opened.
+// It returns false if there is none or the open connections are silent, too.
+func (j *job) chooseIdle() (*slot, bool) {
+	if !j.pool.paths.answeredWithin(silentTime) {
+		return nil, false
+	}
+	exclude := j.exclude
+	defer func() { j.exclude = exclude }()
+	for _, e := range j.relay.Fleet.Service(j.pool.service) {
+		if !j.relay.Client.HasIdle(e.Address) {
+			j.exclude = append(slices.Clip(j.exclude), e.ID)
+		}
+	}
+	sl, err := j.choose()
+	return sl, err == nil
+}
+
+// chooseReachable picks an endpoint for the request, or lets another host serve it. It
+// returns no endpoint if the request has been handled.
+func (j *job) chooseReachable(ctx context.Context) (*slot, *ErrorResponse) {
+	if !j.mustForward() {
+		return j.chooseOwn()
+	}
+	lost := j.pool.paths.reach.Lost()
+	if lost && !j.unreachable && j.dialFailures == 0 {
+		if sl, ok := j.chooseIdle(); ok {
+			return sl, nil
+		}
+	}
+	if forwarded, errResp := j.forward(ctx); forwarded {
+		return nil, errResp
+	}
+	if lost {
+		return j.chooseUntried()
+	}
+	return j.chooseOwn()
+}
+
+// chooseUntried picks an endpoint that has not refused a connection lately. If all have, the
+// request is rejected at once.
+func (j *job) chooseUntried() (*slot, *ErrorResponse) {
+	exclude := j.exclude
+	defer func() { j.exclude = exclude }()
+	j.exclude = slices.AppendSeq(slices.Clone(exclude), maps.Keys(j.pool.paths.reach.Avoided()))
+	sl, err := j.choose()
+	if err != nil {
+		j.addStep("none")
+		return nil, j.giveUp(reasonUnreachable, "no host reaches an endpoint", lostCheckInterval)
+	}
+	return sl, nil
+}
+
+// chooseOwn picks an endpoint for the request.
+func (j *job) chooseOwn() (*slot, *ErrorResponse) {
+	sl, err := j.choose()
+	if err == nil {
+		return sl, nil
+	}
+	j.addStep("none")
+	if wait := j.pool.shortestDenial(); wait > 0 {
+		return nil, j.giveUp("endpoints_limited", err.Error(), wait)
+	}
+	return nil, j.giveUp("no_endpoint", err.Error(), shortRetryAfter)
+}
+
+// noteDialFailure records that the job could not connect to an endpoint. After one that did
+// not even refuse, it does not try a further one.
+func (j *job) noteDialFailure(sl *slot, err error) {
+	j.dialFailures++
+	j.unreachable = j.unreachable || !upstream.Refused(err)
+	j.checkFailedDial(sl, err)
+	j.excludeEndpoint(sl, limiter.OutcomeError)
+}
--- a/relay/job.go
+++ b/relay/job.go
@@ -65,8 +65,22 @@
 	// delivered counts the attempts that an endpoint has received. possibleRuns
 	// counts the attempts that may have run.
 	delivered, possibleRuns, rejections, dialFailures int
+	// unreachable is set if an endpoint did not answer to a connection attempt at all.
+	unreachable bool
+	// from is the host that has forwarded the request to this one; empty if it comes from
+	// a caller. deliveredBefore, runsBefore and headerSentBefore are delivered,
+	// possibleRuns and headerSent of that time.
+	from                        string
+	deliveredBefore, runsBefore int
+	headerSentBefore            bool
+	// forwards counts the hosts to which the request was sent; excludeHosts lists those
+	// that could not serve it.
+	forwards     int
+	excludeHosts []string
 	// denials counts the endpoints that had reached their rate limits.
 	denials int
+	// endpoint is the id of the endpoint that has last answered.
+	endpoint string
 	// headerSent is set once the answer's header has been sent to the caller.
 	headerSent bool
 	// lastEvent is the id of the last event sent to the caller; negative for none.
@@ -93,7 +107,9 @@
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	j.hash, j.parts = j.contentHash(), j.sharedParts()
-	j.pool.budget.RecordRequest()
+	if j.from == "" {
+		j.pool.budget.RecordRequest()
+	}
 	for {
 		if errResp := j.attempt(ctx); errResp != nil || j.status != 0 {
 			return errResp
@@ -129,7 +145,8 @@
 	j.setDeadline()
 	j.model = j.req.Model
 	if len(j.route.Models) > 0 {
-		j.model = j.route.Models[0]
+		j.modelIndex = min(j.modelIndex, len(j.route.Models)-1)
+		j.model = j.route.Models[j.modelIndex]
 	}
 	return nil
 }
@@ -256,7 +273,7 @@
 		return j.giveUp(reason, "may have run and must not be retried", 0)
 	case j.possibleRuns >= max(1, j.route.MaxAttempts):
 		return j.giveUp(reason, "maximum number of attempts reached", 0)
-	case j.rejections >= maxRejections, j.dialFailures >= maxDialFailures:
+	case j.rejections >= maxRejections, j.dialFailures >= j.maxDialFailures():
 		return j.giveUp(reason, "too many endpoints unreachable or full", shortRetryAfter)
 	case j.delivered == 0:
 		return nil // no endpoint has received the request, so this is not a retry
@@ -269,6 +286,14 @@
 	return nil
 }
 
+// maxDialFailures is the number of unreachable endpoints after which the request fails.
+func (j *job) maxDialFailures() int {
+	if j.from != "" {
+		return maxForwardedDialFailures
+	}
+	return maxDialFailures
+}
+
 // cancelReason returns the outcome of a request whose context has ended.
 func cancelReason(ctx context.Context) string {
 	if context.Cause(ctx) == context.DeadlineExceeded {
@@ -305,12 +330,8 @@
 	}
 	took := j.relay.Clock.Since(j.arrived)
 	j.log(outcome, status, detail, took)
-	m := j.relay.metrics
-	team, priority := j.team, strconv.Itoa(j.priority)
-	m.requests.WithLabelValues(team, priority, outcome).Inc()
-	if errResp == nil {
-		m.firstByte.WithLabelValues(team, priority).Observe(j.firstByte.Seconds())
-		m.duration.WithLabelValues(team, priority).Observe(took.Seconds())
+	if j.from == "" {
+		j.countRequest(outcome, errResp == nil, took)
 	}
 	if errResp == nil {
 		return
@@ -320,9 +341,21 @@
 		// aborted connection can signal that the answer is incomplete.
 		panic(http.ErrAbortHandler)
 	}
+	j.markAnswer(errResp.Reason, errResp.Detail)
 	errResp.Write(j.w)
 }
 
+// countRequest counts the end of a request of a caller.
+func (j *job) countRequest(outcome string, answered bool, took time.Duration) {
+	m := j.relay.metrics
+	team, priority := j.team, strconv.Itoa(j.priority)
+	m.requests.WithLabelValues(team, priority, outcome).Inc()
+	if answered {
+		m.firstByte.WithLabelValues(team, priority).Observe(j.firstByte.Seconds())
+		m.duration.WithLabelValues(team, priority).Observe(took.Seconds())
+	}
+}
+
 // log writes the request's log line with its decisions and its outcome.
 func (j *job) log(outcome string, status int, detail string, took time.Duration) {
 	age, _ := j.relay.Config.Age()
@@ -333,7 +366,7 @@
 	if j.table != nil {
 		configVersion = j.table.Version()
 	}
-	j.relay.Logger.Info("request", "request", j.req.ID, "route", routeName, "team", j.team, "priority", j.priority,
+	j.relay.Logger.Info("request", "request", j.req.ID, "from", j.from, "route", routeName, "team", j.team, "priority", j.priority,
 		"outcome", outcome, "status", status, "detail", detail, "steps", j.steps.String(), "runs", j.possibleRuns,
 		"tokens", j.req.PromptTokens, "first_ms", j.firstByte.Milliseconds(), "gap_ms", j.longestEventGap.Milliseconds(), "took_ms", took.Milliseconds(),
 		"left_ms", j.remaining().Milliseconds(), "config", configVersion, "config_age_ms", age.Milliseconds())
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -9,6 +9,7 @@
 	requests  *prometheus.CounterVec
 	attempts  *prometheus.CounterVec
 	retries   *prometheus.CounterVec
+	forwards  *prometheus.CounterVec
 	lost      *prometheus.GaugeVec
 	firstByte *prometheus.HistogramVec
 	duration  *prometheus.HistogramVec
@@ -29,6 +30,9 @@
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "corianderlever", Name: "relay_repeats_total", Help: "Retries by service and whether the retry budget granted them.",
 		}, []string{"service", "granted"}),
+		forwards: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "corianderlever", Name: "relay_forwards_total", Help: "Requests forwarded to other hosts by service and their outcome.",
+		}, []string{"service", "outcome"}),
 		lost: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: "corianderlever", Name: "relay_service_lost", Help: "Whether this host cannot connect to the endpoints of a service.",
 		}, []string{"service"}),
@@ -39,6 +43,6 @@
 			Namespace: "corianderlever", Name: "relay_request_seconds", Help: "Time from arrival to the end of an answer.", Buckets: latencyBuckets,
 		}, []string{"team", "priority"}),
 	}
-	reg.MustRegister(m.requests, m.attempts, m.retries, m.lost, m.firstByte, m.duration)
+	reg.MustRegister(m.requests, m.attempts, m.retries, m.forwards, m.lost, m.firstByte, m.duration)
 	return m
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,13 +56,16 @@
 	Hosts int
 }
 
-// Options configure a Relay. All fields are required.
+// Options configure a Relay. All fields but Forwarder are required.
 type Options struct {
 	Config   ConfigSource
 	Fleet    *fleet.Registry
 	Versions Versions
 	Codec    Codec
 	Client   *upstream.Client
+	// Forwarder reaches other hosts, which serve requests while this one does not reach
+	// the endpoints; nil if there are none.
+	Forwarder Forwarder
 	// Crashes recognises requests that crash the endpoints they run on.
 	Crashes *limiter.CrashGuard
 	// Parts recognises parts of prompts that crash endpoints.
@@ -147,6 +151,20 @@
 	j.finish(ctx, errResp)
 }
 
+// LostServices returns the services whose endpoints this host cannot connect to.
+func (r *Relay) LostServices() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lost := []string{}
+	for name, p := range r.pools {
+		if p.paths.reach.Lost() {
+			lost = append(lost, name)
+		}
+	}
+	slices.Sort(lost)
+	return lost
+}
+
 // Loads returns the load that this host puts on the engines of each service.
 func (r *Relay) Loads() Loads {
 	r.mu.Lock()
--- a/relay/request.go
+++ b/relay/request.go
@@ -12,35 +12,37 @@
 type Request struct {
 	// ID is the id that the caller gave the request. A retry by the caller has
 	// another id.
-	ID     string
-	Method string
+	ID     string `json:"id"`
+	Method string `json:"method"`
 	// Target is the request target as it was sent; Path is its path.
-	Target, Path string
-	Host         string
+	Target string `json:"target"`
+	Path   string `json:"path"`
+	Host   string `json:"host"`
 	// Header holds the headers that are passed on to endpoints.
-	Header http.Header
-	Body   []byte
+	Header http.Header `json:"header,omitempty"`
+	Body   []byte      `json:"-"`
 	// Key is the caller's key; empty if it sent none.
-	Key string
+	Key string `json:"key,omitempty"`
 	// Timeout is how long the caller waits, counted from arrival; zero if not
 	// given.
-	Timeout time.Duration
+	Timeout time.Duration `json:"timeout,omitempty"`
 	// Session identifies the session of the request; empty for none.
-	Session string
+	Session string `json:"session,omitempty"`
 	// LastEvent is the id of the last stream event that the caller has received;
 	// negative for none.
-	LastEvent int64
+	LastEvent int64 `json:"last_event"`
 	// Model is the requested model.
-	Model string
+	Model string `json:"model,omitempty"`
 	// Parts are the parts of the prompt. All but the last may be shared with other
 	// requests.
-	Parts []balance.PromptPart
+	Parts []balance.PromptPart `json:"parts,omitempty"`
 	// PromptTokens is the length of the prompt and MaxOutputTokens the maximum
 	// length of the answer, in tokens.
-	PromptTokens, MaxOutputTokens int
+	PromptTokens    int `json:"prompt_tokens,omitempty"`
+	MaxOutputTokens int `json:"max_output_tokens,omitempty"`
 	// OutputHint is the caller's estimate of the length of the answer in tokens;
 	// zero for none.
-	OutputHint int
+	OutputHint int `json:"output_hint,omitempty"`
 }
 
 // sessionKey returns the key that maps all requests of a sessionKey to one version. A
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -40,23 +40,13 @@
 	var pace eventPace
 	defer func() { j.observePace(sl, first, last, &pace) }()
 	for n := 0; ; n++ {
-		ev, err := events.next()
-		if errors.Is(err, io.EOF) && n == 0 && answer.EndsWithConnection() {
-			// Nothing tells a stream without events from one that was cut after its header.
-			err = errors.Wrap(errEvent, "connection closed before the first event")
-		}
-		if errors.Is(err, io.EOF) {
+		ev, err := j.nextEvent(events, answer, n)
+		if errors.Is(err, errStreamEnd) {
 			if n > 1 {
 				sl.recordEventGap(last.Sub(first) / time.Duration(n-1))
 			}
 			return j.finishStream(sl, answer)
 		}
-		if err == nil && ev.id >= 0 && j.lastEvent >= 0 && ev.id != j.lastEvent+1 {
-			if ev.id <= j.lastEvent {
-				continue // the caller has already received this event
-			}
-			err = errors.Wrapf(errEvent, "event %d follows %d", ev.id, j.lastEvent)
-		}
 		if err != nil {
 			return j.handleBrokenStream(ctx, sl, n, err)
 		}
@@ -78,17 +68,49 @@
 		if now.Sub(first) >= limiter.ProvenAfter {
 			sl.run.Prove()
 		}
-		j.sendHeader(answer)
-		if _, err := j.w.Write(ev.data); err != nil {
-			return j.giveUp("caller_left", err.Error(), 0)
+		if errResp := j.sendEvent(answer, ev); errResp != nil {
+			return errResp
 		}
-		j.flush()
-		if ev.id >= 0 {
-			j.lastEvent = ev.id
+	}
+}
+
+// errStreamEnd reports the end of a complete stream.
+var errStreamEnd = errors.New("relay: end of the stream")
+
+// nextEvent returns the next event that the caller has not received, after n others of
+// the same answer. It returns errStreamEnd after the last one.
+func (j *job) nextEvent(events *eventReader, answer *upstream.Response, n int) (event, error) {
+	for first := n == 0; ; first = false {
+		ev, err := events.next()
+		switch {
+		case errors.Is(err, io.EOF) && first && answer.EndsWithConnection():
+			// Nothing tells a stream without events from one that was cut after its header.
+			return ev, errors.Wrap(errEvent, "connection closed before the first event")
+		case errors.Is(err, io.EOF):
+			return ev, errStreamEnd
+		case err != nil:
+			return ev, err
+		case ev.id < 0, j.lastEvent < 0, ev.id == j.lastEvent+1:
+			return ev, nil
+		case ev.id > j.lastEvent:
+			return ev, errors.Wrapf(errEvent, "event %d follows %d", ev.id, j.lastEvent)
 		}
 	}
 }
 
+// sendEvent sends an event to the caller, and the header of its answer before the first one.
+func (j *job) sendEvent(answer *upstream.Response, ev event) *ErrorResponse {
+	j.sendHeader(answer)
+	if _, err := j.w.Write(ev.data); err != nil {
+		return j.giveUp("caller_left", err.Error(), 0)
+	}
+	j.flush()
+	if ev.id >= 0 {
+		j.lastEvent = ev.id
+	}
+	return nil
+}
+
 // sendHeader sends the header of an answer to the caller unless one has been sent
 // already.
 func (j *job) sendHeader(answer *upstream.Response) {
@@ -98,6 +120,7 @@
 	j.headerSent = true
 	j.firstByte = j.relay.Clock.Since(j.arrived)
 	copyHeader(j.w.Header(), answer.Header)
+	j.markAnswer(outcomeAnswered, "")
 	j.w.WriteHeader(answer.Status)
 }
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -73,6 +73,9 @@
 // together are bounded, and so are the bodies of those that are discarded.
 func (e *exchange) receive(req *Request, out *http.Request) (*http.Response, error) {
 	headLeft, discardLeft := int64(maxHeadBytes), int64(maxDiscardBytes)
+	if err := e.awaitFirstByte(req.FirstByteTimeout); err != nil {
+		return nil, errors.Mark(err, ErrConnectionLost)
+	}
 	for {
 		resp, err := e.receiveHead(out, &headLeft)
 		if err != nil {
@@ -93,6 +96,21 @@
 	}
 }
 
+// awaitFirstByte waits for the first byte of a response within a timeout; zero waits not
+// at all.
+func (e *exchange) awaitFirstByte(timeout time.Duration) error {
+	if timeout <= 0 {
+		return nil
+	}
+	if err := e.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return errors.Wrap(err, "upstream: set deadline")
+	}
+	if _, err := e.conn.br.Peek(1); err != nil {
+		return errors.Wrap(err, "upstream: first byte")
+	}
+	return errors.Wrap(e.conn.SetReadDeadline(time.Time{}), "upstream: set deadline")
+}
+
 // belongs reports whether a response belongs to the request. It returns an error if that
 // cannot be known.
 func (e *exchange) belongs(req *Request, resp *http.Response) (bool, error) {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -76,6 +76,13 @@
 	return c
 }
 
+// has reports whether the pool has a connection to addr.
+func (p *pool) has(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[addr]) > 0
+}
+
 // put adds an idle connection. It is kept for at most the idle timeout, or keep
 // if that is shorter and not zero.
 func (p *pool) put(addr string, c *conn, keep time.Duration) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -56,6 +56,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// FirstByteTimeout bounds the wait for the first byte of any response, interim ones
+	// included; zero for no bound but that of the context.
+	FirstByteTimeout time.Duration
 	// Match reports whether a response with this header belongs to the request. Nil
 	// takes every response.
 	Match func(http.Header) Match
@@ -113,14 +116,20 @@
 	pool pool
 }
 
+// TCPDialer returns a DialFunc that opens TCP connections. A timeout of zero leaves the
+// system's default.
+func TCPDialer(keepalive net.KeepAliveConfig, timeout time.Duration) DialFunc {
+	dialer := net.Dialer{KeepAliveConfig: keepalive, Control: userTimeout(timeout)}
+	return dialer.DialContext
+}
+
 // NewClient returns a client without connections.
 func NewClient(opts Options) *Client {
 	if opts.Clock == nil {
 		opts.Clock = clockwork.NewRealClock()
 	}
 	if opts.Dial == nil {
-		dialer := net.Dialer{KeepAliveConfig: opts.Keepalive, Control: userTimeout(opts.UserTimeout)}
-		opts.Dial = dialer.DialContext
+		opts.Dial = TCPDialer(opts.Keepalive, opts.UserTimeout)
 	}
 	return &Client{opts: opts, pool: pool{clock: opts.Clock, idleTimeout: opts.IdleTimeout, idle: make(map[string][]*conn)}}
 }
@@ -153,6 +162,9 @@
 	return nil
 }
 
+// HasIdle reports whether there is an idle connection to addr.
+func (c *Client) HasIdle(addr string) bool { return c.pool.has(addr) }
+
 // CloseIdle closes the idle connections to addr.
 func (c *Client) CloseIdle(addr string) { c.pool.closeIdle(addr) }
 
