--- a/relay/pool.go
+++ b/relay/pool.go
@@ -149,13 +149,25 @@
 	cancel   context.CancelFunc
 }
 
-// choose picks an endpoint for the job and takes a slot there.
+// choose picks an endpoint for the job and takes a slot there. Endpoints that have lately
+// refused a connection are picked only if there is no other.
 func (p *pool) choose(j *job, version string) (*slot, error) {
 	p.refresh(j.service)
+	exclude := p.excluded(j)
+	if avoided := p.paths.reach.Avoided(); len(avoided) > 0 {
+		if sl, err := p.chooseFrom(j, version, slices.AppendSeq(slices.Clone(exclude), maps.Keys(avoided))); err == nil {
+			return sl, nil
+		}
+	}
+	return p.chooseFrom(j, version, exclude)
+}
+
+// chooseFrom picks an endpoint that is not excluded.
+func (p *pool) chooseFrom(j *job, version string, exclude []string) (*slot, error) {
 	if j.service.Engine == nil {
-		return p.choosePlain(j, version)
+		return p.choosePlain(version, exclude)
 	}
-	req := balance.EngineRequest{Model: j.model, Parts: j.req.Parts, Version: version, Priority: j.enginePriority, Exclude: p.excluded(j)}
+	req := balance.EngineRequest{Model: j.model, Parts: j.req.Parts, Version: version, Priority: j.enginePriority, Exclude: exclude}
 	choice, err := p.engines.Choose(req)
 	if err != nil {
 		return nil, err
@@ -170,8 +182,8 @@
 }
 
 // choosePlain picks an endpoint of a service without engines.
-func (p *pool) choosePlain(j *job, version string) (*slot, error) {
-	choice, err := p.picker.Pick(balance.Request{Version: version, Exclude: p.excluded(j)})
+func (p *pool) choosePlain(version string, exclude []string) (*slot, error) {
+	choice, err := p.picker.Pick(balance.Request{Version: version, Exclude: exclude})
 	if err != nil {
 		return nil, err
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -99,10 +99,11 @@
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // DefaultOptions returns options that detect a silent connection within about
-// four seconds.
+// four seconds. The dial timeout is shorter than the time after which a lost packet of
+// a new connection is sent again, because another endpoint may answer sooner.
 func DefaultOptions() Options {
 	return Options{
-		DialTimeout: time.Second,
+		DialTimeout: 300 * time.Millisecond,
 		IdleTimeout: 8 * time.Second,
 		Keepalive:   net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
 		UserTimeout: 3 * time.Second,
