--- a/daemon/clusterrig_test.go
+++ b/daemon/clusterrig_test.go
@@ -54,19 +54,23 @@
 }
 
 func startCluster(t *testing.T, hosts, answerTokens int, out io.Writer, change func(s *config.Settings)) *cluster {
+	t.Helper()
+	return startClusterWith(t, demo.ClusterOptions{Hosts: hosts, AnswerTokens: answerTokens}, out, change)
+}
+
+// startClusterWith starts a cluster with some options, to which it adds the common ones.
+func startClusterWith(t *testing.T, opts demo.ClusterOptions, out io.Writer, change func(s *config.Settings)) *cluster {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	if os.Getenv("LEVER_TEST_LOG") != "" {
 		out = io.MultiWriter(out, os.Stderr)
 	}
-	c, err := demo.StartCluster(ctx, demo.ClusterOptions{
-		Hosts: hosts, Engines: testEngines, AnswerTokens: answerTokens, Rand: rand.New(rand.NewPCG(1, 2)),
-		Logger: slog.New(slog.NewTextHandler(out, nil)),
-		EditSettings: func(_ int, s *config.Settings) {
-			s.Drain.EntryTTL = resource.Duration(500 * time.Millisecond)
-			change(s)
-		},
-	})
+	opts.Engines, opts.Rand, opts.Logger = testEngines, rand.New(rand.NewPCG(1, 2)), slog.New(slog.NewTextHandler(out, nil))
+	opts.EditSettings = func(_ int, s *config.Settings) {
+		s.Drain.EntryTTL = resource.Duration(500 * time.Millisecond)
+		change(s)
+	}
+	c, err := demo.StartCluster(ctx, opts)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/corianderlever/corianderlever/internal/defaults"
 	"github.com/corianderlever/corianderlever/kernel"
 	"github.com/corianderlever/corianderlever/kv"
+	"github.com/corianderlever/corianderlever/upstream"
 )
 
 // Options configure a Host.
@@ -24,6 +25,8 @@
 	Settings config.Settings
 	// KV, if set, replaces the key-value service named in the settings.
 	KV kv.KV
+	// DialEndpoint opens connections to endpoints that are not encrypted; it defaults to TCP.
+	DialEndpoint upstream.DialFunc
 	// Clock, Rand, Logger and Registry are optional.
 	Clock    clockwork.Clock
 	Rand     *rand.Rand
--- a/daemon/demo/cluster.go
+++ b/daemon/demo/cluster.go
@@ -21,6 +21,7 @@
 	"github.com/corianderlever/corianderlever/kv/httpkv"
 	"github.com/corianderlever/corianderlever/kv/memkv"
 	"github.com/corianderlever/corianderlever/resource"
+	"github.com/corianderlever/corianderlever/upstream"
 )
 
 // ClusterOptions configure a deployment on loopback in one process.
@@ -37,6 +38,9 @@
 	Rand *rand.Rand
 	// EditSettings, if set, alters the settings of each host.
 	EditSettings func(i int, s *config.Settings)
+	// DialEndpoint, if set, returns the way in which each host opens connections to
+	// endpoints.
+	DialEndpoint func(i int) upstream.DialFunc
 }
 
 // Cluster is a running deployment with its simulated endpoints and store.
@@ -163,10 +167,14 @@
 
 // StartHost starts or restarts the i-th host.
 func (c *Cluster) StartHost(ctx context.Context, i int) error {
-	h, err := daemon.New(daemon.Options{
+	opts := daemon.Options{
 		Settings: c.Settings[i], KV: c.Faults[i], Logger: c.opts.Logger,
 		Rand: rand.New(rand.NewPCG(c.opts.Rand.Uint64(), uint64(i))),
-	})
+	}
+	if c.opts.DialEndpoint != nil {
+		opts.DialEndpoint = c.opts.DialEndpoint(i)
+	}
+	h, err := daemon.New(opts)
 	if err != nil {
 		return err
 	}
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -81,7 +81,9 @@
 	if t := opts.Settings.TLS; t != nil && t.Endpoints {
 		return engine.NewTLSClient(certs.transport())
 	}
-	return engine.NewClient(certs.transport())
+	transport := certs.transport()
+	transport.DialContext = opts.DialEndpoint
+	return engine.NewClient(transport)
 }
 
 // newRater returns nil if no rating service is configured.
@@ -245,12 +247,24 @@
 	})
 }
 
+// observeContact records whether an endpoint has answered a poll.
+func (s *dispatchService) observeContact(name string, answered bool, err error) {
+	service, changed := s.pool.ObserveContact(name, answered)
+	switch {
+	case changed && answered:
+		s.opts.Logger.Info("service reachable again", "service", service, "endpoint", name)
+	case changed:
+		s.opts.Logger.Warn("service not reachable from this host", "service", service, "endpoint", name, "error", err)
+	}
+}
+
 // pollEndpoint polls one endpoint and returns its cache events after a sequence
 // number.
 func (s *dispatchService) pollEndpoint(ctx context.Context, name, addr string, after int64) []engine.CacheEvent {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	report, err := s.engines.Load(ctx, addr)
+	s.observeContact(name, dispatch.Answered(err), err)
 	if err != nil {
 		s.opts.Logger.Debug("no load report", "endpoint", name, "error", err)
 		return nil
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -65,8 +65,10 @@
 		return err
 	}
 	backend := newAdminBackend(s.config, s.membership, ledgers, d)
+	f := newForwarder(s.opts, s.membership.Members, certs)
+	signal(d.signals, "lost", func() ([]string, bool) { return d.pool.LostServices(), true }, f.observeLost)
 	s.server = &http.Server{
-		Handler:           s.handler(d, backend),
+		Handler:           s.handler(d, backend, f),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: slog.NewLogLogger(s.opts.Logger.Handler(), slog.LevelWarn),
 	}
@@ -80,11 +82,11 @@
 	return nil
 }
 
-func (s *entryService) handler(d *dispatchService, backend admin.Backend) http.Handler {
+func (s *entryService) handler(d *dispatchService, backend admin.Backend, f *forwarder) http.Handler {
 	l := s.opts.Settings.Limits
 	mux := http.NewServeMux()
 	mux.Handle("/", entry.New(entry.Options{
-		Dispatcher: d.Dispatcher, Config: s.config.Store, Entries: s.entries, Ready: s.ready,
+		Dispatcher: d.Dispatcher, Config: s.config.Store, Entries: s.entries, Ready: s.ready, Forwarder: f,
 		MaxBodyBytes: l.MaxBodyBytes, BodyTimeout: l.BodyTimeout.AsDuration(), WriteTimeout: l.WriteTimeout.AsDuration(),
 		Logger: s.opts.Logger,
 	}))
--- /dev/null
+++ b/daemon/forward.go
@@ -0,0 +1,194 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/corianderlever/corianderlever/api"
+	"github.com/corianderlever/corianderlever/entry"
+	"github.com/corianderlever/corianderlever/forward"
+	"github.com/corianderlever/corianderlever/membership"
+)
+
+const (
+	// lostSignalTTL is the time for which a host's report of the services that it does not
+	// reach counts.
+	lostSignalTTL = 3 * time.Second
+	// forwardDialTimeout bounds the set-up of a connection to another host.
+	forwardDialTimeout = 400 * time.Millisecond
+	// maxForwards is the number of hosts that are asked to serve one request at most.
+	maxForwards = 3
+)
+
+// forwarder sends requests to the entry addresses of other hosts, which serve them in the
+// place of this one. Hosts of earlier releases can serve them, too.
+type forwarder struct {
+	opts    *Options
+	members func() []membership.Member
+	hosts   *forward.Hosts
+	http    *http.Client
+	scheme  string
+
+	mu sync.Mutex
+	// lost holds the services that other hosts do not reach, by host.
+	lost map[string]lostReport
+}
+
+// lostReport is the last report of a host.
+type lostReport struct {
+	services []string
+	at       time.Time
+}
+
+var _ entry.Forwarder = (*forwarder)(nil)
+
+func newForwarder(opts *Options, members func() []membership.Member, certs *certsService) *forwarder {
+	f := &forwarder{opts: opts, members: members, hosts: forward.NewHosts(opts.Clock, opts.newRand()), scheme: "http", lost: make(map[string]lostReport)}
+	// A request on a new connection is never sent twice by the transport.
+	transport := &http.Transport{
+		DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: api.MaxHeaderBytes,
+		DialContext: (&net.Dialer{Timeout: forwardDialTimeout}).DialContext,
+	}
+	if certs.reloader != nil {
+		f.scheme = "https"
+		transport.DialTLSContext = func(ctx context.Context, _, addr string) (net.Conn, error) { return certs.dialPeer()(ctx, addr) }
+	}
+	f.http = &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	return f
+}
+
+// observeLost records the services that another host does not reach.
+func (f *forwarder) observeLost(from membership.Member, services []string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lost[from.Host] = lostReport{services: services, at: f.opts.Clock.Now()}
+	return nil
+}
+
+// reachesAll reports whether a host reaches the endpoints of all services as far as is known.
+func (f *forwarder) reachesAll(host string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	report := f.lost[host]
+	return len(report.services) == 0 || f.opts.Clock.Since(report.at) >= lostSignalTTL
+}
+
+// Forward implements entry.Forwarder.
+func (f *forwarder) Forward(w http.ResponseWriter, r *http.Request, id string, body []byte) bool {
+	var exclude []string
+	for range maxForwards {
+		m, ok := f.choose(r.URL.Path, exclude)
+		if !ok {
+			return false
+		}
+		ended := f.hosts.Started(m.Host)
+		answered, err := f.send(w, r, m, id, body)
+		ended()
+		f.opts.Logger.InfoContext(r.Context(), "request forwarded", "request", id, "host", m.Host, "answered", answered, "error", err)
+		if answered {
+			return true
+		}
+		exclude = append(exclude, m.Host)
+		f.hosts.Refused(m.Host, r.URL.Path)
+	}
+	return false
+}
+
+func (f *forwarder) choose(path string, exclude []string) (membership.Member, bool) {
+	members := f.members()
+	var candidates []string
+	for _, m := range members {
+		if m.State == membership.Alive && m.EntryAddress != "" && m.Host != f.opts.Settings.Host && f.reachesAll(m.Host) {
+			candidates = append(candidates, m.Host)
+		}
+	}
+	host, ok := f.hosts.Choose(path, candidates, exclude)
+	if !ok {
+		return membership.Member{}, false
+	}
+	return members[slices.IndexFunc(members, func(m membership.Member) bool { return m.Host == host })], true
+}
+
+// send sends a request to a host and copies its answer. It returns false if the host has
+// not run the request and another one may be tried.
+func (f *forwarder) send(w http.ResponseWriter, r *http.Request, m membership.Member, id string, body []byte) (answered bool, err error) {
+	out, err := http.NewRequestWithContext(r.Context(), r.Method, f.scheme+"://"+m.EntryAddress+r.URL.RequestURI(), bytes.NewReader(body))
+	if err != nil {
+		return false, errors.Wrap(err, "daemon: build request")
+	}
+	out.Header = r.Header.Clone()
+	out.Header.Set(api.HeaderIdempotencyKey, id)
+	out.Header.Set(entry.HeaderForwarded, f.opts.Settings.Host)
+	resp, err := f.http.Do(out)
+	var dial *net.OpError
+	switch {
+	case errors.As(err, &dial) && dial.Op == "dial":
+		return false, err
+	case err != nil:
+		failure := &api.Error{Status: http.StatusBadGateway, Code: api.CodeEndpointFailed, Outcome: api.OutcomeUnknown, RequestID: id, Message: "host " + m.Host + " did not answer"}
+		api.WriteError(w, failure)
+		return true, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		return f.copyFailure(w, resp)
+	}
+	return true, copyAnswer(w, resp, resp.Body)
+}
+
+// copyFailure copies the answer of a host that is not available, unless it says that it has
+// not run the request.
+func (f *forwarder) copyFailure(w http.ResponseWriter, resp *http.Response) (answered bool, err error) {
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxFailureBytes))
+	if err != nil {
+		return true, copyAnswer(w, resp, io.MultiReader(bytes.NewReader(text), resp.Body))
+	}
+	var failure api.ErrorBody
+	if json.Unmarshal(text, &failure) == nil && failure.Error != nil && failure.Error.Outcome == api.OutcomeNotRun && failure.Error.Code == api.CodeUnavailable {
+		return false, failure.Error
+	}
+	return true, copyAnswer(w, resp, bytes.NewReader(text))
+}
+
+// maxFailureBytes bounds an error answer of another host.
+const maxFailureBytes = 64 << 10
+
+// copyAnswer copies an answer as it arrives. It aborts the caller's connection if the
+// answer is cut.
+func copyAnswer(w http.ResponseWriter, resp *http.Response, body io.Reader) error {
+	for name, values := range resp.Header {
+		w.Header()[name] = values
+	}
+	w.Header().Del("Connection")
+	w.WriteHeader(resp.StatusCode)
+	control := http.NewResponseController(w)
+	buf := make([]byte, copyBufferBytes)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			if _, err := w.Write(buf[:n]); err != nil {
+				return errors.Wrap(err, "daemon: write answer")
+			}
+			// A failed flush shows again at the next write.
+			_ = control.Flush()
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// copyBufferBytes has room for a few events.
+const copyBufferBytes = 8 << 10
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -175,6 +175,7 @@
 	if !errors.As(err, &failed) || failed.Outcome != api.OutcomeNotRun {
 		g.mayHaveRun = true
 	}
+	g.d.Pool.observeAttempt(sl.endpoint, err)
 	crashed := failed != nil && failed.Lost && ctx.Err() == nil && g.d.checkForCrash(ctx, sl)
 	g.d.endProbation(ctx, g.hash, sl.endpoint, crashed)
 	sl.release(outcome, firstToken)
@@ -209,10 +210,13 @@
 // longer runs there, the endpoint has crashed, and the requests that it ran are
 // recorded. It reports whether the endpoint has crashed.
 func (d *Dispatcher) checkForCrash(ctx context.Context, sl *slot) bool {
+	if d.stillRunning(ctx, sl) {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(ctx, limiter.ProbeTimeout)
 	defer cancel()
-	if status, err := d.Engines.Probe(ctx, sl.addr, sl.attempt); err == nil && status.Running {
-		return false
+	if !d.othersAnswer(ctx, sl) {
+		return false // the links of this host are at fault
 	}
 	hashes, first := sl.takeCrashed()
 	if first {
@@ -223,6 +227,14 @@
 	return true
 }
 
+// stillRunning reports whether the endpoint says that it runs the attempt.
+func (d *Dispatcher) stillRunning(ctx context.Context, sl *slot) bool {
+	ctx, cancel := context.WithTimeout(ctx, limiter.ProbeTimeout)
+	defer cancel()
+	status, err := d.Engines.Probe(ctx, sl.addr, sl.attempt)
+	return err == nil && status.Running
+}
+
 // prefixBlocks returns the hashes of the prompt's prefix blocks. Each hash covers
 // the prompt from its start to the end of the block.
 func prefixBlocks(messages []api.Message) []uint64 {
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -17,6 +17,10 @@
 // names. If all others have, it returns an *api.Error with the time until one may take a
 // request again.
 func (d *Dispatcher) acquire(ctx context.Context, trace *Trace, version string, prefix []uint64, exclude []string, hash limiter.Hash) (*slot, error) {
+	if d.Pool.lost(version) {
+		trace.add("reach", "this host reaches no endpoint of %s", version)
+		return nil, unreachableError()
+	}
 	exclude = slices.Clone(exclude)
 	shortest := time.Duration(0)
 	for name, wait := range d.denied() {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -29,6 +29,8 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*endpointState
+	// reach tells, by service, whether this host reaches the endpoints.
+	reach map[string]*limiter.Reach
 	// slotFreed is closed and replaced whenever a slot may have become free.
 	slotFreed chan struct{}
 	// onCapacity is called with the number of requests that all endpoints
@@ -67,6 +69,7 @@
 		picker:     balance.NewPicker(clock, random, balance.DefaultConfig(failureDomain)),
 		ejector:    limiter.NewEjector(clock),
 		endpoints:  make(map[string]*endpointState),
+		reach:      make(map[string]*limiter.Reach),
 		slotFreed:  make(chan struct{}),
 		onCapacity: onCapacity,
 	}
@@ -93,6 +96,7 @@
 		next[name] = st
 	}
 	ep.endpoints = next
+	ep.setReach()
 	ep.mu.Unlock()
 	ep.Refresh()
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -322,7 +322,7 @@
 	if r.mayHaveRun {
 		out.Outcome = api.OutcomeUnknown
 	}
-	return out
+	return markUnreachable(out, err)
 }
 
 // admit waits in the admission queue until the request may run.
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -228,7 +228,7 @@
 	}
 	var limited *api.Error
 	if errors.As(err, &limited) {
-		return engine.Reply{}, "", limited
+		return engine.Reply{}, "", err
 	}
 	if err != nil {
 		return engine.Reply{}, "", apiError(http.StatusServiceUnavailable, api.CodeUnavailable, "no endpoint of service %q: %v", c.req.Service, err)
@@ -251,6 +251,7 @@
 	if !errors.As(err, &failed) || failed.Outcome != api.OutcomeNotRun {
 		c.mayHaveRun = true
 	}
+	c.d.Pool.observeAttempt(sl.endpoint, err)
 	sl.release(outcome, took)
 	c.d.metrics.attempts.WithLabelValues(result).Inc()
 }
@@ -267,7 +268,7 @@
 	if c.mayHaveRun {
 		out.Outcome = api.OutcomeUnknown
 	}
-	return out
+	return markUnreachable(out, err)
 }
 
 // NewSession returns the token of a new session of the team, pinned to the version of
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -40,10 +40,13 @@
 	}
 	w.Header().Set(api.HeaderRequestID, id)
 	if req.Body.Stream {
-		h.stream(w, r, req)
+		h.stream(w, r, req, body)
 		return
 	}
 	answer, err := h.opts.Dispatcher.Chat(r.Context(), req, func(string) error { return nil })
+	if h.forward(w, r, id, body, err) {
+		return
+	}
 	if err != nil {
 		h.writeFailure(w, id, err)
 		return
@@ -57,7 +60,7 @@
 
 // stream sends the answer as server-sent events. The status line goes out with
 // the first token, so a rejection before it is an ordinary HTTP error.
-func (h *Handler) stream(w http.ResponseWriter, r *http.Request, req dispatch.ChatRequest) {
+func (h *Handler) stream(w http.ResponseWriter, r *http.Request, req dispatch.ChatRequest, body []byte) {
 	out := &eventWriter{w: w, rc: http.NewResponseController(w), timeout: h.opts.WriteTimeout}
 	answer, err := h.opts.Dispatcher.Chat(r.Context(), req, func(text string) error {
 		return out.sendJSON(api.ChatResponse{
@@ -65,6 +68,9 @@
 			Choices: []api.Choice{{Delta: &api.Message{Role: roleAssistant, Content: text}}},
 		})
 	})
+	if !out.started && h.forward(w, r, req.ID, body, err) {
+		return
+	}
 	if err != nil {
 		h.streamFailure(out, req.ID, err)
 		return
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,6 +39,9 @@
 	Entries func() api.EntriesResponse
 	// Ready reports whether the host accepts new work.
 	Ready func() bool
+	// Forwarder lets other hosts serve the requests for which this one reaches no endpoint;
+	// nil if there are none.
+	Forwarder Forwarder
 	// MaxBodyBytes bounds request bodies.
 	MaxBodyBytes int64
 	// BodyTimeout bounds the time a client may take to send its body.
--- a/entry/service.go
+++ b/entry/service.go
@@ -24,6 +24,9 @@
 		Service: r.PathValue("service"), Operation: r.PathValue("operation"),
 		Body: body,
 	})
+	if h.forward(w, r, id, body, err) {
+		return
+	}
 	if err != nil {
 		h.writeFailure(w, id, err)
 		return
