--- a/api/api.go
+++ b/api/api.go
@@ -37,7 +37,10 @@
 	HeaderRank           = "X-Rank"
 	HeaderSession        = "X-Session"
 	HeaderKind           = "X-Request-Kind"
-	HeaderOutcome        = "X-Outcome"
+	// HeaderForwardedBy names the host that has forwarded a request, which is not
+	// forwarded again.
+	HeaderForwardedBy = "X-Forwarded-By"
+	HeaderOutcome     = "X-Outcome"
 	// HeaderReplayed marks the stored response of an earlier run.
 	HeaderReplayed = "X-Repeat"
 )
--- a/daemon/command/hostcommand.go
+++ b/daemon/command/hostcommand.go
@@ -19,6 +19,7 @@
 	"github.com/corianderlever/corianderlever/internal/logqueue"
 	"github.com/corianderlever/corianderlever/platform"
 	"github.com/corianderlever/corianderlever/relay"
+	"github.com/corianderlever/corianderlever/upstream"
 )
 
 const (
@@ -41,12 +42,14 @@
 			if len(args) != 0 {
 				return errors.Wrap(ErrUsage, "corianderlever host takes no arguments")
 			}
-			return runHost(ctx, out, os.Getenv(platform.SettingsVariable))
+			return RunHost(ctx, out, os.Getenv(platform.SettingsVariable), nil)
 		},
 	}
 }
 
-func runHost(ctx context.Context, out io.Writer, path string) error {
+// RunHost runs a host on the users' platform with the settings file at path until ctx ends,
+// and logs to out. dial opens connections to endpoints; nil for TCP.
+func RunHost(ctx context.Context, out io.Writer, path string, dial upstream.DialFunc) error {
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -59,7 +62,7 @@
 	store := platform.NewStore(settings.StoreAddress)
 	defer store.Close()
 	h, err := router.New(router.Options{
-		Settings: settings.Router(), Store: store, Records: platform.Records{}, Headers: platform.Headers{},
+		Settings: settings.Router(), Store: store, Records: platform.Records{}, Headers: platform.Headers{}, DialEndpoint: dial,
 		NewEdge: func(h *router.Host, r *relay.Relay) router.Handlers { return platform.NewEdge(h, r, log) },
 		Logger:  log,
 	})
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -127,7 +127,7 @@
 	}
 	out.Header = r.Header.Clone()
 	out.Header.Set(api.HeaderIdempotencyKey, id)
-	out.Header.Set(entry.HeaderForwarded, f.opts.Settings.Host)
+	out.Header.Set(api.HeaderForwardedBy, f.opts.Settings.Host)
 	resp, err := f.http.Do(out)
 	var dial *net.OpError
 	switch {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -9,10 +9,6 @@
 	"github.com/corianderlever/corianderlever/dispatch"
 )
 
-// HeaderForwarded marks a request that another host has forwarded. It is not forwarded
-// again.
-const HeaderForwarded = "X-Lever-Forwarded-By"
-
 // Forwarder lets other hosts serve requests.
 type Forwarder interface {
 	// Forward lets another host answer the request. It returns false if no host has run
@@ -24,7 +20,7 @@
 // endpoint for it. It returns false if the request has not been answered.
 func (h *Handler) forward(w http.ResponseWriter, r *http.Request, id string, body []byte, err error) bool {
 	var failed *api.Error
-	if h.opts.Forwarder == nil || r.Header.Get(HeaderForwarded) != "" || !errors.Is(err, dispatch.ErrUnreachable) {
+	if h.opts.Forwarder == nil || r.Header.Get(api.HeaderForwardedBy) != "" || !errors.Is(err, dispatch.ErrUnreachable) {
 		return false
 	}
 	if !errors.As(err, &failed) || failed.Outcome != api.OutcomeNotRun {
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -133,6 +133,47 @@
 	}},
 }
 
+// linkFaults act on the paths between hosts and endpoints.
+var linkFaults = []fault{
+	{"links lost silently", func(s *soak, ctx context.Context, pick func(int) int, d time.Duration) {
+		s.loseLinks(ctx, platformtest.LinkSilent, pick, d)
+	}},
+	{"links lost one way", func(s *soak, ctx context.Context, pick func(int) int, d time.Duration) {
+		s.loseLinks(ctx, platformtest.LinkOneWay, pick, d)
+	}},
+	{"links reset", func(s *soak, ctx context.Context, pick func(int) int, d time.Duration) {
+		s.loseLinks(ctx, platformtest.LinkReset, pick, d)
+	}},
+	{"no new connections", func(s *soak, ctx context.Context, pick func(int) int, d time.Duration) {
+		s.loseLinks(ctx, platformtest.LinkNoNew, pick, d)
+	}},
+	{"endpoint silent for a moment", func(s *soak, ctx context.Context, pick func(int) int, _ time.Duration) {
+		e := s.endpoints()[pick(len(s.endpoints()))]
+		e.Silent.Store(true)
+		wait(ctx, silentTime)
+		e.Silent.Store(false)
+	}},
+}
+
+// silentTime is the time for which a sound endpoint sends nothing.
+const silentTime = 1500 * time.Millisecond
+
+// loseLinks cuts some hosts, at times all, off from the endpoints.
+func (s *soak) loseLinks(ctx context.Context, state platformtest.LinkState, pick func(int) int, d time.Duration) {
+	first, n := pick(len(s.hosts)), 1+pick(2*len(s.hosts)+1)%len(s.hosts)
+	set := func(state platformtest.LinkState) {
+		for i := range n {
+			if err := s.hosts[(first+i)%len(s.hosts)].SetLink(state); err != nil {
+				s.addViolation("link not changed: %v", err)
+			}
+		}
+	}
+	s.log("%d hosts from %s on lose their links", n, s.hosts[first].Name)
+	set(state)
+	wait(ctx, d)
+	set(platformtest.LinkUp)
+}
+
 const (
 	// minFaultTime and maxFaultTime bound the duration of a fault. maxFaultGap
 	// bounds the time between the starts of two faults and is shorter than
@@ -149,7 +190,8 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	var processes sync.Mutex
-	wg.Go(func() { s.injectLaterFaults(ctx) })
+	wg.Go(func() { s.injectMore(ctx, laterFaults, 2) })
+	wg.Go(func() { s.injectMore(ctx, linkFaults, 3) })
 	revokeAt := time.Now().Add(s.Duration / 2)
 	end := time.Now().Add(s.Duration)
 	for time.Now().Before(end) && ctx.Err() == nil {
@@ -173,15 +215,16 @@
 	}
 }
 
-// maxLaterFaultGap bounds the time between two faults of laterFaults.
+// maxLaterFaultGap bounds the time between two faults of laterFaults or linkFaults.
 const maxLaterFaultGap = 4 * time.Second
 
-// injectLaterFaults runs random faults of laterFaults, one after the other.
-func (s *soak) injectLaterFaults(ctx context.Context) {
-	rng := rand.New(rand.NewPCG(s.Seed, 2))
+// injectMore runs random faults of a list, one after the other, from a random stream of
+// their own.
+func (s *soak) injectMore(ctx context.Context, list []fault, stream uint64) {
+	rng := rand.New(rand.NewPCG(s.Seed, stream))
 	for end := time.Now().Add(s.Duration); time.Now().Before(end) && ctx.Err() == nil; {
 		wait(ctx, time.Duration(rng.Int64N(int64(maxLaterFaultGap))))
-		f := laterFaults[rng.IntN(len(laterFaults))]
+		f := list[rng.IntN(len(list))]
 		target, d := rng.Int(), minFaultTime+time.Duration(rng.Int64N(int64(maxFaultTime-minFaultTime)))
 		s.log("%s, %v", f.name, d.Round(time.Millisecond))
 		f.run(s, ctx, func(n int) int { return target % n }, d)
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -22,7 +23,8 @@
 	// Store is the proxy through which the host reaches the store.
 	Store *Proxy
 
-	binary, settings, log string
+	// link is the file with the state of the host's links to the endpoints.
+	binary, settings, log, link string
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -40,6 +42,7 @@
 	h := &Host{Name: fmt.Sprint("host-", i), Addresses: a, Store: proxy, binary: binary}
 	h.settings = filepath.Join(dir, h.Name+".yaml")
 	h.log = filepath.Join(dir, h.Name+".log")
+	h.link = filepath.Join(dir, h.Name+".link")
 	file := platformtest.Settings(h.Name, fmt.Sprint("domain-", i%3), a, seeds(i), proxy.Address())
 	return h, os.WriteFile(h.settings, file, 0o600)
 }
@@ -53,8 +56,8 @@
 		return err
 	}
 	defer out.Close()
-	cmd := exec.Command(h.binary, "host")
-	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+h.settings)
+	cmd := exec.Command(h.binary)
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+h.settings, platformtest.LinkVariable+"="+h.link)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return err
@@ -65,6 +68,11 @@
 	return nil
 }
 
+// SetLink changes the state of the host's links to the endpoints.
+func (h *Host) SetLink(state platformtest.LinkState) error {
+	return os.WriteFile(h.link, []byte(strconv.Itoa(int(state))), 0o600)
+}
+
 // signal sends a signal to the host's process.
 func (h *Host) signal(s syscall.Signal) error {
 	h.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -31,8 +31,8 @@
 
 // Build compiles the program under test into dir.
 func Build(ctx context.Context, dir string) (string, error) {
-	binary := filepath.Join(dir, "corianderlever")
-	out, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "github.com/corianderlever/corianderlever/cmd/corianderlever").CombinedOutput()
+	binary := filepath.Join(dir, "soakhost")
+	out, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "github.com/corianderlever/corianderlever/internal/cmd/soakhost").CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("build: %w: %s", err, out)
 	}
