--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -195,8 +195,8 @@
 	h.permits = limiter.NewPermits(opts.Clock, opts.Logger, h.permitPeers())
 	h.forwarding = newForwarding(h)
 	h.relay = relay.New(relay.Options{
-		Forwarder: h.forwarding,
-		Config:    h, Fleet: h.registry, Versions: h.rollouts, Codec: opts.Headers,
+		Forwarder: h.forwarding, Self: opts.Settings.Host, HostNames: h.hostNames,
+		Config: h, Fleet: h.registry, Versions: h.rollouts, Codec: opts.Headers,
 		Client: upstream.NewClient(endpointOptions(opts)), Settings: h.relaySettings,
 		Crashes: h.crashes, Parts: h.parts, Permits: h.permits, Buffers: h.buffers, FailureDomain: opts.Settings.FailureDomain, Clock: opts.Clock, Rand: h.newRand, Logger: opts.Logger, Registry: opts.Registry,
 	})
@@ -265,6 +265,17 @@
 	}
 }
 
+// hostNames returns the hosts that may be alive, this one included.
+func (h *Host) hostNames() []string {
+	names := []string{h.opts.Settings.Host}
+	for _, m := range h.peers.members.Members() {
+		if m.State != membership.Left && m.Host != h.opts.Settings.Host {
+			names = append(names, m.Host)
+		}
+	}
+	return names
+}
+
 // Run starts the host, waits for ctx to end, and stops it.
 func (h *Host) Run(ctx context.Context) error {
 	log := h.opts.Logger
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -250,6 +250,9 @@
 	if reply.Signed || reply.RateLimit > 0 {
 		j.relay.Permits.Observe(e.ID, sent, reply.RateLimit)
 	}
+	if j.pool.shares.Observe(sent, reply.Brittle) {
+		j.relay.Logger.Info("endpoints brittle", "service", j.pool.service, "endpoint", e.ID, "brittle", reply.Brittle)
+	}
 	retryAfter := time.Duration(0)
 	if answer.Status == http.StatusServiceUnavailable {
 		retryAfter = reply.RetryAfter
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -215,9 +215,13 @@
 
 // reasonsOfHost are the reasons of error responses that lie with the host that gives them.
 var reasonsOfHost = []string{
-	reasonUnreachable, reasonStopping, "endpoint_unreachable", "no_configuration", "no_service", "outdated_configuration", "stale_configuration", "buffers_full",
+	reasonUnreachable, reasonStopping, reasonFull, "endpoint_unreachable", "no_configuration", "no_service", "outdated_configuration", "stale_configuration", "buffers_full",
 }
 
+// reasonFull is the reason of an error response if this host uses its whole share of the
+// endpoints.
+const reasonFull = "endpoints_full"
+
 // reasonStopping is the reason of the error response of a host that is stopping.
 const reasonStopping = "stopping"
 
@@ -356,6 +360,9 @@
 		return sl, nil
 	}
 	j.addStep("none")
+	if j.pool.shares.Active() {
+		return nil, j.giveUp(reasonFull, "this host's share of the endpoints is in use", shortRetryAfter)
+	}
 	if wait := j.pool.shortestDenial(); wait > 0 {
 		return nil, j.giveUp("endpoints_limited", err.Error(), wait)
 	}
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -35,8 +35,10 @@
 	ejector *limiter.Ejector
 	budget  *limiter.WindowBudget
 	paths   *paths
+	shares  *limiter.SlotShares
 
 	mu               sync.Mutex
+	slots            map[string]int // of each endpoint that is not draining
 	fleetGeneration  uint64
 	endpointsLoaded  bool
 	endpointIDs      []string // the endpoints that are not draining
@@ -57,6 +59,7 @@
 		budget:  limiter.NewWindowBudget(r.Clock, r.Settings().Retry),
 	}
 	p.paths = newPaths(p)
+	p.shares = limiter.NewSlotShares(r.Clock, r.Self, r.HostNames)
 	return p
 }
 
@@ -89,12 +92,13 @@
 func (p *pool) setEndpoints(svc *route.Service) {
 	var plain []balance.Endpoint
 	var engines []balance.EngineSpec
-	p.endpointIDs = p.endpointIDs[:0]
+	p.endpointIDs, p.slots = p.endpointIDs[:0], make(map[string]int)
 	for _, e := range p.relay.Fleet.Service(p.service) {
 		if e.Draining {
 			continue
 		}
 		p.endpointIDs = append(p.endpointIDs, e.ID)
+		p.slots[e.ID] = e.Slots
 		if svc.Engine == nil {
 			plain = append(plain, balance.Endpoint{
 				ID: e.ID, FailureDomain: e.FailureDomain, Versions: []string{anyVersion, e.Version}, Concurrency: max(1, e.Slots),
@@ -164,35 +168,50 @@
 
 // chooseFrom picks an endpoint that is not excluded.
 func (p *pool) chooseFrom(j *job, version string, exclude []string) (*slot, error) {
-	if j.service.Engine == nil {
-		return p.choosePlain(version, exclude)
+	choose := p.choosePlain
+	if j.service.Engine != nil {
+		choose = p.chooseEngine
 	}
+	for {
+		sl, start, err := choose(j, version, exclude)
+		if err != nil {
+			return nil, err
+		}
+		if p.shares.TryStart(sl.endpoint.ID, sl.endpoint.Slots) {
+			start()
+			return sl, nil
+		}
+		exclude = append(slices.Clip(exclude), sl.endpoint.ID)
+	}
+}
+
+// chooseEngine picks a model engine. start counts the request there.
+func (p *pool) chooseEngine(j *job, version string, exclude []string) (sl *slot, start func(), err error) {
 	req := balance.EngineRequest{Model: j.model, Parts: j.req.Parts, Version: version, Priority: j.enginePriority, Exclude: exclude}
 	choice, err := p.engines.Choose(req)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	e, ok := p.relay.Fleet.Endpoint(choice.Endpoint)
 	if !ok {
-		return nil, balance.ErrNoEndpoint
+		return nil, nil, balance.ErrNoEndpoint
 	}
-	return &slot{
-		pool: p, endpoint: e, choice: choice, inFlight: p.engines.Start(choice, req), started: p.relay.Clock.Now(),
-	}, nil
+	sl = &slot{pool: p, endpoint: e, choice: choice, started: p.relay.Clock.Now()}
+	return sl, func() { sl.inFlight = p.engines.Start(choice, req) }, nil
 }
 
-// choosePlain picks an endpoint of a service without engines.
-func (p *pool) choosePlain(version string, exclude []string) (*slot, error) {
+// choosePlain picks an endpoint of a service without engines. start counts the request
+// there.
+func (p *pool) choosePlain(_ *job, version string, exclude []string) (sl *slot, start func(), err error) {
 	choice, err := p.picker.Pick(balance.Request{Version: version, Exclude: exclude})
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	e, ok := p.relay.Fleet.Endpoint(choice.Endpoint)
 	if !ok {
-		return nil, balance.ErrNoEndpoint
+		return nil, nil, balance.ErrNoEndpoint
 	}
-	p.picker.Started(e.ID, nil)
-	return &slot{pool: p, endpoint: e, started: p.relay.Clock.Now()}, nil
+	return &slot{pool: p, endpoint: e, started: p.relay.Clock.Now()}, func() { p.picker.Started(e.ID, nil) }, nil
 }
 
 // denied returns how long each endpoint is left out that has reached its rate limit or
@@ -218,11 +237,19 @@
 
 // excluded returns the endpoints that must not get the request.
 func (p *pool) excluded(j *job) []string {
-	denied := p.denied()
-	if len(denied) == 0 {
+	denied, full := p.denied(), p.full()
+	if len(denied) == 0 && len(full) == 0 {
 		return j.exclude
 	}
-	return slices.AppendSeq(slices.Clone(j.exclude), maps.Keys(denied))
+	return append(slices.AppendSeq(slices.Clone(j.exclude), maps.Keys(denied)), full...)
+}
+
+// full returns the brittle endpoints of which this host uses its whole share.
+func (p *pool) full() []string {
+	p.mu.Lock()
+	slots := p.slots
+	p.mu.Unlock()
+	return p.shares.Full(slots)
 }
 
 // shortestDenial returns the time until an endpoint that is left out may take a request
@@ -259,6 +286,7 @@
 	}
 	sl.released = true
 	p := sl.pool
+	p.shares.End(sl.endpoint.ID)
 	if sl.inFlight != nil {
 		sl.inFlight.End()
 	} else {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -73,8 +73,11 @@
 	// Permits shares the rate limits that endpoints name.
 	Permits *limiter.Permits
 	// Buffers bounds the bytes of answers that are buffered for all requests.
-	Buffers       *limiter.ByteBudget
-	Settings      func() Settings
+	Buffers  *limiter.ByteBudget
+	Settings func() Settings
+	// Self is the name of this host, and HostNames returns the hosts that may be alive.
+	Self          string
+	HostNames     func() []string
 	FailureDomain string
 	Clock         clockwork.Clock
 	Rand          func() *rand.Rand
--- a/relay/request.go
+++ b/relay/request.go
@@ -100,6 +100,8 @@
 	RateLimit float64
 	// Leaving is set if the endpoint is about to stop and wants no more requests.
 	Leaving bool
+	// Brittle is set if the endpoint cannot bear to reject many requests at this time.
+	Brittle bool
 	// RetryAfter is how long an endpoint that has rejected the request wants no more
 	// requests from this host; zero if it did not say.
 	RetryAfter time.Duration
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -155,7 +155,7 @@
 		Settings: func() relay.Settings {
 			return relay.Settings{MaxKeyAge: r.maxKeyAge, Retry: r.retryBudget, Hosts: 1}
 		},
-		FailureDomain: "a", Clock: clockwork.NewRealClock(),
+		Self: "host", HostNames: func() []string { return []string{"host"} }, FailureDomain: "a", Clock: clockwork.NewRealClock(),
 		Crashes: limiter.NewCrashGuard(clockwork.NewRealClock(), 0), Buffers: limiter.NewByteBudget(bufferBytes),
 		Permits: limiter.NewPermits(clockwork.NewRealClock(), slog.New(slog.DiscardHandler), limiter.LocalPermits{}),
 		Parts:   limiter.NewPartGuard(clockwork.NewRealClock(), slog.New(slog.DiscardHandler), true),
