--- a/relay/forward.go
+++ b/relay/forward.go
@@ -97,7 +97,7 @@
 	j.forwards++
 	sent := j.relay.Clock.Now()
 	answer, err := j.relay.Forwarder.Forward(ctx, host, Forwarded{
-		Request: j.req, TimeLeft: j.remaining(), Exclude: j.exclude, Delivered: j.delivered, Runs: j.possibleRuns,
+		Request: j.req, TimeLeft: j.remaining(), Exclude: j.failedEndpoints(), Delivered: j.delivered, Runs: j.possibleRuns,
 		ModelIndex: j.modelIndex, Version: j.firstVersion, LastEvent: j.lastEvent, HeaderSent: j.headerSent,
 	}, j.req.Body)
 	if err != nil {
@@ -107,6 +107,11 @@
 	return true, j.handleForwardedAnswer(ctx, host, sent, answer)
 }
 
+// failedEndpoints returns the endpoints that failed or rejected the request itself.
+func (j *job) failedEndpoints() []string {
+	return slices.DeleteFunc(slices.Clone(j.exclude), func(id string) bool { return slices.Contains(j.unreached, id) })
+}
+
 // handleForwardError handles a host that has not answered.
 func (j *job) handleForwardError(ctx context.Context, host string, err error) *ErrorResponse {
 	var failed *upstream.Error
@@ -375,5 +380,6 @@
 	j.dialFailures++
 	j.unreachable = j.unreachable || !upstream.Refused(err)
 	j.checkFailedDial(sl, err)
+	j.unreached = append(j.unreached, sl.endpoint.ID)
 	j.excludeEndpoint(sl, limiter.OutcomeError)
 }
--- /dev/null
+++ b/relay/forward_test.go
@@ -0,0 +1,209 @@
+package relay_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/corianderlever/corianderlever/forward"
+	"github.com/corianderlever/corianderlever/relay"
+	"github.com/corianderlever/corianderlever/route"
+	"github.com/corianderlever/corianderlever/upstream"
+)
+
+var clusterKey = []byte("0123456789abcdef")
+
+// hostLinks is a relay.Forwarder that reaches the given hosts, and a way to endpoints that
+// can be cut.
+type hostLinks struct {
+	cut    atomic.Bool
+	client *forward.Client
+
+	mu    sync.Mutex
+	hosts []string // addresses
+	asked []string
+}
+
+func (l *hostLinks) Choose(_ string, exclude []string) (string, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, h := range l.hosts {
+		if !slices.Contains(exclude, h) {
+			return h, true
+		}
+	}
+	return "", false
+}
+
+func (l *hostLinks) Forward(ctx context.Context, host string, f relay.Forwarded, body []byte) (*upstream.Response, error) {
+	l.mu.Lock()
+	l.asked = append(l.asked, host)
+	l.mu.Unlock()
+	return l.client.Do(ctx, host, f, body)
+}
+
+func (*hostLinks) Refused(string, string) {}
+
+func (l *hostLinks) forwards() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.asked)
+}
+
+func (l *hostLinks) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if l.cut.Load() {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+	}
+	return new(net.Dialer).DialContext(ctx, network, address)
+}
+
+// newCutRig returns a rig whose links to the endpoints are cut, with those links.
+func newCutRig(t *testing.T, routes ...route.Route) (*rig, *hostLinks) {
+	t.Helper()
+	links := &hostLinks{client: forward.NewClient(forward.ClientOptions{Key: clusterKey, Self: "origin", Clock: clockwork.NewRealClock()})}
+	links.cut.Store(true)
+	t.Cleanup(links.client.Close)
+	r := newRigWith(t, func(o *relay.Options) {
+		client := upstream.DefaultOptions()
+		client.Dial = links.dial
+		o.Client, o.Forwarder = upstream.NewClient(client), links
+	}, routes...)
+	return r, links
+}
+
+// listen lets a rig serve the requests that other hosts forward, after what before does.
+func (r *rig) listen(before http.HandlerFunc) string {
+	r.t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	server := &http.Server{ConnContext: forward.ConnContext, ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
+		req, err := forward.Read(w, hr, 1<<20)
+		var f relay.Forwarded
+		if err == nil {
+			err = json.Unmarshal(req.Message, &f)
+		}
+		if err != nil {
+			r.t.Error(err)
+			return
+		}
+		if before != nil {
+			before(w, hr)
+		}
+		f.Request.Body = req.Body
+		r.relay.ServeForwarded(hr.Context(), w, req.From, f)
+	})}
+	go func() { _ = server.Serve(forward.Listener(ln, clusterKey)) }() // ends with Close
+	r.t.Cleanup(func() { _ = server.Close() })
+	return ln.Addr().String()
+}
+
+// shareEndpoints registers the endpoints of a rig with another one.
+func shareEndpoints(to, from *rig) {
+	for _, e := range from.fleet.Service("s") {
+		to.fleet.Set(e)
+	}
+}
+
+// TestForwardedAnswerCountsAtBothHosts guards against a host that sends requests to an
+// endpoint which said, in an answer that another host had forwarded, that it is leaving.
+func TestForwardedAnswerCountsAtBothHosts(t *testing.T) {
+	origin, links := newCutRig(t, plainRoute(route.Idempotent, 2))
+	helper := newRig(t, plainRoute(route.Idempotent, 2))
+	helper.endpoint("leaving", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Leaving", "1")
+		answer(w, http.StatusOK, "served")
+	})
+	shareEndpoints(origin, helper)
+	links.hosts = []string{helper.listen(nil)}
+	if _, body, err := origin.call("GET", "/p/x"); err != nil || body != "served" {
+		t.Fatalf("got %q, %v; want the forwarded answer", body, err)
+	}
+	links.cut.Store(false)
+	links.hosts = nil
+	time.Sleep(time.Second) // the host notices that its links are back
+	if resp, _, err := origin.call("GET", "/p/x"); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("got %v, %v; want 503, as the only endpoint is leaving", resp, err)
+	}
+	if n := len(helper.arrivals()); n != 1 {
+		t.Errorf("%d requests reached the leaving endpoint, want 1", n)
+	}
+	if n := len(origin.versions.observations()); n != 0 {
+		t.Errorf("the host without links counts %d answers for a roll-out, want 0", n)
+	}
+}
+
+// TestForwardedRequestIsNotForwardedAgain guards against requests that hosts without links
+// send around among themselves, and against a wait for a service that none reaches.
+func TestForwardedRequestIsNotForwardedAgain(t *testing.T) {
+	origin, links := newCutRig(t, plainRoute(route.Idempotent, 2))
+	helper, helperLinks := newCutRig(t, plainRoute(route.Idempotent, 2))
+	helper.endpoint("e", func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, "served") })
+	shareEndpoints(origin, helper)
+	links.hosts = []string{helper.listen(nil)}
+	helperLinks.hosts = []string{origin.listen(nil)}
+	began := time.Now()
+	resp, _, err := origin.call("GET", "/p/x")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("got %v, %v; want 503 with Retry-After", resp, err)
+	}
+	if links.forwards() != 1 || helperLinks.forwards() != 0 {
+		t.Errorf("forwarded %d times and from there %d times, want once and never", links.forwards(), helperLinks.forwards())
+	}
+	t.Logf("rejected after %v", time.Since(began))
+}
+
+// TestLostForwardRunsOnce guards against a request that must run at most once and is sent to
+// another host after one has gone that may have run it.
+func TestLostForwardRunsOnce(t *testing.T) {
+	origin, links := newCutRig(t, plainRoute(route.NonIdempotent, 2))
+	helper := newRig(t, plainRoute(route.NonIdempotent, 2))
+	helper.endpoint("e", func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, "booked") })
+	shareEndpoints(origin, helper)
+	dies := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	links.hosts = []string{helper.listen(dies), helper.listen(nil)}
+	resp, _, err := origin.call("POST", "/p/x")
+	if err != nil || resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("got %v, %v; want 502, since the request may have run", resp, err)
+	}
+	if links.forwards() != 1 {
+		t.Errorf("the request was sent to %d hosts, want 1", links.forwards())
+	}
+}
+
+// TestForwardedStreamIsResumed guards against a stream that misses or repeats events because
+// the host that forwards it is lost on the way.
+func TestForwardedStreamIsResumed(t *testing.T) {
+	origin, links := newCutRig(t, streamRoute(true))
+	helper := newRig(t, streamRoute(true))
+	helper.endpoint("e", func(w http.ResponseWriter, r *http.Request) {
+		last := 0
+		if _, err := fmt.Sscan(r.Header.Get("X-Last-Event"), &last); err != nil {
+			t.Errorf("last event %q", r.Header.Get("X-Last-Event"))
+		}
+		events(w, last+1, 5, false)
+	})
+	shareEndpoints(origin, helper)
+	dies := func(w http.ResponseWriter, _ *http.Request) {
+		for name, value := range map[string]string{"Forward-Outcome": "answered", "Forward-Delivered": "1", "Forward-Runs": "1"} {
+			w.Header().Set(name, value)
+		}
+		events(w, 1, 3, true)
+	}
+	links.hosts = []string{helper.listen(dies), helper.listen(nil)}
+	_, body, err := origin.call("POST", "/p/x")
+	if err != nil || body != eventSeries(1, 5) {
+		t.Errorf("got %q, %v; want the events 1 to 5", body, err)
+	}
+}
--- a/relay/job.go
+++ b/relay/job.go
@@ -60,8 +60,9 @@
 	// route's list.
 	model      string
 	modelIndex int
-	// exclude lists the endpoints that failed or rejected the request.
-	exclude []string
+	// exclude lists the endpoints that failed or rejected the request, unreached those of
+	// them to which this host could not connect. Other hosts may reach these.
+	exclude, unreached []string
 	// delivered counts the attempts that an endpoint has received. possibleRuns
 	// counts the attempts that may have run.
 	delivered, possibleRuns, rejections, dialFailures int
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -135,6 +135,12 @@
 }
 
 func newRig(t *testing.T, routes ...route.Route) *rig {
+	t.Helper()
+	return newRigWith(t, func(*relay.Options) {}, routes...)
+}
+
+// newRigWith returns a rig whose relay has changed options.
+func newRigWith(t *testing.T, change func(*relay.Options), routes ...route.Route) *rig {
 	t.Helper()
 	r := &rig{t: t, config: &configSource{}, versions: &unrestrictedVersions{}, fleet: fleet.NewRegistry(0), log: &bytes.Buffer{}}
 	r.maxKeyAge, r.key = time.Second, "key"
@@ -150,7 +156,7 @@
 	rng := rand.New(rand.NewPCG(1, 2))
 	client := upstream.NewClient(upstream.DefaultOptions())
 	t.Cleanup(client.Close)
-	r.relay = relay.New(relay.Options{
+	opts := relay.Options{
 		Config: r.config, Fleet: r.fleet, Versions: r.versions, Codec: codec{}, Client: client,
 		Settings: func() relay.Settings {
 			return relay.Settings{MaxKeyAge: r.maxKeyAge, Retry: r.retryBudget, Hosts: 1}
@@ -161,7 +167,9 @@
 		Parts:   limiter.NewPartGuard(clockwork.NewRealClock(), slog.New(slog.DiscardHandler), true),
 		Rand:    func() *rand.Rand { return rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())) },
 		Logger:  slog.New(slog.NewTextHandler(&syncWriter{w: r.log}, nil)), Registry: prometheus.NewRegistry(),
-	})
+	}
+	change(&opts)
+	r.relay = relay.New(opts)
 	r.server = httptest.NewServer(http.HandlerFunc(r.serve))
 	t.Cleanup(r.server.Close)
 	return r
