--- a/control/reports.go
+++ b/control/reports.go
@@ -2,6 +2,9 @@
 
 import (
 	"maps"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/corianderlever/corianderlever/rollout"
 )
@@ -14,12 +17,29 @@
 	// ElapsedMS is the time in milliseconds since the order, as measured by this
 	// host. Peers need it because a restarted host has lost the time of the order.
 	ElapsedMS int64 `json:"elapsed_ms"`
+	// Started is the start time of the host's process in Unix nanoseconds; zero in reports of
+	// releases that do not send it. The counts begin anew with each start.
+	Started int64 `json:"started,omitempty"`
 	// Tallies are the host's own answer counts by version.
 	Tallies map[string]rollout.Tally `json:"tallies,omitempty"`
 	// Routes are the host's own answer counts by route.
 	Routes map[string]RouteTally `json:"routes,omitempty"`
 }
 
+// source is one process that counts answers.
+type source struct {
+	host    string
+	started int64
+}
+
+// key returns the key of the source in digests.
+func (s source) key() uint32 {
+	if s.started == 0 {
+		return uint32(xxhash.Sum64String(s.host))
+	}
+	return uint32(xxhash.Sum64String(s.host + "/" + strconv.FormatInt(s.started, 10)))
+}
+
 // Reports returns this host's reports for its peers, by service.
 func (r *Rollouts) Reports() map[string]Report {
 	r.mu.Lock()
@@ -28,7 +48,7 @@
 	for name, s := range r.services {
 		if s.hasOrder {
 			out[name] = Report{
-				Order: s.order.Revision, Step: s.step, ElapsedMS: s.elapsed(r.clock.Now()).Milliseconds(),
+				Order: s.order.Revision, Started: r.self.started, Step: s.step, ElapsedMS: s.elapsed(r.clock.Now()).Milliseconds(),
 				Tallies: maps.Clone(s.ownTallies), Routes: s.routes.report(),
 			}
 		}
@@ -45,9 +65,10 @@
 		r.mergeStep(name, s, e.Step, host)
 		if s.hasOrder && e.Order == s.order.Revision {
 			s.raiseElapsed(e.ElapsedMS, r.clock.Now())
-			s.mergePeerTallies(host, e.Tallies)
-			s.routes.merge(host, e.Routes)
-			s.mergeCanaryTally(hostKey(host), e.Tallies[s.order.Target])
+			from := source{host: host, started: e.Started}
+			s.mergePeerTallies(from, e.Tallies)
+			s.routes.merge(from, e.Routes)
+			s.mergeCanaryTally(from.key(), e.Tallies[s.order.Target])
 			r.evaluateTarget(name, s)
 		}
 	}
@@ -55,8 +76,8 @@
 
 // tallies returns the answer counts of the target from all hosts, and of the
 // other versions from this host and those that report to it directly.
-func (s *service) tallies(self string) (target, baseline rollout.Tally) {
-	s.mergeCanaryTally(hostKey(self), s.ownTallies[s.order.Target])
+func (s *service) tallies(self source) (target, baseline rollout.Tally) {
+	s.mergeCanaryTally(self.key(), s.ownTallies[s.order.Target])
 	for _, t := range s.canaryTallies {
 		target = target.Add(t)
 	}
@@ -81,24 +102,26 @@
 	for _, t := range s.ownTallies {
 		sum += t.Requests()
 	}
-	for _, tallies := range s.peerTallies {
+	reported := make(map[string]bool)
+	for from, tallies := range s.peerTallies {
+		reported[from.host] = true
 		for _, t := range tallies {
 			sum += t.Requests()
 		}
 	}
-	reporting := 1 + len(s.peerTallies)
+	reporting := 1 + len(reported)
 	return float64(sum) * float64(max(hosts, reporting)) / float64(reporting)
 }
 
 // mergePeerTallies keeps the higher of the known and the reported counts of a
-// host. Its counts only rise, so an older report changes nothing.
-func (s *service) mergePeerTallies(host string, tallies map[string]rollout.Tally) {
-	known := maps.Clone(s.peerTallies[host])
+// source. Its counts only rise, so an older report changes nothing.
+func (s *service) mergePeerTallies(from source, tallies map[string]rollout.Tally) {
+	known := maps.Clone(s.peerTallies[from])
 	if known == nil {
 		known = make(map[string]rollout.Tally)
 	}
 	for version, t := range tallies {
 		known[version] = known[version].Max(t)
 	}
-	s.peerTallies[host] = known
+	s.peerTallies[from] = known
 }
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -56,8 +56,8 @@
 	// targetWorse is set once this host finds the target worse than the baseline.
 	targetWorse   bool
 	ownTallies    map[string]rollout.Tally            // by version, since the order
-	peerTallies   map[string]map[string]rollout.Tally // by host and version
-	canaryTallies map[uint32]rollout.Tally            // of the target, by host key
+	peerTallies   map[source]map[string]rollout.Tally // by source and version
+	canaryTallies map[uint32]rollout.Tally            // of the target, by source key
 	routes        routeTallies
 	latency       *latencyBaseline
 	routeLatency  *routeBaseline
@@ -71,7 +71,7 @@
 // Rollouts chooses the version of a service for each request and counts good and
 // bad answers per version. It is safe for concurrent use.
 type Rollouts struct {
-	self  string
+	self  source
 	fleet *fleet.Registry
 	// stage returns the settings of the stages.
 	stage func() rollout.StageConfig
@@ -86,7 +86,8 @@
 
 // NewRollouts returns the roll-outs at the host named self, without orders.
 func NewRollouts(self string, registry *fleet.Registry, stage func() rollout.StageConfig, hosts func() int, clock clockwork.Clock, log *slog.Logger) *Rollouts {
-	return &Rollouts{self: self, fleet: registry, stage: stage, hosts: hosts, clock: clock, log: log, services: make(map[string]*service)}
+	own := source{host: self, started: clock.Now().UnixNano()}
+	return &Rollouts{self: own, fleet: registry, stage: stage, hosts: hosts, clock: clock, log: log, services: make(map[string]*service)}
 }
 
 // service returns the state of a service and creates it if needed. The caller holds
@@ -104,7 +105,7 @@
 // reset discards the counts and the verdict of the previous order.
 func (s *service) reset() {
 	s.ownTallies = make(map[string]rollout.Tally)
-	s.peerTallies = make(map[string]map[string]rollout.Tally)
+	s.peerTallies = make(map[source]map[string]rollout.Tally)
 	s.canaryTallies = make(map[uint32]rollout.Tally)
 	s.routes = newRouteTallies()
 	s.targetWorse = false
--- a/control/rollouts_test.go
+++ b/control/rollouts_test.go
@@ -350,3 +350,32 @@
 		}
 	})
 }
+
+// TestAnswersBeforeAndAfterARestartCount guards against a bad version that stays in use, and
+// against requests that do not count towards its exposure, because a host that has
+// restarted counts anew and its counts stay below those from before for a while.
+func TestAnswersBeforeAndAfterARestartCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t, 2)
+		revision := tc.store.Put("op/rollout/s", []byte(order))
+		tc.sync()
+		observer := tc.hosts[0].rollouts
+		observer.MergeStep("s", control.Step{Order: revision, Target: "v2", State: rollout.OrderRunning, Share: 0.5}, hostName(1))
+		for range 2 {
+			for range 20 {
+				tc.hosts[1].rollouts.Observe("s", "v1", rollout.Observation{})
+			}
+			for range 3 {
+				tc.hosts[1].rollouts.Observe("s", "v2", rollout.Observation{Bad: true})
+			}
+			tc.gossip()
+			time.Sleep(time.Second)
+			restarted := newTestCluster(t, 2).hosts[1]
+			tc.hosts[1] = restarted
+			tc.sync()
+		}
+		if got := observer.Pick("s", 0.1); got != "v1" {
+			t.Errorf("uses %s after six bad answers of a host that has restarted, want v1", got)
+		}
+	})
+}
--- a/control/routetallies.go
+++ b/control/routetallies.go
@@ -30,11 +30,11 @@
 type routeTallies struct {
 	own map[string]RouteTally
 	// peers holds the counts of the hosts that report to this one.
-	peers map[string]map[string]RouteTally
+	peers map[source]map[string]RouteTally
 }
 
 func newRouteTallies() routeTallies {
-	return routeTallies{own: make(map[string]RouteTally), peers: make(map[string]map[string]RouteTally)}
+	return routeTallies{own: make(map[string]RouteTally), peers: make(map[source]map[string]RouteTally)}
 }
 
 // count adds one answer at this host.
@@ -63,12 +63,12 @@
 	return out
 }
 
-// merge keeps the higher of the known and the reported counts of a host.
-func (r routeTallies) merge(host string, reported map[string]RouteTally) {
-	known := r.peers[host]
+// merge keeps the higher of the known and the reported counts of a source.
+func (r routeTallies) merge(from source, reported map[string]RouteTally) {
+	known := r.peers[from]
 	if known == nil {
 		known = make(map[string]RouteTally)
-		r.peers[host] = known
+		r.peers[from] = known
 	}
 	for route, t := range reported {
 		known[route] = known[route].max(t)
--- a/control/trials.go
+++ b/control/trials.go
@@ -3,15 +3,13 @@
 import (
 	"encoding/binary"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/corianderlever/corianderlever/rollout"
 )
 
 const (
 	// digestHeaderBytes is the size of a digest's header, the order's revision.
 	digestHeaderBytes = 8
-	// digestEntryBytes is the size of an entry: the host key in four bytes, then
+	// digestEntryBytes is the size of an entry: the key of the source in four bytes, then
 	// one byte each for its good, its bad and its slow answers.
 	digestEntryBytes = 7
 	// maxDigestBytes keeps a service's digest, which JSON encodes in base64, within 512
@@ -21,12 +19,10 @@
 	maxDigestCount = 255
 )
 
-func hostKey(host string) uint32 { return uint32(xxhash.Sum64String(host)) }
-
 // CanaryTallies returns, by service, a digest of the target's answer counts by
-// host: this host's own and those received from peers. They are forwarded because
+// source: this host's own and those received from peers. They are forwarded because
 // a canary gets few answers, spread over hosts that exchange no direct messages.
-// A host's counts only rise, so they may arrive over several paths.
+// The counts of a source only rise, so they may arrive over several paths.
 func (r *Rollouts) CanaryTallies() map[string][]byte {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -35,7 +31,7 @@
 		if !s.hasOrder || isFinal(s.current().State) {
 			continue
 		}
-		s.mergeCanaryTally(hostKey(r.self), s.ownTallies[s.order.Target])
+		s.mergeCanaryTally(r.self.key(), s.ownTallies[s.order.Target])
 		digest := binary.BigEndian.AppendUint64(nil, uint64(s.order.Revision))
 		for key, t := range s.canaryTallies { // random start, so that repeated digests cover all hosts
 			if len(digest)+digestEntryBytes > maxDigestBytes {
@@ -71,7 +67,7 @@
 	}
 }
 
-// mergeCanaryTally keeps the higher of the known and the given counts of a host.
+// mergeCanaryTally keeps the higher of the known and the given counts of a source.
 func (s *service) mergeCanaryTally(key uint32, t rollout.Tally) {
 	if t == (rollout.Tally{}) {
 		return
