--- a/rollout/stage.go
+++ b/rollout/stage.go
@@ -219,7 +219,11 @@
 	if wanted > next.Share && cond.CapacityRatio >= min(wanted, fullTrafficCapacityRatio) {
 		next.Share = wanted
 	}
-	if share >= 1 && completes(o, elapsed) {
+	switch {
+	case share < 1 || !completes(o, elapsed):
+	case looksWorse(target, baseline):
+		return Decision{State: OrderReverted, Reason: "target looks worse at its deadline"}
+	default:
 		next.State, next.Reason = OrderDone, "target is as good"
 	}
 	return next
--- a/rollout/stage_test.go
+++ b/rollout/stage_test.go
@@ -231,3 +231,15 @@
 		t.Errorf("one of 25 answers slow: %v, want done", d.State)
 	}
 }
+
+// TestDoubtfulTargetIsNotCompleted guards against a bad version that is declared done, because
+// it has had too few answers by its deadline to be sure of what they suggest.
+func TestDoubtfulTargetIsNotCompleted(t *testing.T) {
+	o := rollout.Order{Service: "s", Target: "v2", TimeLimit: 15 * time.Second, Revision: 1}
+	config := rollout.StageConfig{ExposureShare: 0.15, ExposureTolerance: exposureExtra}
+	target, baseline := rollout.Tally{Good: 14, Bad: 3, Slow: 3}, rollout.Tally{Good: 322, Bad: 37, Slow: 11}
+	d := config.Advance(o, 14500*time.Millisecond, 1, target, baseline, rollout.Conditions{CapacityRatio: 1, RequestRate: 27})
+	if d.State != rollout.OrderReverted {
+		t.Errorf("6 of 20 answers bad or slow, 48 of 370 of the other versions: %v, want reverted", d.State)
+	}
+}
