--- a/daemon/demo/cluster.go
+++ b/daemon/demo/cluster.go
@@ -17,6 +17,7 @@
 	"github.com/corianderlever/corianderlever/client"
 	"github.com/corianderlever/corianderlever/config"
 	"github.com/corianderlever/corianderlever/daemon"
+	"github.com/corianderlever/corianderlever/internal/loopback"
 	"github.com/corianderlever/corianderlever/kv"
 	"github.com/corianderlever/corianderlever/kv/httpkv"
 	"github.com/corianderlever/corianderlever/kv/memkv"
@@ -111,15 +112,6 @@
 	return nil
 }
 
-// freeAddress returns a loopback address that is free at the time of the call.
-func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "demo: find a port")
-	}
-	return ln.Addr().String(), errors.Wrap(ln.Close(), "demo: find a port")
-}
-
 // HostSettings returns the settings of the i-th host of a deployment.
 func (c *Cluster) HostSettings(i int) (config.Settings, error) {
 	s := config.Default()
@@ -133,14 +125,15 @@
 	if len(c.Endpoints.Engines) > 0 {
 		s.Platform.Rating = "http://" + c.Endpoints.Engines[0].Addr()
 	}
+	ip := loopback.IP()
 	var err error
-	if s.Listen.Entry, err = freeAddress(); err != nil {
+	if s.Listen.Entry, err = loopback.FreeAddress(ip); err != nil {
 		return s, err
 	}
 	if i == 0 && c.opts.EntryAddress != "" {
 		s.Listen.Entry = c.opts.EntryAddress
 	}
-	if s.Listen.Peer, err = freeAddress(); err != nil {
+	if s.Listen.Peer, err = loopback.FreeAddress(ip); err != nil {
 		return s, err
 	}
 	for _, other := range c.Settings {
--- a/internal/proctest/cluster.go
+++ b/internal/proctest/cluster.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -102,12 +101,6 @@
 			return nil, err
 		}
 		out[i].Drain.EntryTTL = resource.Duration(entryTTL)
-		if out[i].Listen.Entry, err = hostAddress(i); err != nil {
-			return nil, err
-		}
-		if out[i].Listen.Peer, err = hostAddress(i); err != nil {
-			return nil, err
-		}
 	}
 	for i := range out {
 		for j := range out {
@@ -119,17 +112,6 @@
 	return out, nil
 }
 
-// hostAddress returns an address with a free port for the i-th host. Each host
-// has its own loopback address, so that no outgoing connection takes the port
-// while the host is down.
-func hostAddress(i int) (string, error) {
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.0.1.%d:0", i+1))
-	if err != nil {
-		return "", errors.Wrap(err, "proctest: find a port")
-	}
-	return ln.Addr().String(), errors.Wrap(ln.Close(), "proctest: find a port")
-}
-
 // Seeds returns the entry addresses of all hosts.
 func (c *Cluster) Seeds() []string {
 	var out []string
