--- a/relay/crash.go
+++ b/relay/crash.go
@@ -82,12 +82,13 @@
 	sl.investigated, sl.observed = true, sl.observed || blame
 	go func() {
 		found := j.pool.paths.investigate(sl.endpoint)
-		if found == endpointDown {
+		crashed := j.pool.paths.crashed(sl.endpoint, found)
+		if crashed {
 			j.logCrash(sl)
 			j.relay.Crashes.RecordCrash(sl.endpoint.ID, []limiter.Hash{j.hash})
 			j.relay.Parts.RecordCrash(endpointStart(sl.endpoint))
 		}
-		if found != linksDown && blame {
+		if blame && (crashed || found == endpointAccepts) {
 			j.relay.Versions.Observe(j.pool.service, sl.endpoint.Version, observation)
 		}
 	}()
@@ -131,7 +132,7 @@
 		return
 	}
 	j.relay.Clock.AfterFunc(droppedCheckDelay, func() {
-		if j.pool.paths.investigate(sl.endpoint) != endpointDown {
+		if !j.pool.paths.crashed(sl.endpoint, j.pool.paths.investigate(sl.endpoint)) {
 			return
 		}
 		j.logCrash(sl)
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -25,6 +25,11 @@
 	// whether its endpoint can be reached; minEnginePatience is that of model engines.
 	minPatience       = 300 * time.Millisecond
 	minEnginePatience = time.Second
+	// silentCheckInterval is the time between two checks of an endpoint that is silent, and
+	// silentChecks their number. An endpoint that has crashed is back, or no longer
+	// registered, after some seconds.
+	silentCheckInterval = time.Second
+	silentChecks        = 10
 	// silentTime is the time without a byte after which an attempt is given up if its
 	// service is lost.
 	silentTime = time.Second
@@ -150,8 +155,12 @@
 const (
 	// endpointAccepts means that only a connection was lost.
 	endpointAccepts verdict = iota
-	// endpointDown means that the endpoint accepts no connections and others do.
+	// endpointDown means that the endpoint refuses connections and others accept them.
 	endpointDown
+	// endpointSilent means that the endpoint does not answer to a connection attempt and
+	// others accept them. It has crashed with its machine, or only this host has lost the
+	// path to it.
+	endpointSilent
 	// linksDown means that this host cannot connect to others either.
 	linksDown
 )
@@ -160,17 +169,40 @@
 // this host are at fault.
 func (ps *paths) investigate(e fleet.Endpoint) verdict {
 	err := ps.dial(e)
-	switch {
-	case err == nil:
+	if err == nil {
 		return endpointAccepts
-	case ps.othersAccept(e):
+	}
+	others, refused := ps.othersAccept(e), upstream.Refused(err)
+	switch {
+	case others && refused:
 		return endpointDown
-	case upstream.Refused(err) && len(ps.reach.Witnesses(e.ID, 1, 0)) == 0:
+	case others:
+		return endpointSilent
+	case refused && len(ps.reach.Witnesses(e.ID, 1, 0)) == 0:
 		return endpointDown // there is no other endpoint to compare with
 	}
 	return linksDown
 }
 
+// crashed reports whether an endpoint has crashed according to an investigation. If the
+// endpoint was silent, it waits until the endpoint refuses connections, has started anew or
+// is gone. One that accepts connections again, or stays silent, has not crashed as far as
+// this host knows.
+func (ps *paths) crashed(e fleet.Endpoint, found verdict) bool {
+	for range silentChecks {
+		if found != endpointSilent {
+			break
+		}
+		ps.pool.relay.Clock.Sleep(silentCheckInterval)
+		now, ok := ps.pool.relay.Fleet.Endpoint(e.ID)
+		if !ok || now.Started != e.Started {
+			return true
+		}
+		found = ps.investigate(e)
+	}
+	return found == endpointDown
+}
+
 // othersAccept reports whether endpoints other than one that has failed accept connections
 // from this host. Calls within checkInterval share the result.
 func (ps *paths) othersAccept(failed fleet.Endpoint) bool {
--- /dev/null
+++ b/relay/silentpath_test.go
@@ -0,0 +1,80 @@
+package relay_test
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/corianderlever/corianderlever/relay"
+	"github.com/corianderlever/corianderlever/rollout"
+	"github.com/corianderlever/corianderlever/route"
+	"github.com/corianderlever/corianderlever/upstream"
+)
+
+// lockedLog collects log lines.
+type lockedLog struct {
+	mu  sync.Mutex
+	buf strings.Builder
+}
+
+func (l *lockedLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+func (l *lockedLog) contains(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.buf.String(), text)
+}
+
+// TestSilentPathToOneEndpointIsNoCrash guards against a request that is held responsible for
+// the crash of an endpoint to which only this host has lost the path, and against a crash
+// that is not noticed because the endpoint's machine fell silent.
+func TestSilentPathToOneEndpointIsNoCrash(t *testing.T) {
+	var silent atomic.Pointer[string]
+	var log lockedLog
+	r := newRigWith(t, func(o *relay.Options) {
+		client := upstream.DefaultOptions()
+		client.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if a := silent.Load(); a != nil && *a == address {
+				<-ctx.Done()
+				return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+			}
+			return new(net.Dialer).DialContext(ctx, network, address)
+		}
+		o.Client, o.Logger = upstream.NewClient(client), slog.New(slog.NewTextHandler(&log, nil))
+	}, plainRoute(route.NonIdempotent, 1))
+	r.endpoint("sound", func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, "served") })
+	r.endpoint("cut", func(w http.ResponseWriter, hr *http.Request) {
+		address := hr.Context().Value(http.LocalAddrContextKey).(net.Addr).String()
+		silent.Store(&address)
+		dropConnection(w, hr)
+	})
+	for silent.Load() == nil {
+		if _, _, err := r.call("POST", "/p/x"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	logged := func() bool { return log.contains("endpoint crashed while running a request") }
+	time.Sleep(2500 * time.Millisecond)
+	if logged() || slices.ContainsFunc(r.versions.observations(), func(o rollout.Observation) bool { return o.Bad }) {
+		t.Error("a path that has gone silent counts as a crash of the endpoint, or against its version")
+	}
+	e, _ := r.fleet.Endpoint("cut")
+	e.Started, e.Revision = 7, e.Revision+10
+	r.fleet.Set(e)
+	for end := time.Now().Add(5 * time.Second); !logged(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the start of an endpoint that was silent does not show its crash")
+		}
+	}
+}
