--- a/daemon/router/forward.go
+++ b/daemon/router/forward.go
@@ -8,7 +8,10 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/corianderlever/corianderlever/forward"
+	"github.com/corianderlever/corianderlever/limiter"
 	"github.com/corianderlever/corianderlever/membership"
 	"github.com/corianderlever/corianderlever/relay"
 	"github.com/corianderlever/corianderlever/upstream"
@@ -92,7 +95,12 @@
 // serve answers the requests that other hosts forward.
 func (f *forwarding) serve(w http.ResponseWriter, r *http.Request) {
 	h := f.host
-	req, err := forward.Read(w, r, h.MaxBodyBytes()+maxForwardMessageBytes)
+	req, err := forward.Read(w, r, h.buffers, h.MaxBodyBytes()+maxForwardMessageBytes)
+	defer req.Release()
+	if errors.Is(err, limiter.ErrBufferFull) {
+		relay.RejectForwarded(w, relay.ReasonBuffersFull)
+		return
+	}
 	var message relay.Forwarded
 	if err == nil {
 		err = json.Unmarshal(req.Message, &message)
@@ -103,7 +111,7 @@
 		return
 	}
 	if !h.Accepting(message.TimeLeft) {
-		relay.RejectStopping(w)
+		relay.RejectForwarded(w, relay.ReasonStopping)
 		return
 	}
 	message.Request.Body = req.Body
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -3,10 +3,8 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/corianderlever/corianderlever/limiter"
 	"github.com/corianderlever/corianderlever/peer"
 	"github.com/corianderlever/corianderlever/upstream"
 )
@@ -92,8 +91,13 @@
 	// Message is what the host says about it, in JSON.
 	Message json.RawMessage
 	Body    []byte
+
+	buffer limiter.Buffer
 }
 
+// Release returns the memory of the request to its budget.
+func (r *Request) Release() { r.buffer.Release() }
+
 type connKey struct{}
 
 // ConnContext adds the connection to the context of its requests. It must be the
@@ -102,22 +106,25 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// Read reads a request of at most maxBytes and confirms its receipt.
-func Read(w http.ResponseWriter, r *http.Request, maxBytes int64) (Request, error) {
+// Read reads a request of at most maxBytes into a budget of memory and confirms its receipt.
+// The request must be released, also after an error.
+func Read(w http.ResponseWriter, r *http.Request, buffers *limiter.ByteBudget, maxBytes int64) (Request, error) {
 	conn, ok := r.Context().Value(connKey{}).(*peer.SecureConn)
 	if !ok || r.URL.Path != path {
 		return Request{}, errors.Wrapf(ErrMalformed, "path %q", r.URL.Path)
 	}
 	w.WriteHeader(http.StatusProcessing)
-	var data bytes.Buffer
-	if _, err := io.Copy(&data, http.MaxBytesReader(w, r.Body, maxBytes)); err != nil {
-		return Request{}, errors.Mark(err, ErrMalformed)
+	buffer, err := buffers.Read(http.MaxBytesReader(w, r.Body, maxBytes), maxBytes, r.ContentLength)
+	req := Request{From: conn.From(), buffer: buffer}
+	if err != nil {
+		return req, errors.Wrap(err, "forward: read request")
 	}
 	n, err := strconv.Atoi(r.Header.Get(headerMessageBytes))
-	if err != nil || n < 0 || n > data.Len() {
-		return Request{}, errors.Wrapf(ErrMalformed, "message of %q bytes", r.Header.Get(headerMessageBytes))
+	if err != nil || n < 0 || n > len(buffer.Data) {
+		return req, errors.Wrapf(ErrMalformed, "message of %q bytes", r.Header.Get(headerMessageBytes))
 	}
-	return Request{From: conn.From(), Message: data.Bytes()[:n], Body: data.Bytes()[n:]}, nil
+	req.Message, req.Body = buffer.Data[:n], buffer.Data[n:]
+	return req, nil
 }
 
 // Listener returns a listener for an http.Server that takes only hosts with the key.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -15,6 +15,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/corianderlever/corianderlever/forward"
+	"github.com/corianderlever/corianderlever/limiter"
 	"github.com/corianderlever/corianderlever/upstream"
 )
 
@@ -46,7 +47,7 @@
 	body := strings.Repeat("0123456789", 20_000)
 	goOn := make(chan struct{})
 	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
-		req, err := forward.Read(w, r, 1<<20)
+		req, err := forward.Read(w, r, limiter.NewByteBudget(1<<20), 1<<20)
 		if err != nil {
 			t.Error(err)
 		}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -220,15 +220,21 @@
 
 // reasonsOfHost are the reasons of error responses that lie with the host that gives them.
 var reasonsOfHost = []string{
-	reasonUnreachable, reasonStopping, reasonFull, "endpoint_unreachable", "no_configuration", "no_service", "outdated_configuration", "stale_configuration", "buffers_full",
+	reasonUnreachable, ReasonStopping, ReasonBuffersFull, reasonFull, "endpoint_unreachable", "no_configuration", "no_service", "outdated_configuration",
+	"stale_configuration",
 }
 
 // reasonFull is the reason of an error response if this host uses its whole share of the
 // endpoints.
 const reasonFull = "endpoints_full"
 
-// reasonStopping is the reason of the error response of a host that is stopping.
-const reasonStopping = "stopping"
+// Reasons for which a host rejects a forwarded request before it looks at it.
+const (
+	// ReasonStopping is that of a host that is stopping.
+	ReasonStopping = "stopping"
+	// ReasonBuffersFull is that of a host whose buffers are full.
+	ReasonBuffersFull = "buffers_full"
+)
 
 // handleLostForward handles an answer of a host that is incomplete or cannot be used.
 func (j *job) handleLostForward(ctx context.Context, host, reason, detail string) *ErrorResponse {
@@ -303,9 +309,6 @@
 	(&ErrorResponse{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: shortRetryAfter}).Write(w)
 }
 
-// RejectStopping answers a forwarded request at a host that is stopping.
-func RejectStopping(w http.ResponseWriter) { RejectForwarded(w, reasonStopping) }
-
 // chooseIdle picks an endpoint with an open connection, while new ones cannot be opened.
 // It returns false if there is none or the open connections are silent, too.
 func (j *job) chooseIdle() (*slot, bool) {
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -16,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/corianderlever/corianderlever/forward"
+	"github.com/corianderlever/corianderlever/limiter"
 	"github.com/corianderlever/corianderlever/relay"
 	"github.com/corianderlever/corianderlever/route"
 	"github.com/corianderlever/corianderlever/upstream"
@@ -89,7 +90,7 @@
 		r.t.Fatal(err)
 	}
 	server := &http.Server{ConnContext: forward.ConnContext, ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
-		req, err := forward.Read(w, hr, 1<<20)
+		req, err := forward.Read(w, hr, limiter.NewByteBudget(1<<20), 1<<20)
 		var f relay.Forwarded
 		if err == nil {
 			err = json.Unmarshal(req.Message, &f)
