--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"io"
 	"maps"
@@ -86,24 +85,6 @@
 	return answer, nil
 }
 
-// choose picks an endpoint of the request's version. A request that may run on
-// any version prefers the version of its first endpoint: a roll-out may begin
-// while the request is in flight, and its session then counts as one of the old
-// version. If the preferred version has no endpoint, choose falls back to any
-// version, except for a request with a version that has already excluded an endpoint,
-// or whose endpoints may only have reached their rate limits.
-func (j *job) choose() (*slot, error) {
-	anyVersionAllowed := j.version == "" || len(j.exclude) == 0 && j.pool.shortestDenial() == 0
-	sl, err := j.pool.choose(j, cmp.Or(j.version, j.firstVersion))
-	if err != nil && anyVersionAllowed {
-		sl, err = j.pool.choose(j, anyVersion)
-	}
-	if err == nil && j.firstVersion == "" {
-		j.firstVersion = sl.endpoint.Version
-	}
-	return sl, err
-}
-
 // maxDenials is the number of endpoints at their rate limits after which a request is
 // rejected.
 const maxDenials = 4
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -10,7 +9,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/corianderlever/corianderlever/limiter"
 	"github.com/corianderlever/corianderlever/upstream"
 )
 
@@ -70,21 +68,8 @@
 	// maxForwardedDialFailures is the number of unreachable endpoints after which a host
 	// gives a forwarded request back.
 	maxForwardedDialFailures = 2
-	// maxOwnDialFailures is the number of endpoints that refuse connections after which a
-	// request is forwarded.
-	maxOwnDialFailures = 2
 )
 
-// reasonUnreachable is the reason of an error response if this host reaches no endpoint of
-// the service.
-const reasonUnreachable = "service_unreachable"
-
-// mustForward reports whether the request has to be served by another host, because this
-// one cannot connect to the endpoints of its service.
-func (j *job) mustForward() bool {
-	return j.unreachable || j.dialFailures >= maxOwnDialFailures || j.pool.paths.reach.Lost()
-}
-
 // forward lets another host serve the request. It returns false if no host can.
 func (j *job) forward(ctx context.Context) (forwarded bool, errResp *ErrorResponse) {
 	if j.from != "" || j.relay.Forwarder == nil || j.forwards >= maxForwards {
@@ -270,119 +255,3 @@
 		}
 	}
 }
-
-// ServeForwarded answers a request that another host has forwarded to this one. It never
-// forwards the request again. ctx must end when the host that forwards it disconnects.
-func (r *Relay) ServeForwarded(ctx context.Context, w http.ResponseWriter, from string, f Forwarded) {
-	now := r.Clock.Now()
-	f.Request.Timeout = max(time.Millisecond, f.TimeLeft)
-	j := &job{
-		relay: r, req: f.Request, w: w, arrived: now, lastEvent: f.LastEvent, from: from, exclude: f.Exclude,
-		delivered: f.Delivered, possibleRuns: f.Runs, deliveredBefore: f.Delivered, runsBefore: f.Runs,
-		firstVersion: f.Version, modelIndex: f.ModelIndex, headerSentBefore: f.HeaderSent,
-	}
-	errResp := j.run(ctx)
-	j.finish(ctx, errResp)
-}
-
-// markAnswer adds what the host needs to know that forwarded the request; it must be called
-// before the header of the answer is sent.
-func (j *job) markAnswer(outcome, detail string) {
-	if j.from == "" {
-		return
-	}
-	const maxDetailBytes = 256
-	h := j.w.Header()
-	h.Set(headerOutcome, outcome)
-	h.Set(headerDetail, detail[:min(len(detail), maxDetailBytes)])
-	h.Set(headerEndpoint, j.endpoint)
-	h.Set(headerDelivered, strconv.Itoa(j.delivered-j.deliveredBefore))
-	h.Set(headerRuns, strconv.Itoa(j.possibleRuns-j.runsBefore))
-}
-
-// RejectForwarded answers a forwarded request that this host does not take.
-func RejectForwarded(w http.ResponseWriter, reason string) {
-	h := w.Header()
-	h.Set(headerOutcome, reason)
-	h.Set(headerDelivered, "0")
-	h.Set(headerRuns, "0")
-	(&ErrorResponse{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: shortRetryAfter}).Write(w)
-}
-
-// chooseIdle picks an endpoint with an open connection, while new ones cannot be opened.
-// It returns false if there is none or the open connections are silent, too.
-func (j *job) chooseIdle() (*slot, bool) {
-	if !j.pool.paths.answeredWithin(silentTime) {
-		return nil, false
-	}
-	exclude := j.exclude
-	defer func() { j.exclude = exclude }()
-	for _, e := range j.relay.Fleet.Service(j.pool.service) {
-		if !j.relay.Client.HasIdle(e.Address) {
-			j.exclude = append(slices.Clip(j.exclude), e.ID)
-		}
-	}
-	sl, err := j.choose()
-	return sl, err == nil
-}
-
-// chooseReachable picks an endpoint for the request, or lets another host serve it. It
-// returns no endpoint if the request has been handled.
-func (j *job) chooseReachable(ctx context.Context) (*slot, *ErrorResponse) {
-	if !j.mustForward() {
-		return j.chooseOwn()
-	}
-	lost := j.pool.paths.reach.Lost()
-	if lost && !j.unreachable && j.dialFailures == 0 {
-		if sl, ok := j.chooseIdle(); ok {
-			return sl, nil
-		}
-	}
-	if forwarded, errResp := j.forward(ctx); forwarded {
-		return nil, errResp
-	}
-	if lost {
-		return j.chooseUntried()
-	}
-	return j.chooseOwn()
-}
-
-// chooseUntried picks an endpoint that has not refused a connection lately. If all have, the
-// request is rejected at once.
-func (j *job) chooseUntried() (*slot, *ErrorResponse) {
-	exclude := j.exclude
-	defer func() { j.exclude = exclude }()
-	j.exclude = slices.AppendSeq(slices.Clone(exclude), maps.Keys(j.pool.paths.reach.Avoided()))
-	sl, err := j.choose()
-	if err != nil {
-		j.addStep("none")
-		return nil, j.giveUp(reasonUnreachable, "no host reaches an endpoint", lostCheckInterval)
-	}
-	return sl, nil
-}
-
-// chooseOwn picks an endpoint for the request.
-func (j *job) chooseOwn() (*slot, *ErrorResponse) {
-	sl, err := j.choose()
-	if err == nil {
-		return sl, nil
-	}
-	j.addStep("none")
-	if j.pool.shares.Active() {
-		return nil, j.giveUp(reasonFull, "this host's share of the endpoints is in use", shortRetryAfter)
-	}
-	if wait := j.pool.shortestDenial(); wait > 0 {
-		return nil, j.giveUp("endpoints_limited", err.Error(), wait)
-	}
-	return nil, j.giveUp("no_endpoint", err.Error(), shortRetryAfter)
-}
-
-// noteDialFailure records that the job could not connect to an endpoint. After one that did
-// not even refuse, it does not try a further one.
-func (j *job) noteDialFailure(sl *slot, err error) {
-	j.dialFailures++
-	j.unreachable = j.unreachable || !upstream.Refused(err)
-	j.checkFailedDial(sl, err)
-	j.unreached = append(j.unreached, sl.endpoint.ID)
-	j.excludeEndpoint(sl, limiter.OutcomeError)
-}
