--- a/relay/serveforwarded.go
+++ b/relay/serveforwarded.go
@@ -44,4 +44,3 @@
 	h.Set(headerRuns, "0")
 	(&ErrorResponse{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: shortRetryAfter}).Write(w)
 }
-
