--- a/limiter/slotshare.go
+++ b/limiter/slotshare.go
@@ -25,8 +25,21 @@
 	// brittle is when an endpoint last said that it is brittle; zero if it has ended.
 	brittle time.Time
 	running map[string]int
+	// shares holds the shares of this host among the hosts of known, as of knownAt.
+	shares  map[endpointSlots]int
+	known   []string
+	knownAt time.Time
 }
 
+// endpointSlots is an endpoint with its number of slots.
+type endpointSlots struct {
+	endpoint string
+	slots    int
+}
+
+// hostsInterval is the time between two looks at the list of hosts.
+const hostsInterval = 250 * time.Millisecond
+
 // NewSlotShares returns shares of the host self. hosts returns the hosts that may be alive,
 // this one included.
 func NewSlotShares(clock clockwork.Clock, self string, hosts func() []string) *SlotShares {
@@ -58,7 +71,7 @@
 func (s *SlotShares) TryStart(endpoint string, slots int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.active() && s.running[endpoint] >= SlotShare(s.self, s.hosts(), endpoint, slots) {
+	if s.active() && s.running[endpoint] >= s.share(endpoint, slots) {
 		return false
 	}
 	s.running[endpoint]++
@@ -82,16 +95,34 @@
 	if !s.active() {
 		return nil
 	}
-	hosts := s.hosts()
 	var full []string
 	for endpoint, n := range slots {
-		if s.running[endpoint] >= SlotShare(s.self, hosts, endpoint, n) {
+		if s.running[endpoint] >= s.share(endpoint, n) {
 			full = append(full, endpoint)
 		}
 	}
 	return full
 }
 
+// share returns the number of slots of an endpoint that this host may use. The caller holds
+// the lock.
+func (s *SlotShares) share(endpoint string, slots int) int {
+	if now := s.clock.Now(); s.shares == nil || now.Sub(s.knownAt) >= hostsInterval {
+		hosts := s.hosts()
+		if s.shares == nil || !slices.Equal(hosts, s.known) {
+			s.shares, s.known = make(map[endpointSlots]int), hosts
+		}
+		s.knownAt = now
+	}
+	key := endpointSlots{endpoint, slots}
+	share, ok := s.shares[key]
+	if !ok {
+		share = SlotShare(s.self, s.known, endpoint, slots)
+		s.shares[key] = share
+	}
+	return share
+}
+
 // Active reports whether the endpoints are brittle.
 func (s *SlotShares) Active() bool {
 	s.mu.Lock()
--- a/limiter/slotshare_test.go
+++ b/limiter/slotshare_test.go
@@ -72,3 +72,47 @@
 		t.Error("endpoints are brittle a minute after the last answer that said so")
 	}
 }
+
+// TestSlotSharesFollowTheHosts guards against a share that stays when hosts come and go.
+func TestSlotSharesFollowTheHosts(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	hosts := []string{"a", "b"}
+	s := limiter.NewSlotShares(clock, "a", func() []string { return hosts })
+	s.Observe(clock.Now(), true)
+	const slots = 4
+	started := func() int {
+		n := 0
+		for s.TryStart("e", slots) {
+			n++
+		}
+		return n
+	}
+	if n := started(); n != slots/2 {
+		t.Errorf("%d of %d slots with two hosts", n, slots)
+	}
+	hosts = []string{"a"}
+	clock.Advance(time.Second)
+	if n := started(); n != slots/2 {
+		t.Errorf("%d more of %d slots once the other host has left, want the rest", n, slots)
+	}
+}
+
+// BenchmarkSlotSharesLargeFleet measures the choice among the brittle endpoints of a large
+// fleet.
+func BenchmarkSlotSharesLargeFleet(b *testing.B) {
+	var hosts []string
+	for i := range 295 {
+		hosts = append(hosts, fmt.Sprint("host-", i))
+	}
+	list := make(map[string]int)
+	for i := range 400 {
+		list[fmt.Sprint("e", i)] = 64
+	}
+	clock := clockwork.NewFakeClock()
+	s := limiter.NewSlotShares(clock, hosts[0], func() []string { return hosts })
+	s.Observe(clock.Now(), true)
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Full(list)
+	}
+}
