--- a/relay/reach.go
+++ b/relay/reach.go
@@ -31,7 +31,7 @@
 	silentCheckInterval = time.Second
 	silentChecks        = 10
 	// silentTime is the time without a byte after which an attempt is given up if its
-	// service is lost.
+	// service is lost and its endpoint accepts no connections.
 	silentTime = time.Second
 )
 
@@ -137,16 +137,37 @@
 }
 
 // cancelSilent ends the attempts on which nothing has arrived for silentTime and that
-// another endpoint may go on with.
+// another endpoint may go on with, if their endpoints accept no connections. An endpoint
+// that does may only be busy.
 func (ps *paths) cancelSilent() {
+	silent := ps.silentAttempts()
+	var endpoints []fleet.Endpoint
+	for _, attempts := range silent {
+		endpoints = append(endpoints, attempts[0].endpoint)
+	}
+	for i, accepted := range ps.dialAll(endpoints) {
+		if accepted {
+			continue
+		}
+		for _, sl := range silent[endpoints[i].ID] {
+			sl.cancel()
+		}
+	}
+}
+
+// silentAttempts returns, by endpoint, the attempts that may be ended and on which nothing
+// has arrived for silentTime.
+func (ps *paths) silentAttempts() map[string][]*slot {
 	now := ps.pool.relay.Clock.Now()
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
+	out := make(map[string][]*slot)
 	for sl := range ps.attempts {
 		if sl.cancel != nil && now.Sub(sl.received) >= silentTime {
-			sl.cancel()
+			out[sl.endpoint.ID] = append(out[sl.endpoint.ID], sl)
 		}
 	}
+	return out
 }
 
 // verdict is the result of an investigation.
--- a/relay/silentpath_test.go
+++ b/relay/silentpath_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -78,3 +79,56 @@
 		}
 	}
 }
+
+// TestBusyEndpointIsNotGivenUp guards against an attempt that is ended because its endpoint is
+// slow, while this host cannot connect to the others.
+func TestBusyEndpointIsNotGivenUp(t *testing.T) {
+	const answerTime = 2 * time.Second // longer than a silent attempt may last
+	var refused atomic.Pointer[[]string]
+	refused.Store(&[]string{})
+	r := newRigWith(t, func(o *relay.Options) {
+		client := upstream.DefaultOptions()
+		client.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if slices.Contains(*refused.Load(), address) {
+				return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+			}
+			return new(net.Dialer).DialContext(ctx, network, address)
+		}
+		o.Client = upstream.NewClient(client)
+	}, plainRoute(route.Idempotent, 3))
+	started := make(chan struct{}, 10)
+	r.endpoint("busy", func(w http.ResponseWriter, hr *http.Request) {
+		started <- struct{}{}
+		select {
+		case <-time.After(answerTime):
+		case <-hr.Context().Done():
+		}
+		answer(w, http.StatusOK, "served")
+	})
+	done := make(chan string)
+	go func() {
+		_, body, _ := r.call("GET", "/p/x")
+		done <- body
+	}()
+	<-started
+	addresses := []string{}
+	for _, id := range []string{"e1", "e2"} {
+		r.endpoint(id, func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, "other") })
+	}
+	for _, e := range r.fleet.Service("s") {
+		addresses = append(addresses, e.Address)
+	}
+	refused.Store(&addresses)
+	for len(r.relay.LostServices()) == 0 {
+		_, _, _ = r.call("GET", "/p/x") // fails until the service counts as lost
+	}
+	busy, _ := r.fleet.Endpoint("busy")
+	others := slices.DeleteFunc(addresses, func(a string) bool { return a == busy.Address })
+	refused.Store(&others)
+	if body := <-done; body != "served" {
+		t.Errorf("got %q, want the answer of the busy endpoint", body)
+	}
+	if n := len(started); n != 0 {
+		t.Errorf("the busy endpoint got %d more attempts, want none", n)
+	}
+}
