--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,15 +19,15 @@
 )
 
 const (
-	// lostSignalTTL is the time for which a host's report of the services that it does not
-	// reach counts.
-	lostSignalTTL = 3 * time.Second
 	// forwardDialTimeout bounds the set-up of a connection to another host.
 	forwardDialTimeout = 400 * time.Millisecond
 	// maxForwards is the number of hosts that are asked to serve one request at most.
 	maxForwards = 3
 )
 
+// errNotConnected reports that no connection to a host could be opened.
+var errNotConnected = errors.New("daemon: host not reached")
+
 // forwarder sends requests to the entry addresses of other hosts, which serve them in the
 // place of this one. Hosts of earlier releases can serve them, too.
 type forwarder struct {
@@ -37,56 +36,53 @@
 	hosts   *forward.Hosts
 	http    *http.Client
 	scheme  string
-
-	mu sync.Mutex
-	// lost holds the services that other hosts do not reach, by host.
-	lost map[string]lostReport
-}
-
-// lostReport is the last report of a host.
-type lostReport struct {
-	services []string
-	at       time.Time
 }
 
 var _ entry.Forwarder = (*forwarder)(nil)
 
 func newForwarder(opts *Options, members func() []membership.Member, certs *certsService) *forwarder {
-	f := &forwarder{opts: opts, members: members, hosts: forward.NewHosts(opts.Clock, opts.newRand()), scheme: "http", lost: make(map[string]lostReport)}
+	f := &forwarder{opts: opts, members: members, hosts: forward.NewHosts(opts.Clock, opts.newRand()), scheme: "http"}
 	// A request on a new connection is never sent twice by the transport.
 	transport := &http.Transport{
 		DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: api.MaxHeaderBytes,
-		DialContext: (&net.Dialer{Timeout: forwardDialTimeout}).DialContext,
+	}
+	dialer := &net.Dialer{Timeout: forwardDialTimeout}
+	transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, addr)
+		return conn, errors.Mark(err, errNotConnected)
 	}
 	if certs.reloader != nil {
 		f.scheme = "https"
-		transport.DialTLSContext = func(ctx context.Context, _, addr string) (net.Conn, error) { return certs.dialPeer()(ctx, addr) }
+		transport.DialTLSContext = func(ctx context.Context, _, addr string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, forwardDialTimeout)
+			defer cancel()
+			conn, err := certs.dialPeer()(ctx, addr)
+			return conn, errors.Mark(err, errNotConnected)
+		}
 	}
 	f.http = &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	return f
 }
 
-// observeLost records the services that another host does not reach.
+// observeLost records the services that another host does not reach. A request may need any
+// of them.
 func (f *forwarder) observeLost(from membership.Member, services []string) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.lost[from.Host] = lostReport{services: services, at: f.opts.Clock.Now()}
+	var lost []string
+	if len(services) > 0 {
+		lost = []string{anyService}
+	}
+	f.hosts.ObserveLost(from.Host, lost)
 	return nil
 }
 
-// reachesAll reports whether a host reaches the endpoints of all services as far as is known.
-func (f *forwarder) reachesAll(host string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	report := f.lost[host]
-	return len(report.services) == 0 || f.opts.Clock.Since(report.at) >= lostSignalTTL
-}
+// anyService stands for all services in the choice of hosts.
+const anyService = ""
 
 // Forward implements entry.Forwarder.
 func (f *forwarder) Forward(w http.ResponseWriter, r *http.Request, id string, body []byte) bool {
 	var exclude []string
 	for range maxForwards {
-		m, ok := f.choose(r.URL.Path, exclude)
+		m, ok := f.choose(exclude)
 		if !ok {
 			return false
 		}
@@ -98,20 +94,20 @@
 			return true
 		}
 		exclude = append(exclude, m.Host)
-		f.hosts.Refused(m.Host, r.URL.Path)
+		f.hosts.Refused(m.Host, anyService)
 	}
 	return false
 }
 
-func (f *forwarder) choose(path string, exclude []string) (membership.Member, bool) {
+func (f *forwarder) choose(exclude []string) (membership.Member, bool) {
 	members := f.members()
 	var candidates []string
 	for _, m := range members {
-		if m.State == membership.Alive && m.EntryAddress != "" && m.Host != f.opts.Settings.Host && f.reachesAll(m.Host) {
+		if m.State == membership.Alive && m.EntryAddress != "" && m.Host != f.opts.Settings.Host {
 			candidates = append(candidates, m.Host)
 		}
 	}
-	host, ok := f.hosts.Choose(path, candidates, exclude)
+	host, ok := f.hosts.Choose(anyService, candidates, exclude)
 	if !ok {
 		return membership.Member{}, false
 	}
@@ -126,12 +122,12 @@
 		return false, errors.Wrap(err, "daemon: build request")
 	}
 	out.Header = r.Header.Clone()
+	out.Header.Del("Connection")
 	out.Header.Set(api.HeaderIdempotencyKey, id)
 	out.Header.Set(api.HeaderForwardedBy, f.opts.Settings.Host)
 	resp, err := f.http.Do(out)
-	var dial *net.OpError
 	switch {
-	case errors.As(err, &dial) && dial.Op == "dial":
+	case errors.Is(err, errNotConnected):
 		return false, err
 	case err != nil:
 		failure := &api.Error{Status: http.StatusBadGateway, Code: api.CodeEndpointFailed, Outcome: api.OutcomeUnknown, RequestID: id, Message: "host " + m.Host + " did not answer"}
--- a/daemon/router/forward.go
+++ b/daemon/router/forward.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"net/http"
 	"slices"
-	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -17,26 +15,12 @@
 	"github.com/corianderlever/corianderlever/upstream"
 )
 
-// lostSignalTTL is the time for which a host's report of the services that it does not
-// reach counts.
-const lostSignalTTL = 3 * time.Second
-
 // forwarding passes requests to the hosts that reach the endpoints of a service, and serves
 // those of other hosts.
 type forwarding struct {
 	host   *Host
 	client *forward.Client
 	hosts  *forward.Hosts
-
-	mu sync.Mutex
-	// lost holds the services that other hosts do not reach, by host.
-	lost map[string]lostReport
-}
-
-// lostReport is the last report of a host.
-type lostReport struct {
-	services []string
-	at       time.Time
 }
 
 var _ relay.Forwarder = (*forwarding)(nil)
@@ -44,33 +28,17 @@
 func newForwarding(h *Host) *forwarding {
 	set := h.opts.Settings
 	return &forwarding{
-		host: h, lost: make(map[string]lostReport),
+		host:   h,
 		client: forward.NewClient(forward.ClientOptions{Key: set.ClusterKey, Self: set.Host, Clock: h.opts.Clock}),
 		hosts:  forward.NewHosts(h.opts.Clock, h.newRand()),
 	}
 }
 
-// observeLost records the services that another host does not reach.
-func (f *forwarding) observeLost(from string, services []string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.lost[from] = lostReport{services: services, at: f.host.opts.Clock.Now()}
-}
-
-// reaches reports whether a host reaches a service as far as is known.
-func (f *forwarding) reaches(host, service string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	report := f.lost[host]
-	return f.host.opts.Clock.Since(report.at) >= lostSignalTTL || !slices.Contains(report.services, service)
-}
-
 // Choose implements relay.Forwarder.
 func (f *forwarding) Choose(service string, exclude []string) (string, bool) {
 	var candidates []string
 	for _, m := range f.host.peers.members.Members() {
-		if m.State == membership.Alive && m.ForwardAddress != "" && m.Host != f.host.opts.Settings.Host &&
-			f.host.peers.canServe(m.Host) && f.reaches(m.Host, service) {
+		if m.State == membership.Alive && m.ForwardAddress != "" && m.Host != f.host.opts.Settings.Host && f.host.peers.canServe(m.Host) {
 			candidates = append(candidates, m.Host)
 		}
 	}
@@ -107,7 +75,7 @@
 	}
 	if err != nil || message.Request == nil {
 		h.opts.Logger.Warn("forwarded request refused", "from", req.From, "remote", r.RemoteAddr, "error", err)
-		w.WriteHeader(http.StatusBadRequest)
+		relay.RejectForwarded(w, relay.ReasonMalformed)
 		return
 	}
 	if !h.Accepting(message.TimeLeft) {
--- a/daemon/router/peers.go
+++ b/daemon/router/peers.go
@@ -179,7 +179,7 @@
 	signal(s, "crashes", s.crashMarks, s.mergeCrashMarks)
 	signal(s, "parts", s.partMarks, func(from string, v json.RawMessage) { s.mergePartMarks(from, v) })
 	signal(s, "limits", s.limitMarks, s.mergeLimitMarks)
-	signal(s, "lost", s.host.relay.LostServices, s.host.forwarding.observeLost)
+	signal(s, "lost", s.host.relay.LostServices, func(from string, v []string) { s.host.forwarding.hosts.ObserveLost(from, v) })
 	signal(s, "load", s.host.relay.Loads, func(from string, v relay.Loads) { s.host.relay.ObserveLoads(from, v) })
 	signal(s, "rates", s.host.relay.PrefillEstimates, func(_ string, v relay.PrefillEstimates) { s.host.relay.ObservePrefillEstimates(v) })
 }
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -138,4 +138,15 @@
 	if host, ok := h.Choose("s", []string{"a"}, nil); !ok || host != "a" {
 		t.Error("a host is never asked again")
 	}
+	h.ObserveLost("a", []string{"s"})
+	if _, ok := h.Choose("s", []string{"a"}, nil); ok {
+		t.Error("a host is asked that does not reach the service either")
+	}
+	if _, ok := h.Choose("other", []string{"a"}, nil); !ok {
+		t.Error("a host is not asked for a service that it reaches")
+	}
+	clock.Advance(time.Minute)
+	if _, ok := h.Choose("s", []string{"a"}, nil); !ok {
+		t.Error("an old report counts")
+	}
 }
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -205,7 +205,7 @@
 
 // reasonsOfHost are the reasons of error responses that lie with the host that gives them.
 var reasonsOfHost = []string{
-	reasonUnreachable, ReasonStopping, ReasonBuffersFull, reasonFull, "endpoint_unreachable", "no_configuration", "no_service", "outdated_configuration",
+	reasonUnreachable, ReasonStopping, ReasonBuffersFull, ReasonMalformed, reasonFull, "endpoint_unreachable", "no_configuration", "no_service", "outdated_configuration",
 	"stale_configuration",
 }
 
@@ -219,6 +219,8 @@
 	ReasonStopping = "stopping"
 	// ReasonBuffersFull is that of a host whose buffers are full.
 	ReasonBuffersFull = "buffers_full"
+	// ReasonMalformed is that of a host that cannot decode the request.
+	ReasonMalformed = "malformed_forward"
 )
 
 // handleLostForward handles an answer of a host that is incomplete or cannot be used.
