--- a/relay/reach.go
+++ b/relay/reach.go
@@ -48,6 +48,8 @@
 	attempts map[*slot]struct{}
 	// answered is when an endpoint last sent something.
 	answered time.Time
+	// watching is set while watchLost runs.
+	watching bool
 }
 
 // pathCheck connects to a few endpoints to see whether this host reaches any.
@@ -98,7 +100,6 @@
 	if !ps.reach.Opened(id) {
 		return
 	}
-	ps.pool.relay.metrics.lost.WithLabelValues(ps.pool.service).Set(0)
 	ps.pool.relay.Logger.Info("service reachable again", "service", ps.pool.service, "endpoint", id)
 }
 
@@ -129,11 +130,32 @@
 // watchLost checks the paths to a lost service until some endpoint accepts connections. It
 // ends the attempts that have become silent.
 func (ps *paths) watchLost() {
-	for ps.reach.Lost() {
+	if !ps.beginWatch() {
+		return
+	}
+	for !ps.endWatch() {
 		ps.cancelSilent()
 		ps.dialAny()
 		ps.pool.relay.Clock.Sleep(lostCheckInterval)
 	}
+	ps.pool.relay.metrics.lost.WithLabelValues(ps.pool.service).Set(0)
+}
+
+// beginWatch reports whether no other watch of the service is running.
+func (ps *paths) beginWatch() bool {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	first := !ps.watching
+	ps.watching = true
+	return first
+}
+
+// endWatch ends the watch if the service is reachable.
+func (ps *paths) endWatch() bool {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	ps.watching = ps.reach.Lost()
+	return !ps.watching
 }
 
 // cancelSilent ends the attempts on which nothing has arrived for silentTime and that
