relay: the test of busy endpoints does not share its list with the dialer

Traced: a data race in TestBusyEndpointIsNotGivenUp, which edited the list of addresses that its dialer reads.

--- a/relay/silentpath_test.go
+++ b/relay/silentpath_test.go
@@ -123,7 +123,7 @@
 		_, _, _ = r.call("GET", "/p/x") // fails until the service counts as lost
 	}
 	busy, _ := r.fleet.Endpoint("busy")
-	others := slices.DeleteFunc(addresses, func(a string) bool { return a == busy.Address })
+	others := slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return a == busy.Address })
 	refused.Store(&others)
 	if body := <-done; body != "served" {
 		t.Errorf("got %q, want the answer of the busy endpoint", body)
