--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -211,10 +211,11 @@
 // recorded. It reports whether the endpoint has crashed.
 func (d *Dispatcher) checkForCrash(ctx context.Context, sl *slot) bool {
 	if d.stillRunning(ctx, sl) {
-		return false
+		// An endpoint that is about to end may still answer.
+		if d.sleep(ctx, recheckDelay) != nil || d.stillRunning(ctx, sl) {
+			return false
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, limiter.ProbeTimeout)
-	defer cancel()
 	if !d.othersAnswer(ctx, sl) {
 		return false // the links of this host are at fault
 	}
@@ -227,6 +228,9 @@
 	return true
 }
 
+// recheckDelay is the time after which an endpoint that still answered is asked once more.
+const recheckDelay = 50 * time.Millisecond
+
 // stillRunning reports whether the endpoint says that it runs the attempt.
 func (d *Dispatcher) stillRunning(ctx context.Context, sl *slot) bool {
 	ctx, cancel := context.WithTimeout(ctx, limiter.ProbeTimeout)
--- a/dispatch/reach.go
+++ b/dispatch/reach.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -150,14 +151,30 @@
 // as a crash of its endpoint.
 const witnesses = 2
 
+// witnessTimeout bounds the wait for them. It is generous, since a crash that is not recorded
+// may be followed by others.
+const witnessTimeout = 2 * time.Second
+
 // othersAnswer reports whether other endpoints answer this host, so that one that does not
 // has failed itself. It returns true if there is no other to ask.
 func (d *Dispatcher) othersAnswer(ctx context.Context, sl *slot) bool {
 	others := d.Pool.otherAddresses(sl.endpoint, witnesses)
+	if len(others) == 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), witnessTimeout)
+	defer cancel()
+	answers := make(chan bool, len(others))
 	for _, addr := range others {
-		if _, err := d.Engines.Probe(ctx, addr, sl.attempt); Answered(err) {
+		go func() {
+			_, err := d.Engines.Probe(ctx, addr, sl.attempt)
+			answers <- Answered(err)
+		}()
+	}
+	for range others {
+		if <-answers {
 			return true
 		}
 	}
-	return len(others) == 0
+	return false
 }
