allowance: the consumption of all hosts is added up in one order

Traced by reading: the peak is a sum over a map in random order, which is rounded in one way or another, and decisions compare with it. The failure itself was not produced again, so that this was its cause is likely, not shown. Change: hosts are added up in the order of their names.

--- a/allowance/report.go
+++ b/allowance/report.go
@@ -51,11 +51,17 @@
 		return
 	}
 	hosts[host] = max(hosts[host], used)
+	p.raiseTo(minute.Month(), sumValues(hosts))
+}
+
+// sumValues adds up the values in the order of their keys. In another order the sum may be
+// rounded otherwise, and decisions would differ between runs on equal input.
+func sumValues(byHost map[string]float64) float64 {
 	sum := 0.0
-	for _, units := range hosts {
-		sum += units
+	for _, host := range slices.Sorted(maps.Keys(byHost)) {
+		sum += byHost[host]
 	}
-	p.raiseTo(minute.Month(), sum)
+	return sum
 }
 
 // peerDemand is the demand that a peer reported in a minute.
