signals: a further signal no longer ends a process that drains

Callers saw their connections closed without an answer 0.3 to 0.7 s after the SIGTERM of a host, at the moment a SIGHUP came.

Cause: the subscription to SIGHUP ended with the context of SIGTERM, and the one to SIGTERM and SIGINT when main's context was cancelled. The end of a subscription gives a signal its default action back, which ends the process.

Fix: one package subscribes in main, for daemon, demo and the soak's program, and never unsubscribes. Settings are followed until the host has stopped.

--- a/cmd/corianderlever/main.go
+++ b/cmd/corianderlever/main.go
@@ -2,21 +2,17 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/corianderlever/corianderlever/daemon/command"
+	"github.com/corianderlever/corianderlever/internal/signals"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	err := command.Run(ctx, os.Args[1:], os.Stdout)
+	err := command.Run(signals.Context(), os.Args[1:], os.Stdout, signals.Reloads())
 	switch {
 	case err == nil:
 	case errors.Is(err, flag.ErrHelp):
--- a/daemon/command/command.go
+++ b/daemon/command/command.go
@@ -26,12 +26,13 @@
 // envPrefix is the prefix of the environment variables that set flags.
 const envPrefix = "CORIANDERLEVER"
 
-// Run runs the command line until ctx ends.
-func Run(ctx context.Context, args []string, out io.Writer) error {
+// Run runs the command line until ctx ends. A signal on reloads makes it read the settings
+// again.
+func Run(ctx context.Context, args []string, out io.Writer, reloads <-chan os.Signal) error {
 	root := &ffcli.Command{
 		Name: "corianderlever", ShortUsage: "corianderlever -config FILE | check FILE | demo | host",
 		ShortHelp:   "Runs an entry host.",
-		Subcommands: []*ffcli.Command{checkCommand(out), demoCommand(out), hostCommand(out)},
+		Subcommands: []*ffcli.Command{checkCommand(out), demoCommand(out), hostCommand(out, reloads)},
 	}
 	s := &serve{out: out}
 	root.FlagSet = s.flags()
--- a/daemon/command/hostcommand.go
+++ b/daemon/command/hostcommand.go
@@ -6,10 +6,8 @@
 	"log/slog"
 	"math"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,7 +32,7 @@
 )
 
 // hostCommand returns the command that runs a host on the users' platform.
-func hostCommand(out io.Writer) *ffcli.Command {
+func hostCommand(out io.Writer, reloads <-chan os.Signal) *ffcli.Command {
 	return &ffcli.Command{
 		Name: "host", ShortUsage: "corianderlever host",
 		ShortHelp: "Runs a host on the users' platform; " + platform.SettingsVariable + " names its settings file.",
@@ -42,14 +40,15 @@
 			if len(args) != 0 {
 				return errors.Wrap(ErrUsage, "corianderlever host takes no arguments")
 			}
-			return RunHost(ctx, out, os.Getenv(platform.SettingsVariable), nil)
+			return RunHost(ctx, out, os.Getenv(platform.SettingsVariable), nil, reloads)
 		},
 	}
 }
 
 // RunHost runs a host on the users' platform with the settings file at path until ctx ends,
-// and logs to out. dial opens connections to endpoints; nil for TCP.
-func RunHost(ctx context.Context, out io.Writer, path string, dial upstream.DialFunc) error {
+// and logs to out. dial opens connections to endpoints; nil for TCP. A signal on reloads
+// makes it read the settings at once.
+func RunHost(ctx context.Context, out io.Writer, path string, dial upstream.DialFunc, reloads <-chan os.Signal) error {
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -69,7 +68,10 @@
 	if err != nil {
 		return err
 	}
-	go followSettings(ctx, path, settings, h, log)
+	// The settings are followed until the end of the drain.
+	followCtx, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopFollowing()
+	go followSettings(followCtx, path, settings, h, reloads, log)
 	return h.Run(ctx)
 }
 
@@ -84,11 +86,8 @@
 	}
 }
 
-// followSettings applies changed bounds, on SIGHUP and every settingsInterval.
-func followSettings(ctx context.Context, path string, current platform.Settings, h *router.Host, log *slog.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+// followSettings applies changed bounds, on a signal and every settingsInterval.
+func followSettings(ctx context.Context, path string, current platform.Settings, h *router.Host, reloads <-chan os.Signal, log *slog.Logger) {
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	for {
@@ -96,7 +95,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-reloads:
 			cause = "signal"
 		case <-ticker.C:
 		}
--- a/internal/cmd/soakhost/main.go
+++ b/internal/cmd/soakhost/main.go
@@ -3,23 +3,20 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/corianderlever/corianderlever/daemon/command"
+	"github.com/corianderlever/corianderlever/internal/signals"
 	"github.com/corianderlever/corianderlever/platform"
 	"github.com/corianderlever/corianderlever/platform/platformtest"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	ctx := signals.Context()
 	link := &platformtest.Link{}
 	go link.FollowFile(ctx, os.Getenv(platformtest.LinkVariable))
-	if err := command.RunHost(ctx, os.Stdout, os.Getenv(platform.SettingsVariable), link.Dial); err != nil {
+	if err := command.RunHost(ctx, os.Stdout, os.Getenv(platform.SettingsVariable), link.Dial, signals.Reloads()); err != nil {
 		fmt.Fprintln(os.Stderr, "soakhost:", err)
 		os.Exit(1)
 	}
