--- a/cmd/corianderlever/process_test.go
+++ b/cmd/corianderlever/process_test.go
@@ -156,6 +156,13 @@
 	}
 }
 
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		t.Fatalf("send %v: %v", s, err)
+	}
+}
+
 // signalUntilExit sends the signals in turn, one every pollInterval, until the process ends.
 func (p *process) signalUntilExit(t *testing.T, signals ...syscall.Signal) {
 	t.Helper()
