--- a/daemon/demo/cluster.go
+++ b/daemon/demo/cluster.go
@@ -125,17 +125,14 @@
 	if len(c.Endpoints.Engines) > 0 {
 		s.Platform.Rating = "http://" + c.Endpoints.Engines[0].Addr()
 	}
-	ip := loopback.IP()
-	var err error
-	if s.Listen.Entry, err = loopback.FreeAddress(ip); err != nil {
+	addresses, err := loopback.Addresses(2)
+	if err != nil {
 		return s, err
 	}
+	s.Listen.Entry, s.Listen.Peer = addresses[0], addresses[1]
 	if i == 0 && c.opts.EntryAddress != "" {
 		s.Listen.Entry = c.opts.EntryAddress
 	}
-	if s.Listen.Peer, err = loopback.FreeAddress(ip); err != nil {
-		return s, err
-	}
 	for _, other := range c.Settings {
 		s.Peers = append(s.Peers, other.Listen.Peer)
 	}
