signals: a closed log pipe no longer ends a host

When the reader of a host's standard output had gone (a log collector that restarts, a closed pipe), the next log line ended the process, and all in-flight requests with it.

Cause: Go ends a process with SIGPIPE at a write to a broken pipe on standard output or standard error, unless the process subscribes to SIGPIPE. The log queue ignores the error of a write, but never got one.

Evidence: TestClosedLogPipeDoesNotEndHost failed with "the process ended before it was ready: signal: broken pipe" and passes now.

Fix: the process subscribes to SIGPIPE, so the write fails with EPIPE, which the log queue and slog already ignore. Connections are not affected: Go reports EPIPE of a socket as an error in any case.

--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -19,6 +19,10 @@
 	reloads      = subscribe(syscall.SIGHUP)
 )
 
+// Without a subscription to SIGPIPE, a write to standard output or standard error ends the
+// process once their reader has gone. Nothing is received from it: the write fails instead.
+var _ = subscribe(syscall.SIGPIPE)
+
 // subscribe returns a channel that holds one signal until it is received.
 func subscribe(s os.Signal) <-chan os.Signal {
 	c := make(chan os.Signal, 1)
