command: a half-written or missing settings file changes nothing

A host that read its settings file while it was being written took over bounds of zero: a stop that followed cut all in-flight requests at once and ended with status 1, and a retry window of zero divides by zero in the retry budget. A host that started while the file was missing or half written ended with status 1.

Cause: a YAML file that is cut at a line, or within the last number, still parses. The check looked at five texts and at no number, and a start read the file once.

Fix: platform names the fields that a complete file has and this one lacks, and says whether the last line may be cut; a running host rejects a file that lacks a field that the settings in force have, and keeps these. A start reads the file again for up to 10 s. Deployments that leave fields out for good still start: such a file is used once it has not changed for 0.5 s, with a log line and with safe values in place of zero times. The same holds for a last line without line break. SIGTERM before the first settings ends the process with status 0. A file that has not changed is no longer decoded each second, and a lasting problem is logged once. The settings of platformtest now hold RevocationStrict, as complete files do.

--- a/daemon/command/hostcommand.go
+++ b/daemon/command/hostcommand.go
@@ -8,9 +8,9 @@
 	"os"
 	"runtime"
 	"runtime/debug"
-	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/corianderlever/corianderlever/daemon/router"
@@ -26,9 +26,6 @@
 	softMemoryShare = 0.6
 	// logQueueBytes bounds the log lines queued for standard output.
 	logQueueBytes = 1 << 20
-	// settingsInterval is the time between two reads of the settings file, which may
-	// change without a signal.
-	settingsInterval = time.Second
 )
 
 // hostCommand returns the command that runs a host on the users' platform.
@@ -49,14 +46,23 @@
 // and logs to out. dial opens connections to endpoints; nil for TCP. A signal on reloads
 // makes it read the settings at once.
 func RunHost(ctx context.Context, out io.Writer, path string, dial upstream.DialFunc, reloads <-chan os.Signal) error {
-	settings, err := platform.LoadSettings(path)
+	if path == "" {
+		return errors.Wrapf(ErrUsage, "%s is not set", platform.SettingsVariable)
+	}
+	queue := logqueue.New(out, logQueueBytes)
+	defer queue.Close()
+	log := newLogger(queue, slog.LevelInfo)
+	file := &settingsFile{path: path, clock: clockwork.NewRealClock()}
+	settings, err := file.wait(ctx, log)
+	if ctx.Err() != nil {
+		log.Info("stopped before the start", "error", err)
+		return nil
+	}
 	if err != nil {
 		return err
 	}
 	limitResources(settings)
-	queue := logqueue.New(out, logQueueBytes)
-	defer queue.Close()
-	log := newLogger(queue, slog.LevelInfo).With("self", settings.Host)
+	log = log.With("self", settings.Host)
 	log.Info("starting", "settings", settings)
 	store := platform.NewStore(settings.StoreAddress)
 	defer store.Close()
@@ -71,7 +77,7 @@
 	// The settings are followed until the end of the drain.
 	followCtx, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopFollowing()
-	go followSettings(followCtx, path, settings, h, reloads, log)
+	go file.follow(followCtx, reloads, h, log)
 	return h.Run(ctx)
 }
 
@@ -85,29 +91,3 @@
 		debug.SetMemoryLimit(int64(softMemoryShare * float64(s.MemoryBytes)))
 	}
 }
-
-// followSettings applies changed bounds, on a signal and every settingsInterval.
-func followSettings(ctx context.Context, path string, current platform.Settings, h *router.Host, reloads <-chan os.Signal, log *slog.Logger) {
-	ticker := time.NewTicker(settingsInterval)
-	defer ticker.Stop()
-	for {
-		cause := "changed"
-		select {
-		case <-ctx.Done():
-			return
-		case <-reloads:
-			cause = "signal"
-		case <-ticker.C:
-		}
-		next, err := platform.LoadSettings(path)
-		if err != nil {
-			log.Warn("settings not reloaded", "cause", cause, "error", err)
-			continue
-		}
-		if cause == "signal" || next.Bounds != current.Bounds {
-			log.Info("settings reloaded", "cause", cause, "bounds_changed", next.Bounds != current.Bounds)
-		}
-		current = next
-		h.SetBounds(next.Bounds)
-	}
-}
