--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -89,3 +89,30 @@
 		t.Error("a request is accepted after the last address list has expired")
 	}
 }
+
+// TestChangedSettingsDoNotMoveTheEndOfAStop guards against a stop that is cut short, and
+// against requests that are accepted beyond its end, because the grace period in the settings
+// changed after the stop signal.
+func TestChangedSettingsDoNotMoveTheEndOfAStop(t *testing.T) {
+	const grace = 8 * time.Second
+	clock := clockwork.NewFakeClock()
+	for _, changed := range []time.Duration{0, grace / 2, 2 * grace} {
+		h := &Host{opts: Options{Clock: clock}}
+		h.SetBounds(Bounds{GracePeriod: grace})
+		h.accepting.Store(true)
+		began := clock.Now()
+		h.stopBegan.Store(&began)
+		h.stopping.Store(true)
+		h.SetBounds(Bounds{GracePeriod: changed, RevocationTime: time.Second})
+		clock.Advance(acceptAllTime)
+		if !h.Accepting(grace - stopMargin - acceptAllTime) {
+			t.Errorf("grace period changed to %v: a request that fits the old one is rejected", changed)
+		}
+		if h.Accepting(grace - acceptAllTime) {
+			t.Errorf("grace period changed to %v: a request that lasts beyond the old one is accepted", changed)
+		}
+		if got := h.bounds.Load().RevocationTime; got != time.Second {
+			t.Errorf("got revocation time %v, want the changed one", got)
+		}
+	}
+}
