relay: requests cut by a stop get an answer and an outcome of their own

Callers saw closed connections at the end of a stop, and the log said caller_left with status 502: finish() aborted the connection for any context that had ended.

A context cancelled with drain.ErrStopping now has the outcome host_stopping, in the log and in the metric. The caller gets 503 with Retry-After where nothing can have run and 502 where it may have; streams with a sent header are still aborted. An attempt whose context ended while it waited for a permit is not sent any more. An end by the context is not logged as a broken answer and not held against the endpoint.

The end of a request moves from job.go to finish.go; drain() in attempt.go is discardRest().

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -26,7 +26,7 @@
 // sent to the caller, and nil without it if another attempt may follow.
 func (j *job) attempt(ctx context.Context) *ErrorResponse {
 	if ctx.Err() != nil {
-		return j.giveUp(cancelReason(ctx), "before an attempt", shortRetryAfter)
+		return j.giveUp(endReason(ctx), "before an attempt", shortRetryAfter)
 	}
 	if errResp := j.recheck(); errResp != nil {
 		return j.recheckFailed(errResp)
@@ -46,6 +46,9 @@
 	if wait := j.relay.Permits.Acquire(ctx, sl.endpoint.ID); wait > 0 {
 		return j.handleDenial(sl, wait)
 	}
+	if ctx.Err() != nil {
+		return j.giveUp(endReason(ctx), "before an attempt was sent", shortRetryAfter)
+	}
 	j.relay.Versions.Sent(j.pool.service, sl.endpoint.Version)
 	sl.run = j.relay.Parts.Start(endpointStart(sl.endpoint), j.parts)
 	defer j.endRun(sl)
@@ -174,7 +177,7 @@
 			j.pool.paths.failed(sl.endpoint.ID, err)
 		}
 		j.count("cancelled")
-		return j.giveUp(cancelReason(ctx), err.Error(), shortRetryAfter)
+		return j.giveUp(endReason(ctx), err.Error(), shortRetryAfter)
 	}
 	j.relay.Logger.Warn("attempt failed", "request", j.req.ID, "endpoint", sl.endpoint.ID, "address", sl.endpoint.Address, "sent", sent, "error", err)
 	if !sent {
@@ -249,7 +252,7 @@
 // handleRejection handles an answer that states that the endpoint did not run the
 // request.
 func (j *job) handleRejection(ctx context.Context, sl *slot, answer *upstream.Response) *ErrorResponse {
-	drain(answer)
+	discardRest(answer)
 	j.rejections++
 	j.addStep(sl.endpoint.ID, j.model, "rejected", strconv.Itoa(answer.Status))
 	j.count("rejected")
@@ -262,8 +265,8 @@
 	return j.checkRetry(ctx, "endpoint_full")
 }
 
-// drain reads the rest of a short body so that the connection can be reused.
-func drain(answer *upstream.Response) {
+// discardRest reads the rest of a short body so that the connection can be reused.
+func discardRest(answer *upstream.Response) {
 	const maxDrainBytes = 64 << 10
 	// If the read fails, the connection is not reused; nothing else is lost.
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxDrainBytes))
@@ -273,11 +276,12 @@
 // sent to the caller.
 func (j *job) handleBrokenAnswer(ctx context.Context, sl *slot, reason, detail string) *ErrorResponse {
 	j.addStep(sl.endpoint.ID, j.model, reason)
-	j.count(reason)
-	j.relay.Logger.Warn("answer incomplete or invalid", "request", j.req.ID, "endpoint", sl.endpoint.ID, "reason", reason, "detail", detail)
 	if ctx.Err() != nil {
-		return j.giveUp(cancelReason(ctx), reason, shortRetryAfter)
+		j.count("cancelled")
+		return j.giveUp(endReason(ctx), detail, shortRetryAfter)
 	}
+	j.count(reason)
+	j.relay.Logger.Warn("answer incomplete or invalid", "request", j.req.ID, "endpoint", sl.endpoint.ID, "reason", reason, "detail", detail)
 	if !sl.investigated {
 		j.observe(sl, true, 0)
 	}
@@ -292,7 +296,7 @@
 	j.count("server_error")
 	j.observe(sl, true, 0)
 	if !j.headerSent && j.route.Retryable() && j.checkRetry(ctx, "server_error") == nil {
-		drain(answer)
+		discardRest(answer)
 		j.excludeEndpoint(sl, limiter.OutcomeError)
 		return nil
 	}
--- /dev/null
+++ b/relay/finish.go
@@ -0,0 +1,84 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/corianderlever/corianderlever/internal/drain"
+)
+
+// Reasons of error responses to requests whose contexts have ended.
+const (
+	reasonCallerLeft = "caller_left"
+	reasonDeadline   = "deadline"
+	// ReasonHostStopping is that of a request which was cut at the end of a stop.
+	ReasonHostStopping = "host_stopping"
+)
+
+// endReason returns the reason for which the context of a request has ended.
+func endReason(ctx context.Context) string {
+	switch {
+	case context.Cause(ctx) == context.DeadlineExceeded:
+		return reasonDeadline
+	case drain.Stopping(ctx):
+		return ReasonHostStopping
+	}
+	return reasonCallerLeft
+}
+
+// finish logs and counts the end of the request and sends the error response, if
+// there is one. It aborts the connection by a panic if that is no longer possible.
+func (j *job) finish(ctx context.Context, errResp *ErrorResponse) {
+	outcome, status, detail := outcomeAnswered, j.status, ""
+	if errResp != nil {
+		outcome, status, detail = errResp.Reason, errResp.Status, errResp.Detail
+	}
+	callerGone := ctx.Err() != nil && !drain.Stopping(ctx)
+	if errResp != nil && (callerGone || outcome == reasonCallerLeft) {
+		outcome = endReason(ctx)
+	}
+	took := j.relay.Clock.Since(j.arrived)
+	j.log(outcome, status, detail, took)
+	if j.from == "" {
+		j.countRequest(outcome, errResp == nil, took)
+	}
+	if errResp == nil {
+		return
+	}
+	if j.headerSent || callerGone {
+		// The header has been sent or the caller has disconnected, so only an
+		// aborted connection can signal that the answer is incomplete.
+		panic(http.ErrAbortHandler)
+	}
+	j.markAnswer(errResp.Reason, errResp.Detail)
+	errResp.Write(j.w)
+}
+
+// countRequest counts the end of a request of a caller.
+func (j *job) countRequest(outcome string, answered bool, took time.Duration) {
+	m := j.relay.metrics
+	team, priority := j.team, strconv.Itoa(j.priority)
+	m.requests.WithLabelValues(team, priority, outcome).Inc()
+	if answered {
+		m.firstByte.WithLabelValues(team, priority).Observe(j.firstByte.Seconds())
+		m.duration.WithLabelValues(team, priority).Observe(took.Seconds())
+	}
+}
+
+// log writes the request's log line with its decisions and its outcome.
+func (j *job) log(outcome string, status int, detail string, took time.Duration) {
+	age, _ := j.relay.Config.Age()
+	routeName, configVersion := "", int64(0)
+	if j.route != nil {
+		routeName = j.route.Name
+	}
+	if j.table != nil {
+		configVersion = j.table.Version()
+	}
+	j.relay.Logger.Info("request", "request", j.req.ID, "from", j.from, "route", routeName, "team", j.team, "priority", j.priority,
+		"outcome", outcome, "status", status, "detail", detail, "steps", j.steps.String(), "runs", j.possibleRuns,
+		"tokens", j.req.PromptTokens, "first_ms", j.firstByte.Milliseconds(), "gap_ms", j.longestEventGap.Milliseconds(), "took_ms", took.Milliseconds(),
+		"left_ms", j.remaining().Milliseconds(), "config", configVersion, "config_age_ms", age.Milliseconds())
+}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -108,7 +108,7 @@
 		j.possibleRuns++
 	}
 	if ctx.Err() != nil {
-		return j.giveUp(cancelReason(ctx), err.Error(), shortRetryAfter)
+		return j.giveUp(endReason(ctx), err.Error(), shortRetryAfter)
 	}
 	j.relay.Logger.Warn("request not forwarded", "request", j.req.ID, "host", host, "sent", sent, "error", err)
 	j.excludeHost(host)
@@ -160,7 +160,7 @@
 	j.addStep("host", host, res.outcome, strconv.Itoa(answer.Status))
 	j.countForward(res.outcome)
 	if res.outcome != outcomeAnswered {
-		return j.handleForwardRefusal(host, answer, res)
+		return j.handleForwardRefusal(ctx, host, answer, res)
 	}
 	reply := j.relay.Codec.Decode(answer.Header)
 	if e, ok := j.relay.Fleet.Endpoint(res.endpoint); ok {
@@ -187,11 +187,15 @@
 
 // handleForwardRefusal handles the error response of a host. If the host has not run the
 // request and another one may be able to, that one is tried next.
-func (j *job) handleForwardRefusal(host string, answer *upstream.Response, res forwardResult) *ErrorResponse {
+func (j *job) handleForwardRefusal(ctx context.Context, host string, answer *upstream.Response, res forwardResult) *ErrorResponse {
 	if j.possibleRuns == 0 && answer.Status == http.StatusServiceUnavailable && slices.Contains(reasonsOfHost, res.outcome) {
 		j.excludeHost(host)
 		return nil
 	}
+	if res.outcome == ReasonStopping {
+		j.excludeHost(host)
+		return j.checkRetry(ctx, res.outcome)
+	}
 	reason, detail := res.outcome, "host "+host+": "+res.detail
 	var retryAfter time.Duration
 	if s, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64); err == nil {
@@ -228,7 +232,7 @@
 	j.addStep("host", host, reason)
 	j.relay.Logger.Warn("answer incomplete or invalid", "request", j.req.ID, "host", host, "reason", reason, "detail", detail)
 	if ctx.Err() != nil {
-		return j.giveUp(cancelReason(ctx), reason, shortRetryAfter)
+		return j.giveUp(endReason(ctx), reason, shortRetryAfter)
 	}
 	if j.headerSent && !j.route.Resumable {
 		return j.giveUp(reason, detail, 0)
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -89,7 +89,15 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	server := &http.Server{ConnContext: forward.ConnContext, ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
+	server := &http.Server{ConnContext: forward.ConnContext, ReadHeaderTimeout: time.Minute, Handler: r.forwardedHandler(before)}
+	go func() { _ = server.Serve(forward.Listener(ln, clusterKey)) }() // ends with Close
+	r.t.Cleanup(func() { _ = server.Close() })
+	return ln.Addr().String()
+}
+
+// forwardedHandler serves the requests that other hosts forward, after what before does.
+func (r *rig) forwardedHandler(before http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, hr *http.Request) {
 		req, err := forward.Read(w, hr, limiter.NewByteBudget(1<<20), 1<<20)
 		var f relay.Forwarded
 		if err == nil {
@@ -104,10 +112,7 @@
 		}
 		f.Request.Body = req.Body
 		r.relay.ServeForwarded(hr.Context(), w, req.From, f)
-	})}
-	go func() { _ = server.Serve(forward.Listener(ln, clusterKey)) }() // ends with Close
-	r.t.Cleanup(func() { _ = server.Close() })
-	return ln.Addr().String()
+	}
 }
 
 // shareEndpoints registers the endpoints of a rig with another one.
--- a/relay/job.go
+++ b/relay/job.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -269,7 +268,7 @@
 func (j *job) checkRetry(ctx context.Context, reason string) *ErrorResponse {
 	switch {
 	case ctx.Err() != nil:
-		return j.giveUp(cancelReason(ctx), reason, shortRetryAfter)
+		return j.giveUp(endReason(ctx), reason, shortRetryAfter)
 	case j.possibleRuns > 0 && !j.route.Retryable():
 		return j.giveUp(reason, "may have run and must not be retried", 0)
 	case j.possibleRuns >= max(1, j.route.MaxAttempts):
@@ -295,14 +294,6 @@
 	return maxDialFailures
 }
 
-// cancelReason returns the outcome of a request whose context has ended.
-func cancelReason(ctx context.Context) string {
-	if context.Cause(ctx) == context.DeadlineExceeded {
-		return "deadline"
-	}
-	return "caller_left"
-}
-
 // addStep appends a step to the steps that are logged when the request ends.
 func (j *job) addStep(parts ...string) {
 	if j.steps.Len() > 0 {
@@ -316,63 +307,6 @@
 	}
 }
 
-// finish logs and counts the end of the request and sends the error response, if
-// there is one. It aborts the connection by a panic if that is no longer possible.
-func (j *job) finish(ctx context.Context, errResp *ErrorResponse) {
-	outcome := "answered"
-	status := j.status
-	var detail string
-	if errResp != nil {
-		outcome, status, detail = errResp.Reason, errResp.Status, errResp.Detail
-	}
-	callerGone := ctx.Err() != nil
-	if callerGone && errResp != nil {
-		outcome = "caller_left"
-	}
-	took := j.relay.Clock.Since(j.arrived)
-	j.log(outcome, status, detail, took)
-	if j.from == "" {
-		j.countRequest(outcome, errResp == nil, took)
-	}
-	if errResp == nil {
-		return
-	}
-	if j.headerSent || callerGone {
-		// The header has been sent or the caller has disconnected, so only an
-		// aborted connection can signal that the answer is incomplete.
-		panic(http.ErrAbortHandler)
-	}
-	j.markAnswer(errResp.Reason, errResp.Detail)
-	errResp.Write(j.w)
-}
-
-// countRequest counts the end of a request of a caller.
-func (j *job) countRequest(outcome string, answered bool, took time.Duration) {
-	m := j.relay.metrics
-	team, priority := j.team, strconv.Itoa(j.priority)
-	m.requests.WithLabelValues(team, priority, outcome).Inc()
-	if answered {
-		m.firstByte.WithLabelValues(team, priority).Observe(j.firstByte.Seconds())
-		m.duration.WithLabelValues(team, priority).Observe(took.Seconds())
-	}
-}
-
-// log writes the request's log line with its decisions and its outcome.
-func (j *job) log(outcome string, status int, detail string, took time.Duration) {
-	age, _ := j.relay.Config.Age()
-	routeName, configVersion := "", int64(0)
-	if j.route != nil {
-		routeName = j.route.Name
-	}
-	if j.table != nil {
-		configVersion = j.table.Version()
-	}
-	j.relay.Logger.Info("request", "request", j.req.ID, "from", j.from, "route", routeName, "team", j.team, "priority", j.priority,
-		"outcome", outcome, "status", status, "detail", detail, "steps", j.steps.String(), "runs", j.possibleRuns,
-		"tokens", j.req.PromptTokens, "first_ms", j.firstByte.Milliseconds(), "gap_ms", j.longestEventGap.Milliseconds(), "took_ms", took.Milliseconds(),
-		"left_ms", j.remaining().Milliseconds(), "config", configVersion, "config_age_ms", age.Milliseconds())
-}
-
 // excludeEndpoint releases the slot and excludes its endpoint from further attempts
 // of this request.
 func (j *job) excludeEndpoint(sl *slot, outcome limiter.Outcome) {
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -125,7 +125,7 @@
 	fleet       *fleet.Registry
 	relay       *relay.Relay
 	server      *httptest.Server
-	log         *bytes.Buffer
+	log         *syncWriter
 	retryBudget limiter.WindowConfig
 	maxKeyAge   time.Duration
 	key         string // that call sends
@@ -142,7 +142,7 @@
 // newRigWith returns a rig whose relay has changed options.
 func newRigWith(t *testing.T, change func(*relay.Options), routes ...route.Route) *rig {
 	t.Helper()
-	r := &rig{t: t, config: &configSource{}, versions: &unrestrictedVersions{}, fleet: fleet.NewRegistry(0), log: &bytes.Buffer{}}
+	r := &rig{t: t, config: &configSource{}, versions: &unrestrictedVersions{}, fleet: fleet.NewRegistry(0), log: &syncWriter{}}
 	r.maxKeyAge, r.key = time.Second, "key"
 	r.retryBudget = limiter.WindowConfig{Window: 10 * time.Second, RetryRatio: 1, ExtraRetries: 10}
 	for i := range routes {
@@ -166,7 +166,7 @@
 		Permits: limiter.NewPermits(clockwork.NewRealClock(), slog.New(slog.DiscardHandler), limiter.LocalPermits{}),
 		Parts:   limiter.NewPartGuard(clockwork.NewRealClock(), slog.New(slog.DiscardHandler), true),
 		Rand:    func() *rand.Rand { return rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())) },
-		Logger:  slog.New(slog.NewTextHandler(&syncWriter{w: r.log}, nil)), Registry: prometheus.NewRegistry(),
+		Logger:  slog.New(slog.NewTextHandler(r.log, nil)), Registry: prometheus.NewRegistry(),
 	}
 	change(&opts)
 	r.relay = relay.New(opts)
@@ -186,18 +186,27 @@
 	})
 }
 
-// syncWriter serializes the log writes of concurrent requests.
+// syncWriter collects the log lines of concurrent requests.
 type syncWriter struct {
 	mu sync.Mutex
-	w  io.Writer
+	b  bytes.Buffer
 }
 
 func (s *syncWriter) Write(p []byte) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.w.Write(p)
+	return s.b.Write(p)
 }
 
+func (s *syncWriter) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// logged returns what the relay has logged.
+func (r *rig) logged() string { return r.log.String() }
+
 func (r *rig) setConfig(c route.Config) {
 	r.t.Helper()
 	table, err := route.NewTable(c)
--- a/relay/serveforwarded.go
+++ b/relay/serveforwarded.go
@@ -28,6 +28,9 @@
 		return
 	}
 	const maxDetailBytes = 256
+	if outcome == ReasonHostStopping {
+		outcome = ReasonStopping // the host that forwards may know only this one
+	}
 	h := j.w.Header()
 	h.Set(headerOutcome, outcome)
 	h.Set(headerDetail, detail[:min(len(detail), maxDetailBytes)])
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -102,7 +102,7 @@
 func (j *job) sendEvent(answer *upstream.Response, ev event) *ErrorResponse {
 	j.sendHeader(answer)
 	if _, err := j.w.Write(ev.data); err != nil {
-		return j.giveUp("caller_left", err.Error(), 0)
+		return j.giveUp(reasonCallerLeft, err.Error(), 0)
 	}
 	j.flush()
 	if ev.id >= 0 {
@@ -145,9 +145,10 @@
 // endpoint resumes it where the route allows that.
 func (j *job) handleBrokenStream(ctx context.Context, sl *slot, events int, err error) *ErrorResponse {
 	detail := "after " + strconv.Itoa(events) + " events: " + err.Error()
-	if ctx.Err() == nil {
-		j.investigateLoss(sl, !j.headerSent || j.route.Resumable)
+	if ctx.Err() != nil {
+		return j.handleBrokenAnswer(ctx, sl, "stream_cut", detail)
 	}
+	j.investigateLoss(sl, !j.headerSent || j.route.Resumable)
 	if j.headerSent && !j.route.Resumable {
 		j.addStep(sl.endpoint.ID, j.model, "cut")
 		j.count("stream_cut")
