router: a stop waits for the answers, and answers what it cuts

Callers whose requests were in flight at the end of a stop saw closed connections: the servers were shut down for 100 ms and then closed. Requests were counted in the handler, so that a finished answer could be cut before net/http had written it, and a request read after the last look at the count could be passed on and then cut.

The callers' and the forwarding listener now share an internal/drain Tracker. Late in the grace period the requests in flight are cancelled and have half of the margin to answer (503, 502); a body that is still being read is interrupted and answered 503. Readiness, directory and metrics answer until the last request has ended. Every answer of a stopping host closes its connection, also those of the forwarding listener. The margin shrinks with short grace periods.

--- a/daemon/router/edge.go
+++ b/daemon/router/edge.go
@@ -53,25 +53,24 @@
 // Ready reports whether the host accepts new callers.
 func (h *Host) Ready() bool {
 	_, ok := h.state.Table()
-	return ok && !h.stopping.Load() && (h.fresh() || !h.bounds.Load().StrictRevocation)
+	return ok && h.stop.Load() == nil && (h.fresh() || !h.bounds.Load().StrictRevocation)
 }
 
-// Draining reports whether the host is stopping and connections of callers should
-// be closed.
-func (h *Host) Draining() bool { return h.stopping.Load() }
-
 // Accepting reports whether a new request with a timeout is accepted; zero means that
 // it has none. Late in a stop, a request is accepted only if it can end before the
 // process does.
 func (h *Host) Accepting(timeout time.Duration) bool {
-	if !h.accepting.Load() || !h.stopping.Load() {
-		return h.accepting.Load()
+	stop := h.stop.Load()
+	if stop == nil {
+		return true
+	}
+	if h.servers.requests.Refusing() {
+		return false
 	}
-	stoppingFor := h.opts.Clock.Since(*h.stopBegan.Load())
-	if stoppingFor < acceptAllTime {
+	if stop.clock.Since(stop.began) < acceptAllTime {
 		return true
 	}
-	return timeout > 0 && stoppingFor+timeout <= h.bounds.Load().GracePeriod-stopMargin
+	return timeout > 0 && timeout <= stop.untilCut()
 }
 
 // defaultMaxBodyBytes bounds request bodies until the first configuration arrives.
--- a/daemon/router/forward.go
+++ b/daemon/router/forward.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/corianderlever/corianderlever/forward"
+	"github.com/corianderlever/corianderlever/internal/drain"
 	"github.com/corianderlever/corianderlever/limiter"
 	"github.com/corianderlever/corianderlever/membership"
 	"github.com/corianderlever/corianderlever/relay"
@@ -63,12 +64,17 @@
 // serve answers the requests that other hosts forward.
 func (f *forwarding) serve(w http.ResponseWriter, r *http.Request) {
 	h := f.host
+	defer drain.InterruptRead(w, r)()
 	req, err := forward.Read(w, r, h.buffers, h.MaxBodyBytes()+maxForwardMessageBytes)
 	defer req.Release()
 	if errors.Is(err, limiter.ErrBufferFull) {
 		relay.RejectForwarded(w, relay.ReasonBuffersFull)
 		return
 	}
+	if err != nil && drain.Stopping(r.Context()) {
+		relay.RejectForwarded(w, relay.ReasonStopping)
+		return
+	}
 	var message relay.Forwarded
 	if err == nil {
 		err = json.Unmarshal(req.Message, &message)
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -3,7 +3,6 @@
 package router
 
 import (
-	"context"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -133,12 +132,8 @@
 	peers       *peerService
 	servers     *serverService
 
-	// stopping is set from the stop signal on; accepting is unset once new
-	// requests are rejected, after the address lists given out have expired.
-	stopping  atomic.Bool
-	accepting atomic.Bool
-	// stopBegan is the time of the stop signal; nil before.
-	stopBegan atomic.Pointer[time.Time]
+	// stop is the graceful shutdown of the host; nil before the stop signal.
+	stop atomic.Pointer[shutdown]
 	// hosts is the number of live hosts; possibleHosts also counts hosts that
 	// failed recently.
 	hosts, possibleHosts atomic.Int64
@@ -174,7 +169,6 @@
 func New(opts Options) (*Host, error) {
 	defaults.Fill(&opts.Clock, &opts.Rand, &opts.Logger, &opts.Registry)
 	h := &Host{opts: opts, started: opts.Clock.Now(), kernel: kernel.New(), registry: fleet.NewRegistry(expiryGrace)}
-	h.accepting.Store(true)
 	h.SetBounds(opts.Settings.Bounds)
 	h.rollouts = control.NewRollouts(opts.Settings.Host, h.registry, func() rollout.StageConfig { return h.bounds.Load().Exposure },
 		func() int { return int(h.hosts.Load()) }, opts.Clock, opts.Logger)
@@ -203,7 +197,7 @@
 	h.loads = newLoadHub(opts.Clock, h.relay.OwnLoads)
 	h.edge = opts.NewEdge(h, h.relay)
 	h.peers = &peerService{host: h, run: background.NewGroup(opts.Logger)}
-	h.servers = &serverService{host: h, run: background.NewGroup(opts.Logger)}
+	h.servers = newServerService(h)
 	err := h.kernel.Register(h.peers, &controlService{host: h, run: background.NewGroup(opts.Logger)}, h.servers)
 	return h, errors.Wrap(err, "router: register services")
 }
@@ -276,80 +270,10 @@
 	return names
 }
 
-// Run starts the host, waits for ctx to end, and stops it.
-func (h *Host) Run(ctx context.Context) error {
-	log := h.opts.Logger
-	if err := h.kernel.Start(ctx); err != nil {
-		return errors.Wrap(err, "router: start")
-	}
-	log.Info("started", "host", h.opts.Settings.Host, "domain", h.opts.Settings.FailureDomain, "frontend", h.opts.Settings.Frontend)
-	<-ctx.Done()
-	log.Info("stopping", "running", h.servers.running.Load())
-	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), h.bounds.Load().GracePeriod)
-	defer cancel()
-	h.drain(stopCtx)
-	err := h.kernel.Stop(stopCtx)
-	log.Info("stopped", "error", err)
-	return err
-}
-
-const (
-	// listTTL is how long callers may cache a list of addresses.
-	listTTL = time.Second
-	// listTTLFactor is how many times longer than allowed some callers cache the
-	// list.
-	listTTLFactor = 3
-	// leavePropagation is the time in which the other hosts learn that a host is
-	// stopping.
-	leavePropagation = 300 * time.Millisecond
-	// acceptAllTime is the time after the stop signal in which all requests are accepted.
-	// Some callers still have an address list from before.
-	acceptAllTime = 2900 * time.Millisecond
-	// stopMargin is the part of the grace period that remains when the last
-	// requests are cut.
-	stopMargin = 600 * time.Millisecond
-)
-
-// drain removes the host from the address lists, serves until the lists already
-// given out have expired, and waits for the requests in flight.
-func (h *Host) drain(ctx context.Context) {
-	grace := h.bounds.Load().GracePeriod
-	began := h.opts.Clock.Now()
-	h.stopBegan.Store(&began)
-	h.stopping.Store(true)
-	h.peers.members.Leave()
-	h.wait(ctx, leavePropagation+listTTLFactor*h.listTTL())
-	h.accepting.Store(false)
-	for h.servers.running.Load() > 0 && h.opts.Clock.Since(began) < grace-stopMargin && ctx.Err() == nil {
-		h.wait(ctx, drainPollInterval)
-	}
-	if n := h.servers.running.Load(); n > 0 {
-		h.opts.Logger.Warn("requests cut at the end of the grace time", "running", n)
-	}
-}
-
-// drainPollInterval is the time between two checks of the requests in flight.
-const drainPollInterval = 50 * time.Millisecond
-
-func (h *Host) wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-h.opts.Clock.After(d):
-	}
-}
-
-// listTTL returns the time for which callers may cache a list of addresses.
-func (h *Host) listTTL() time.Duration {
-	if limit := h.bounds.Load().MaxListTTL; limit > 0 {
-		return min(listTTL, limit)
-	}
-	return listTTL
-}
-
 // isCoordinator reports whether this host coordinates the roll-outs. The coordinator
 // is the first live member by name that can serve and reaches the store.
 func (h *Host) isCoordinator() bool {
-	if h.stopping.Load() {
+	if h.stop.Load() != nil {
 		return false
 	}
 	for _, m := range h.peers.members.Members() {
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -60,15 +61,14 @@
 func TestLateInAStopOnlyShortRequestsAreAccepted(t *testing.T) {
 	const grace = 8 * time.Second
 	clock := clockwork.NewFakeClock()
-	h := &Host{opts: Options{Clock: clock}}
+	h := &Host{opts: Options{Clock: clock, Logger: slog.New(slog.DiscardHandler)}}
 	h.SetBounds(Bounds{GracePeriod: grace})
-	h.accepting.Store(true)
+	h.servers = newServerService(h)
 	if !h.Accepting(20 * time.Second) {
 		t.Error("a running host rejects a request")
 	}
 	began := clock.Now()
-	h.stopBegan.Store(&began)
-	h.stopping.Store(true)
+	h.stop.Store(newShutdown(clock, grace))
 	for _, step := range []struct {
 		after, timeout time.Duration
 		want           bool
@@ -84,7 +84,7 @@
 			t.Errorf("%v after the signal, timeout %v: accepted %t, want %t", step.after, step.timeout, got, step.want)
 		}
 	}
-	h.accepting.Store(false)
+	h.servers.requests.Refuse()
 	if h.Accepting(time.Millisecond) {
 		t.Error("a request is accepted after the last address list has expired")
 	}
