--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -233,14 +233,9 @@
 	return rand.New(rand.NewPCG(h.opts.Rand.Uint64(), h.opts.Rand.Uint64()))
 }
 
-// SetBounds replaces the bounds after a change of the settings. The end of a stop that has
-// begun stays, because whoever sent the stop signal waits for the grace period of that time.
-func (h *Host) SetBounds(b Bounds) {
-	if h.stopping.Load() {
-		b.GracePeriod = h.bounds.Load().GracePeriod
-	}
-	h.bounds.Store(&b)
-}
+// SetBounds replaces the bounds after a change of the settings. A graceful shutdown that has
+// begun keeps its grace period.
+func (h *Host) SetBounds(b Bounds) { h.bounds.Store(&b) }
 
 // minHosts is the minimum number of hosts among which shared budgets are divided.
 // A host that sees no other hosts may be partitioned from them while they still use
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -97,15 +97,15 @@
 	const grace = 8 * time.Second
 	clock := clockwork.NewFakeClock()
 	for _, changed := range []time.Duration{0, grace / 2, 2 * grace} {
-		h := &Host{opts: Options{Clock: clock}}
+		h := &Host{opts: Options{Clock: clock, Logger: slog.New(slog.DiscardHandler)}}
+		h.servers = newServerService(h)
 		h.SetBounds(Bounds{GracePeriod: grace})
-		h.accepting.Store(true)
-		began := clock.Now()
-		h.stopBegan.Store(&began)
-		h.stopping.Store(true)
+		stop := newShutdown(clock, grace)
+		defer stop.cancel()
+		h.stop.Store(stop)
 		h.SetBounds(Bounds{GracePeriod: changed, RevocationTime: time.Second})
 		clock.Advance(acceptAllTime)
-		if !h.Accepting(grace - stopMargin - acceptAllTime) {
+		if !h.Accepting(grace - stop.margin() - acceptAllTime) {
 			t.Errorf("grace period changed to %v: a request that fits the old one is rejected", changed)
 		}
 		if h.Accepting(grace - acceptAllTime) {
