dispatch: a cancelled request is no lost endpoint

What callers saw: "this host reaches no endpoint that could serve the request" from a host whose endpoints were well, until the next poll of the endpoints. Cause: an attempt whose connection was not open yet when its caller left, or its host stopped, ended with the outcome not_run and counted as a connection that could not be opened. With one endpoint of a service, a single cancelled request was enough. Evidence: TestCallerWhoLeavesLosesNoEndpoint failed before: "services [engines] count as lost, want none"; it passes now. Why it works: only a connection that fails before its request is cancelled tells something about the way to the endpoint; one that lasts until the deadline still does.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -175,7 +175,7 @@
 	if !errors.As(err, &failed) || failed.Outcome != api.OutcomeNotRun {
 		g.mayHaveRun = true
 	}
-	g.d.Pool.observeAttempt(sl.endpoint, err)
+	g.d.Pool.observeAttempt(ctx, sl.endpoint, err)
 	crashed := failed != nil && failed.Lost && ctx.Err() == nil && g.d.checkForCrash(ctx, sl)
 	g.d.endProbation(ctx, g.hash, sl.endpoint, crashed)
 	sl.release(outcome, firstToken)
--- a/dispatch/reach.go
+++ b/dispatch/reach.go
@@ -65,11 +65,12 @@
 
 // observeAttempt records what an attempt tells of the way to its endpoint. Only a request
 // that could not be sent tells that it is lost: any other failure may be the endpoint's own.
-func (ep *EndpointPool) observeAttempt(name string, err error) {
+// A request that was cancelled tells nothing.
+func (ep *EndpointPool) observeAttempt(ctx context.Context, name string, err error) {
 	switch {
 	case Answered(err):
 		ep.ObserveContact(name, true)
-	case notSent(err):
+	case notSent(err) && !errors.Is(ctx.Err(), context.Canceled):
 		ep.ObserveContact(name, false)
 	}
 }
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -251,7 +251,7 @@
 	if !errors.As(err, &failed) || failed.Outcome != api.OutcomeNotRun {
 		c.mayHaveRun = true
 	}
-	c.d.Pool.observeAttempt(sl.endpoint, err)
+	c.d.Pool.observeAttempt(ctx, sl.endpoint, err)
 	sl.release(outcome, took)
 	c.d.metrics.attempts.WithLabelValues(result).Inc()
 }
