dispatch: a request that its host ends at a stop says so to caller, log and metrics

What callers saw: a request cancelled while it waited (crash guard, allowance, admission, claim, connection) ended as deadline_exceeded, overloaded, not_claimed or endpoint_failed, whatever it waited for, without a time to retry. Logs, metrics and leverctl explain could not tell the stop of a host from a caller who left. Cause: the waits turn the end of their context into an error of their own, without regard to its cause. Evidence: TestStopTellsWaitingRequestThatItHasNotRun and the other tests of stop_test.go failed before in all cases, e.g. "error deadline_exceeded: deadline exceeded while the request was deferred: context canceled", "0 requests counted as host_stopping"; they pass. Why it works: the cause of the cancellation decides in one place, after the request has settled its bill and its claim. One that has not run is told 503 unavailable, not_run, Retry-After; one that may have run 502 endpoint_failed, unknown. Decisions about the request itself (4xx) stay. Logs, metrics and explanations have the codes host_stopping and caller_left.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -192,6 +192,8 @@
 	switch {
 	case err == nil:
 		return limiter.OutcomeOK, "ok"
+	case Stopping(ctx):
+		return limiter.OutcomeIgnored, codeStopping
 	case ctx.Err() != nil:
 		return limiter.OutcomeIgnored, "cancelled"
 	case !errors.As(err, &failed):
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -159,6 +159,7 @@
 		ctx, cancel := context.WithTimeout(ctx, r.target.rank.Deadline.AsDuration())
 		defer cancel()
 		answer, err = r.serve(ctx)
+		err = endedByStop(ctx, err, r.mayHaveRun)
 	}
 	d.finish(ctx, r.trace, outcome{
 		id: req.ID, team: req.Team, rank: r.target.rankName, version: answer.Receipt.Version,
@@ -186,7 +187,10 @@
 		if errors.As(o.err, &apiErr) {
 			code = apiErr.Code
 		}
-		trace.add("end", "%v", o.err)
+		if cancelled := cancelCode(ctx); cancelled != "" && !isDecision(o.err) {
+			code = cancelled
+		}
+		trace.add("end", "%s: %v", code, o.err)
 		d.Logger.WarnContext(ctx, "request failed", append(attrs, "code", code, "error", o.err)...)
 	} else {
 		trace.add("end", "served by %s at cost %.4f", o.version, o.cost)
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -60,6 +60,7 @@
 	d         *dispatch.Dispatcher
 	ledger    *ledger.Ledger
 	kv        *memkv.Faulty
+	registry  *prometheus.Registry
 	client    *client.Client
 }
 
@@ -70,7 +71,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(endpoints.Close)
-	r := &rig{t: t, endpoints: endpoints, config: new(testConfig)}
+	r := &rig{t: t, endpoints: endpoints, config: new(testConfig), registry: prometheus.NewRegistry()}
 	if r.resources, err = demo.Resources(endpoints); err != nil {
 		t.Fatal(err)
 	}
@@ -97,7 +98,7 @@
 		Crashes: guard, Parts: limiter.NewPartGuard(clock, logger, false), Probation: dispatch.LocalProbation{Probation: limiter.NewProbation(clock, guard)},
 		Ledger: r.ledger, Claims: claim.New(r.kv, clock, rng(), "host", logger),
 		Rater: rating.New("http://"+endpoints.Engines[0].Addr(), 1000, nil),
-		Clock: clock, Logger: logger, Registry: prometheus.NewRegistry(),
+		Clock: clock, Logger: logger, Registry: r.registry,
 	})
 	t.Cleanup(r.d.Close)
 	r.apply(queue, r.resources)
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -65,6 +65,7 @@
 	arrived := d.Clock.Now()
 	c := &call{d: d, req: req, trace: d.traces.start(req.ID)}
 	answer, err := c.resolveAndServe(ctx)
+	err = endedByStop(ctx, err, c.mayHaveRun)
 	cost := 0.0
 	if c.bill != nil {
 		cost = c.bill.cost
