internal/drain: stop HTTP servers without cutting the requests in flight

http.Server.Shutdown and Close drop requests that have been read, wait 5 s for new connections, and know nothing of why they end a request. Counting requests in the handler ends the count before net/http has written the answer.

A Tracker follows connections from the first byte of a request to the last byte of its answer. Its steps: Drain (answers close their connections), Refuse (handlers reject what is read from then on), WaitIdle, Stop (closes listeners and unused connections, waits, cancels the contexts of the rest with ErrStopping so that their handlers answer, and closes what is left). Several http.Servers may share one Tracker.

tracker := drain.New(drain.Options{Clock: clock, Logger: log}) tracker.Attach(server) // before Serve server.Serve(tls.NewListener(tracker.Listener(ln), config))

Each connection has the time at which it became idle, for limits on it. peer.SecureConn gets NetConn, as tls.Conn has it.

--- /dev/null
+++ b/internal/drain/conn.go
@@ -0,0 +1,210 @@
+package drain
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// phase is the state of a connection. It differs from http.ConnState in that a connection
+// is active from the first byte of a request, and not only once the header has been read.
+type phase int32
+
+const (
+	// phaseOpening lasts from the accept until the server has the connection.
+	phaseOpening phase = iota
+	// phaseNew lasts until the first request.
+	phaseNew
+	// phaseActive lasts from the first byte of a request to the last byte of its answer.
+	phaseActive
+	// phaseIdle lasts from the end of an answer to the next request.
+	phaseIdle
+	// phaseClosed is final.
+	phaseClosed
+)
+
+// Listener returns a listener whose connections the tracker follows. A layer on top of it,
+// such as TLS, must have connections with a method NetConn.
+func (t *Tracker) Listener(ln net.Listener) net.Listener {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listeners = append(t.listeners, ln)
+	return &listener{Listener: ln, tracker: t}
+}
+
+type listener struct {
+	net.Listener
+	tracker *Tracker
+}
+
+// Accept implements net.Listener. It returns http.ErrServerClosed while the tracker stops.
+func (l *listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	t := l.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case err != nil && t.closing:
+		return nil, http.ErrServerClosed
+	case err != nil:
+		return nil, err
+	}
+	c := &conn{Conn: inner, tracker: t, since: t.opts.Clock.Now()}
+	c.state.Store(int32(phaseOpening))
+	if t.closing {
+		c.closeInner()
+		return nil, http.ErrServerClosed
+	}
+	t.conns[c] = struct{}{}
+	return c, nil
+}
+
+// conn is a connection that the tracker follows.
+type conn struct {
+	net.Conn
+	tracker *Tracker
+	// state is changed only with the lock of the tracker held.
+	state atomic.Int32
+	// since is the time at which the connection was accepted or became idle. It is protected
+	// by the lock of the tracker.
+	since time.Time
+	// layered is set if the server sees the connection through another one, whose handshake
+	// is not a request. It is protected by the lock of the tracker.
+	layered bool
+
+	closeOnce sync.Once
+	closeErr  error
+}
+
+func (c *conn) phase() phase { return phase(c.state.Load()) }
+
+// Read implements net.Conn. A connection that was closed as an unused one yields no bytes,
+// not even those that arrived before, so that no request of it is passed on.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && !c.tracker.received(c) {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.tracker.mu.Lock()
+	c.tracker.remove(c)
+	c.tracker.mu.Unlock()
+	c.closeInner()
+	return c.closeErr
+}
+
+// SetKeepAliveConfig sets the probes of a TCP connection.
+func (c *conn) SetKeepAliveConfig(config net.KeepAliveConfig) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return tcp.SetKeepAliveConfig(config)
+}
+
+func (c *conn) closeInner() { c.closeOnce.Do(func() { c.closeErr = c.Conn.Close() }) }
+
+// received records bytes of a request. It returns false if the connection is closed.
+func (t *Tracker) received(c *conn) bool {
+	if c.phase() == phaseActive {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch c.phase() {
+	case phaseClosed:
+		return false
+	case phaseIdle:
+		t.setPhase(c, phaseActive)
+	case phaseNew:
+		if !c.layered {
+			t.setPhase(c, phaseActive)
+		}
+	}
+	return true
+}
+
+// setPhase changes the phase of a connection that is not closed. It must be called with the
+// lock held.
+func (t *Tracker) setPhase(c *conn, p phase) {
+	before := c.phase()
+	if before == p || before == phaseClosed {
+		return
+	}
+	c.state.Store(int32(p))
+	if p == phaseActive {
+		t.active++
+		return
+	}
+	c.since = t.opts.Clock.Now()
+	if before == phaseActive {
+		t.active--
+		t.notify()
+	}
+}
+
+// remove forgets a connection. It must be called with the lock held.
+func (t *Tracker) remove(c *conn) {
+	if _, ok := t.conns[c]; !ok {
+		return
+	}
+	t.setPhase(c, phaseClosed)
+	delete(t.conns, c)
+	t.notify()
+}
+
+// connState is the ConnState of the servers.
+func (t *Tracker) connState(nc net.Conn, state http.ConnState) {
+	c := innerConn(nc)
+	if c == nil {
+		return
+	}
+	if t.changeState(c, nc != net.Conn(c), state) {
+		c.closeInner()
+	}
+}
+
+// changeState follows a change that the server reports. It returns true if the connection
+// must be closed.
+func (t *Tracker) changeState(c *conn, layered bool, state http.ConnState) (closeNow bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		c.layered = layered
+		t.setPhase(c, phaseNew)
+	case http.StateActive:
+		t.setPhase(c, phaseActive)
+	case http.StateIdle:
+		t.setPhase(c, phaseIdle)
+		if t.closing {
+			t.remove(c)
+			return true
+		}
+	case http.StateClosed, http.StateHijacked:
+		t.remove(c)
+	}
+	return false
+}
+
+// innerConn returns the connection of the tracker's listener below nc; nil if there is none.
+func innerConn(nc net.Conn) *conn {
+	for nc != nil {
+		if c, ok := nc.(*conn); ok {
+			return c
+		}
+		layer, ok := nc.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		nc = layer.NetConn()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/drain/drain_test.go
@@ -0,0 +1,413 @@
+package drain_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/corianderlever/corianderlever/internal/drain"
+)
+
+// testTimeout bounds the wait for a condition that holds at once unless a test fails.
+const testTimeout = 20 * time.Second
+
+// gate holds the reads and writes of a connection back.
+type gate struct {
+	reads, writes atomic.Bool
+	held          chan struct{}
+	release       chan struct{}
+	net.Listener
+}
+
+func newGate(t *testing.T) *gate {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &gate{Listener: ln, held: make(chan struct{}, 100), release: make(chan struct{})}
+}
+
+func (g *gate) Accept() (net.Conn, error) {
+	c, err := g.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &gatedConn{Conn: c, gate: g}, nil
+}
+
+func (g *gate) hold() {
+	g.held <- struct{}{}
+	<-g.release
+}
+
+type gatedConn struct {
+	net.Conn
+	gate *gate
+}
+
+// Read holds bytes back that have arrived.
+func (c *gatedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && c.gate.reads.Load() {
+		c.gate.hold()
+	}
+	return n, err
+}
+
+func (c *gatedConn) Write(b []byte) (int, error) {
+	if c.gate.writes.Load() {
+		c.gate.hold()
+	}
+	return c.Conn.Write(b)
+}
+
+// start serves a handler at the gate.
+func start(t *testing.T, g *gate, clock clockwork.Clock, handler http.HandlerFunc) *drain.Tracker {
+	t.Helper()
+	tracker := drain.New(drain.Options{Clock: clock})
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: testTimeout}
+	tracker.Attach(server)
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(tracker.Listener(g)) }()
+	t.Cleanup(func() {
+		over, cancel := context.WithCancel(context.Background())
+		cancel()
+		tracker.Stop(over, 0)
+		if err := receive(t, ended); err != http.ErrServerClosed {
+			t.Errorf("server ended with %v, want http.ErrServerClosed", err)
+		}
+	})
+	return tracker
+}
+
+// caller is a connection of a caller.
+type caller struct {
+	t    *testing.T
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+func dial(t *testing.T, g *gate) *caller {
+	t.Helper()
+	conn, err := net.Dial("tcp", g.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	return &caller{t: t, conn: conn, r: bufio.NewReader(conn)}
+}
+
+func (c *caller) send(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c.conn, text); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *caller) request() {
+	c.t.Helper()
+	c.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+}
+
+// answer reads an answer and returns its status, its body and whether it closes the
+// connection.
+func (c *caller) answer() (status int, body string, closes bool) {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		c.t.Fatalf("no answer: %v", err)
+	}
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		c.t.Fatalf("incomplete answer: %v", err)
+	}
+	return resp.StatusCode, string(text), resp.Close
+}
+
+func receive[T any](t *testing.T, from <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-from:
+		return v
+	case <-time.After(testTimeout):
+		t.Fatal("nothing happened in time")
+		panic("unreachable")
+	}
+}
+
+// waitFor polls a condition.
+func waitFor(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+// stop runs Stop in the background; its result is the number of connections cut.
+func stop(ctx context.Context, tracker *drain.Tracker, answerTime time.Duration) <-chan int {
+	cut := make(chan int, 1)
+	go func() { cut <- tracker.Stop(ctx, answerTime) }()
+	return cut
+}
+
+// TestAnswerThatIsWrittenAfterTheHandlerReturned guards against a stop that counts a request
+// as ended when its handler returns, and closes the connection before net/http has written
+// the answer.
+func TestAnswerThatIsWrittenAfterTheHandlerReturned(t *testing.T) {
+	g := newGate(t)
+	returned := make(chan struct{}, 1)
+	tracker := start(t, g, nil, func(w http.ResponseWriter, _ *http.Request) {
+		defer func() { returned <- struct{}{} }()
+		fmt.Fprint(w, "whole")
+	})
+	c := dial(t, g)
+	g.writes.Store(true)
+	c.request()
+	receive(t, returned)
+	receive(t, g.held)
+	cut := stop(t.Context(), tracker, 0)
+	waitFor(t, "the stop begins", tracker.Refusing)
+	if n := tracker.InFlight(); n != 1 {
+		t.Errorf("got %d requests in flight while an answer is written, want 1", n)
+	}
+	close(g.release)
+	if status, body, _ := c.answer(); status != http.StatusOK || body != "whole" {
+		t.Errorf("got %d %q", status, body)
+	}
+	if n := receive(t, cut); n != 0 {
+		t.Errorf("got %d connections cut, want none", n)
+	}
+}
+
+// TestRequestThatArrivesWhileIdleConnectionsAreClosed guards against a request that is read
+// from an idle connection and passed on although the connection is being closed.
+func TestRequestThatArrivesWhileIdleConnectionsAreClosed(t *testing.T) {
+	g := newGate(t)
+	var served atomic.Int32
+	tracker := start(t, g, nil, func(http.ResponseWriter, *http.Request) { served.Add(1) })
+	c := dial(t, g)
+	c.request()
+	c.answer()
+	waitFor(t, "the connection is idle", func() bool { return tracker.InFlight() == 0 })
+	g.reads.Store(true)
+	c.request()
+	receive(t, g.held) // the bytes are read, but the tracker does not know
+	if n := tracker.Stop(t.Context(), 0); n != 0 {
+		t.Errorf("got %d connections cut, want none", n)
+	}
+	close(g.release)
+	if _, err := http.ReadResponse(c.r, nil); err == nil {
+		t.Error("got an answer on a closed connection")
+	}
+	if n := served.Load(); n != 1 {
+		t.Errorf("got %d requests passed on, want the first one only", n)
+	}
+}
+
+// TestRequestsDuringStopAreAnsweredOrNotPassedOn guards against a request that is passed on
+// and ends without an answer, whenever it arrives during a stop.
+func TestRequestsDuringStopAreAnsweredOrNotPassedOn(t *testing.T) {
+	const rounds, callers = 30, 8
+	for range rounds {
+		g := newGate(t)
+		var passedOn, answered atomic.Int32
+		var tracker *drain.Tracker
+		ready := make(chan struct{})
+		tracker = start(t, g, nil, func(w http.ResponseWriter, _ *http.Request) {
+			<-ready
+			if tracker.Refusing() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			passedOn.Add(1)
+			fmt.Fprint(w, "whole")
+		})
+		close(ready)
+		done := make(chan struct{}, callers)
+		for range callers {
+			c := dial(t, g)
+			go func() {
+				defer func() { done <- struct{}{} }()
+				for {
+					if _, err := io.WriteString(c.conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+						return
+					}
+					resp, err := http.ReadResponse(c.r, nil)
+					if err != nil {
+						return
+					}
+					if _, err := io.ReadAll(resp.Body); err == nil && resp.StatusCode == http.StatusOK {
+						answered.Add(1)
+					}
+				}
+			}()
+		}
+		waitFor(t, "requests are served", func() bool { return passedOn.Load() >= callers })
+		if n := tracker.Stop(t.Context(), 0); n != 0 {
+			t.Fatalf("got %d connections cut, want none", n)
+		}
+		for range callers {
+			receive(t, done)
+		}
+		if passedOn.Load() != answered.Load() {
+			t.Fatalf("got %d requests passed on and %d answered", passedOn.Load(), answered.Load())
+		}
+	}
+}
+
+// TestHandlerAnswersAfterCut guards against a request that ends with a closed connection at
+// the end of a stop although its handler could send a final answer.
+func TestHandlerAnswersAfterCut(t *testing.T) {
+	g, clock := newGate(t), clockwork.NewFakeClock()
+	tracker := start(t, g, clock, func(w http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		if drain.Stopping(r.Context()) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	c := dial(t, g)
+	c.request()
+	waitFor(t, "the request arrives", func() bool { return tracker.InFlight() == 1 })
+	ctx, cancel := context.WithCancel(t.Context())
+	cut := stop(ctx, tracker, time.Second)
+	cancel()
+	if status, _, closes := c.answer(); status != http.StatusServiceUnavailable || !closes {
+		t.Errorf("got %d, closes the connection: %t", status, closes)
+	}
+	if n := receive(t, cut); n != 0 {
+		t.Errorf("got %d connections cut, want none", n)
+	}
+}
+
+// TestCallerThatLeftIsNotTakenForTheStop guards against a cause that hides which of the two
+// ended a request.
+func TestCallerThatLeftIsNotTakenForTheStop(t *testing.T) {
+	g := newGate(t)
+	stopping := make(chan bool, 1)
+	tracker := start(t, g, nil, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		stopping <- drain.Stopping(r.Context())
+	})
+	c := dial(t, g)
+	c.request()
+	waitFor(t, "the request arrives", func() bool { return tracker.InFlight() == 1 })
+	_ = c.conn.Close()
+	if receive(t, stopping) {
+		t.Error("a caller's leaving is taken for the stop")
+	}
+}
+
+// TestConnectionWithoutAnswerIsClosedLast guards against a handler that never ends and holds
+// up the end of the process.
+func TestConnectionWithoutAnswerIsClosedLast(t *testing.T) {
+	g, clock := newGate(t), clockwork.NewFakeClock()
+	release := make(chan struct{})
+	defer close(release)
+	tracker := start(t, g, clock, func(http.ResponseWriter, *http.Request) { <-release })
+	c := dial(t, g)
+	c.request()
+	waitFor(t, "the request arrives", func() bool { return tracker.InFlight() == 1 })
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	cut := stop(ctx, tracker, time.Second)
+	if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	clock.Advance(time.Second)
+	if n := receive(t, cut); n != 1 {
+		t.Errorf("got %d connections cut, want 1", n)
+	}
+	if _, err := c.r.ReadByte(); err == nil {
+		t.Error("got an answer")
+	}
+}
+
+// TestAnswersCloseTheirConnectionsWhileDraining guards against callers that send further
+// requests on a connection of a stopping host.
+func TestAnswersCloseTheirConnectionsWhileDraining(t *testing.T) {
+	g := newGate(t)
+	arrived, release := make(chan struct{}, 10), make(chan struct{})
+	tracker := start(t, g, nil, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusEarlyHints)
+		arrived <- struct{}{}
+		<-release
+		http.Error(w, "", http.StatusBadGateway)
+	})
+	before := dial(t, g)
+	before.request()
+	receive(t, arrived)
+	tracker.Drain()
+	after := dial(t, g)
+	after.request()
+	receive(t, arrived)
+	close(release)
+	for name, c := range map[string]*caller{"before the stop": before, "during the stop": after} {
+		status, _, closes := c.answer()
+		for status == http.StatusEarlyHints {
+			status, _, closes = c.answer()
+		}
+		if status != http.StatusBadGateway || !closes {
+			t.Errorf("request sent %s: got %d, closes the connection: %t", name, status, closes)
+		}
+	}
+}
+
+// TestHalfARequestIsInFlight guards against a connection that is closed as an idle one while
+// the header of a request is being read.
+func TestHalfARequestIsInFlight(t *testing.T) {
+	g := newGate(t)
+	tracker := start(t, g, nil, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "whole") })
+	c := dial(t, g)
+	c.request()
+	c.answer()
+	waitFor(t, "the connection is idle", func() bool { return tracker.InFlight() == 0 })
+	c.send("GET / HTTP/1.1\r\n")
+	waitFor(t, "half a request is read", func() bool { return tracker.InFlight() == 1 })
+	cut := stop(t.Context(), tracker, 0)
+	waitFor(t, "the stop begins", tracker.Refusing)
+	c.send("Host: h\r\n\r\n")
+	if status, _, closes := c.answer(); status != http.StatusOK || !closes {
+		t.Errorf("got %d, closes the connection: %t", status, closes)
+	}
+	if n := receive(t, cut); n != 0 {
+		t.Errorf("got %d connections cut, want none", n)
+	}
+}
+
+// TestWaitIdleKeepsUnusedConnections guards against a wait that never ends because callers
+// keep connections open, and against one that ends before the last answer.
+func TestWaitIdleKeepsUnusedConnections(t *testing.T) {
+	g := newGate(t)
+	release := make(chan struct{})
+	tracker := start(t, g, nil, func(http.ResponseWriter, *http.Request) { <-release })
+	dial(t, g)
+	c := dial(t, g)
+	c.request()
+	waitFor(t, "the request arrives", func() bool { return tracker.InFlight() == 1 })
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := tracker.WaitIdle(ended); err == nil {
+		t.Error("the wait ended although a request is in flight")
+	}
+	idle := make(chan error, 1)
+	go func() { idle <- tracker.WaitIdle(t.Context()) }()
+	close(release)
+	c.answer()
+	if err := receive(t, idle); err != nil {
+		t.Error(err)
+	}
+}
--- a/peer/secure.go
+++ b/peer/secure.go
@@ -113,6 +113,9 @@
 // errUnread reports that data has been received and not been read.
 var errUnread = errors.New("peer: unread data")
 
+// NetConn returns the connection below.
+func (c *SecureConn) NetConn() net.Conn { return c.Conn }
+
 // SyscallConn implements syscall.Conn for owners that look for unread data.
 func (c *SecureConn) SyscallConn() (syscall.RawConn, error) {
 	c.readMu.Lock()
@@ -143,7 +146,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface {
+		SetKeepAliveConfig(net.KeepAliveConfig) error
+	}); ok {
 		// Without probes, connections of a vanished host stay open until they are idle.
 		_ = tcp.SetKeepAliveConfig(secureKeepAlive)
 	}
