daemon: requests that are left at the end of the drain get an answer

What callers saw: at the end of the drain timeout the connection was closed, without an answer or in the middle of one, also for requests that had waited for an engine all the time and could go to another host at once. The host then stopped its other services while the handlers of these requests still ran, so that their bills and claims were settled by services that had stopped. Cause: http.Server.Shutdown with the drain timeout, then Close. Close tells the handlers nothing but that the connection is gone. Shutdown also closes idle connections on which a request has arrived but has not been read. Why it works: the tracker cancels the contexts with a cause and waits until the final answers are written; the entry service returns when no handler runs any more, so dispatch, claims and ledger stop after the last request. An answer that is cut all the same is logged as cut by the stop, not as left by its caller.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -6,15 +6,18 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/corianderlever/corianderlever/admin"
 	"github.com/corianderlever/corianderlever/api"
 	"github.com/corianderlever/corianderlever/entry"
+	"github.com/corianderlever/corianderlever/internal/drain"
 	"github.com/corianderlever/corianderlever/kernel"
 )
 
@@ -30,6 +33,9 @@
 	readyTimeout = 5 * time.Second
 	// listTTLMargin covers the time that an entry list takes to reach its caller.
 	listTTLMargin = 500 * time.Millisecond
+	// finalAnswerTime is the time that requests have to settle their claims and bills and to
+	// answer once they are ended. A change of a claim takes at most a second.
+	finalAnswerTime = 4 * time.Second
 )
 
 // entryService answers callers and operators.
@@ -37,9 +43,12 @@
 	base
 	membership *membershipService
 	config     *configurationService
+	tracker    *drain.Tracker
 	server     *http.Server
 	ln         net.Listener
 	leaving    atomic.Bool
+	// handlers is held for reading by each request that is served.
+	handlers sync.RWMutex
 }
 
 func (s *entryService) Name() string { return serviceEntry }
@@ -67,15 +76,18 @@
 	backend := newAdminBackend(s.config, s.membership, ledgers, d)
 	f := newForwarder(s.opts, s.membership.Members, certs)
 	signal(d.signals, "lost", func() ([]string, bool) { return d.pool.LostServices(), true }, f.observeLost)
+	s.tracker = drain.New(drain.Options{Clock: s.opts.Clock, Logger: s.opts.Logger})
 	s.server = &http.Server{
 		Handler:           s.handler(d, backend, f),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: slog.NewLogLogger(s.opts.Logger.Handler(), slog.LevelWarn),
 	}
-	s.ln, err = net.Listen("tcp", s.opts.Settings.Listen.Entry)
+	s.tracker.Attach(s.server)
+	ln, err := net.Listen("tcp", s.opts.Settings.Listen.Entry)
 	if err != nil {
 		return errors.Wrap(err, "daemon: listen for callers")
 	}
+	s.ln = s.tracker.Listener(ln)
 	if certs.reloader != nil {
 		s.ln = tls.NewListener(s.ln, certs.reloader.ServerConfig(false))
 	}
@@ -92,12 +104,20 @@
 	}))
 	mux.Handle("/admin/", admin.NewHandler(backend, s.opts.Settings.OperatorKeyHashes, s.opts.Logger))
 	mux.Handle("GET /metrics", promhttp.HandlerFor(s.opts.Registry, promhttp.HandlerOpts{}))
+	return s.whileServing(mux)
+}
+
+// whileServing rejects the requests that come once the other services stop.
+func (s *entryService) whileServing(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.leaving.Load() {
-			// Makes callers open their next connection to another host.
-			w.Header().Set("Connection", "close")
+		if !s.handlers.TryRLock() {
+			api.WriteError(w, &api.Error{
+				Status: http.StatusServiceUnavailable, Code: api.CodeUnavailable, Outcome: api.OutcomeNotRun, Message: "this host is stopping",
+			})
+			return
 		}
-		mux.ServeHTTP(w, r)
+		defer s.handlers.RUnlock()
+		next.ServeHTTP(w, r)
 	})
 }
 
@@ -137,22 +157,49 @@
 }
 
 // Stop removes the host from the entry list, serves until the lists already given
-// out have expired, and waits for the requests in flight.
+// out have expired, and waits for the requests in flight. Those that are left at the end
+// of the drain get a final answer. No request is served when Stop has returned in time.
 func (s *entryService) Stop(ctx context.Context) error {
 	s.leaving.Store(true)
+	s.tracker.Drain()
 	s.membership.Leave()
 	wait := s.opts.Settings.Drain.EntryTTL.AsDuration() + listTTLMargin
 	select {
 	case <-s.opts.Clock.After(wait):
 	case <-ctx.Done():
 	}
-	drain, cancel := context.WithTimeout(ctx, s.opts.Settings.Drain.Timeout.AsDuration())
+	err := s.drain(ctx)
+	return errors.CombineErrors(errors.CombineErrors(err, s.awaitHandlers(ctx)), s.run.Stop(ctx))
+}
+
+// drain waits for the answers of the requests in flight and ends those that take longer than
+// the drain timeout.
+func (s *entryService) drain(ctx context.Context) error {
+	timeout := s.opts.Settings.Drain.Timeout.AsDuration()
+	ctx, cancel := clockwork.WithTimeout(ctx, s.opts.Clock, timeout)
 	defer cancel()
-	if err := s.server.Shutdown(drain); err != nil {
-		s.opts.Logger.Error("drain timeout passed", "timeout", s.opts.Settings.Drain.Timeout.AsDuration(), "error", err)
-		return errors.CombineErrors(ErrDrainTimeout, s.server.Close())
+	closed := s.tracker.Stop(ctx, finalAnswerTime)
+	if ctx.Err() == nil {
+		return nil
+	}
+	s.opts.Logger.Error("drain timeout passed", "timeout", timeout, "closed_without_answer", closed)
+	return ErrDrainTimeout
+}
+
+// awaitHandlers waits until no request is served. The services that a request uses stop
+// afterwards.
+func (s *entryService) awaitHandlers(ctx context.Context) error {
+	ended := make(chan struct{})
+	go func() {
+		s.handlers.Lock() // for good: a stopped host serves nothing
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "daemon: wait for the requests that are served")
 	}
-	return s.run.Stop(ctx)
 }
 
 func (s *entryService) address() string { return s.ln.Addr().String() }
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/corianderlever/corianderlever/api"
 	"github.com/corianderlever/corianderlever/balance"
 	"github.com/corianderlever/corianderlever/engine"
+	"github.com/corianderlever/corianderlever/internal/drain"
 	"github.com/corianderlever/corianderlever/limiter"
 )
 
@@ -192,7 +193,7 @@
 	switch {
 	case err == nil:
 		return limiter.OutcomeOK, "ok"
-	case Stopping(ctx):
+	case drain.Stopping(ctx):
 		return limiter.OutcomeIgnored, codeStopping
 	case ctx.Err() != nil:
 		return limiter.OutcomeIgnored, "cancelled"
--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -7,11 +7,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/corianderlever/corianderlever/api"
+	"github.com/corianderlever/corianderlever/internal/drain"
 )
 
-// ErrStopping is the cancellation cause of the requests that a host ends because it stops.
-var ErrStopping = errors.New("dispatch: this host is stopping")
-
 // Codes in logs and metrics of requests that were cancelled. Callers never see them.
 const (
 	codeStopping   = "host_stopping"
@@ -22,14 +20,10 @@
 // to another host, in milliseconds. Other hosts can take it at once.
 const stopRetryMS = 100
 
-// Stopping reports whether a request was cancelled because this host stops, and not because
-// its caller has left.
-func Stopping(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrStopping) }
-
 // endedByStop replaces the error of a request that was cancelled because this host stops. The
 // codes are those that callers of earlier releases retry.
 func endedByStop(ctx context.Context, err error, mayHaveRun bool) error {
-	if err == nil || !Stopping(ctx) || isDecision(err) {
+	if err == nil || !drain.Stopping(ctx) || isDecision(err) {
 		return err
 	}
 	out := apiError(http.StatusServiceUnavailable, api.CodeUnavailable, "this host is stopping, the request has not run")
@@ -55,7 +49,7 @@
 	switch {
 	case ctx.Err() == nil:
 		return ""
-	case Stopping(ctx):
+	case drain.Stopping(ctx):
 		return codeStopping
 	case errors.Is(ctx.Err(), context.Canceled):
 		return codeCallerLeft
--- a/dispatch/stop_test.go
+++ b/dispatch/stop_test.go
@@ -17,6 +17,7 @@
 	"github.com/corianderlever/corianderlever/claim"
 	"github.com/corianderlever/corianderlever/client"
 	"github.com/corianderlever/corianderlever/dispatch"
+	"github.com/corianderlever/corianderlever/internal/drain"
 	"github.com/corianderlever/corianderlever/limiter"
 )
 
@@ -131,7 +132,7 @@
 				<-waiting
 			}
 			r.awaitStep(f.id, tc.step)
-			err := f.end(dispatch.ErrStopping)
+			err := f.end(drain.ErrStopping)
 			var failed *api.Error
 			if !errors.As(err, &failed) || failed.Status != http.StatusServiceUnavailable || failed.Code != api.CodeUnavailable ||
 				failed.Outcome != api.OutcomeNotRun || failed.RetryAfterMS <= 0 {
@@ -172,7 +173,7 @@
 			held := r.holdEngines(api.OutcomeUnknown)
 			f := r.start(booking, "runs")
 			<-held.started
-			err := f.end(dispatch.ErrStopping)
+			err := f.end(drain.ErrStopping)
 			var failed *api.Error
 			if !errors.As(err, &failed) || failed.Status != http.StatusBadGateway || failed.Code != api.CodeEndpointFailed || failed.Outcome != api.OutcomeUnknown {
 				t.Errorf("error %v, want status 502, endpoint_failed and an unknown outcome", err)
@@ -191,7 +192,7 @@
 // and is sent to an engine.
 func TestRequestReadAfterStopIsRefused(t *testing.T) {
 	stopped, stop := context.WithCancelCause(context.Background())
-	stop(dispatch.ErrStopping)
+	stop(drain.ErrStopping)
 	for _, booking := range []bool{false, true} {
 		r := newRig(t, 1)
 		wantError(t, <-r.startUnder(stopped, booking, "late").result, api.CodeUnavailable, api.OutcomeNotRun)
@@ -210,7 +211,7 @@
 			held := r.holdEngines(outcome)
 			f := r.start(true, "")
 			<-held.started
-			wantError(t, f.end(dispatch.ErrStopping), map[api.Outcome]string{
+			wantError(t, f.end(drain.ErrStopping), map[api.Outcome]string{
 				api.OutcomeNotRun: api.CodeUnavailable, api.OutcomeUnknown: api.CodeEndpointFailed,
 			}[outcome], outcome)
 			r.d.Engines = held.Engines
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -9,6 +9,7 @@
 
 	"github.com/corianderlever/corianderlever/api"
 	"github.com/corianderlever/corianderlever/dispatch"
+	"github.com/corianderlever/corianderlever/internal/drain"
 )
 
 const (
@@ -72,7 +73,7 @@
 		return
 	}
 	if err != nil {
-		h.streamFailure(out, req.ID, err)
+		h.streamFailure(out, r, req.ID, err)
 		return
 	}
 	err = out.sendJSON(api.ChatResponse{
@@ -84,14 +85,14 @@
 		err = out.write(streamEnd)
 	}
 	if err != nil {
-		h.opts.Logger.Info("client left before the end of its answer", "request", req.ID, "error", err)
+		h.logCut(r, req.ID, err)
 	}
 }
 
 // streamFailure reports an error. After the first token it can only send the
 // error as an event. The client detects the incomplete answer by the missing
 // receipt.
-func (h *Handler) streamFailure(out *eventWriter, id string, err error) {
+func (h *Handler) streamFailure(out *eventWriter, r *http.Request, id string, err error) {
 	if !out.started {
 		h.writeFailure(out.w, id, err)
 		return
@@ -102,10 +103,19 @@
 	}
 	e.RequestID = id
 	if err := out.sendJSON(api.ErrorBody{Error: e}); err != nil {
-		h.opts.Logger.Info("client left before the end of its answer", "request", id, "error", err)
+		h.logCut(r, id, err)
 	}
 }
 
+// logCut records that an answer could not be written to its end.
+func (h *Handler) logCut(r *http.Request, id string, err error) {
+	if drain.Stopping(r.Context()) {
+		h.opts.Logger.Warn("answer cut because this host stops", "request", id, "error", err)
+		return
+	}
+	h.opts.Logger.Info("client left before the end of its answer", "request", id, "error", err)
+}
+
 // eventWriter writes server-sent events.
 type eventWriter struct {
 	w       http.ResponseWriter
