daemon, kernel: a host that is stopped while it starts ends cleanly

What operators saw: SIGTERM while a host waits for its first configuration (up to 5 s in an outage of the store) ended it with an error; its services had no time to stop, so it left without a word to its peers, which listed it to callers until they missed its heartbeats. Cause: the kernel stopped the started services with the context of the start, which had just been cancelled; the entry service kept its listener; Run took the end of the start for a failure. Why it works: the stop after a failed start has a bound of its own, the entry service closes its listener and leaves the membership, and Run returns no error for a stop.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -89,9 +89,15 @@
 func (h *Host) EntryAddress() string { return h.entry.address() }
 
 // Run starts the host, waits for ctx to end, and stops it. Stopping takes at most
-// the drain time of the settings plus stopMargin.
+// the drain time of the settings plus stopMargin. A host that is stopped while it starts
+// ends without an error.
 func (h *Host) Run(ctx context.Context) error {
-	if err := h.Start(ctx); err != nil {
+	err := h.Start(ctx)
+	switch {
+	case err != nil && errors.Is(err, context.Cause(ctx)):
+		h.opts.Logger.Info("stopped during the start", "cause", err)
+		return nil
+	case err != nil:
 		return err
 	}
 	h.opts.Logger.Info("ready", "entry", h.EntryAddress())
@@ -101,7 +107,7 @@
 	bound := s.EntryTTL.AsDuration() + s.Timeout.AsDuration() + stopMargin
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), bound)
 	defer cancel()
-	err := h.Stop(stopCtx)
+	err = h.Stop(stopCtx)
 	h.opts.Logger.Info("stopped", "error", err)
 	return err
 }
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -145,7 +145,8 @@
 	case <-s.opts.Clock.After(readyTimeout):
 		s.opts.Logger.Warn("started without a confirmed configuration")
 	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "daemon: wait for configuration")
+		s.membership.Leave() // other hosts may have listed this one already
+		return errors.CombineErrors(errors.Wrap(ctx.Err(), "daemon: wait for configuration"), s.ln.Close())
 	}
 	s.run.Start(serviceEntry, func(context.Context) error {
 		if err := s.server.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -7,6 +7,7 @@
 	"context"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -107,7 +108,8 @@
 }
 
 // Start provisions and validates all services, then starts them, each in dependency
-// order. If a start fails, the services already started are stopped.
+// order. If a start fails, the services already started are stopped; a service whose
+// start fails cleans up after itself.
 func (k *Kernel) Start(ctx context.Context) error {
 	order, err := k.order()
 	if err != nil {
@@ -120,7 +122,7 @@
 		if st, ok := s.(Starter); ok {
 			if err := st.Start(ctx); err != nil {
 				err = errors.Wrapf(err, "start %q", s.Name())
-				return errors.CombineErrors(err, k.Stop(ctx))
+				return errors.CombineErrors(err, k.stopStarted(ctx))
 			}
 		}
 		k.started = append(k.started, s)
@@ -128,6 +130,16 @@
 	return nil
 }
 
+// failedStartStopTime bounds the stop of the services after a failed start.
+const failedStartStopTime = 15 * time.Second
+
+// stopStarted stops the services after a failed start, also if the start was cancelled.
+func (k *Kernel) stopStarted(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), failedStartStopTime)
+	defer cancel()
+	return k.Stop(ctx)
+}
+
 func (k *Kernel) prepare(order []Service) error {
 	for _, s := range order {
 		if p, ok := s.(Provisioner); ok {
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -127,3 +127,45 @@
 		t.Errorf("lookup: got error %v, want none", err)
 	}
 }
+
+// waitingService waits in Start until its context ends.
+type waitingService struct{ fakeService }
+
+func (s *waitingService) Start(ctx context.Context) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// stoppingService records the state of the context of Stop.
+type stoppingService struct {
+	fakeService
+	stopped error
+}
+
+func (s *stoppingService) Stop(ctx context.Context) error {
+	s.stopped = ctx.Err()
+	if _, ok := ctx.Deadline(); !ok && s.stopped == nil {
+		s.stopped = errors.New("no bound")
+	}
+	return nil
+}
+
+// TestStopDuringStartLeavesTimeToStop guards against services that get no time to stop
+// because the start was cancelled.
+func TestStopDuringStartLeavesTimeToStop(t *testing.T) {
+	var log []string
+	first := &stoppingService{fakeService: fakeService{name: "first", log: &log}, stopped: errors.New("not stopped")}
+	second := &waitingService{fakeService{name: "second", requires: []string{"first"}, log: &log}}
+	k := New()
+	if err := k.Register(first, second); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := k.Start(ctx); !errors.Is(err, context.Canceled) {
+		t.Errorf("start returned %v, want the cancellation", err)
+	}
+	if first.stopped != nil {
+		t.Errorf("the service that had started was stopped with: %v", first.stopped)
+	}
+}
