--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/corianderlever/corianderlever/api"
 	"github.com/corianderlever/corianderlever/balance"
 	"github.com/corianderlever/corianderlever/engine"
+	"github.com/corianderlever/corianderlever/internal/drain"
 	"github.com/corianderlever/corianderlever/limiter"
 )
 
@@ -175,7 +176,7 @@
 	if !errors.As(err, &failed) || failed.Outcome != api.OutcomeNotRun {
 		g.mayHaveRun = true
 	}
-	g.d.Pool.observeAttempt(sl.endpoint, err)
+	g.d.Pool.observeAttempt(ctx, sl.endpoint, err)
 	crashed := failed != nil && failed.Lost && ctx.Err() == nil && g.d.checkForCrash(ctx, sl)
 	g.d.endProbation(ctx, g.hash, sl.endpoint, crashed)
 	sl.release(outcome, firstToken)
@@ -192,6 +193,8 @@
 	switch {
 	case err == nil:
 		return limiter.OutcomeOK, "ok"
+	case drain.Stopping(ctx):
+		return limiter.OutcomeIgnored, codeStopping
 	case ctx.Err() != nil:
 		return limiter.OutcomeIgnored, "cancelled"
 	case !errors.As(err, &failed):
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -65,6 +65,7 @@
 	arrived := d.Clock.Now()
 	c := &call{d: d, req: req, trace: d.traces.start(req.ID)}
 	answer, err := c.resolveAndServe(ctx)
+	err = endedByStop(ctx, err, c.mayHaveRun)
 	cost := 0.0
 	if c.bill != nil {
 		cost = c.bill.cost
@@ -251,7 +252,7 @@
 	if !errors.As(err, &failed) || failed.Outcome != api.OutcomeNotRun {
 		c.mayHaveRun = true
 	}
-	c.d.Pool.observeAttempt(sl.endpoint, err)
+	c.d.Pool.observeAttempt(ctx, sl.endpoint, err)
 	sl.release(outcome, took)
 	c.d.metrics.attempts.WithLabelValues(result).Inc()
 }
