--- a/daemon/startstop_test.go
+++ b/daemon/startstop_test.go
@@ -59,14 +59,11 @@
 	s.OperatorKeyHashes = []string{demo.KeyHash(demo.OperatorKey)}
 	s.Sessions.Keys = []config.SessionKey{{ID: "demo", Secret: config.Secret{Value: "demo-session-key-with-at-least-32-bytes"}}}
 	s.Platform.KV = "http://127.0.0.1:1"
-	ip := loopback.IP()
-	var err error
-	if s.Listen.Entry, err = loopback.FreeAddress(ip); err != nil {
-		t.Fatal(err)
-	}
-	if s.Listen.Peer, err = loopback.FreeAddress(ip); err != nil {
+	addresses, err := loopback.Addresses(2)
+	if err != nil {
 		t.Fatal(err)
 	}
+	s.Listen.Entry, s.Listen.Peer = addresses[0], addresses[1]
 	return s
 }
 
