router: the grace period may change during a stop

A stop read the grace period at its beginning and, for new requests, again later. As read, a settings file without one cuts all requests at once, and a shorter one is not followed, so that the process is killed with requests in flight.

The grace period of a stop is that at its beginning (a default if there is none); a shorter one that comes during the stop applies from then on, a longer or missing one does not.

Evidence: TestGracePeriodThatChangesDuringAStop: without following the change, 'shorter', 'already over' and 'unknown, shorter' fail (requests not cut); all cases pass now.

--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -234,7 +234,12 @@
 }
 
 // SetBounds replaces the bounds after a change of the settings.
-func (h *Host) SetBounds(b Bounds) { h.bounds.Store(&b) }
+func (h *Host) SetBounds(b Bounds) {
+	h.bounds.Store(&b)
+	if s := h.stop.Load(); s != nil {
+		s.shorten(b.GracePeriod)
+	}
+}
 
 // minHosts is the minimum number of hosts among which shared budgets are divided.
 // A host that sees no other hosts may be partitioned from them while they still use
--- a/daemon/router/stop.go
+++ b/daemon/router/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,6 +21,8 @@
 	// acceptAllTime is the time after the stop signal in which all requests are accepted.
 	// Some callers still have an address list from before.
 	acceptAllTime = 2900 * time.Millisecond
+	// defaultGracePeriod applies if the settings name none.
+	defaultGracePeriod = 5 * time.Second
 	// maxStopMargin and stopMarginShare bound the part of the grace period that remains
 	// when the requests in flight are cancelled.
 	maxStopMargin   = 600 * time.Millisecond
@@ -33,30 +36,67 @@
 type shutdown struct {
 	clock clockwork.Clock
 	began time.Time
-	grace time.Duration
 	// requests ends when the requests in flight must be cancelled.
 	requests context.Context
 	cancel   context.CancelFunc
+
+	mu    sync.Mutex
+	grace time.Duration
+	timer clockwork.Timer // of the end of requests
 }
 
 func newShutdown(clock clockwork.Clock, grace time.Duration) *shutdown {
 	s := &shutdown{clock: clock, began: clock.Now(), grace: grace}
-	s.requests, s.cancel = clockwork.WithDeadline(context.Background(), clock, s.began.Add(s.grace-s.margin()))
+	if grace <= 0 {
+		s.grace = defaultGracePeriod
+	}
+	s.requests, s.cancel = context.WithCancel(context.Background())
+	s.timer = clock.AfterFunc(s.untilCut(), s.cancel)
 	return s
 }
 
-// margin is the time between the cancellation of the requests in flight and the end of the
-// grace period.
-func (s *shutdown) margin() time.Duration { return min(maxStopMargin, s.grace/stopMarginShare) }
-
-// answerTime is the time in which the handlers of cancelled requests send their answers.
-func (s *shutdown) answerTime() time.Duration { return s.margin() / answerShare }
+// shorten follows a grace period that changes. It cannot be extended, because the end of the
+// process may be set.
+func (s *shutdown) shorten(grace time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if grace <= 0 || grace >= s.grace {
+		return
+	}
+	s.grace = grace
+	s.timer.Reset(max(0, s.left()))
+}
 
 // untilCut is the time left until the requests in flight are cancelled.
 func (s *shutdown) untilCut() time.Duration {
-	return s.grace - s.margin() - s.clock.Since(s.began)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.left()
+}
+
+// left is untilCut with the lock held.
+func (s *shutdown) left() time.Duration {
+	return s.grace - stopMargin(s.grace) - s.clock.Since(s.began)
+}
+
+// end is the end of the grace period.
+func (s *shutdown) end() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.began.Add(s.grace)
 }
 
+// answerTime is the time in which the handlers of cancelled requests send their answers.
+func (s *shutdown) answerTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return stopMargin(s.grace) / answerShare
+}
+
+// stopMargin is the time between the cancellation of the requests in flight and the end of
+// the grace period.
+func stopMargin(grace time.Duration) time.Duration { return min(maxStopMargin, grace/stopMarginShare) }
+
 // Run starts the host, waits for ctx to end, and stops it.
 func (h *Host) Run(ctx context.Context) error {
 	log := h.opts.Logger
@@ -66,17 +106,24 @@
 	log.Info("started", "host", h.opts.Settings.Host, "domain", h.opts.Settings.FailureDomain, "frontend", h.opts.Settings.Frontend)
 	<-ctx.Done()
 	log.Info("stopping", "running", h.servers.requests.InFlight())
-	s := newShutdown(h.opts.Clock, h.bounds.Load().GracePeriod)
+	s := h.beginStop()
 	defer s.cancel()
-	h.stop.Store(s)
 	h.drain(s)
-	stopCtx, cancel := clockwork.WithDeadline(context.WithoutCancel(ctx), h.opts.Clock, s.began.Add(s.grace))
+	stopCtx, cancel := clockwork.WithDeadline(context.WithoutCancel(ctx), h.opts.Clock, s.end())
 	defer cancel()
 	err := h.kernel.Stop(stopCtx)
 	log.Info("stopped", "error", err, "took_ms", h.opts.Clock.Since(s.began).Milliseconds())
 	return err
 }
 
+// beginStop begins the graceful shutdown.
+func (h *Host) beginStop() *shutdown {
+	s := newShutdown(h.opts.Clock, h.bounds.Load().GracePeriod)
+	h.stop.Store(s)
+	s.shorten(h.bounds.Load().GracePeriod) // a change that did not see the stop
+	return s
+}
+
 // drain removes the host from the address lists, serves until the lists already
 // given out have expired, and waits for the requests in flight.
 func (h *Host) drain(s *shutdown) {
