router: a stopping host rejects at once what it cannot serve to its end

For 2.9 s after the signal a stopping host took every request, also streams with 20 s to go. They were cut after seconds of work, and their callers had to begin again elsewhere.

The relay keeps the durations of served requests by route, in a histogram in which newer ones weigh more. During a stop a request is accepted if its timeout ends before the cut, or if 95 of 100 requests of its route have ended lately within the time that is left; with too few of them, it is accepted as before. Others are answered 503 with a short Retry-After before they reach an engine, also forwarded ones. The bound of a request is the smaller of the caller's timeout and the route's. Acceptance without a bound ends 2.5 s after the signal, which a busy host may see late.

--- a/daemon/router/edge.go
+++ b/daemon/router/edge.go
@@ -56,21 +56,18 @@
 	return ok && h.stop.Load() == nil && (h.fresh() || !h.bounds.Load().StrictRevocation)
 }
 
-// Accepting reports whether a new request with a timeout is accepted; zero means that
-// it has none. Late in a stop, a request is accepted only if it can end before the
-// process does.
-func (h *Host) Accepting(timeout time.Duration) bool {
+// Accepting reports whether a new request is accepted. During a stop, it must be expected
+// to end before the host does.
+func (h *Host) Accepting(req *relay.Request) bool {
+	return h.stop.Load() == nil || h.accepts(h.relay.Prospect(req))
+}
+
+func (h *Host) accepts(p relay.Prospect) bool {
 	stop := h.stop.Load()
 	if stop == nil {
 		return true
 	}
-	if h.servers.requests.Refusing() {
-		return false
-	}
-	if stop.clock.Since(stop.began) < acceptAllTime {
-		return true
-	}
-	return timeout > 0 && timeout <= stop.untilCut()
+	return !h.servers.requests.Refusing() && acceptsDuringStop(stop.clock.Since(stop.began), stop.untilCut(), p)
 }
 
 // defaultMaxBodyBytes bounds request bodies until the first configuration arrives.
--- a/daemon/router/forward.go
+++ b/daemon/router/forward.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -84,7 +85,8 @@
 		relay.RejectForwarded(w, relay.ReasonMalformed)
 		return
 	}
-	if !h.Accepting(message.TimeLeft) {
+	message.Request.Timeout = max(time.Millisecond, message.TimeLeft)
+	if !h.Accepting(message.Request) {
 		relay.RejectForwarded(w, relay.ReasonStopping)
 		return
 	}
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/corianderlever/corianderlever/membership"
+	"github.com/corianderlever/corianderlever/relay"
 )
 
 // TestPartitionedHostKeepsItsRetryBudgetShare guards against a host that takes a
@@ -64,7 +65,7 @@
 	h := &Host{opts: Options{Clock: clock, Logger: slog.New(slog.DiscardHandler)}}
 	h.SetBounds(Bounds{GracePeriod: grace})
 	h.servers = newServerService(h)
-	if !h.Accepting(20 * time.Second) {
+	if !h.accepts(relay.Prospect{Timeout: 20 * time.Second}) {
 		t.Error("a running host rejects a request")
 	}
 	began := clock.Now()
@@ -80,12 +81,12 @@
 		{6500 * time.Millisecond, 1500 * time.Millisecond, false},
 	} {
 		clock.Advance(began.Add(step.after).Sub(clock.Now()))
-		if got := h.Accepting(step.timeout); got != step.want {
+		if got := h.accepts(relay.Prospect{Timeout: step.timeout}); got != step.want {
 			t.Errorf("%v after the signal, timeout %v: accepted %t, want %t", step.after, step.timeout, got, step.want)
 		}
 	}
 	h.servers.requests.Refuse()
-	if h.Accepting(time.Millisecond) {
+	if h.accepts(relay.Prospect{Timeout: time.Millisecond}) {
 		t.Error("a request is accepted after the last address list has expired")
 	}
 }
--- a/daemon/router/stop.go
+++ b/daemon/router/stop.go
@@ -18,9 +18,6 @@
 	// leavePropagation is the time in which the other hosts learn that a host is
 	// stopping.
 	leavePropagation = 300 * time.Millisecond
-	// acceptAllTime is the time after the stop signal in which all requests are accepted.
-	// Some callers still have an address list from before.
-	acceptAllTime = 2900 * time.Millisecond
 	// defaultGracePeriod applies if the settings name none.
 	defaultGracePeriod = 5 * time.Second
 	// maxStopMargin and stopMarginShare bound the part of the grace period that remains
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -41,6 +41,7 @@
 	}
 	took := j.relay.Clock.Since(j.arrived)
 	j.log(outcome, status, detail, took)
+	j.observeDuration(outcome, took)
 	if j.from == "" {
 		j.countRequest(outcome, errResp == nil, took)
 	}
@@ -56,6 +57,15 @@
 	errResp.Write(j.w)
 }
 
+// observeDuration records how long a request has lasted that was served to its end or to
+// its deadline.
+func (j *job) observeDuration(outcome string, took time.Duration) {
+	served := outcome == outcomeAnswered && j.status < http.StatusBadRequest
+	if j.route != nil && (served || outcome == reasonDeadline) {
+		j.relay.durations.observe(j.route.Name, took)
+	}
+}
+
 // countRequest counts the end of a request of a caller.
 func (j *job) countRequest(outcome string, answered bool, took time.Duration) {
 	m := j.relay.metrics
--- a/relay/job.go
+++ b/relay/job.go
@@ -211,16 +211,7 @@
 	}
 }
 
-func (j *job) setDeadline() {
-	wait := defaultTimeout
-	if j.route.Timeout > 0 {
-		wait = j.route.Timeout
-	}
-	if j.req.Timeout > 0 {
-		wait = min(wait, j.req.Timeout)
-	}
-	j.deadline = j.arrived.Add(wait)
-}
+func (j *job) setDeadline() { j.deadline = j.arrived.Add(timeout(j.route, j.req)) }
 
 // remaining returns the time until the request's deadline; 0 before it is set.
 func (j *job) remaining() time.Duration {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -88,8 +88,9 @@
 // Relay serves requests. It is safe for concurrent use.
 type Relay struct {
 	Options
-	metrics *metrics
-	holds   endpointHolds
+	metrics   *metrics
+	holds     endpointHolds
+	durations routeDurations
 
 	mu    sync.Mutex
 	pools map[string]*pool
