relay: the expected duration depends on the length of the answer

Durations are now kept by route and by the number of bits of the expected output tokens; a length that was not seen takes the estimate of the route.

--- a/relay/durations.go
+++ b/relay/durations.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"cmp"
 	"math"
+	"math/bits"
 	"sync"
 	"time"
 
@@ -12,8 +14,8 @@
 type Prospect struct {
 	// Timeout is the time after which the request is answered in any case.
 	Timeout time.Duration
-	// Expected is the time within which most requests of the route have ended lately; zero
-	// if nothing is known.
+	// Expected is the time within which most requests like it have ended lately; zero if
+	// nothing is known.
 	Expected time.Duration
 }
 
@@ -27,7 +29,7 @@
 	if !ok {
 		return Prospect{Timeout: timeout(nil, req)}
 	}
-	return Prospect{Timeout: timeout(match, req), Expected: r.durations.expected(match.Name)}
+	return Prospect{Timeout: timeout(match, req), Expected: r.durations.expected(keyOf(match.Name, req))}
 }
 
 // timeout returns the time after which a request is answered in any case. The route may be
@@ -43,40 +45,62 @@
 	return out
 }
 
-// routeDurations keeps the durations of the last requests by route.
+// durationKey selects requests that last about equally long.
+type durationKey struct {
+	route string
+	// outputBits is the number of bits of the expected number of output tokens; zero for all
+	// requests of the route.
+	outputBits int
+}
+
+// keyOf returns the key of a request.
+func keyOf(name string, req *Request) durationKey {
+	return durationKey{route: name, outputBits: bits.Len(uint(max(0, cmp.Or(req.OutputHint, req.MaxOutputTokens))))}
+}
+
+// routeDurations keeps the durations of the last requests by route and length of the answer.
 type routeDurations struct {
-	mu      sync.Mutex
-	byRoute map[string]*durations
+	mu    sync.Mutex
+	byKey map[durationKey]*durations
 }
 
-// maxRoutes bounds the routes whose durations are kept.
-const maxRoutes = 1024
+// maxDurationKeys bounds the histograms that are kept.
+const maxDurationKeys = 1024
 
 // observe adds the duration of a request.
-func (d *routeDurations) observe(name string, took time.Duration) {
+func (d *routeDurations) observe(key durationKey, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.byRoute) >= maxRoutes || d.byRoute == nil {
-		d.byRoute = make(map[string]*durations)
+	d.add(durationKey{route: key.route}, took)
+	if key.outputBits > 0 {
+		d.add(key, took)
 	}
-	h := d.byRoute[name]
+}
+
+// add adds to one histogram. The caller holds mu.
+func (d *routeDurations) add(key durationKey, took time.Duration) {
+	if len(d.byKey) >= maxDurationKeys || d.byKey == nil {
+		d.byKey = make(map[durationKey]*durations)
+	}
+	h := d.byKey[key]
 	if h == nil {
 		h = &durations{}
-		d.byRoute[name] = h
+		d.byKey[key] = h
 	}
 	h.add(took)
 }
 
-// expected returns the time within which most requests of a route have ended lately; zero
-// if there were too few.
-func (d *routeDurations) expected(name string) time.Duration {
+// expected returns the time within which most requests with a key have ended lately, or most
+// of its route if there were too few; zero if there were too few of these as well.
+func (d *routeDurations) expected(key durationKey) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	h := d.byRoute[name]
-	if h == nil || h.total < minDurations {
-		return 0
+	for _, k := range []durationKey{key, {route: key.route}} {
+		if h := d.byKey[k]; h != nil && h.total >= minDurations {
+			return h.quantile(expectedQuantile)
+		}
 	}
-	return h.quantile(expectedQuantile)
+	return 0
 }
 
 const (
--- a/relay/durations_test.go
+++ b/relay/durations_test.go
@@ -17,9 +17,9 @@
 		for _, m := range ms {
 			took := time.Duration(m) * time.Millisecond
 			longest = max(longest, took)
-			d.observe("r", took)
+			d.observe(durationKey{route: "r"}, took)
 		}
-		expected := d.expected("r")
+		expected := d.expected(durationKey{route: "r"})
 		within := 0
 		for _, m := range ms {
 			if time.Duration(m)*time.Millisecond <= expected {
@@ -40,12 +40,12 @@
 func TestExpectedDurationFollowsRecentRequests(t *testing.T) {
 	var d routeDurations
 	for range 10 * maxDurations {
-		d.observe("r", time.Minute)
+		d.observe(durationKey{route: "r"}, time.Minute)
 	}
 	for range 10 * maxDurations {
-		d.observe("r", time.Second)
+		d.observe(durationKey{route: "r"}, time.Second)
 	}
-	if got := d.expected("r"); got > 2*time.Second {
+	if got := d.expected(durationKey{route: "r"}); got > 2*time.Second {
 		t.Errorf("got %v after many requests of 1 s", got)
 	}
 }
@@ -54,12 +54,34 @@
 func TestFewRequestsTellNothing(t *testing.T) {
 	var d routeDurations
 	for range minDurations - 1 {
-		d.observe("r", time.Minute)
+		d.observe(durationKey{route: "r"}, time.Minute)
 	}
-	if got := d.expected("r"); got != 0 {
+	if got := d.expected(durationKey{route: "r"}); got != 0 {
 		t.Errorf("got %v, want nothing", got)
 	}
-	if got := d.expected("other"); got != 0 {
+	if got := d.expected(durationKey{route: "other"}); got != 0 {
 		t.Errorf("got %v for a route without requests, want nothing", got)
 	}
 }
+
+// TestExpectedDurationDependsOnTheLengthOfTheAnswer guards against short answers that are
+// expected to last as long as the longest ones of their route, and are rejected for that.
+func TestExpectedDurationDependsOnTheLengthOfTheAnswer(t *testing.T) {
+	var d routeDurations
+	short := keyOf("r", &Request{MaxOutputTokens: 4000, OutputHint: 20})
+	long := keyOf("r", &Request{MaxOutputTokens: 4000})
+	for range minDurations {
+		d.observe(short, time.Second)
+		d.observe(long, time.Minute)
+	}
+	if got := d.expected(short); got > 2*time.Second {
+		t.Errorf("got %v for a short answer, want about 1 s", got)
+	}
+	if got := d.expected(long); got < time.Minute {
+		t.Errorf("got %v for a long answer, want at least 1 min", got)
+	}
+	unseen := keyOf("r", &Request{OutputHint: 200})
+	if got := d.expected(unseen); got < time.Minute {
+		t.Errorf("got %v for a length that was not seen, want that of the route", got)
+	}
+}
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -62,7 +62,7 @@
 func (j *job) observeDuration(outcome string, took time.Duration) {
 	served := outcome == outcomeAnswered && j.status < http.StatusBadRequest
 	if j.route != nil && (served || outcome == reasonDeadline) {
-		j.relay.durations.observe(j.route.Name, took)
+		j.relay.durations.observe(keyOf(j.route.Name, j.req), took)
 	}
 }
 
