internal/drain: requests that are rejected do not hold up a stop

A stop that waited for all requests in flight lasted as long as callers kept sending, although all new requests were rejected. Requests that arrive after Refuse no longer count.

Evidence: TestWaitIdleIgnoresRejectedRequests failed before (the wait did not end) and passes now.

--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -74,6 +74,9 @@
 	// layered is set if the server sees the connection through another one, whose handshake
 	// is not a request. It is protected by the lock of the tracker.
 	layered bool
+	// rejected is set while the connection has a request that arrived after Refuse. It is
+	// protected by the lock of the tracker.
+	rejected bool
 
 	closeOnce sync.Once
 	closeErr  error
@@ -140,11 +143,15 @@
 	}
 	c.state.Store(int32(p))
 	if p == phaseActive {
-		t.active++
-		return
+		c.rejected = t.Refusing()
+	} else {
+		c.since = t.opts.Clock.Now()
 	}
-	c.since = t.opts.Clock.Now()
-	if before == phaseActive {
+	switch {
+	case c.rejected:
+	case p == phaseActive:
+		t.active++
+	case before == phaseActive:
 		t.active--
 		t.notify()
 	}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -56,7 +56,7 @@
 	servers   []*http.Server
 	listeners []net.Listener
 	conns     map[*conn]struct{}
-	// active is the number of connections with a request in flight.
+	// active is the number of connections with a request that arrived before Refuse.
 	active int
 	// closing is set once unused connections are closed.
 	closing bool
@@ -89,7 +89,8 @@
 	t.servers = append(t.servers, server)
 }
 
-// InFlight returns the number of connections with a request in flight.
+// InFlight returns the number of connections with a request in flight, without those that
+// arrived after Refuse.
 func (t *Tracker) InFlight() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -119,8 +120,8 @@
 	t.cut(ErrStopping)
 }
 
-// WaitIdle waits until no request is in flight. It returns the cause of ctx if ctx ends
-// before.
+// WaitIdle waits until no request is in flight, without those that arrived after Refuse. It
+// returns the cause of ctx if ctx ends before.
 func (t *Tracker) WaitIdle(ctx context.Context) error {
 	return t.wait(ctx, func() bool { return t.active == 0 })
 }
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -261,3 +261,32 @@
 		t.Error(err)
 	}
 }
+
+// TestWaitIdleIgnoresRejectedRequests guards against a stop that lasts as long as callers
+// keep sending requests, although all of them are rejected.
+func TestWaitIdleIgnoresRejectedRequests(t *testing.T) {
+	g := newGate(t)
+	release, rejecting := make(chan struct{}), make(chan struct{}, 1)
+	tracker := start(t, g, nil, func(w http.ResponseWriter, _ *http.Request) {
+		rejecting <- struct{}{}
+		<-release
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	c := dial(t, g)
+	tracker.Refuse()
+	c.request()
+	receive(t, rejecting)
+	idle := make(chan error, 1)
+	go func() { idle <- tracker.WaitIdle(t.Context()) }()
+	if err := receive(t, idle); err != nil {
+		t.Error(err)
+	}
+	cut := stop(t.Context(), tracker, 0)
+	close(release)
+	if status, _, closes := c.answer(); status != http.StatusServiceUnavailable || !closes {
+		t.Errorf("got %d, closes the connection: %t", status, closes)
+	}
+	if n := receive(t, cut); n != 0 {
+		t.Errorf("got %d connections cut, want none", n)
+	}
+}
