--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -234,8 +234,13 @@
 }
 
 // SetBounds replaces the bounds after a change of the settings. A graceful shutdown that has
-// begun keeps its grace period.
-func (h *Host) SetBounds(b Bounds) { h.bounds.Store(&b) }
+// begun takes over a shorter grace period only: its end may come sooner, never later.
+func (h *Host) SetBounds(b Bounds) {
+	h.bounds.Store(&b)
+	if s := h.stop.Load(); s != nil {
+		s.shorten(b.GracePeriod)
+	}
+}
 
 // minHosts is the minimum number of hosts among which shared budgets are divided.
 // A host that sees no other hosts may be partitioned from them while they still use
