command: SIGHUP reloads the settings of an entry host

SIGHUP ended an entry host (corianderlever -config FILE) and the demonstration at once, also in the middle of a drain.

Cause: only the host on the users' platform knew SIGHUP.

Fix: SIGHUP reads and validates the file again and applies the log level. Other changed settings are named in the log as in need of a restart, because the services take them over when they are built. Invalid settings change nothing and are logged.

--- a/daemon/command/command.go
+++ b/daemon/command/command.go
@@ -32,9 +32,9 @@
 	root := &ffcli.Command{
 		Name: "corianderlever", ShortUsage: "corianderlever -config FILE | check FILE | demo | host",
 		ShortHelp:   "Runs an entry host.",
-		Subcommands: []*ffcli.Command{checkCommand(out), demoCommand(out), hostCommand(out, reloads)},
+		Subcommands: []*ffcli.Command{checkCommand(out), demoCommand(out, reloads), hostCommand(out, reloads)},
 	}
-	s := &serve{out: out}
+	s := &serve{out: out, reloads: reloads}
 	root.FlagSet = s.flags()
 	root.Options = []ff.Option{
 		ff.WithEnvVarPrefix(envPrefix), ff.WithConfigFileFlag("config"), ff.WithConfigFileParser(s.parse),
@@ -46,6 +46,7 @@
 // serve is the root command, which runs one entry host.
 type serve struct {
 	out      io.Writer
+	reloads  <-chan os.Signal
 	file     string
 	settings config.Settings
 	loaded   bool
@@ -79,20 +80,32 @@
 	if !s.loaded || len(args) > 0 {
 		return errors.Wrap(ErrUsage, "corianderlever -config FILE")
 	}
-	replace(&s.settings.Host, s.override.host)
-	replace(&s.settings.Listen.Entry, s.override.entry)
-	replace(&s.settings.Listen.Peer, s.override.peer)
-	replace(&s.settings.LogLevel, s.override.logLevel)
+	s.replaceSettings(&s.settings)
 	if err := s.settings.Validate(); err != nil {
 		return err
 	}
-	h, err := daemon.New(daemon.Options{Settings: s.settings, Logger: newLogger(s.out, s.settings.Level())})
+	var level slog.LevelVar
+	level.Set(s.settings.Level())
+	log := newLogger(s.out, &level)
+	h, err := daemon.New(daemon.Options{Settings: s.settings, Logger: log})
 	if err != nil {
 		return err
 	}
+	// Signals are followed until the end of the drain.
+	followCtx, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopFollowing()
+	go s.followReloads(followCtx, &level, log.With("self", s.settings.Host))
 	return h.Run(ctx)
 }
 
+// replaceSettings replaces the settings for which flags are set.
+func (s *serve) replaceSettings(settings *config.Settings) {
+	replace(&settings.Host, s.override.host)
+	replace(&settings.Listen.Entry, s.override.entry)
+	replace(&settings.Listen.Peer, s.override.peer)
+	replace(&settings.LogLevel, s.override.logLevel)
+}
+
 // replace sets a setting to value unless value is empty.
 func replace(setting *string, value string) {
 	if value != "" {
@@ -100,7 +113,7 @@
 	}
 }
 
-func newLogger(out io.Writer, level slog.Level) *slog.Logger {
+func newLogger(out io.Writer, level slog.Leveler) *slog.Logger {
 	return slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level}))
 }
 
@@ -128,7 +141,7 @@
 	demoStopTimeout = time.Minute
 )
 
-func demoCommand(out io.Writer) *ffcli.Command {
+func demoCommand(out io.Writer, reloads <-chan os.Signal) *ffcli.Command {
 	fs := flag.NewFlagSet("corianderlever demo", flag.ContinueOnError)
 	addr := fs.String("addr", "127.0.0.1:8080", "entry address of the first host")
 	level := fs.String("log-level", "info", "debug, info, warn or error")
@@ -137,13 +150,14 @@
 		ShortHelp: "Runs a whole deployment with simulated endpoints on loopback in one process.",
 		Options:   []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
-			return runDemo(ctx, out, *addr, config.Settings{LogLevel: *level}.Level())
+			logger := newLogger(out, config.Settings{LogLevel: *level}.Level())
+			go ignoreReloads(context.WithoutCancel(ctx), reloads, logger)
+			return runDemo(ctx, *addr, logger)
 		},
 	}
 }
 
-func runDemo(ctx context.Context, out io.Writer, addr string, level slog.Level) error {
-	logger := newLogger(out, level)
+func runDemo(ctx context.Context, addr string, logger *slog.Logger) error {
 	c, err := demo.StartCluster(ctx, demo.ClusterOptions{
 		Hosts: demoHosts, Engines: demoEngines, EntryAddress: addr, Logger: logger,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), uint64(os.Getpid()))),
