daemon: SIGTERM during the start of an entry host is a clean end

A supervisor that stopped an entry host shortly after its start saw exit status 1 and "wait for configuration: context canceled", and counted a crash. A user who interrupted the demonstration while it started saw the same error.

Cause: the context that a stop ends also bounds the start, and its error was returned as that of a failed start.

Evidence: TestStopDuringTheStartOfAnEntryHostIsClean and TestStopDuringTheStartOfTheDemonstrationIsClean failed with "exit status 1" and pass now. A start that fails for another reason still ends with status 1.

--- a/daemon/command/command.go
+++ b/daemon/command/command.go
@@ -162,6 +162,10 @@
 		Hosts: demoHosts, Engines: demoEngines, EntryAddress: addr, Logger: logger,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), uint64(os.Getpid()))),
 	})
+	if ctx.Err() != nil && errors.Is(err, ctx.Err()) {
+		logger.Info("stopped during the start", "error", err)
+		return nil
+	}
 	if err != nil {
 		return err
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -89,9 +89,14 @@
 func (h *Host) EntryAddress() string { return h.entry.address() }
 
 // Run starts the host, waits for ctx to end, and stops it. Stopping takes at most
-// the drain time of the settings plus stopMargin.
+// the drain time of the settings plus stopMargin. It is no error if ctx ends during the start.
 func (h *Host) Run(ctx context.Context) error {
-	if err := h.Start(ctx); err != nil {
+	err := h.Start(ctx)
+	if ctx.Err() != nil && errors.Is(err, ctx.Err()) {
+		h.opts.Logger.Info("stopped during the start", "error", err)
+		return nil
+	}
+	if err != nil {
 		return err
 	}
 	h.opts.Logger.Info("ready", "entry", h.EntryAddress())
@@ -101,7 +106,7 @@
 	bound := s.EntryTTL.AsDuration() + s.Timeout.AsDuration() + stopMargin
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), bound)
 	defer cancel()
-	err := h.Stop(stopCtx)
+	err = h.Stop(stopCtx)
 	h.opts.Logger.Info("stopped", "error", err)
 	return err
 }
