--- a/cmd/corianderlever/output_test.go
+++ b/cmd/corianderlever/output_test.go
@@ -9,7 +9,7 @@
 // TestClosedLogPipeDoesNotEndHost guards against a host that SIGPIPE ends because the reader
 // of its log has gone.
 func TestClosedLogPipeDoesNotEndHost(t *testing.T) {
-	settings, readiness := hostSettings(t, newDeployment(t).StoreAddress())
+	settings, addresses := hostSettings(t, newDeployment(t).StoreAddress())
 	cmd, log := command(t, hostEnv(settings), "host")
 	reader, writer, err := os.Pipe()
 	if err != nil {
@@ -23,7 +23,7 @@
 	if err := writer.Close(); err != nil {
 		t.Fatal(err)
 	}
-	p.waitReady(t, readiness)
+	p.waitReady(t, addresses.Readiness)
 	p.signal(t, syscall.SIGTERM)
 	p.waitCleanExit(t)
 }
--- a/cmd/corianderlever/process_test.go
+++ b/cmd/corianderlever/process_test.go
@@ -92,29 +92,28 @@
 // startHost starts a host on the users' platform and waits until it is ready.
 func startHost(t *testing.T, d *platformtest.Deployment) *process {
 	t.Helper()
-	settings, readiness := hostSettings(t, d.StoreAddress())
+	settings, addresses := hostSettings(t, d.StoreAddress())
 	cmd, log := command(t, hostEnv(settings), "host")
 	p := start(t, cmd, log)
-	p.waitReady(t, readiness)
+	p.waitReady(t, addresses.Readiness)
 	return p
 }
 
 // hostEnv names the settings file of a host.
 func hostEnv(settings string) []string { return []string{platform.SettingsVariable + "=" + settings} }
 
-// hostSettings writes the settings of a host and returns their file and the address of the
-// host's readiness check.
-func hostSettings(t *testing.T, store string) (file, readiness string) {
+// hostSettings writes the settings of a host and returns their file and the host's addresses.
+func hostSettings(t *testing.T, store string) (string, platformtest.Addresses) {
 	t.Helper()
 	a, err := platformtest.FreeAddresses()
 	if err != nil {
 		t.Fatal(err)
 	}
-	file = filepath.Join(t.TempDir(), "settings.yaml")
+	file := filepath.Join(t.TempDir(), "settings.yaml")
 	if err := os.WriteFile(file, platformtest.Settings("host-1", "domain-a", a, nil, store), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return file, a.Readiness
+	return file, a
 }
 
 func newDeployment(t *testing.T) *platformtest.Deployment {
--- a/cmd/corianderlever/settings_test.go
+++ b/cmd/corianderlever/settings_test.go
@@ -28,14 +28,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			settings, readiness := hostSettings(t, newDeployment(t).StoreAddress())
+			settings, addresses := hostSettings(t, newDeployment(t).StoreAddress())
 			whole, err := os.ReadFile(settings)
 			if err != nil {
 				t.Fatal(err)
 			}
 			cmd, log := command(t, hostEnv(settings), "host")
 			p := start(t, cmd, log)
-			p.waitReady(t, readiness)
+			p.waitReady(t, addresses.Readiness)
 			if err := damage(settings, whole); err != nil {
 				t.Fatal(err)
 			}
@@ -53,7 +53,7 @@
 // TestHostWaitsForItsSettings guards against a host that ends at its start because its
 // settings file is missing or half written at that moment.
 func TestHostWaitsForItsSettings(t *testing.T) {
-	settings, readiness := hostSettings(t, newDeployment(t).StoreAddress())
+	settings, addresses := hostSettings(t, newDeployment(t).StoreAddress())
 	whole, err := os.ReadFile(settings)
 	if err != nil {
 		t.Fatal(err)
@@ -72,7 +72,7 @@
 	if err := os.WriteFile(settings, whole, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p.waitReady(t, readiness)
+	p.waitReady(t, addresses.Readiness)
 }
 
 // TestStopBeforeTheStartIsClean guards against a crash that a supervisor counts because
--- a/cmd/corianderlever/start_test.go
+++ b/cmd/corianderlever/start_test.go
@@ -32,7 +32,7 @@
 // TestHangupBeforeTheSettingsAreReadIsHarmless guards against a host that SIGHUP ends during
 // its start.
 func TestHangupBeforeTheSettingsAreReadIsHarmless(t *testing.T) {
-	settings, readiness := hostSettings(t, newDeployment(t).StoreAddress())
+	settings, addresses := hostSettings(t, newDeployment(t).StoreAddress())
 	content, err := os.ReadFile(settings)
 	if err != nil {
 		t.Fatal(err)
@@ -55,7 +55,7 @@
 	if err := file.Close(); err != nil {
 		t.Fatal(err)
 	}
-	p.waitReady(t, readiness)
+	p.waitReady(t, addresses.Readiness)
 	p.signal(t, syscall.SIGTERM)
 	p.waitCleanExit(t)
 }
--- a/cmd/corianderlever/terminal_test.go
+++ b/cmd/corianderlever/terminal_test.go
@@ -41,12 +41,12 @@
 // drains, and against a first interrupt that skips the drain.
 func TestSecondInterruptAtTerminalEndsHost(t *testing.T) {
 	master, slave := openTerminal(t)
-	settings, readiness := hostSettings(t, newDeployment(t).StoreAddress())
+	settings, addresses := hostSettings(t, newDeployment(t).StoreAddress())
 	cmd, log := command(t, hostEnv(settings), "host")
 	cmd.Stdin = slave
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setsid: true, Setctty: true}
 	p := start(t, cmd, log)
-	p.waitReady(t, readiness)
+	p.waitReady(t, addresses.Readiness)
 	press := func() {
 		if _, err := master.WriteString(interruptKey); err != nil {
 			t.Fatal(err)
