internal/drain: limits for the connections of callers

net/http reads ReadHeaderTimeout, IdleTimeout and MaxHeaderBytes without locks, so they can't follow a configuration that changes.

- A connection may be unused for the longest limit that was in force since its last answer.
A longer limit holds at once; a shorter one doesn't close connections whose callers still reckon with the one before.
Zero (limit not known yet) closes none.
- A header must be complete within HeaderTime from its first byte, and gets 431 if it is larger than HeaderBytes.
- Above a number of connections, and when the process is out of descriptors, those that have been unused for the longest time are closed, a 32nd of them at once.

TestLongestUnusedConnectionGoesFirst fails with the order reversed, and the property test of the idle limit if replaced limits are forgotten.

--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -38,6 +38,8 @@
 type listener struct {
 	net.Listener
 	tracker *Tracker
+	// limits is nil if the connections have none.
+	limits *callerLimits
 }
 
 // Accept implements net.Listener. It returns http.ErrServerClosed while the tracker stops.
@@ -50,6 +52,9 @@
 	case err != nil && t.closing:
 		return nil, http.ErrServerClosed
 	case err != nil:
+		if l.limits != nil && outOfDescriptors(err) {
+			t.evict(l.limits)
+		}
 		return nil, err
 	}
 	c := &conn{Conn: inner, tracker: t, since: t.opts.Clock.Now()}
@@ -59,6 +64,7 @@
 		return nil, http.ErrServerClosed
 	}
 	t.conns[c] = struct{}{}
+	t.admit(c, l.limits)
 	return c, nil
 }
 
@@ -74,6 +80,7 @@
 	// layered is set if the server sees the connection through another one, whose handshake
 	// is not a request. It is protected by the lock of the tracker.
 	layered bool
+	header  headerState
 
 	closeOnce sync.Once
 	closeErr  error
@@ -84,7 +91,7 @@
 // Read implements net.Conn. A connection that was closed as an unused one yields no bytes,
 // not even those that arrived before, so that no request of it is passed on.
 func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	n, err := c.readLimited(b)
 	if n > 0 && !c.tracker.received(c) {
 		return 0, net.ErrClosed
 	}
@@ -123,9 +130,11 @@
 		return false
 	case phaseIdle:
 		t.setPhase(c, phaseActive)
+		c.beginHeader()
 	case phaseNew:
 		if !c.layered {
 			t.setPhase(c, phaseActive)
+			c.beginHeader()
 		}
 	}
 	return true
@@ -157,6 +166,7 @@
 	}
 	t.setPhase(c, phaseClosed)
 	delete(t.conns, c)
+	c.release()
 	t.notify()
 }
 
@@ -182,8 +192,10 @@
 		t.setPhase(c, phaseNew)
 	case http.StateActive:
 		t.setPhase(c, phaseActive)
+		c.endHeader()
 	case http.StateIdle:
 		t.setPhase(c, phaseIdle)
+		c.endHeader()
 		if t.closing {
 			t.remove(c)
 			return true
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -56,6 +56,7 @@
 	servers   []*http.Server
 	listeners []net.Listener
 	conns     map[*conn]struct{}
+	limits    []*callerLimits
 	// active is the number of connections with a request in flight.
 	active int
 	// closing is set once unused connections are closed.
