router: callers' connections follow the configured idle limit

Callers reuse a connection that has been idle for up to four fifths of IdleTimeoutMs. Hosts closed it after a minute, whatever the configuration said, so with a limit of more than 75 s a request sent on such a connection was lost. The limit was decoded and not used.

The limit in force is read each second. Until the first configuration no unused connection is closed, because the host may just have been restarted. Without a limit, or with a negative one, it is a minute. A long limit is not bounded: instead a host closes the connections that have been unused for the longest time above a quarter of its memory (24 KiB each: 24,465 bytes measured with the caller's end) or half of its descriptors.

--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -125,12 +125,14 @@
 	permits  *limiter.Permits
 	// crashRecord keeps what parts has rejected in the store.
 	crashRecord *crashreports.Recorder
-	buffers     *limiter.ByteBudget
-	loads       *loadHub
-	forwarding  *forwarding
-	edge        Handlers
-	peers       *peerService
-	servers     *serverService
+	// maxCallerConns is the number of connections above which unused ones are closed.
+	maxCallerConns int
+	buffers        *limiter.ByteBudget
+	loads          *loadHub
+	forwarding     *forwarding
+	edge           Handlers
+	peers          *peerService
+	servers        *serverService
 
 	// stop is the graceful shutdown of the host; nil before the stop signal.
 	stop atomic.Pointer[shutdown]
@@ -180,6 +182,7 @@
 		PeerFetchAge: peerFetchAge, PeerFetchInterval: peerFetchInterval, ProbeInterval: h.probeInterval, Announce: h.announceState,
 	})
 	h.buffers = limiter.NewByteBudget(bufferBytes(opts.Settings.MemoryBytes))
+	h.maxCallerConns = callerConns(opts.Settings.MemoryBytes, descriptorLimit())
 	h.crashes = limiter.NewCrashGuard(opts.Clock, limiter.PropagationTime(minHosts, membership.DefaultInterval))
 	h.parts = limiter.NewPartGuard(opts.Clock, opts.Logger, true)
 	h.parts.Tries = func() bool { return h.peers.reports.Tries() }
--- a/daemon/router/servers.go
+++ b/daemon/router/servers.go
@@ -43,12 +43,10 @@
 func (s *serverService) Requires() []string { return []string{serviceControl} }
 
 const (
-	// headerTimeout bounds the time a caller may take to send its header.
+	// headerTimeout bounds the time that another host or a monitor may take to send its header.
 	headerTimeout = 10 * time.Second
-	// idleTimeout closes unused connections of callers.
+	// idleTimeout closes their unused connections.
 	idleTimeout = time.Minute
-	// maxHeaderBytes bounds the header of a request.
-	maxHeaderBytes = 64 << 10
 )
 
 // Provision opens the listeners.
@@ -59,33 +57,47 @@
 	for _, l := range []struct {
 		tracker *drain.Tracker
 		addr    string
-		handler http.Handler
+		server  *http.Server
+		follow  func(net.Listener) net.Listener
 	}{
-		{s.requests, set.Frontend, edge.Frontend()},
-		{s.status, set.Readiness, edge.Readiness()},
-		{s.status, set.Directory, edge.Directory()},
-		{s.status, set.Metrics, metrics},
+		{s.requests, set.Frontend, s.newServer(edge.Frontend()), s.followCallers(s.requests)},
+		{s.status, set.Directory, s.newServer(edge.Directory()), s.followCallers(s.status)},
+		{s.status, set.Readiness, withTimeouts(s.newServer(edge.Readiness())), s.status.Listener},
+		{s.status, set.Metrics, withTimeouts(s.newServer(metrics)), s.status.Listener},
 	} {
-		if err := s.listen(l.tracker, l.addr, s.newServer(l.handler), plainListener); err != nil {
+		if err := s.listen(l.tracker, l.addr, l.server, l.follow); err != nil {
 			return err
 		}
 	}
-	server := s.newServer(http.HandlerFunc(s.host.forwarding.serve))
+	server := withTimeouts(s.newServer(http.HandlerFunc(s.host.forwarding.serve)))
 	server.ConnContext = forward.ConnContext
-	return s.listen(s.requests, set.Forward, server, func(ln net.Listener) net.Listener { return forward.Listener(ln, set.ClusterKey) })
+	return s.listen(s.requests, set.Forward, server, func(ln net.Listener) net.Listener {
+		return forward.Listener(s.requests.Listener(ln), set.ClusterKey)
+	})
 }
 
+// newServer returns a server without time limits.
 func (s *serverService) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, MaxHeaderBytes: defaultHeaderBytes,
 		ErrorLog: slog.NewLogLogger(s.host.opts.Logger.Handler(), slog.LevelDebug),
 	}
 }
 
-func plainListener(ln net.Listener) net.Listener { return ln }
+// withTimeouts gives a server the limits of programs that are not callers.
+func withTimeouts(server *http.Server) *http.Server {
+	server.ReadHeaderTimeout, server.IdleTimeout = headerTimeout, idleTimeout
+	return server
+}
+
+// followCallers returns the listener of callers, whose limits follow the configuration.
+func (s *serverService) followCallers(tracker *drain.Tracker) func(net.Listener) net.Listener {
+	return func(ln net.Listener) net.Listener { return tracker.LimitedListener(ln, s.host.callerLimits) }
+}
 
-// listen opens the listener of a server, with a layer on top; an empty address opens none.
-func (s *serverService) listen(tracker *drain.Tracker, addr string, server *http.Server, layer func(net.Listener) net.Listener) error {
+// listen opens the listener of a server, which follow passes on to a tracker; an empty address
+// opens none.
+func (s *serverService) listen(tracker *drain.Tracker, addr string, server *http.Server, follow func(net.Listener) net.Listener) error {
 	if addr == "" {
 		return nil
 	}
@@ -95,12 +107,14 @@
 		return errors.Wrapf(err, "router: listen at %s", addr)
 	}
 	tracker.Attach(server)
-	s.endpoints = append(s.endpoints, endpoint{server: server, ln: layer(tracker.Listener(ln))})
+	s.endpoints = append(s.endpoints, endpoint{server: server, ln: follow(ln)})
 	return nil
 }
 
 // Start starts serving.
 func (s *serverService) Start(context.Context) error {
+	s.run.Start("limits of requests", s.requests.EnforceLimits)
+	s.run.Start("limits of lookups", s.status.EnforceLimits)
 	for _, e := range s.endpoints {
 		s.run.Start(serviceServers, func(context.Context) error {
 			if err := e.server.Serve(e.ln); !errors.Is(err, http.ErrServerClosed) {
