router: callers' headers follow the configured limits

The configuration's HeaderTimeoutMs and MaxHeaderBytes were decoded and not used; hosts had 10 s and 64 KiB. With a larger limit, a caller within it got 431, which no caller retries, or lost its connection; with a smaller one, slow and large headers were taken.

A header that is over its time ends as in net/http, with a close. The time begins with the first byte, so a connection that was opened in advance is not closed by it. What has arrived while the process didn't run is read first. Before a header is rejected for its size, the newest limit is read. At most a minute and 1 MiB are allowed, also until the first configuration: a connection with an incomplete header is not closed when connections run short.

--- a/daemon/router/callerlimits.go
+++ b/daemon/router/callerlimits.go
@@ -15,13 +15,18 @@
 	defaultHeaderTime  = 10 * time.Second
 	defaultIdleTime    = time.Minute
 	defaultHeaderBytes = 64 << 10
+	// maxHeaderTime and maxHeaderBytes bound what the configuration may allow, because a
+	// connection with an incomplete header holds memory and is not closed when connections
+	// run short. They also apply until the first configuration arrives.
+	maxHeaderTime  = time.Minute
+	maxHeaderBytes = 1 << 20
 )
 
 // callerLimits returns the limits of callers' connections that are in force.
 func (h *Host) callerLimits() drain.Limits {
 	t, ok := h.state.Table()
 	if !ok {
-		return drain.Limits{HeaderBytes: defaultHeaderBytes, HeaderTime: defaultHeaderTime, Connections: h.maxCallerConns}
+		return drain.Limits{HeaderBytes: maxHeaderBytes, HeaderTime: maxHeaderTime, Connections: h.maxCallerConns}
 	}
 	out := configuredLimits(t.Limits())
 	out.Connections = h.maxCallerConns
@@ -32,8 +37,8 @@
 // connections is not bounded, because these are closed when connections run short.
 func configuredLimits(l route.Limits) drain.Limits {
 	return drain.Limits{
-		HeaderBytes: defaultHeaderBytes,
-		HeaderTime:  defaultHeaderTime,
+		HeaderBytes: min(cmp.Or(max(0, l.MaxHeaderBytes), defaultHeaderBytes), maxHeaderBytes),
+		HeaderTime:  min(cmp.Or(max(0, l.HeaderTimeout), defaultHeaderTime), maxHeaderTime),
 		IdleTime:    cmp.Or(max(0, l.IdleTimeout), defaultIdleTime),
 	}
 }
--- a/daemon/router/forward.go
+++ b/daemon/router/forward.go
@@ -94,4 +94,4 @@
 
 // maxForwardMessageBytes bounds what a host says about a forwarded request. It has room for
 // the largest header of a request.
-const maxForwardMessageBytes = 4 * defaultHeaderBytes
+const maxForwardMessageBytes = 4 * maxHeaderBytes
--- a/daemon/router/servers.go
+++ b/daemon/router/servers.go
@@ -79,14 +79,14 @@
 // newServer returns a server without time limits.
 func (s *serverService) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, MaxHeaderBytes: defaultHeaderBytes,
+		Handler: handler, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(s.host.opts.Logger.Handler(), slog.LevelDebug),
 	}
 }
 
 // withTimeouts gives a server the limits of programs that are not callers.
 func withTimeouts(server *http.Server) *http.Server {
-	server.ReadHeaderTimeout, server.IdleTimeout = headerTimeout, idleTimeout
+	server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = headerTimeout, idleTimeout, defaultHeaderBytes
 	return server
 }
 
--- a/internal/drain/limits.go
+++ b/internal/drain/limits.go
@@ -218,7 +218,15 @@
 		return false
 	}
 	h.bytes += n
-	return h.limits.now.HeaderBytes > 0 && h.bytes > h.limits.now.HeaderBytes+readAhead
+	if !h.limits.tooLarge(h.bytes) {
+		return false
+	}
+	h.limits.update(c.tracker.opts.Clock.Now()) // the limit may have been raised just now
+	return h.limits.tooLarge(h.bytes)
+}
+
+func (l *callerLimits) tooLarge(headerBytes int) bool {
+	return l.now.HeaderBytes > 0 && headerBytes > l.now.HeaderBytes+readAhead
 }
 
 // rejectHeader answers a request whose header is too large, in the same way as net/http.
--- a/internal/drain/limits_test.go
+++ b/internal/drain/limits_test.go
@@ -325,7 +325,9 @@
 	if status, _, closes := c.answer(); status != http.StatusRequestHeaderFieldsTooLarge || !closes {
 		t.Errorf("got %d, closes the connection: %t, want 431", status, closes)
 	}
-	r.setLimits(drain.Limits{HeaderBytes: 300 << 10})
+	r.mu.Lock()
+	r.limits.HeaderBytes = 300 << 10 // no sweep has seen it yet
+	r.mu.Unlock()
 	c = dial(t, r.gate.gate)
 	c.send(header(200 << 10))
 	r.answered(c)
