internal/drain: tests for connections opened in advance and for a lack of descriptors

A connection opened in advance is unused, not slow with its header: net/http's ReadHeaderTimeout begins at the accept. When an accept fails for want of a descriptor, the connections unused for the longest time are closed; TestUnusedConnectionsMakeRoomForDescriptors fails without that.

--- a/internal/drain/export_test.go
+++ b/internal/drain/export_test.go
@@ -21,3 +21,16 @@
 	}
 	return false
 }
+
+// Unused returns the number of connections without a request.
+func (t *Tracker) Unused() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for c := range t.conns {
+		if c.unused() {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/drain/limits_test.go
+++ b/internal/drain/limits_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -33,12 +34,17 @@
 // stallGate is a gate that can also hold reads back before they begin.
 type stallGate struct {
 	*gate
+	// full makes the next accept fail for want of a descriptor.
+	full    atomic.Bool
 	stall   atomic.Bool
 	stalled chan struct{}
 	resume  chan struct{}
 }
 
 func (g *stallGate) Accept() (net.Conn, error) {
+	if g.full.CompareAndSwap(true, false) {
+		return nil, syscall.EMFILE
+	}
 	c, err := g.gate.Accept()
 	if err != nil {
 		return nil, err
@@ -155,11 +161,37 @@
 		r.pass(limit * 4 / 5)
 		r.exchange(c)
 	}
-	unused := dial(t, r.gate.gate)
-	r.exchange(unused)
 	r.pass(limit + drain.SweepInterval)
 	r.closed(c)
+}
+
+// TestConnectionOpenedInAdvanceIsOpen guards against a request that is lost because its
+// connection was opened earlier and the time for its header has passed.
+func TestConnectionOpenedInAdvanceIsOpen(t *testing.T) {
+	const limit = 5 * time.Minute
+	r := newLimitsRig(t, drain.Limits{IdleTime: limit, HeaderTime: time.Second})
+	c, unused := dial(t, r.gate.gate), dial(t, r.gate.gate)
+	waitFor(t, "the connections are served", func() bool { return r.Unused() == 2 })
+	r.pass(limit * 4 / 5)
+	r.exchange(c)
+	r.pass(limit/5 + drain.SweepInterval)
 	r.closed(unused)
+	r.exchange(c)
+}
+
+// TestUnusedConnectionsMakeRoomForDescriptors guards against a host that takes no new callers
+// because unused connections hold all its descriptors.
+func TestUnusedConnectionsMakeRoomForDescriptors(t *testing.T) {
+	r := newLimitsRig(t, drain.Limits{})
+	first := r.idleConn()
+	r.clock.Advance(time.Second)
+	second := r.idleConn()
+	r.gate.full.Store(true)
+	third := r.idleConn() // the accept that waits succeeds, and the next one fails
+	r.closed(first)
+	r.exchange(second)
+	r.exchange(third)
+	r.idleConn()
 }
 
 // TestLongerIdleLimitHoldsAtOnce guards against a connection that is closed after the limit
