--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -285,6 +285,10 @@
 			if resp.StatusCode != test.status {
 				t.Errorf("got %d, want %d; logged %s", resp.StatusCode, test.status, origin.logged())
 			}
+			// Hosts of the release before know this outcome.
+			if !strings.Contains(origin.logged(), address+":stopping:") {
+				t.Errorf("the host that forwards has logged %s", origin.logged())
+			}
 		})
 	}
 }
