internal/drain: HTTP/2 frames without a request are not in flight

An entry host with TLS also serves HTTP/2. On such a connection bytes come without a request (an acknowledgement of settings, a ping, a window update). The tracker took the first byte on an idle connection for that of a request, whose end the server never reports. A stop waited for it until the drain timeout and then reported a cut request.

Evidence: TestHTTP2FramesWithoutARequestAreNotInFlight failed before ("got 1 requests in flight, want none", and the stop did not end) and passes now.

On HTTP/2 connections, the state that the server reports decides.

--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -80,7 +81,10 @@
 	// layered is set if the server sees the connection through another one, whose handshake
 	// is not a request. It is protected by the lock of the tracker.
 	layered bool
-	header  headerState
+	// multiplexed is set for HTTP/2, where bytes may come without a request. It is protected by
+	// the lock of the tracker.
+	multiplexed bool
+	header      headerState
 	// rejected is set while the connection has a request that arrived after Refuse. It is
 	// protected by the lock of the tracker.
 	rejected bool
@@ -132,8 +136,10 @@
 	case phaseClosed:
 		return false
 	case phaseIdle:
-		t.setPhase(c, phaseActive)
-		c.beginHeader()
+		if !c.multiplexed {
+			t.setPhase(c, phaseActive)
+			c.beginHeader()
+		}
 	case phaseNew:
 		if !c.layered {
 			t.setPhase(c, phaseActive)
@@ -183,11 +189,22 @@
 	if c == nil {
 		return
 	}
+	if state == http.StateActive && isHTTP2(nc) {
+		t.mu.Lock()
+		c.multiplexed = true
+		t.mu.Unlock()
+	}
 	if t.changeState(c, nc != net.Conn(c), state) {
 		c.closeInner()
 	}
 }
 
+// isHTTP2 reports whether a connection whose handshake has ended carries HTTP/2.
+func isHTTP2(nc net.Conn) bool {
+	secure, ok := nc.(*tls.Conn)
+	return ok && secure.ConnectionState().NegotiatedProtocol == "h2"
+}
+
 // changeState follows a change that the server reports. It returns true if the connection
 // must be closed.
 func (t *Tracker) changeState(c *conn, layered bool, state http.ConnState) (closeNow bool) {
