internal/drain: the end of an HTTP/2 answer is written before its connection is closed

Callers of an entry host with TLS that use HTTP/2 lost their answer when the host had closed its unused connections and the answer ended afterwards: "http2: server sent GOAWAY and closed the connection". net/http reports an HTTP/2 connection as idle before it has flushed the last frames of the answer; the tracker closed it then.

HTTP/2 connections are closed 250 ms after they became idle, unless a request has come.

--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -81,8 +81,9 @@
 	// layered is set if the server sees the connection through another one, whose handshake
 	// is not a request. It is protected by the lock of the tracker.
 	layered bool
-	// multiplexed is set for HTTP/2, where bytes may come without a request. It is protected by
-	// the lock of the tracker.
+	// multiplexed is set for HTTP/2, where bytes may come without a request, and where the
+	// server reports the end of an answer before it has written it. It is protected by the
+	// lock of the tracker.
 	multiplexed bool
 	header      headerState
 	// rejected is set while the connection has a request that arrived after Refuse. It is
@@ -220,7 +221,10 @@
 	case http.StateIdle:
 		t.setPhase(c, phaseIdle)
 		c.endHeader()
-		if t.closing {
+		switch {
+		case t.closing && c.multiplexed:
+			t.closeMultiplexedLater()
+		case t.closing:
 			t.remove(c)
 			return true
 		}
@@ -230,6 +234,29 @@
 	return false
 }
 
+// writeTime is the time in which a server writes the end of an answer that it has reported.
+const writeTime = 250 * time.Millisecond
+
+// hasMultiplexed reports whether there are HTTP/2 connections.
+func (t *Tracker) hasMultiplexed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.conns {
+		if c.multiplexed {
+			return true
+		}
+	}
+	return false
+}
+
+// closeMultiplexedLater closes the HTTP/2 connections that have no request after writeTime.
+func (t *Tracker) closeMultiplexedLater() {
+	t.opts.Clock.AfterFunc(writeTime, func() {
+		earliest := t.opts.Clock.Now().Add(-writeTime)
+		t.closeIf(func(c *conn) bool { return c.multiplexed && c.unused() && !c.since.After(earliest) })
+	})
+}
+
 // innerConn returns the connection of the tracker's listener below nc; nil if there is none.
 func innerConn(nc net.Conn) *conn {
 	for nc != nil {
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -167,7 +167,10 @@
 			t.opts.Logger.Warn("listener not closed", "address", ln.Addr(), "error", err)
 		}
 	}
-	t.closeIf(func(c *conn) bool { return c.phase() != phaseActive })
+	t.closeIf(func(c *conn) bool { return c.phase() != phaseActive && !c.multiplexed })
+	if t.hasMultiplexed() {
+		t.closeMultiplexedLater()
+	}
 }
 
 // closeServers ends the servers, which have no connections any more.
