dispatch: a booking that a stop ends while it is claimed can run at another host

What callers saw: a booking was answered not_run at the end of a stop, and its retry at another host "a request with this key has been started before", outcome unknown. Cause: the wait for the claim ended with the request, while the claim was still written; it was undone only with the next commit of its page or the next clean-up, up to 10 s later. Evidence: TestBookingEndedWhileItIsClaimedCanBeRetried failed before: "retry at another host: {Won:false Answer:<nil> Host:host}, <nil>; want it to run"; it passes now. A caller who leaves still ends the wait.

--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -13,6 +13,7 @@
 	"github.com/corianderlever/corianderlever/balance"
 	"github.com/corianderlever/corianderlever/claim"
 	"github.com/corianderlever/corianderlever/engine"
+	"github.com/corianderlever/corianderlever/internal/drain"
 	"github.com/corianderlever/corianderlever/limiter"
 	"github.com/corianderlever/corianderlever/resource"
 	"github.com/corianderlever/corianderlever/session"
@@ -119,7 +120,7 @@
 // key.
 func (c *call) runClaimed(ctx context.Context) (ServiceAnswer, error) {
 	key := claim.Key{Team: c.req.Team, Service: c.req.Service, Operation: c.req.Operation, IdempotencyKey: c.req.Key}
-	result, err := c.d.Claims.Claim(ctx, key)
+	result, err := c.claim(ctx, key)
 	if err != nil {
 		c.trace.add("claim", "%v", err)
 		return ServiceAnswer{}, claimError(err)
@@ -147,6 +148,23 @@
 	return answer, err
 }
 
+// claim claims the key. It waits for the result also if the host stops meanwhile, since a claim
+// that is committed must be abandoned before the caller is told that nothing has run.
+func (c *call) claim(ctx context.Context, key claim.Key) (claim.Result, error) {
+	if err := ctx.Err(); err != nil {
+		return claim.Result{}, errors.Join(claim.ErrNotClaimed, err)
+	}
+	waiting, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() {
+		if !drain.Stopping(ctx) {
+			cancel()
+		}
+	})
+	defer stop()
+	return c.d.Claims.Claim(waiting, key)
+}
+
 // replay answers a request whose key has been claimed before.
 func (c *call) replay(result claim.Result) (ServiceAnswer, error) {
 	if result.Answer == nil {
--- a/dispatch/stop_test.go
+++ b/dispatch/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -18,6 +19,7 @@
 	"github.com/corianderlever/corianderlever/client"
 	"github.com/corianderlever/corianderlever/dispatch"
 	"github.com/corianderlever/corianderlever/internal/drain"
+	"github.com/corianderlever/corianderlever/kv/memkv"
 	"github.com/corianderlever/corianderlever/limiter"
 )
 
@@ -35,18 +37,6 @@
 	return dispatch.AllowanceDecision{DeferUntil: req.Deadline.Add(time.Hour), Reason: "test"}
 }
 
-// heldClaims is a dispatch.Claims at which every claim waits until its context ends.
-type heldClaims struct {
-	dispatch.Claims
-	asked chan struct{}
-}
-
-func (c heldClaims) Claim(ctx context.Context, _ claim.Key) (claim.Result, error) {
-	c.asked <- struct{}{}
-	<-ctx.Done()
-	return claim.Result{}, errors.Join(claim.ErrNotClaimed, ctx.Err())
-}
-
 // awaitStep waits until a decision is in the trace of a request.
 func (r *rig) awaitStep(id, decision string) {
 	r.t.Helper()
@@ -113,11 +103,7 @@
 			r.d.Allowance = a
 			return a.asked
 		}},
-		"claim": {booking: true, prepare: func(r *rig) <-chan struct{} {
-			c := heldClaims{Claims: r.d.Claims, asked: make(chan struct{}, 64)}
-			r.d.Claims = c
-			return c.asked
-		}},
+		"claim":                   {booking: true, prepare: func(r *rig) <-chan struct{} { return r.holdWrites() }},
 		"connection to an engine": {prepare: func(r *rig) <-chan struct{} { return r.holdEngines(api.OutcomeNotRun).started }},
 		"connection to a service": {booking: true, prepare: func(r *rig) <-chan struct{} { return r.holdEngines(api.OutcomeNotRun).started }},
 		"engines busy":            {step: "plan", prepare: func(r *rig) <-chan struct{} { return r.occupy(false) }},
@@ -188,6 +174,35 @@
 	}
 }
 
+// holdWrites delays the writes to the store. It returns a channel that gets a value for each
+// write that begins.
+func (r *rig) holdWrites() <-chan struct{} {
+	began := make(chan struct{}, 64)
+	r.kv.SetDelay(200 * time.Millisecond)
+	r.kv.OnCall(func(call memkv.Call, _ string) memkv.Fault {
+		if call == memkv.CallCompareAndSwap {
+			began <- struct{}{}
+		}
+		return memkv.None
+	})
+	return began
+}
+
+// TestBookingEndedWhileItIsClaimedCanBeRetried guards against a booking that is reported as
+// not run when its host stops, while its claim stands in the way of a retry at another host.
+func TestBookingEndedWhileItIsClaimedCanBeRetried(t *testing.T) {
+	r := newRig(t, 1)
+	writing := r.holdWrites()
+	f := r.start(true, "")
+	<-writing
+	wantError(t, f.end(drain.ErrStopping), api.CodeUnavailable, api.OutcomeNotRun)
+	other := claim.New(r.kv, clockwork.NewRealClock(), rand.New(rand.NewPCG(testSeed, testSeed+1)), "other", nil)
+	result, err := other.Claim(context.Background(), claim.Key{Team: "workshop", Service: "booking", Operation: "book", IdempotencyKey: f.id})
+	if err != nil || !result.Won {
+		t.Errorf("retry at another host: %+v, %v; want it to run", result, err)
+	}
+}
+
 // TestRequestReadAfterStopIsRefused guards against a request that is read at the end of a stop
 // and is sent to an engine.
 func TestRequestReadAfterStopIsRefused(t *testing.T) {
