daemon: a stream that another host serves does not end without a word at a stop

What callers saw: at the end of the drain of a host that had forwarded a stream, the connection was closed in the middle of the answer; an answer that had not begun was blamed on the other host ("host entry-2 did not answer"). Cause: the copy of an answer aborts the caller's connection whenever it is cut, whoever cut it. Evidence: TestStopAnswersForwardedRequests/host_that_forwards failed before: 8 of 16 "status 200, connection ended without a complete answer: unexpected EOF", 8 "message "host entry-2 did not answer" does not give the reason"; it passes now. host_that_serves passed before: the other host passes on the final answers of the one that stops, and asks another for those that have not run. Why it works: at a stop a forwarded stream ends with an error event and outcome unknown, as one that this host serves itself. An answer of known length can't be completed, and is aborted as before. No further host is asked for a cancelled request.

--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"mime"
 	"net"
 	"net/http"
 	"slices"
@@ -15,6 +16,7 @@
 	"github.com/corianderlever/corianderlever/api"
 	"github.com/corianderlever/corianderlever/entry"
 	"github.com/corianderlever/corianderlever/forward"
+	"github.com/corianderlever/corianderlever/internal/drain"
 	"github.com/corianderlever/corianderlever/membership"
 )
 
@@ -93,6 +95,9 @@
 		if answered {
 			return true
 		}
+		if r.Context().Err() != nil {
+			return false
+		}
 		exclude = append(exclude, m.Host)
 		f.hosts.Refused(m.Host, anyService)
 	}
@@ -130,37 +135,44 @@
 	case errors.Is(err, errNotConnected):
 		return false, err
 	case err != nil:
-		failure := &api.Error{Status: http.StatusBadGateway, Code: api.CodeEndpointFailed, Outcome: api.OutcomeUnknown, RequestID: id, Message: "host " + m.Host + " did not answer"}
-		api.WriteError(w, failure)
+		api.WriteError(w, unansweredError(r.Context(), id, "host "+m.Host+" did not answer"))
 		return true, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusServiceUnavailable {
-		return f.copyFailure(w, resp)
+		return f.copyFailure(w, r, resp, id)
 	}
-	return true, copyAnswer(w, resp, resp.Body)
+	return true, copyAnswer(w, r, resp, id, resp.Body)
 }
 
 // copyFailure copies the answer of a host that is not available, unless it says that it has
 // not run the request.
-func (f *forwarder) copyFailure(w http.ResponseWriter, resp *http.Response) (answered bool, err error) {
+func (f *forwarder) copyFailure(w http.ResponseWriter, r *http.Request, resp *http.Response, id string) (answered bool, err error) {
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxFailureBytes))
 	if err != nil {
-		return true, copyAnswer(w, resp, io.MultiReader(bytes.NewReader(text), resp.Body))
+		return true, copyAnswer(w, r, resp, id, io.MultiReader(bytes.NewReader(text), resp.Body))
 	}
 	var failure api.ErrorBody
 	if json.Unmarshal(text, &failure) == nil && failure.Error != nil && failure.Error.Outcome == api.OutcomeNotRun && failure.Error.Code == api.CodeUnavailable {
 		return false, failure.Error
 	}
-	return true, copyAnswer(w, resp, bytes.NewReader(text))
+	return true, copyAnswer(w, r, resp, id, bytes.NewReader(text))
 }
 
 // maxFailureBytes bounds an error answer of another host.
 const maxFailureBytes = 64 << 10
 
-// copyAnswer copies an answer as it arrives. It aborts the caller's connection if the
-// answer is cut.
-func copyAnswer(w http.ResponseWriter, resp *http.Response, body io.Reader) error {
+// unansweredError returns the error of a request that another host may have run.
+func unansweredError(ctx context.Context, id, message string) *api.Error {
+	if drain.Stopping(ctx) {
+		message = "this host is stopping and has ended the request"
+	}
+	return &api.Error{Status: http.StatusBadGateway, Code: api.CodeEndpointFailed, Outcome: api.OutcomeUnknown, RequestID: id, Message: message}
+}
+
+// copyAnswer copies an answer as it arrives. If this host stops meanwhile, a stream
+// ends with an error; any other answer that is cut aborts the caller's connection.
+func copyAnswer(w http.ResponseWriter, r *http.Request, resp *http.Response, id string, body io.Reader) error {
 	for name, values := range resp.Header {
 		w.Header()[name] = values
 	}
@@ -180,11 +192,29 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			return nil
+		case err != nil && drain.Stopping(r.Context()) && isEventStream(resp):
+			return errors.CombineErrors(errors.Wrap(err, "daemon: read answer"), writeFailureEvent(w, unansweredError(r.Context(), id, "")))
 		case err != nil:
 			panic(http.ErrAbortHandler)
 		}
 	}
 }
 
+func isEventStream(resp *http.Response) bool {
+	media, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	return err == nil && media == "text/event-stream"
+}
+
+// writeFailureEvent ends a stream with an error. The empty line before it ends an event of
+// which only a part has been copied.
+func writeFailureEvent(w http.ResponseWriter, failure *api.Error) error {
+	data, err := json.Marshal(api.ErrorBody{Error: failure})
+	if err != nil {
+		return errors.Wrap(err, "daemon: encode event")
+	}
+	_, err = io.WriteString(w, "\n\ndata: "+string(data)+"\n\n")
+	return errors.Wrap(err, "daemon: write event")
+}
+
 // copyBufferBytes has room for a few events.
 const copyBufferBytes = 8 << 10
