daemon: hosts that stop together in an outage of the store lose no billing record

What was seen: requests that were answered while the store was out were missing on the bill when several hosts were stopped at the same time. Cause: a host that can't write its records leaves them to the peers with its copies. It placed copies only of records without any, not of those whose copy was at a host that was stopping as well; that host forgets them when it ends. Why it works: at the end of its stop a host knows for at least the entry TTL which others are leaving, and copies their share to hosts that stay. A host that begins to stop later learns that the first has left while it still drains, takes the records over and does the same. Records that are copied twice are billed once, since readers drop duplicates.

--- a/daemon/state.go
+++ b/daemon/state.go
@@ -147,11 +147,21 @@
 	err := s.run.Stop(ctx)
 	if flushErr := s.Flush(ctx); flushErr != nil {
 		s.opts.Logger.Error("billing records left to peers", "waiting", s.Stats().Waiting, "error", flushErr)
-		s.Replicate(ctx)
+		s.copyToAlive(ctx)
 	}
 	return err
 }
 
+// copyToAlive places copies of the records whose copies are at hosts that stop as well.
+func (s *ledgerService) copyToAlive(ctx context.Context) {
+	for _, m := range s.membership.Members() {
+		if m.State != membership.Alive {
+			s.PeerFailed(ctx, processName(m))
+		}
+	}
+	s.Replicate(ctx)
+}
+
 // followMembers takes over the records of hosts that failed or left. A host that
 // was restarted counts as failed, because its old process lost its records.
 func (s *ledgerService) followMembers(ctx context.Context) error {
