daemon, ledger: the last host waits for the store before it gives up its billing records

What was seen: requests that were answered in an outage of the store were missing on the bill if no other host was left to hold copies, although the store returned a moment after the stop. Cause: a host tried to write its records once and then left them to peers, also if it had none. Why it works: as long as a record has no copy anywhere, the host tries again, for at most 8 s and within the bound of its stop. A loss after that is logged with the number of records.

--- a/daemon/state.go
+++ b/daemon/state.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 
 	"github.com/corianderlever/corianderlever/claim"
 	"github.com/corianderlever/corianderlever/configstore"
@@ -148,10 +149,37 @@
 	if flushErr := s.Flush(ctx); flushErr != nil {
 		s.opts.Logger.Error("billing records left to peers", "waiting", s.Stats().Waiting, "error", flushErr)
 		s.copyToAlive(ctx)
+		s.awaitStore(ctx)
 	}
 	return err
 }
 
+const (
+	// lastFlushTime is the time for which a host that stops waits for the store if no other
+	// host has copies of its records.
+	lastFlushTime = 8 * time.Second
+	// lastFlushInterval is the time between two attempts to write them.
+	lastFlushInterval = 200 * time.Millisecond
+)
+
+// awaitStore tries to write the records of which no other host has a copy.
+func (s *ledgerService) awaitStore(ctx context.Context) {
+	ctx, cancel := clockwork.WithTimeout(ctx, s.opts.Clock, lastFlushTime)
+	defer cancel()
+	for s.Uncopied() > 0 {
+		select {
+		case <-s.opts.Clock.After(lastFlushInterval):
+		case <-ctx.Done():
+			s.opts.Logger.Error("billing records lost", "records", s.Uncopied())
+			return
+		}
+		if err := s.Flush(ctx); err != nil {
+			s.opts.Logger.Debug("billing records still not written", "error", err)
+			s.copyToAlive(ctx)
+		}
+	}
+}
+
 // copyToAlive places copies of the records whose copies are at hosts that stop as well.
 func (s *ledgerService) copyToAlive(ctx context.Context) {
 	for _, m := range s.membership.Members() {
--- a/daemon/stopbill_test.go
+++ b/daemon/stopbill_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 
 	"github.com/corianderlever/corianderlever/client"
+	"github.com/corianderlever/corianderlever/config"
 	"github.com/corianderlever/corianderlever/kv/memkv"
 )
 
@@ -44,3 +45,27 @@
 	}
 	c.checkBill(served)
 }
+
+// TestLastHostThatStopsInOutageWaitsForTheStore guards against billing records that are lost
+// because no other host is left to hold their copies, although the store returns at once.
+func TestLastHostThatStopsInOutageWaitsForTheStore(t *testing.T) {
+	var log logBuffer
+	c := newClusterOf(t, 1, &log, func(*config.Settings) {})
+	c.Faults[0].Inject(memkv.Outage, memkv.Always)
+	id := uuid.Must(uuid.NewV7()).String()
+	resp, err := c.sendVia(0, client.Request{ID: id}, prompt("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- c.StopHost(c.ctx, 0) }()
+	c.eventually(testTimeout/4, "the host could not write its records", func() bool { return len(log.lines("billing records left to peers")) > 0 })
+	c.Faults[0].ClearAll()
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	if err := c.StartHost(c.ctx, 0); err != nil {
+		t.Fatal(err)
+	}
+	c.checkBill(map[string]float64{id: resp.Receipt.Cost})
+}
--- a/ledger/copies.go
+++ b/ledger/copies.go
@@ -139,6 +139,19 @@
 	l.placeInChunks(ctx, records)
 }
 
+// Uncopied returns the number of records of which no peer is known to hold a copy.
+func (l *Ledger) Uncopied() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, e := range l.entries {
+		if e.peer == "" {
+			n++
+		}
+	}
+	return n
+}
+
 // maxHoldRecords is the largest number of records in one message to a peer.
 const maxHoldRecords = 1000
 
