dispatch: a host that stops takes no request that it can't finish

What callers saw: a request that reached a host after its SIGTERM was worked on for the whole drain and then ended, although it could not be finished and another host could have taken it. Cause: admission compares the expected duration with the deadline only, not with the end of the drain. Evidence: TestRequestThatCannotEndBeforeTheStopIsRefused failed before: "error <nil>, want code unavailable with outcome not_run"; it passes now. Why it works: the entry service tells the dispatcher when it ends what still runs. A request whose 95th percentile lies beyond is answered 503 unavailable, not_run, with Retry-After 1 before anything runs; the decision is in the trace and counted as decision stop, refused. A version without observations has no estimate and is taken.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -43,6 +43,7 @@
 	base
 	membership *membershipService
 	config     *configurationService
+	dispatch   *dispatchService
 	tracker    *drain.Tracker
 	server     *http.Server
 	ln         net.Listener
@@ -73,6 +74,7 @@
 	if err != nil {
 		return err
 	}
+	s.dispatch = d
 	backend := newAdminBackend(s.config, s.membership, ledgers, d)
 	f := newForwarder(s.opts, s.membership.Members, certs)
 	signal(d.signals, "lost", func() ([]string, bool) { return d.pool.LostServices(), true }, f.observeLost)
@@ -165,6 +167,7 @@
 	s.tracker.Drain()
 	s.membership.Leave()
 	wait := s.opts.Settings.Drain.EntryTTL.AsDuration() + listTTLMargin
+	s.dispatch.ServeUntil(s.opts.Clock.Now().Add(wait + s.opts.Settings.Drain.Timeout.AsDuration()))
 	select {
 	case <-s.opts.Clock.After(wait):
 	case <-ctx.Done():
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -112,6 +113,8 @@
 	// ratingSlots bounds the ratings that run in the background.
 	ratingSlots chan struct{}
 	background  sync.WaitGroup
+	// end is when the host ends what it still serves; nil unless it stops.
+	end atomic.Pointer[time.Time]
 }
 
 // New returns a dispatcher.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -83,7 +83,11 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	grant, err := r.d.admit(ctx, r.trace, r.req.Team, r.target, plan.Cost, r.expectedDuration(plan))
+	expected := r.expectedDuration(plan)
+	if err := r.checkEnd(expected); err != nil {
+		return Answer{}, err
+	}
+	grant, err := r.d.admit(ctx, r.trace, r.req.Team, r.target, plan.Cost, expected)
 	if err != nil {
 		return Answer{}, err
 	}
--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -26,16 +27,36 @@
 	if err == nil || !drain.Stopping(ctx) || isDecision(err) {
 		return err
 	}
-	out := apiError(http.StatusServiceUnavailable, api.CodeUnavailable, "this host is stopping, the request has not run")
-	if mayHaveRun {
-		out = apiError(http.StatusBadGateway, api.CodeEndpointFailed, "this host is stopping and has ended the request")
-		out.Outcome = api.OutcomeUnknown
-		return out
+	if !mayHaveRun {
+		return stoppingError("the request has not run")
 	}
+	out := apiError(http.StatusBadGateway, api.CodeEndpointFailed, "this host is stopping and has ended the request")
+	out.Outcome = api.OutcomeUnknown
+	return out
+}
+
+// stoppingError is the error for a request that has not run because this host stops.
+func stoppingError(detail string) *api.Error {
+	out := apiError(http.StatusServiceUnavailable, api.CodeUnavailable, "this host is stopping, %s", detail)
 	out.RetryAfterMS = stopRetryMS
 	return out
 }
 
+// ServeUntil announces that this host stops and ends at a time what still runs then.
+func (d *Dispatcher) ServeUntil(end time.Time) { d.end.Store(&end) }
+
+// checkEnd rejects a request that is not expected to end before the host stops, so that its
+// caller can send it to another host at once.
+func (r *run) checkEnd(expected time.Duration) error {
+	end := r.d.end.Load()
+	if end == nil || !r.d.Clock.Now().Add(expected).After(*end) {
+		return nil
+	}
+	r.trace.add("stop", "the answer is expected to take %v, longer than this host still serves", expected)
+	r.d.metrics.decisions.WithLabelValues("stop", "refused").Inc()
+	return stoppingError("the request takes longer than it still serves and has not run")
+}
+
 // isDecision reports whether an error is about the request itself, so that it holds at any
 // host. An overloaded host is not.
 func isDecision(err error) bool {
--- a/dispatch/stop_test.go
+++ b/dispatch/stop_test.go
@@ -203,6 +203,28 @@
 	}
 }
 
+// TestRequestThatCannotEndBeforeTheStopIsRefused guards against a host that takes a request
+// while it drains, works on it for the whole drain and then ends it.
+func TestRequestThatCannotEndBeforeTheStopIsRefused(t *testing.T) {
+	r := newRig(t, 1)
+	for range 200 {
+		r.d.Chooser.ObserveLatency("small-2", time.Minute)
+	}
+	r.d.ServeUntil(time.Now().Add(time.Hour))
+	if err := <-r.start(false, "fits").result; err != nil {
+		t.Errorf("a request that can end in time: %v", err)
+	}
+	r.d.ServeUntil(time.Now().Add(time.Second))
+	f := r.start(false, "does not fit")
+	wantError(t, <-f.result, api.CodeUnavailable, api.OutcomeNotRun)
+	if got := r.endOf(f.id); !strings.Contains(got, "stopping") {
+		t.Errorf("explanation %q does not give the reason", got)
+	}
+	if n := r.bill().Requests; n != 1 {
+		t.Errorf("billed %d requests, want 1", n)
+	}
+}
+
 // TestRequestReadAfterStopIsRefused guards against a request that is read at the end of a stop
 // and is sent to an engine.
 func TestRequestReadAfterStopIsRefused(t *testing.T) {
