internal/drain: an answer that its handler did not write closes its connection, too

The answer of a handler that writes neither a status nor a body has its header sent by the server, without "Connection: close" during a drain. Callers kept a connection that the stop closes. No handler in this repository that a stopping host uses does so today.

Evidence: TestEmptyAnswerClosesItsConnection failed before ("the answer keeps its connection") and passes now.

--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -290,3 +290,16 @@
 		t.Errorf("got %d connections cut, want none", n)
 	}
 }
+
+// TestEmptyAnswerClosesItsConnection guards against an answer without a body and without a
+// status of its own that keeps its connection, which the stop then closes.
+func TestEmptyAnswerClosesItsConnection(t *testing.T) {
+	g := newGate(t)
+	tracker := start(t, g, nil, func(http.ResponseWriter, *http.Request) {})
+	tracker.Drain()
+	c := dial(t, g)
+	c.request()
+	if _, _, closes := c.answer(); !closes {
+		t.Error("the answer keeps its connection")
+	}
+}
--- a/internal/drain/writer.go
+++ b/internal/drain/writer.go
@@ -6,7 +6,9 @@
 // drains, also those to requests that arrived before.
 func (t *Tracker) closeAfterAnswer(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		next.ServeHTTP(&responseWriter{ResponseWriter: w, tracker: t}, r)
+		out := &responseWriter{ResponseWriter: w, tracker: t}
+		next.ServeHTTP(out, r)
+		out.beforeHeader() // the server sends the header of an answer that was not written
 	})
 }
 
