internal/drain: a request whose connection was closed as unused is not served

A TLS connection, or one of the forwarding layer, counts as unused until the server has decoded its first request. If a stop closed it in between, the handler still ran: an entry host, which does not look at Refusing, passed the request on to an engine although nobody could get the answer. On a host with a fifth of a core a process may be held up there for tens of milliseconds.

Evidence: TestRequestOfAClosedConnectionIsNotServed, which holds a request between its decoding and the handler, failed before ("/decoded was served without a connection") and passes now.

The state is final before the handler begins: either the connection was closed before, and the request is not passed on, or it is active and is not closed as an unused one.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -79,11 +79,12 @@
 	return t
 }
 
-// Attach adds a server. It sets the server's BaseContext and ConnState and wraps its Handler;
-// these must not be changed afterwards. The server's listeners must come from Listener.
+// Attach adds a server. It sets the server's BaseContext and ConnState and wraps its Handler
+// and its ConnContext; these must not be changed afterwards. The server's listeners must come from Listener.
 func (t *Tracker) Attach(server *http.Server) {
 	server.BaseContext = func(net.Listener) context.Context { return t.base }
 	server.ConnState = t.connState
+	server.ConnContext = withConn(server.ConnContext)
 	server.Handler = t.closeAfterAnswer(server.Handler)
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/drain/writer.go
+++ b/internal/drain/writer.go
@@ -1,11 +1,39 @@
 package drain
 
-import "net/http"
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// withConn returns a ConnContext that adds the tracker's connection to what next returns.
+func withConn(next func(context.Context, net.Conn) context.Context) func(context.Context, net.Conn) context.Context {
+	return func(ctx context.Context, nc net.Conn) context.Context {
+		if next != nil {
+			ctx = next(ctx, nc)
+		}
+		return context.WithValue(ctx, connKey{}, innerConn(nc))
+	}
+}
+
+// closedBefore reports whether the connection of a request was closed as an unused one while
+// the server decoded the request.
+func closedBefore(r *http.Request) bool {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	return c != nil && c.phase() == phaseClosed
+}
 
 // closeAfterAnswer makes the answers of a handler close their connections while the server
-// drains, also those to requests that arrived before.
+// drains, also those to requests that arrived before. Requests without a connection are not
+// passed on.
 func (t *Tracker) closeAfterAnswer(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if closedBefore(r) {
+			panic(http.ErrAbortHandler)
+		}
 		out := &responseWriter{ResponseWriter: w, tracker: t}
 		next.ServeHTTP(out, r)
 		out.beforeHeader() // the server sends the header of an answer that was not written
