command: a log that nobody reads no longer holds up a host

With a log pipe that is full because its reader has stopped, a host on the users' platform did not end after its drain and had to be killed, and an entry host served nothing.

Cause: the log queue waited without a bound for its last lines at the exit, and an entry host wrote its lines to standard output directly.

Fix: closing the queue waits at most 200 ms, less than what a stop leaves of the grace period, and an entry host logs through the queue too.

--- a/cmd/corianderlever/daemon_test.go
+++ b/cmd/corianderlever/daemon_test.go
@@ -36,6 +36,14 @@
 	return s
 }
 
+// newStore starts a key-value service and returns its URL.
+func newStore(t *testing.T) string {
+	t.Helper()
+	store := httptest.NewServer(httpkv.NewHandler(memkv.New(clockwork.NewRealClock())))
+	t.Cleanup(store.Close)
+	return store.URL
+}
+
 // write replaces the file; more are further lines.
 func (s entrySettings) write(t *testing.T, more string) {
 	t.Helper()
@@ -56,9 +64,7 @@
 // TestHangupReloadsTheSettingsOfAnEntryHost guards against an entry host that SIGHUP ends,
 // also while it drains, and against settings that it takes over although they are invalid.
 func TestHangupReloadsTheSettingsOfAnEntryHost(t *testing.T) {
-	store := httptest.NewServer(httpkv.NewHandler(memkv.New(clockwork.NewRealClock())))
-	t.Cleanup(store.Close)
-	settings := newEntrySettings(t, store.URL)
+	settings := newEntrySettings(t, newStore(t))
 	cmd, log := command(t, nil, "-config", settings.path)
 	p := start(t, cmd, log)
 	p.wait(t, "ready", func() bool { return p.hasLogged(t, "msg=ready") })
--- a/cmd/corianderlever/process_test.go
+++ b/cmd/corianderlever/process_test.go
@@ -21,6 +21,8 @@
 	pollInterval = 10 * time.Millisecond
 	// conditionTimeout bounds the wait for a condition.
 	conditionTimeout = 30 * time.Second
+	// callTimeout bounds a readiness check.
+	callTimeout = time.Second
 )
 
 // process is one process of the daemon.
@@ -127,10 +129,18 @@
 	return d
 }
 
+// waitReady waits until the readiness check of a host on the users' platform succeeds.
 func (p *process) waitReady(t *testing.T, readiness string) {
 	t.Helper()
+	p.waitOK(t, "http://"+readiness+"/corianderlever/readiness")
+}
+
+// waitOK waits until a URL answers with status 200.
+func (p *process) waitOK(t *testing.T, url string) {
+	t.Helper()
+	client := &http.Client{Timeout: callTimeout}
 	p.wait(t, "ready", func() bool {
-		resp, err := http.Get("http://" + readiness + "/corianderlever/readiness")
+		resp, err := client.Get(url)
 		if err != nil {
 			return false
 		}
--- a/daemon/command/command.go
+++ b/daemon/command/command.go
@@ -18,6 +18,7 @@
 	"github.com/corianderlever/corianderlever/config"
 	"github.com/corianderlever/corianderlever/daemon"
 	"github.com/corianderlever/corianderlever/daemon/demo"
+	"github.com/corianderlever/corianderlever/internal/logqueue"
 )
 
 // ErrUsage reports wrong arguments.
@@ -86,7 +87,9 @@
 	}
 	var level slog.LevelVar
 	level.Set(s.settings.Level())
-	log := newLogger(s.out, &level)
+	queue := logqueue.New(s.out, logQueueBytes)
+	defer queue.Close()
+	log := newLogger(queue, &level)
 	h, err := daemon.New(daemon.Options{Settings: s.settings, Logger: log})
 	if err != nil {
 		return err
--- a/internal/logqueue/logqueue.go
+++ b/internal/logqueue/logqueue.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"time"
 )
 
 // Writer queues lines for an underlying writer. It is safe for concurrent use.
@@ -60,13 +61,21 @@
 	return w.total
 }
 
-// Close writes the queued lines and stops the writer. Later lines are dropped.
+// closeTimeout bounds the wait for the last lines. A reader that has stopped must not keep
+// the process from its exit.
+const closeTimeout = 200 * time.Millisecond
+
+// Close writes the queued lines, as far as that takes at most closeTimeout, and stops the
+// writer. Later lines are dropped.
 func (w *Writer) Close() error {
 	w.mu.Lock()
 	w.closed = true
 	w.wake.Signal()
 	w.mu.Unlock()
-	<-w.done
+	select {
+	case <-w.done:
+	case <-time.After(closeTimeout):
+	}
 	return nil
 }
 
