soak: a run whose faults are an operator's planned changes loses no call

Hosts are stopped one, several or most at a time in series that overlap, get SIGHUP and SIGTERM in any order, and their settings files, configuration and endpoints change. Callers keep their connections until the host closes them and send nothing twice. Every call that a host has read must get a complete response, unless an endpoint still worked on it at the end of the grace period; every process must end with status 0 in time.

Processes ended by SIGHUP 0.06 to 4.4 s after SIGTERM, and one with status 1 whose settings file was wrong at its start.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strings"
@@ -29,6 +30,8 @@
 type History struct {
 	Calls []Call
 	Runs  []platformtest.Run
+	// Stops are the graceful shutdowns of hosts.
+	Stops []Stop
 	// Events is the number of events in a complete stream.
 	Events int
 	// Revoked is the time at which the store acknowledged the revocation of a key.
@@ -38,9 +41,8 @@
 // Check returns a description of each violated guarantee.
 func (h *History) Check() []string {
 	var violations []string
-	runs := make(map[string][]platformtest.Run)
+	runs := h.runsByCall()
 	for _, r := range h.Runs {
-		runs[r.Attempt] = append(runs[r.Attempt], r)
 		if r.Team != platformtest.TeamName || r.Key {
 			violations = append(violations, fmt.Sprintf("run for team %q, API key forwarded %t: %+v", r.Team, r.Key, r))
 		}
@@ -82,7 +84,7 @@
 		return c.ID + " " + c.Kind.path() + c.ID
 	}
 	var b strings.Builder
-	for i := 1; i <= h.Events; i++ {
+	for i := 1; i <= cmp.Or(c.Work.Events, h.Events); i++ {
 		fmt.Fprintf(&b, "id: %d\ndata: %s/%d\n\n", i, c.ID, i)
 	}
 	return b.String()
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -43,16 +43,23 @@
 
 // Call is one request of a caller and its result.
 type Call struct {
-	ID     string
-	Kind   Kind
-	Key    string
-	Host   string
-	Sent   time.Time
-	Ended  time.Time
-	Status int // zero without a response
-	Body   string
+	ID   string
+	Kind Kind
+	Key  string
+	Host string
+	// Timeout bounds the call, and Work is what it asks of the endpoint.
+	Timeout time.Duration
+	Work    platformtest.Work
+	Sent    time.Time
+	// Written is the time at which the whole request was sent on a line; zero if it was not.
+	Written time.Time
+	Ended   time.Time
+	Status  int // zero without a response
+	Body    string
 	// Incomplete is set if the response was interrupted or none arrived.
 	Incomplete bool
+	// Err is the error that ended the call on a line.
+	Err string
 }
 
 // Answered reports whether the call received a complete response with status 200.
@@ -111,9 +118,7 @@
 		}
 		call := c.send(ctx, Call{ID: fmt.Sprintf("%s-%d", c.name, n), Kind: kind, Key: key, Host: host})
 		if ctx.Err() == nil {
-			c.mu.Lock()
-			c.calls = append(c.calls, call)
-			c.mu.Unlock()
+			c.add(call)
 		}
 		if !call.Answered() {
 			c.expires = time.Time{} // try another address
@@ -122,6 +127,12 @@
 	}
 }
 
+func (c *Caller) add(call Call) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls = append(c.calls, call)
+}
+
 // Calls returns a copy of the calls made so far.
 func (c *Caller) Calls() []Call {
 	c.mu.Lock()
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -19,16 +19,17 @@
 var faults = []fault{
 	{"host killed", func(s *soak, ctx context.Context, pick func(int) int, d time.Duration) {
 		h := s.hosts[pick(len(s.hosts))]
+		h.control.Lock()
+		defer h.control.Unlock()
 		h.Kill()
 		wait(ctx, d/2)
 		s.restart(h)
 	}},
 	{"host stopped", func(s *soak, _ context.Context, pick func(int) int, _ time.Duration) {
 		h := s.hosts[pick(len(s.hosts))]
-		took, err := h.Stop(stopTimeout)
-		if err != nil {
-			s.addViolation("%s stopped after %v: %v", h.Name, took, err)
-		}
+		h.control.Lock()
+		defer h.control.Unlock()
+		s.stop(h, nil)
 		s.restart(h)
 	}},
 	{"host paused", func(s *soak, ctx context.Context, pick func(int) int, d time.Duration) {
@@ -36,6 +37,8 @@
 	}},
 	{"all hosts killed", func(s *soak, ctx context.Context, _ func(int) int, d time.Duration) {
 		for _, h := range s.hosts {
+			h.control.Lock()
+			defer h.control.Unlock()
 			h.Kill()
 		}
 		wait(ctx, d/4)
@@ -235,6 +238,13 @@
 // in faults.
 const processFaults = 4
 
+// stop shuts a host down gracefully. The caller holds its control.
+func (s *soak) stop(h *Host, meanwhile func(ctx context.Context, p *process)) {
+	if took, err := h.Stop(stopTimeout, meanwhile); err != nil {
+		s.addViolation("%s ended %v after SIGTERM: %v", h.Name, took.Round(time.Millisecond), err)
+	}
+}
+
 func (s *soak) restart(h *Host) {
 	if err := h.Start(); err != nil {
 		s.addViolation("%s did not start: %v", h.Name, err)
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -22,14 +22,40 @@
 	Addresses platformtest.Addresses
 	// Store is the proxy through which the host reaches the store.
 	Store *Proxy
+	// Settings is the settings file.
+	Settings *SettingsFile
 
 	// link is the file with the state of the host's links to the endpoints.
-	binary, settings, log, link string
+	binary, log, link string
+	// onExit is called when the process ends and nobody has ended it.
+	onExit func(err error)
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	done    chan error
-	started time.Time
+	// control is held by whoever stops, kills, pauses or starts the process.
+	control sync.Mutex
+
+	mu    sync.Mutex
+	proc  *process
+	stops []Stop
+}
+
+// Stop is one graceful shutdown of a host.
+type Stop struct {
+	Host string
+	// Address is the host's address for callers.
+	Address string
+	// Term is the time of the first SIGTERM, Exit that of the process's end.
+	Term, Exit time.Time
+}
+
+// process is one incarnation of a host.
+type process struct {
+	cmd *exec.Cmd
+	// ending is set once the process is told to end.
+	ending atomic.Bool
+	// ready is closed once the process handles signals, done when it has ended.
+	ready, done chan struct{}
+	// err is the exit error, set when done is closed.
+	err error
 }
 
 // NewHost writes the settings of the i-th host and starts its store proxy, but
@@ -39,12 +65,12 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &Host{Name: fmt.Sprint("host-", i), Addresses: a, Store: proxy, binary: binary}
-	h.settings = filepath.Join(dir, h.Name+".yaml")
+	h := &Host{Name: fmt.Sprint("host-", i), Addresses: a, Store: proxy, binary: binary, onExit: func(error) {}}
 	h.log = filepath.Join(dir, h.Name+".log")
 	h.link = filepath.Join(dir, h.Name+".link")
-	file := platformtest.Settings(h.Name, fmt.Sprint("domain-", i%3), a, seeds(i), proxy.Address())
-	return h, os.WriteFile(h.settings, file, 0o600)
+	content := platformtest.Settings(h.Name, fmt.Sprint("domain-", i%3), a, seeds(i), proxy.Address())
+	h.Settings = &SettingsFile{path: filepath.Join(dir, h.Name+".yaml"), content: content}
+	return h, h.Settings.Restore()
 }
 
 // Start starts the process.
@@ -57,70 +83,121 @@
 	}
 	defer out.Close()
 	cmd := exec.Command(h.binary)
-	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+h.settings, platformtest.LinkVariable+"="+h.link)
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+h.Settings.path, platformtest.LinkVariable+"="+h.link)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	done := make(chan error, 1)
-	go func() { done <- cmd.Wait() }()
-	h.cmd, h.done, h.started = cmd, done, time.Now()
+	p := &process{cmd: cmd, ready: make(chan struct{}), done: make(chan struct{})}
+	go h.awaitEnd(p)
+	go p.watchStart()
+	h.proc = p
 	return nil
 }
 
+// awaitEnd waits for the end of a process.
+func (h *Host) awaitEnd(p *process) {
+	p.err = p.cmd.Wait()
+	close(p.done)
+	if !p.ending.Load() {
+		h.onExit(p.err)
+	}
+}
+
+// current returns the last process, or nil before the first one.
+func (h *Host) current() *process {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.proc
+}
+
 // SetLink changes the state of the host's links to the endpoints.
 func (h *Host) SetLink(state platformtest.LinkState) error {
 	return os.WriteFile(h.link, []byte(strconv.Itoa(int(state))), 0o600)
 }
 
-// signal sends a signal to the host's process.
-func (h *Host) signal(s syscall.Signal) error {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.cmd.Process.Signal(s)
+// signal sends a signal to the process. A process that has ended already needs none.
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// kill sends SIGKILL to the process and waits for its exit.
+func (p *process) kill() {
+	p.ending.Store(true)
+	p.signal(syscall.SIGKILL)
+	<-p.done
 }
 
-// Kill sends SIGKILL to the process and waits for its exit.
-func (h *Host) Kill() {
-	// A process that has ended already needs no signal.
-	_ = h.signal(syscall.SIGKILL)
-	<-h.done
+// Hangup sends SIGHUP to the process.
+func (h *Host) Hangup() {
+	if p := h.current(); p.started() {
+		p.signal(syscall.SIGHUP)
+	}
 }
 
+// Kill sends SIGKILL to the process and waits for its exit. The caller holds control.
+func (h *Host) Kill() { h.current().kill() }
+
 // Pause suspends the process for d or until ctx is done.
 func (h *Host) Pause(ctx context.Context, d time.Duration) {
-	_ = h.signal(syscall.SIGSTOP)
+	h.control.Lock()
+	defer h.control.Unlock()
+	p := h.current()
+	p.signal(syscall.SIGSTOP)
 	wait(ctx, d)
-	_ = h.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGCONT)
 }
 
-// signalHandlerTime is the time after its start in which SIGTERM may still end
-// a process before its signal handler is installed; it has served nothing yet.
-const signalHandlerTime = 500 * time.Millisecond
-
 // Stop sends SIGTERM and returns the time until the process exited and its exit
-// error. It kills a process that does not exit within grace.
-func (h *Host) Stop(grace time.Duration) (time.Duration, error) {
+// error. It kills a process that does not exit within grace. While the process stops,
+// it runs meanwhile, whose context ends with the process; nil for nothing. The caller
+// holds control.
+func (h *Host) Stop(grace time.Duration, meanwhile func(ctx context.Context, p *process)) (time.Duration, error) {
+	p := h.current()
+	if !p.started() {
+		return 0, nil // reported by onExit
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
 	stopStart := time.Now()
-	justStarted := stopStart.Sub(h.started) < signalHandlerTime
-	_ = h.signal(syscall.SIGTERM)
+	h.mu.Lock()
+	n := len(h.stops)
+	h.stops = append(h.stops, Stop{Host: h.Name, Address: h.Addresses.Frontend, Term: stopStart})
+	h.mu.Unlock()
+	p.ending.Store(true)
+	p.signal(syscall.SIGTERM)
+	if meanwhile != nil {
+		wg.Go(func() { meanwhile(ctx, p) })
+	}
+	err := p.awaitExit(grace)
+	h.mu.Lock()
+	h.stops[n].Exit = time.Now()
+	h.mu.Unlock()
+	return time.Since(stopStart), err
+}
+
+// Stops returns the graceful shutdowns so far.
+func (h *Host) Stops() []Stop {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]Stop(nil), h.stops...)
+}
+
+// awaitExit waits for the exit of the process, and kills it after grace.
+func (p *process) awaitExit(grace time.Duration) error {
 	select {
-	case err := <-h.done:
-		var exit *exec.ExitError
-		if justStarted && errors.As(err, &exit) && !exit.Exited() {
-			err = nil
-		}
-		return time.Since(stopStart), err
+	case <-p.done:
+		return p.err
 	case <-time.After(grace):
-		h.Kill()
-		return time.Since(stopStart), fmt.Errorf("%s did not exit within %v", h.Name, grace)
+		p.kill()
+		return fmt.Errorf("no exit within %v", grace)
 	}
 }
 
 // Close kills the process and closes its store proxy.
 func (h *Host) Close() {
-	if h.cmd != nil {
-		_ = h.signal(syscall.SIGKILL)
+	if p := h.current(); p != nil {
+		p.kill()
 	}
 	h.Store.Close()
 }
--- /dev/null
+++ b/internal/soak/line.go
@@ -0,0 +1,154 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/corianderlever/corianderlever/platform/platformtest"
+)
+
+// line is one connection of a caller, kept until the host closes it. In contrast to
+// http.Client it sends no request a second time.
+type line struct {
+	*Caller
+	host   string
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+// newLine returns a line that resolves addresses through the directories of the hosts.
+func newLine(name string, hosts []*Host, seed uint64) *line {
+	return &line{Caller: NewCaller(name, hosts, seed)}
+}
+
+const (
+	// longCallTimeout bounds a stream on a line, plainCallTimeout the other calls.
+	longCallTimeout  = 20 * time.Second
+	plainCallTimeout = platformtest.RouteTimeout
+	// answerSlack is the time after a call's timeout in which an answer is still read.
+	answerSlack = time.Second
+	dialTimeout = time.Second
+)
+
+// Run sends requests until ctx is done, which interrupts the last one.
+func (l *line) Run(ctx context.Context) {
+	defer l.close()
+	for n := 0; ctx.Err() == nil; n++ {
+		if l.conn == nil && !l.connect(ctx) {
+			l.expires = time.Time{} // try another address
+			wait(ctx, 5*callPause)
+			continue
+		}
+		call := l.send(ctx, l.draw(n))
+		if ctx.Err() == nil {
+			l.add(call)
+		}
+		if !call.Answered() {
+			l.expires = time.Time{} // resolve again for the next connection
+		}
+		wait(ctx, time.Duration(l.rng.IntN(3))*callPause)
+	}
+}
+
+// draw returns the n-th call: a lookup, a booking that takes up to a second, or a stream
+// of up to 12 s, at times from an engine that does not begin for seconds.
+func (l *line) draw(n int) Call {
+	ms := func(low, high int) time.Duration { return time.Duration(low+l.rng.IntN(high-low)) * time.Millisecond }
+	call := Call{ID: fmt.Sprintf("%s-%d", l.name, n), Key: platformtest.ValidKey, Host: l.host, Timeout: plainCallTimeout}
+	switch k := l.rng.IntN(10); {
+	case k < 4:
+		call.Kind, call.Work.Delay = Lookup, ms(1, 30)
+	case k < 7:
+		call.Kind, call.Work.Delay = Book, ms(5, 1000)
+	default:
+		call.Kind, call.Timeout = Stream, longCallTimeout
+		call.Work = platformtest.Work{Delay: ms(5, 200), Events: longEvents, EventInterval: ms(2000, 12000) / longEvents}
+		if k == 9 {
+			call.Work.Delay = ms(1000, 4000)
+		}
+		if l.rng.IntN(3) == 0 {
+			call.Work.EventInterval = shortInterval
+		}
+	}
+	return call
+}
+
+// longEvents is the number of events of a stream on a line; shortInterval is the time
+// between those of a short one.
+const (
+	longEvents    = 40
+	shortInterval = 5 * time.Millisecond
+)
+
+// connect opens the connection to one of the resolved addresses.
+func (l *line) connect(ctx context.Context) bool {
+	if l.host = l.address(ctx); l.host == "" {
+		return false
+	}
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", l.host)
+	if err != nil {
+		return false
+	}
+	l.conn, l.reader = conn, bufio.NewReader(conn)
+	return true
+}
+
+func (l *line) close() {
+	if l.conn != nil {
+		_ = l.conn.Close() // its calls have ended
+		l.conn = nil
+	}
+}
+
+func (l *line) send(ctx context.Context, call Call) Call {
+	conn := l.conn
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	call.Sent = time.Now()
+	keep, err := l.exchange(ctx, &call)
+	call.Ended = time.Now()
+	if err != nil {
+		call.Incomplete, call.Err = true, err.Error()
+	}
+	if err != nil || !keep {
+		l.close()
+	}
+	return call
+}
+
+// exchange sends a call and reads its response. It returns whether the connection can be
+// used further.
+func (l *line) exchange(ctx context.Context, call *Call) (bool, error) {
+	method := http.MethodPost
+	if call.Kind == Lookup {
+		method = http.MethodGet
+	}
+	req, err := platformtest.NewRequest(ctx, method, call.Host, call.Kind.path(), call.ID, call.Key, call.Timeout)
+	if err != nil {
+		return false, err
+	}
+	platformtest.SetWork(req, call.Work)
+	if call.Kind == Stream {
+		platformtest.SetPromptParts(req, l.promptParts(*call)...)
+	}
+	if err := l.conn.SetDeadline(call.Sent.Add(call.Timeout + answerSlack)); err != nil {
+		return false, err
+	}
+	if err := req.Write(l.conn); err != nil {
+		return false, err
+	}
+	call.Written = time.Now()
+	resp, err := http.ReadResponse(l.reader, req)
+	if err != nil {
+		return false, err
+	}
+	defer resp.Body.Close()
+	call.Status = resp.StatusCode
+	body, err := io.ReadAll(resp.Body)
+	call.Body = string(body)
+	return !resp.Close, err
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -21,6 +21,9 @@
 	Duration time.Duration
 	Hosts    int
 	Callers  int
+	// Maintenance limits the faults to what an operator plans: stops, signals, and
+	// changes of settings, configuration and endpoints. No call may be lost then.
+	Maintenance bool
 	// Dir receives settings and logs.
 	Dir string
 	// Binary is the program under test.
@@ -47,6 +50,7 @@
 	d          *platformtest.Deployment
 	hosts      []*Host
 	callers    []*Caller
+	lines      []*line
 	history    History
 	mu         sync.Mutex
 	violations []string
@@ -79,7 +83,14 @@
 	for _, c := range s.callers {
 		wg.Go(func() { c.Run(callCtx) })
 	}
-	s.injectFaults(ctx)
+	for _, l := range s.lines {
+		wg.Go(func() { l.Run(callCtx) })
+	}
+	if s.Maintenance {
+		s.maintain(ctx)
+	} else {
+		s.injectFaults(ctx)
+	}
 	wait(ctx, settleTime)
 	recovered := time.Now()
 	wait(ctx, recoveredTime)
@@ -89,6 +100,9 @@
 	s.checkRecovery(recovered)
 	s.checkCrashes(recovered)
 	s.checkRateLimit(recovered)
+	if s.Maintenance {
+		s.violations = append(s.violations, s.history.checkUnanswered(s.log)...)
+	}
 	return append(s.violations, s.history.Check()...), ctx.Err()
 }
 
@@ -98,8 +112,13 @@
 		return err
 	}
 	s.history.Events = s.d.Engines[0].Events
-	s.d.Engines[0].RateLimit = rateLimit
-	go s.d.SendHeartbeats(append(append([]*platformtest.Endpoint(nil), s.d.PlainEndpoints...), s.d.Engines...)...)
+	if s.Maintenance {
+		s.d.StreamTimeout = longCallTimeout
+		s.d.Configure(platformtest.ValidKey, platformtest.RevokedKey)
+	} else {
+		s.d.Engines[0].RateLimit = rateLimit
+	}
+	go s.d.SendHeartbeats(s.endpoints()...)
 	var all []platformtest.Addresses
 	for range s.Hosts {
 		a, err := platformtest.FreeAddresses()
@@ -114,15 +133,29 @@
 		if err != nil {
 			return err
 		}
+		h.onExit = func(err error) { s.addViolation("%s ended by itself: %v", h.Name, err) }
 		s.hosts = append(s.hosts, h)
 		if err := h.Start(); err != nil {
 			return err
 		}
 	}
+	s.newCallers()
+	return s.waitForFirstAnswer(ctx)
+}
+
+// linesPerCaller is the number of connections that a caller keeps.
+const linesPerCaller = 6
+
+func (s *soak) newCallers() {
 	for i := range s.Callers {
-		s.callers = append(s.callers, NewCaller(fmt.Sprintf("c%d", i), s.hosts, s.Seed+uint64(i)))
+		if !s.Maintenance {
+			s.callers = append(s.callers, NewCaller(fmt.Sprintf("c%d", i), s.hosts, s.Seed+uint64(i)))
+			continue
+		}
+		for k := range linesPerCaller {
+			s.lines = append(s.lines, newLine(fmt.Sprintf("c%d-%d", i, k), s.hosts, s.Seed+uint64(i*linesPerCaller+k)))
+		}
 	}
-	return s.waitForFirstAnswer(ctx)
 }
 
 // waitForFirstAnswer waits until a call is answered.
@@ -164,7 +197,13 @@
 	for _, c := range s.callers {
 		s.history.Calls = append(s.history.Calls, c.Calls()...)
 	}
-	for _, e := range append(append([]*platformtest.Endpoint(nil), s.d.PlainEndpoints...), s.d.Engines...) {
+	for _, l := range s.lines {
+		s.history.Calls = append(s.history.Calls, l.Calls()...)
+	}
+	for _, h := range s.hosts {
+		s.history.Stops = append(s.history.Stops, h.Stops()...)
+	}
+	for _, e := range s.endpoints() {
 		s.history.Runs = append(s.history.Runs, e.Runs()...)
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -15,6 +15,7 @@
 	seeds     = flag.Int("seeds", 1, "number of seeds, one after the other")
 	duration  = flag.Duration("time", 10*time.Second, "duration of fault injection for each seed")
 	hosts     = flag.Int("hosts", 5, "number of host processes")
+	callers   = flag.Int("callers", 8, "number of callers")
 )
 
 // regressions maps seeds that failed before to the cause of the failure.
@@ -22,43 +23,61 @@
 	133: "after the loss of all hosts, a sound prompt part was rejected alone and for good",
 }
 
-const soakCallers = 8
-
 // TestSoak guards against guarantees that are violated when real processes meet
 // consecutive and simultaneous faults: kills, pauses, stops, a store that is
 // down, slow, stalled or compacted, and endpoints that fail, lose answers or cut
 // streams.
 func TestSoak(t *testing.T) {
+	runSeeds(t, false)
+	for seed, cause := range regressions {
+		t.Logf("regression seed %d: %s", seed, cause)
+		runSeed(context.Background(), t, build(t), seed, false)
+	}
+}
+
+// TestMaintenanceLosesNoCall guards against calls that get no response, and processes that
+// end early, late or by a signal, while hosts are stopped, get signals in any order, and
+// their settings and configuration change.
+func TestMaintenanceLosesNoCall(t *testing.T) {
+	runSeeds(t, true)
+}
+
+// maxReported bounds the violations that are reported one by one.
+const maxReported = 25
+
+func runSeeds(t *testing.T, maintenance bool) {
+	t.Helper()
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	ctx := context.Background()
-	binary, err := soak.Build(ctx, t.TempDir())
-	if err != nil {
-		t.Fatal(err)
-	}
+	binary := build(t)
 	for i := range uint64(*seeds) {
-		runSeed(ctx, t, binary, *firstSeed+i)
+		runSeed(context.Background(), t, binary, *firstSeed+i, maintenance)
 	}
-	for seed, cause := range regressions {
-		t.Logf("regression seed %d: %s", seed, cause)
-		runSeed(ctx, t, binary, seed)
+}
+
+func build(t *testing.T) string {
+	t.Helper()
+	binary, err := soak.Build(context.Background(), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
 	}
+	return binary
 }
 
-func runSeed(ctx context.Context, t *testing.T, binary string, seed uint64) {
+func runSeed(ctx context.Context, t *testing.T, binary string, seed uint64, maintenance bool) {
 	t.Helper()
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		t.Fatal(err)
 	}
 	violations, err := soak.Run(ctx, soak.Options{
-		Seed: seed, Duration: *duration, Hosts: *hosts, Callers: soakCallers, Dir: dir, Binary: binary, Logf: t.Logf,
+		Seed: seed, Duration: *duration, Hosts: *hosts, Callers: *callers, Maintenance: maintenance, Dir: dir, Binary: binary, Logf: t.Logf,
 	})
 	if err != nil {
 		t.Fatalf("seed %d: %v; logs in %s", seed, err, dir)
 	}
-	for _, b := range violations[:min(len(violations), 10)] {
+	for _, b := range violations[:min(len(violations), maxReported)] {
 		t.Errorf("seed %d: %s", seed, b)
 	}
 	if len(violations) > 0 {
