--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -187,14 +187,15 @@
 )
 
 // injectFaults starts random faults for the duration of the run and waits until
-// the last one has ended. It revokes a key after half of the duration. Faults
-// that act on processes run one at a time.
+// the last one has ended. It revokes a key after half of the duration. Faults of the
+// first list that act on processes run one at a time.
 func (s *soak) injectFaults(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	var processes sync.Mutex
 	wg.Go(func() { s.injectMore(ctx, laterFaults, 2) })
 	wg.Go(func() { s.injectMore(ctx, linkFaults, 3) })
+	wg.Go(func() { s.injectMore(ctx, signalFaults, 4) })
 	revokeAt := time.Now().Add(s.Duration / 2)
 	end := time.Now().Add(s.Duration)
 	for time.Now().Before(end) && ctx.Err() == nil {
