--- a/Makefile
+++ b/Makefile
@@ -45,10 +45,13 @@
 	$(GO) run ./internal/cmd/capacity
 
 # Runs the fault soak test with SEEDS consecutive seeds starting at SEED. Faults
-# are injected into HOSTS processes for TIME with each seed.
+# are injected into HOSTS processes for TIME with each seed, under the load of
+# CALLERS. SOAK=TestMaintenanceLosesNoCall limits the faults to planned changes.
 SEED ?= 1
 SEEDS ?= 1
 TIME ?= 10s
 HOSTS ?= 5
+CALLERS ?= 8
+SOAK ?= TestSoak
 soak:
-	$(GO) test -count=1 -timeout 0 -v -run TestSoak ./internal/soak -seed $(SEED) -seeds $(SEEDS) -time $(TIME) -hosts $(HOSTS)
+	$(GO) test -count=1 -timeout 0 -v -run '^$(SOAK)$$' ./internal/soak -seed $(SEED) -seeds $(SEEDS) -time $(TIME) -hosts $(HOSTS) -callers $(CALLERS)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -107,7 +107,10 @@
 }
 
 func (s *soak) start(ctx context.Context) error {
-	var err error
+	err := checkHosts(s.Hosts)
+	if err != nil {
+		return err
+	}
 	if s.d, err = platformtest.NewDeployment(plainEndpoints, engineEndpoints); err != nil {
 		return err
 	}
