proctest: SIGHUP ends no host of the dispatch path

A real process of corianderlever -config gets SIGHUP right after its start, while it serves and during its drain, with a chat in flight. Signals wait until the runtime of the process catches them; the soak shares this.

--- a/internal/proctest/cluster.go
+++ b/internal/proctest/cluster.go
@@ -74,7 +74,7 @@
 	}
 	for _, s := range settings {
 		p := &Process{Settings: s, binary: binary}
-		p.file, p.log = filepath.Join(dir, s.Host+".yaml"), filepath.Join(dir, s.Host+".log")
+		p.file, p.Log = filepath.Join(dir, s.Host+".yaml"), filepath.Join(dir, s.Host+".log")
 		data, err := json.Marshal(s) // JSON is valid YAML
 		if err != nil {
 			return errors.Wrap(err, "proctest: encode settings")
--- a/internal/proctest/process.go
+++ b/internal/proctest/process.go
@@ -6,12 +6,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/corianderlever/corianderlever/config"
+	"github.com/corianderlever/corianderlever/internal/procfs"
 )
 
 const (
@@ -30,30 +32,49 @@
 	// Settings is the content of the settings file.
 	Settings config.Settings
 
-	binary, file, log string
-	cmd               *exec.Cmd
-	exited            chan error
+	// Log is the file with the log of the process.
+	Log string
+
+	binary, file string
+	exited       chan error
+
+	mu sync.Mutex
+	// cmd is the running process, or nil.
+	cmd *exec.Cmd
 }
 
 // Start starts the process and waits until it is ready. The process is killed
 // when ctx ends.
 func (p *Process) Start(ctx context.Context) error {
-	log, err := os.OpenFile(p.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err := p.Launch(ctx); err != nil {
+		return err
+	}
+	return p.WaitReady(ctx)
+}
+
+// Launch starts the process and returns once it can handle signals, before it is ready.
+func (p *Process) Launch(ctx context.Context) error {
+	log, err := os.OpenFile(p.Log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "proctest: open log")
 	}
 	defer log.Close() // the process has its own descriptor
-	p.cmd = exec.CommandContext(ctx, p.binary, "-config", p.file)
-	p.cmd.Stdout, p.cmd.Stderr = log, log
-	if err := p.cmd.Start(); err != nil {
+	cmd := exec.CommandContext(ctx, p.binary, "-config", p.file)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "proctest: start host")
 	}
+	p.setCommand(cmd)
 	p.exited = make(chan error, 1)
-	go func(cmd *exec.Cmd, exited chan<- error) { exited <- cmd.Wait() }(p.cmd, p.exited)
-	return p.waitReady(ctx)
+	go func(exited chan<- error) { exited <- cmd.Wait() }(p.exited)
+	waitCtx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	procfs.WaitHandlers(waitCtx, cmd.Process.Pid)
+	return nil
 }
 
-func (p *Process) waitReady(ctx context.Context) error {
+// WaitReady waits until the process is ready. It returns an error if it exits before.
+func (p *Process) WaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	ticker := time.NewTicker(readyPoll)
@@ -84,17 +105,33 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+func (p *Process) setCommand(cmd *exec.Cmd) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd = cmd
+}
+
+// signal sends a signal. The error is os.ErrProcessDone if the process has ended.
 func (p *Process) signal(s syscall.Signal) error {
-	return errors.Wrapf(p.cmd.Process.Signal(s), "proctest: signal %v to %s", s, p.Settings.Host)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	err := os.ErrProcessDone
+	if p.cmd != nil {
+		err = p.cmd.Process.Signal(s)
+	}
+	return errors.Wrapf(err, "proctest: signal %v to %s", s, p.Settings.Host)
 }
 
+// Hangup sends SIGHUP to the process.
+func (p *Process) Hangup() error { return p.signal(syscall.SIGHUP) }
+
 // Kill sends SIGKILL to the process and waits for its exit.
 func (p *Process) Kill() error {
 	if err := p.signal(syscall.SIGKILL); err != nil {
 		return err
 	}
 	<-p.exited
-	p.cmd = nil
+	p.setCommand(nil)
 	return nil
 }
 
@@ -112,7 +149,7 @@
 	}
 	select {
 	case err := <-p.exited:
-		p.cmd = nil
+		p.setCommand(nil)
 		if err != nil {
 			return errors.Wrapf(ErrExit, "%s: %v", p.Settings.Host, err)
 		}
@@ -124,9 +161,7 @@
 
 // stop kills the process if it is running.
 func (p *Process) stop() {
-	if p.cmd != nil && p.cmd.Process != nil {
-		_ = p.Kill() // fails only if the process has already exited
-	}
+	_ = p.Kill() // fails only if the process has already exited
 }
 
 // Build compiles the daemon into dir and returns the path of the binary.
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/corianderlever/corianderlever/internal/procfs"
 	"github.com/corianderlever/corianderlever/platform"
 	"github.com/corianderlever/corianderlever/platform/platformtest"
 )
@@ -104,6 +105,29 @@
 	}
 }
 
+// handlersTimeout bounds the time until a process catches signals.
+const handlersTimeout = 5 * time.Second
+
+// watchStart closes ready once the process can handle signals.
+func (p *process) watchStart() {
+	defer close(p.ready)
+	ctx, cancel := context.WithTimeout(context.Background(), handlersTimeout)
+	defer cancel()
+	procfs.WaitHandlers(ctx, p.cmd.Process.Pid)
+}
+
+// started waits until the process handles signals. It returns false if the process has
+// ended.
+func (p *process) started() bool {
+	<-p.ready
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
 // current returns the last process, or nil before the first one.
 func (h *Host) current() *process {
 	h.mu.Lock()
