soak: streams wait for a slot while hosts are stopped

The engines have fewer slots than there are streams, so that some wait for one at a host that drains. Half of the connections end with the last fault, so that the slots suffice in the check of the recovery.

--- a/internal/soak/line.go
+++ b/internal/soak/line.go
@@ -16,6 +16,8 @@
 // http.Client it sends no request a second time.
 type line struct {
 	*Caller
+	// short excludes streams.
+	short  bool
 	host   string
 	conn   net.Conn
 	reader *bufio.Reader
@@ -60,7 +62,11 @@
 func (l *line) draw(n int) Call {
 	ms := func(low, high int) time.Duration { return time.Duration(low+l.rng.IntN(high-low)) * time.Millisecond }
 	call := Call{ID: fmt.Sprintf("%s-%d", l.name, n), Key: platformtest.ValidKey, Host: l.host, Timeout: plainCallTimeout}
-	switch k := l.rng.IntN(10); {
+	kinds := 10
+	if l.short {
+		kinds = 7
+	}
+	switch k := l.rng.IntN(kinds); {
 	case k < 4:
 		call.Kind, call.Work.Delay = Lookup, ms(1, 30)
 	case k < 7:
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -83,11 +83,18 @@
 	for _, c := range s.callers {
 		wg.Go(func() { c.Run(callCtx) })
 	}
-	for _, l := range s.lines {
-		wg.Go(func() { l.Run(callCtx) })
+	pressCtx, stopPress := context.WithCancel(callCtx)
+	defer stopPress()
+	for i, l := range s.lines {
+		lineCtx := pressCtx
+		if i%2 == 0 {
+			lineCtx = callCtx
+		}
+		wg.Go(func() { l.Run(lineCtx) })
 	}
 	if s.Maintenance {
 		s.maintain(ctx)
+		stopPress()
 	} else {
 		s.injectFaults(ctx)
 	}
@@ -118,6 +125,9 @@
 	if s.Maintenance {
 		s.d.StreamTimeout = longCallTimeout
 		s.d.Configure(platformtest.ValidKey, platformtest.RevokedKey)
+		for _, e := range s.d.Engines {
+			e.Slots = fewSlots // at times streams wait for one
+		}
 	} else {
 		s.d.Engines[0].RateLimit = rateLimit
 	}
@@ -146,7 +156,12 @@
 	return s.waitForFirstAnswer(ctx)
 }
 
-// linesPerCaller is the number of connections that a caller keeps.
+// fewSlots is the number of slots of an engine in a run with maintenance only.
+const fewSlots = 8
+
+// linesPerCaller is the number of connections that a caller keeps. Half of them send calls
+// only until the last fault has ended, as there are too few slots for all; one sends no
+// streams.
 const linesPerCaller = 6
 
 func (s *soak) newCallers() {
@@ -156,7 +171,9 @@
 			continue
 		}
 		for k := range linesPerCaller {
-			s.lines = append(s.lines, newLine(fmt.Sprintf("c%d-%d", i, k), s.hosts, s.Seed+uint64(i*linesPerCaller+k)))
+			l := newLine(fmt.Sprintf("c%d-%d", i, k), s.hosts, s.Seed+uint64(i*linesPerCaller+k))
+			l.short = k == 0
+			s.lines = append(s.lines, l)
 		}
 	}
 }
