--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -50,7 +50,9 @@
 	// Timeout bounds the call, and Work is what it asks of the endpoint.
 	Timeout time.Duration
 	Work    platformtest.Work
-	Sent    time.Time
+	// Upload is the time that a line takes to send the body; zero for no body.
+	Upload time.Duration
+	Sent   time.Time
 	// Written is the time at which the whole request was sent on a line; zero if it was not.
 	Written time.Time
 	Ended   time.Time
--- a/internal/soak/line.go
+++ b/internal/soak/line.go
@@ -34,6 +34,9 @@
 	plainCallTimeout = platformtest.RouteTimeout
 	// answerSlack is the time after a call's timeout in which an answer is still read.
 	answerSlack = time.Second
+	// Before every idleEvery-th call on average the connection is idle for up to maxIdle.
+	idleEvery   = 12
+	maxIdle     = 3 * time.Second
 	dialTimeout = time.Second
 )
 
@@ -53,10 +56,18 @@
 		if !call.Answered() {
 			l.expires = time.Time{} // resolve again for the next connection
 		}
-		wait(ctx, time.Duration(l.rng.IntN(3))*callPause)
+		wait(ctx, l.pause())
 	}
 }
 
+// pause draws the time until the next call, in which the connection is idle.
+func (l *line) pause() time.Duration {
+	if l.rng.IntN(idleEvery) == 0 {
+		return time.Duration(l.rng.Int64N(int64(maxIdle)))
+	}
+	return time.Duration(l.rng.IntN(3)) * callPause
+}
+
 // draw returns the n-th call: a lookup, a booking that takes up to a second, or a stream
 // of up to 12 s, at times from an engine that does not begin for seconds.
 func (l *line) draw(n int) Call {
@@ -71,6 +82,9 @@
 		call.Kind, call.Work.Delay = Lookup, ms(1, 30)
 	case k < 7:
 		call.Kind, call.Work.Delay = Book, ms(5, 1000)
+		if k == 6 {
+			call.Upload = ms(1, 800)
+		}
 	default:
 		call.Kind, call.Timeout = Stream, longCallTimeout
 		call.Work = platformtest.Work{Delay: ms(5, 200), Events: longEvents, EventInterval: ms(2000, 12000) / longEvents}
@@ -141,10 +155,13 @@
 	if call.Kind == Stream {
 		platformtest.SetPromptParts(req, l.promptParts(*call)...)
 	}
+	if call.Upload > 0 {
+		req.Body, req.ContentLength = io.NopCloser(&slowBody{left: uploadChunks, pause: call.Upload / uploadChunks}), uploadChunks*uploadChunk
+	}
 	if err := l.conn.SetDeadline(call.Sent.Add(call.Timeout + answerSlack)); err != nil {
 		return false, err
 	}
-	if err := req.Write(l.conn); err != nil {
+	if err := req.Write(unbuffered{l.conn}); err != nil {
 		return false, err
 	}
 	call.Written = time.Now()
@@ -158,3 +175,37 @@
 	call.Body = string(body)
 	return !resp.Close, err
 }
+
+const (
+	// uploadChunks is the number of parts in which a slow caller sends its body, and
+	// uploadChunk their size in bytes.
+	uploadChunks = 4
+	uploadChunk  = 512
+)
+
+// slowBody is a request body that arrives in parts.
+type slowBody struct {
+	left  int
+	pause time.Duration
+}
+
+// Read implements io.Reader.
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	b.left--
+	time.Sleep(b.pause)
+	return copy(p, make([]byte, uploadChunk)), nil
+}
+
+// unbuffered is a connection on which http.Request.Write sends each part at once.
+type unbuffered struct{ net.Conn }
+
+var _ io.ByteWriter = unbuffered{}
+
+// WriteByte implements io.ByteWriter.
+func (c unbuffered) WriteByte(b byte) error {
+	_, err := c.Write([]byte{b})
+	return err
+}
