--- a/internal/proctest/process.go
+++ b/internal/proctest/process.go
@@ -13,7 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/corianderlever/corianderlever/config"
-	"github.com/corianderlever/corianderlever/internal/procfs"
+	"github.com/corianderlever/corianderlever/internal/logwait"
 )
 
 const (
@@ -52,13 +52,18 @@
 	return p.WaitReady(ctx)
 }
 
-// Launch starts the process and returns once it can handle signals, before it is ready.
+// Launch starts the process and returns once it has logged something. It is initialized then
+// but may not be ready.
 func (p *Process) Launch(ctx context.Context) error {
 	log, err := os.OpenFile(p.Log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "proctest: open log")
 	}
 	defer log.Close() // the process has its own descriptor
+	output, err := logwait.New(log)
+	if err != nil {
+		return errors.Wrap(err, "proctest: read log")
+	}
 	cmd := exec.CommandContext(ctx, p.binary, "-config", p.file)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
@@ -69,8 +74,7 @@
 	go func(exited chan<- error) { exited <- cmd.Wait() }(p.exited)
 	waitCtx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	procfs.WaitHandlers(waitCtx, cmd.Process.Pid)
-	return nil
+	return errors.Wrap(output.Wait(waitCtx), "proctest: wait for the start of the log")
 }
 
 // WaitReady waits until the process is ready. It returns an error if it exits before.
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"github.com/corianderlever/corianderlever/internal/procfs"
+	"github.com/corianderlever/corianderlever/internal/logwait"
 	"github.com/corianderlever/corianderlever/platform"
 	"github.com/corianderlever/corianderlever/platform/platformtest"
 )
@@ -82,16 +82,23 @@
 	if err != nil {
 		return err
 	}
-	defer out.Close()
+	output, err := logwait.New(out)
+	if err != nil {
+		return err
+	}
 	cmd := exec.Command(h.binary)
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+h.Settings.path, platformtest.LinkVariable+"="+h.link)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
+		_ = out.Close() // nothing was written
 		return err
 	}
 	p := &process{cmd: cmd, ready: make(chan struct{}), done: make(chan struct{})}
 	go h.awaitEnd(p)
-	go p.watchStart()
+	go func() {
+		defer out.Close()
+		p.watchStart(output)
+	}()
 	h.proc = p
 	return nil
 }
@@ -105,21 +112,25 @@
 	}
 }
 
-// handlersTimeout bounds the time until a process catches signals.
-const handlersTimeout = 5 * time.Second
+// initTimeout bounds the time until the packages of the program are initialized.
+const initTimeout = 5 * time.Second
 
 // watchStart closes ready once the process can handle signals.
-func (p *process) watchStart() {
+func (p *process) watchStart(output logwait.Output) {
 	defer close(p.ready)
-	ctx, cancel := context.WithTimeout(context.Background(), handlersTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), initTimeout)
 	defer cancel()
-	procfs.WaitHandlers(ctx, p.cmd.Process.Pid)
+	// A process that has ended without output is found by its end.
+	_ = output.Wait(ctx)
 }
 
 // started waits until the process handles signals. It returns false if the process has
 // ended.
 func (p *process) started() bool {
-	<-p.ready
+	select {
+	case <-p.ready:
+	case <-p.done:
+	}
 	select {
 	case <-p.done:
 		return false
