--- a/daemon/command/hostcommand.go
+++ b/daemon/command/hostcommand.go
@@ -6,13 +6,11 @@
 	"log/slog"
 	"math"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
-	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/corianderlever/corianderlever/daemon/router"
@@ -28,13 +26,10 @@
 	softMemoryShare = 0.6
 	// logQueueBytes bounds the log lines queued for standard output.
 	logQueueBytes = 1 << 20
-	// settingsInterval is the time between two reads of the settings file, which may
-	// change without a signal.
-	settingsInterval = time.Second
 )
 
 // hostCommand returns the command that runs a host on the users' platform.
-func hostCommand(out io.Writer) *ffcli.Command {
+func hostCommand(out io.Writer, reloads <-chan os.Signal) *ffcli.Command {
 	return &ffcli.Command{
 		Name: "host", ShortUsage: "corianderlever host",
 		ShortHelp: "Runs a host on the users' platform; " + platform.SettingsVariable + " names its settings file.",
@@ -42,22 +37,32 @@
 			if len(args) != 0 {
 				return errors.Wrap(ErrUsage, "corianderlever host takes no arguments")
 			}
-			return RunHost(ctx, out, os.Getenv(platform.SettingsVariable), nil)
+			return RunHost(ctx, out, os.Getenv(platform.SettingsVariable), nil, reloads)
 		},
 	}
 }
 
 // RunHost runs a host on the users' platform with the settings file at path until ctx ends,
-// and logs to out. dial opens connections to endpoints; nil for TCP.
-func RunHost(ctx context.Context, out io.Writer, path string, dial upstream.DialFunc) error {
-	settings, err := platform.LoadSettings(path)
+// and logs to out. dial opens connections to endpoints; nil for TCP. A signal on reloads
+// makes it read the settings at once.
+func RunHost(ctx context.Context, out io.Writer, path string, dial upstream.DialFunc, reloads <-chan os.Signal) error {
+	if path == "" {
+		return errors.Wrapf(ErrUsage, "%s is not set", platform.SettingsVariable)
+	}
+	queue := logqueue.New(out, logQueueBytes)
+	defer queue.Close()
+	log := newLogger(queue, slog.LevelInfo)
+	file := &settingsFile{path: path, clock: clockwork.NewRealClock()}
+	settings, err := file.wait(ctx, log)
+	if ctx.Err() != nil {
+		log.Info("stopped before the start", "error", err)
+		return nil
+	}
 	if err != nil {
 		return err
 	}
 	limitResources(settings)
-	queue := logqueue.New(out, logQueueBytes)
-	defer queue.Close()
-	log := newLogger(queue, slog.LevelInfo).With("self", settings.Host)
+	log = log.With("self", settings.Host)
 	log.Info("starting", "settings", settings)
 	store := platform.NewStore(settings.StoreAddress)
 	defer store.Close()
@@ -69,7 +74,10 @@
 	if err != nil {
 		return err
 	}
-	go followSettings(ctx, path, settings, h, log)
+	// The settings are followed until the end of the drain.
+	followCtx, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopFollowing()
+	go file.follow(followCtx, reloads, h, log)
 	return h.Run(ctx)
 }
 
@@ -83,32 +91,3 @@
 		debug.SetMemoryLimit(int64(softMemoryShare * float64(s.MemoryBytes)))
 	}
 }
-
-// followSettings applies changed bounds, on SIGHUP and every settingsInterval.
-func followSettings(ctx context.Context, path string, current platform.Settings, h *router.Host, log *slog.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	ticker := time.NewTicker(settingsInterval)
-	defer ticker.Stop()
-	for {
-		cause := "changed"
-		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
-			cause = "signal"
-		case <-ticker.C:
-		}
-		next, err := platform.LoadSettings(path)
-		if err != nil {
-			log.Warn("settings not reloaded", "cause", cause, "error", err)
-			continue
-		}
-		if cause == "signal" || next.Bounds != current.Bounds {
-			log.Info("settings reloaded", "cause", cause, "bounds_changed", next.Bounds != current.Bounds)
-		}
-		current = next
-		h.SetBounds(next.Bounds)
-	}
-}
