--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -241,7 +241,9 @@
 
 // stop shuts a host down gracefully. The caller holds its control.
 func (s *soak) stop(h *Host, meanwhile func(ctx context.Context, p *process)) {
-	if took, err := h.Stop(stopTimeout, meanwhile); err != nil {
+	took, err := h.Stop(stopTimeout, meanwhile)
+	s.log("%s ended after %v", h.Name, took.Round(time.Millisecond))
+	if err != nil {
 		s.addViolation("%s ended %v after SIGTERM: %v", h.Name, took.Round(time.Millisecond), err)
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -125,8 +125,8 @@
 	if s.Maintenance {
 		s.d.StreamTimeout = longCallTimeout
 		s.d.Configure(platformtest.ValidKey, platformtest.RevokedKey)
-		for _, e := range s.d.Engines {
-			e.Slots = fewSlots // at times streams wait for one
+		for _, e := range s.endpoints() {
+			e.Slots = s.Callers // at times streams wait for one
 		}
 	} else {
 		s.d.Engines[0].RateLimit = rateLimit
@@ -156,9 +156,6 @@
 	return s.waitForFirstAnswer(ctx)
 }
 
-// fewSlots is the number of slots of an engine in a run with maintenance only.
-const fewSlots = 8
-
 // linesPerCaller is the number of connections that a caller keeps. Half of them send calls
 // only until the last fault has ended, as there are too few slots for all; one sends no
 // streams.
