--- a/internal/soak/maintenance.go
+++ b/internal/soak/maintenance.go
@@ -43,7 +43,9 @@
 
 // planFaults are further faults of a run with maintenance only.
 var planFaults = []fault{
-	{"configuration written", func(s *soak, _ context.Context, _ func(int) int, _ time.Duration) {
+	{"configuration written", func(s *soak, _ context.Context, pick func(int) int, _ time.Duration) {
+		idle := minIdleTimeout + randomTime(faultRand(pick), maxIdle)
+		s.d.SetLimits(map[string]any{"MaxBodyBytes": 1 << 20, "IdleTimeoutMs": idle.Milliseconds()})
 		s.d.Configure(platformtest.ValidKey, platformtest.RevokedKey)
 	}},
 	{"endpoint replaced", func(s *soak, ctx context.Context, pick func(int) int, _ time.Duration) {
@@ -54,6 +56,9 @@
 const (
 	// maxPlanGap bounds the time between two faults in a run with maintenance only.
 	maxPlanGap = 1200 * time.Millisecond
+	// minIdleTimeout is the lowest limit on the time for which callers leave a connection
+	// idle.
+	minIdleTimeout = time.Second
 	// maxStopGap bounds the time between the stops of a series.
 	maxStopGap = 1500 * time.Millisecond
 	// maxSignalGap bounds the time between two signals of a series.
