--- a/internal/soak/maintenance.go
+++ b/internal/soak/maintenance.go
@@ -57,8 +57,8 @@
 	// maxPlanGap bounds the time between two faults in a run with maintenance only.
 	maxPlanGap = 1200 * time.Millisecond
 	// minIdleTimeout is the lowest limit on the time for which callers leave a connection
-	// idle.
-	minIdleTimeout = time.Second
+	// idle. They keep to four fifths of it.
+	minIdleTimeout = maxIdle*5/4 + time.Second/4
 	// maxStopGap bounds the time between the stops of a series.
 	maxStopGap = 1500 * time.Millisecond
 	// maxSignalGap bounds the time between two signals of a series.
