--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -21,6 +21,9 @@
 	Duration time.Duration
 	Hosts    int
 	Callers  int
+	// Maintenance limits the faults to what an operator plans: stops, signals, and
+	// changes of settings, configuration and endpoints. No call may be lost then.
+	Maintenance bool
 	// Dir receives settings and logs.
 	Dir string
 	// Binary is the program under test.
@@ -47,6 +50,7 @@
 	d          *platformtest.Deployment
 	hosts      []*Host
 	callers    []*Caller
+	lines      []*line
 	history    History
 	mu         sync.Mutex
 	violations []string
@@ -79,7 +83,21 @@
 	for _, c := range s.callers {
 		wg.Go(func() { c.Run(callCtx) })
 	}
-	s.injectFaults(ctx)
+	pressCtx, stopPress := context.WithCancel(callCtx)
+	defer stopPress()
+	for i, l := range s.lines {
+		lineCtx := pressCtx
+		if i%2 == 0 {
+			lineCtx = callCtx
+		}
+		wg.Go(func() { l.Run(lineCtx) })
+	}
+	if s.Maintenance {
+		s.maintain(ctx)
+		stopPress()
+	} else {
+		s.injectFaults(ctx)
+	}
 	wait(ctx, settleTime)
 	recovered := time.Now()
 	wait(ctx, recoveredTime)
@@ -89,17 +107,31 @@
 	s.checkRecovery(recovered)
 	s.checkCrashes(recovered)
 	s.checkRateLimit(recovered)
+	if s.Maintenance {
+		s.violations = append(s.violations, s.history.checkUnanswered(s.log)...)
+	}
 	return append(s.violations, s.history.Check()...), ctx.Err()
 }
 
 func (s *soak) start(ctx context.Context) error {
-	var err error
+	err := checkHosts(s.Hosts)
+	if err != nil {
+		return err
+	}
 	if s.d, err = platformtest.NewDeployment(plainEndpoints, engineEndpoints); err != nil {
 		return err
 	}
 	s.history.Events = s.d.Engines[0].Events
-	s.d.Engines[0].RateLimit = rateLimit
-	go s.d.SendHeartbeats(append(append([]*platformtest.Endpoint(nil), s.d.PlainEndpoints...), s.d.Engines...)...)
+	if s.Maintenance {
+		s.d.StreamTimeout = longCallTimeout
+		s.d.Configure(platformtest.ValidKey, platformtest.RevokedKey)
+		for _, e := range s.endpoints() {
+			e.Slots = s.Callers // at times streams wait for one
+		}
+	} else {
+		s.d.Engines[0].RateLimit = rateLimit
+	}
+	go s.d.SendHeartbeats(s.endpoints()...)
 	var all []platformtest.Addresses
 	for range s.Hosts {
 		a, err := platformtest.FreeAddresses()
@@ -114,15 +146,33 @@
 		if err != nil {
 			return err
 		}
+		h.onExit = func(err error) { s.addViolation("%s ended by itself: %v", h.Name, err) }
 		s.hosts = append(s.hosts, h)
 		if err := h.Start(); err != nil {
 			return err
 		}
 	}
+	s.newCallers()
+	return s.waitForFirstAnswer(ctx)
+}
+
+// linesPerCaller is the number of connections that a caller keeps. Half of them send calls
+// only until the last fault has ended, as there are too few slots for all; one sends no
+// streams.
+const linesPerCaller = 6
+
+func (s *soak) newCallers() {
 	for i := range s.Callers {
-		s.callers = append(s.callers, NewCaller(fmt.Sprintf("c%d", i), s.hosts, s.Seed+uint64(i)))
+		if !s.Maintenance {
+			s.callers = append(s.callers, NewCaller(fmt.Sprintf("c%d", i), s.hosts, s.Seed+uint64(i)))
+			continue
+		}
+		for k := range linesPerCaller {
+			l := newLine(fmt.Sprintf("c%d-%d", i, k), s.hosts, s.Seed+uint64(i*linesPerCaller+k))
+			l.short = k == 0
+			s.lines = append(s.lines, l)
+		}
 	}
-	return s.waitForFirstAnswer(ctx)
 }
 
 // waitForFirstAnswer waits until a call is answered.
@@ -164,7 +214,13 @@
 	for _, c := range s.callers {
 		s.history.Calls = append(s.history.Calls, c.Calls()...)
 	}
-	for _, e := range append(append([]*platformtest.Endpoint(nil), s.d.PlainEndpoints...), s.d.Engines...) {
+	for _, l := range s.lines {
+		s.history.Calls = append(s.history.Calls, l.Calls()...)
+	}
+	for _, h := range s.hosts {
+		s.history.Stops = append(s.history.Stops, h.Stops()...)
+	}
+	for _, e := range s.endpoints() {
 		s.history.Runs = append(s.history.Runs, e.Runs()...)
 	}
 }
