--- a/daemon/router/servers.go
+++ b/daemon/router/servers.go
@@ -126,8 +126,9 @@
 	return nil
 }
 
-// statusCloseTime bounds the wait for answers about the state of a host that is stopping.
-const statusCloseTime = 50 * time.Millisecond
+// statusCloseTime bounds the wait for answers about the state of a host that is stopping. A
+// host with a small share of a processor may not run for most of it.
+const statusCloseTime = 150 * time.Millisecond
 
 // Stop ends the requests that are left, and then the servers that tell the host's state.
 func (s *serverService) Stop(ctx context.Context) error {
--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -124,6 +124,16 @@
 	return tcp.SetKeepAliveConfig(config)
 }
 
+// CloseWrite closes the sending direction if the connection can. A server that rejects the
+// rest of a request does so before it waits and closes, so that its answer is not lost.
+func (c *conn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return half.CloseWrite()
+}
+
 func (c *conn) closeInner() { c.closeOnce.Do(func() { c.closeErr = c.Conn.Close() }) }
 
 // received records bytes of a request. It returns false if the connection is closed.
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -303,3 +304,29 @@
 		t.Error("the answer keeps its connection")
 	}
 }
+
+// TestAnswerToHalfReadRequestCanBeClosed guards against a server that keeps a caller waiting for
+// the end of its answer, because the server can't close one direction of the connection.
+func TestAnswerToHalfReadRequestCanBeClosed(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	c := dial(t, &gate{Listener: ln})
+	served, err := drain.New(drain.Options{}).Listener(ln).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = served.Close() }()
+	half, ok := served.(interface{ CloseWrite() error })
+	if !ok {
+		t.Fatal("the connection has no CloseWrite")
+	}
+	if err := half.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.r.ReadByte(); err != io.EOF {
+		t.Errorf("the caller reads %v, want the end of the answer", err)
+	}
+}
--- a/internal/drain/limits.go
+++ b/internal/drain/limits.go
@@ -283,6 +283,9 @@
 			unused = append(unused, c)
 		}
 	}
+	if len(unused) == 0 {
+		return
+	}
 	slices.SortFunc(unused, func(a, b *conn) int { return a.since.Compare(b.since) })
 	unused = unused[:(len(unused)+evictDivisor-1)/evictDivisor]
 	for _, c := range unused {
