--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -11,6 +11,9 @@
 //	          that are left, cancels their contexts with ErrStopping and at last closes
 //	          what still has no answer
 //
+// Refuse rejects nothing by itself: a handler that passes requests on asks Refusing. Without
+// it a request that is read late is served until Stop cancels it.
+//
 // http.Server.Shutdown and Close must not be called before Stop has returned: both drop
 // requests that have been read.
 package drain
@@ -80,7 +83,8 @@
 }
 
 // Attach adds a server. It sets the server's BaseContext and ConnState and wraps its Handler
-// and its ConnContext; these must not be changed afterwards. The server's listeners must come from Listener.
+// and its ConnContext; these must not be changed afterwards. The server's listeners must come
+// from Listener.
 func (t *Tracker) Attach(server *http.Server) {
 	server.BaseContext = func(net.Listener) context.Context { return t.base }
 	server.ConnState = t.connState
