--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -109,8 +109,8 @@
 // Draining reports whether answers close their connections.
 func (t *Tracker) Draining() bool { return t.draining.Load() }
 
-// Refuse closes the door: handlers must reject the requests for which Refusing is true when
-// they arrive. Requests in flight go on.
+// Refuse ends the acceptance of requests: handlers must reject those for which Refusing is true
+// when they arrive. Requests in flight go on.
 func (t *Tracker) Refuse() {
 	t.draining.Store(true)
 	t.refusing.Store(true)
