--- a/review/standin/hosts.go
+++ b/review/standin/hosts.go
@@ -99,8 +99,9 @@
 	hosts []*host
 }
 
-// startCluster starts hosts in three zones.
-func startCluster(ctx context.Context, d *platformtest.Deployment, hosts int) (*cluster, error) {
+// startCluster starts hosts in three zones. storeOf returns the address by which a host
+// reaches the store.
+func startCluster(ctx context.Context, d *platformtest.Deployment, hosts int, storeOf func(i int) string) (*cluster, error) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
@@ -115,7 +116,7 @@
 		c.hosts, seeds = append(c.hosts, &host{name: fmt.Sprint("host-", i), dir: dir, addresses: a}), append(seeds, a.Peer)
 	}
 	for i, h := range c.hosts {
-		settings := platformtest.Settings(h.name, fmt.Sprint("domain-", i%3), h.addresses, seeds[:min(3, hosts)], d.StoreAddress())
+		settings := platformtest.Settings(h.name, fmt.Sprint("domain-", i%3), h.addresses, seeds[:min(3, hosts)], storeOf(i))
 		if err := os.WriteFile(filepath.Join(dir, h.name+".yaml"), settings, 0o600); err != nil {
 			return c, err
 		}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,7 +25,7 @@
 type script func(ctx context.Context, rec *recorder) (held bool, err error)
 
 func main() {
-	scripts := map[string]script{"restored": restored}
+	scripts := map[string]script{"restored": restored, "links": lostLinks}
 	if len(os.Args) != 3 || scripts[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin SCRIPT RECORD")
 		os.Exit(statusNotRun)
--- a/review/standin/restored.go
+++ b/review/standin/restored.go
@@ -44,7 +44,7 @@
 	}
 	defer d.Close()
 	go d.SendHeartbeats(d.PlainEndpoints...)
-	c, err := startCluster(ctx, d, restoredHosts)
+	c, err := startCluster(ctx, d, restoredHosts, func(int) string { return d.StoreAddress() })
 	if c != nil {
 		defer c.close()
 	}
