--- a/review/standin/hosts.go
+++ b/review/standin/hosts.go
@@ -76,16 +76,13 @@
 	<-h.exited
 }
 
-// waitReady waits until the readiness check of the host succeeds.
+// waitReady waits until the host answers a lookup.
 func (h *host) waitReady(ctx context.Context) error {
 	client := &http.Client{Timeout: time.Second}
-	for ctx.Err() == nil {
-		resp, err := client.Get("http://" + h.addresses.Readiness + "/corianderlever/readiness")
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return nil
-			}
+	defer client.CloseIdleConnections()
+	for n := 0; ctx.Err() == nil; n++ {
+		if lookUp(client, h, fmt.Sprintf("start-%s-%d", h.name, n), platformtest.ValidKey) == fmt.Sprint(http.StatusOK) {
+			return nil
 		}
 		sleep(ctx, 20*time.Millisecond)
 	}
--- a/review/standin/links.go
+++ b/review/standin/links.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/corianderlever/corianderlever/control"
+	"github.com/corianderlever/corianderlever/platform"
 	"github.com/corianderlever/corianderlever/platform/platformtest"
 )
 
@@ -152,7 +154,7 @@
 func (v *storeView) rewrite(item map[string]any) {
 	key, _ := item["Key"].(string)
 	text, _ := item["Value"].(string)
-	if !strings.HasPrefix(key, "servers/") {
+	if kind, _ := (platform.Records{}).Classify(key); kind != control.KindEndpoint {
 		return
 	}
 	value, err := base64.StdEncoding.DecodeString(text)
--- a/review/standin/restored.go
+++ b/review/standin/restored.go
@@ -9,6 +9,9 @@
 	"sync"
 	"time"
 
+	"github.com/corianderlever/corianderlever/control"
+	"github.com/corianderlever/corianderlever/kv"
+	"github.com/corianderlever/corianderlever/platform"
 	"github.com/corianderlever/corianderlever/platform/platformtest"
 )
 
@@ -24,9 +27,7 @@
 	// writeAgain is the time after the return of the store at which the operator writes
 	// again what the copy lacks.
 	writeAgain = 2 * time.Second
-	// configKey is the key of the operator's configuration.
-	configKey = "op/config"
-	callPause = 20 * time.Millisecond
+	callPause  = 20 * time.Millisecond
 )
 
 // Prefixes of the ids of requests, by the key that they carry.
@@ -58,7 +59,7 @@
 	d.Configure(platformtest.ValidKey)
 	revoked := time.Now()
 	rec.add("the store acknowledges a configuration without the key %s", platformtest.RevokedKey)
-	config, err := d.Store.Get(ctx, configKey)
+	config, err := configuration(ctx, d)
 	if err != nil {
 		return false, err
 	}
@@ -84,7 +85,7 @@
 		}
 		rec.add("%s is started again", h.name)
 		sleep(ctx, writeAgain-restartDelay/2)
-		d.Store.Put(configKey, config.Value)
+		d.Store.Put(config.Key, config.Value)
 		rec.add("the operator has written the configuration again")
 	}
 	sleep(ctx, 2*time.Second)
@@ -93,6 +94,17 @@
 	return checkRevoked(d, revoked, rec)
 }
 
+// configuration returns the operator's configuration in the store.
+func configuration(ctx context.Context, d *platformtest.Deployment) (kv.Entry, error) {
+	entries, _, err := d.Store.List(ctx, "")
+	for _, e := range entries {
+		if kind, _ := (platform.Records{}).Classify(e.Key); kind == control.KindConfig {
+			return e, nil
+		}
+	}
+	return kv.Entry{}, fmt.Errorf("no configuration in the store: %w", err)
+}
+
 // startCallers sends requests with both keys to all hosts until ctx ends.
 func startCallers(ctx context.Context, c *cluster, rec *recorder) *sync.WaitGroup {
 	var wg sync.WaitGroup
