rollout, control, relay: each host keeps its part of a roll-out's exposure

Share 1 was published at 16.59 s with 41 requests sent to the target, `done` 0.6 s later with 80 known; 100 requests a second followed until the deadline: 181 of 817, 153 allowed. The plan rested on a rate over 5 s windows of one host, on counts that were 1.2 s old, and on a reserve of a fifth. Retries that fell back to any version could reach the target too.

Change: each host has an allowance for the stages after the first, and one from the completion to the deadline, in proportion to its own requests. Together they add up to what is left of the exposure; parts below one request are rounded at random. An attempt is admitted and counted under one lock, right before it is sent. A host that has used up its part lowers the share that it follows and does not raise it again under that step, so a session changes its version once at most. After the completion the old endpoints are gone: what exceeds the part is rejected at once until the deadline. Sessions of the first stage are few and may make most requests of one host, so they are limited by the counts of all hosts. Half of the exposure is kept for the time after the completion, which comes later while the rate is high. A target without a bad answer is completed at that time even if it could not get all traffic before.

The test harness now admits attempts as the relay does.

--- a/control/arrivals.go
+++ b/control/arrivals.go
@@ -2,8 +2,14 @@
 
 import "time"
 
-// arrivalWindow is the time over which arrivals are counted.
-const arrivalWindow = 5 * time.Second
+const (
+	// arrivalWindow is the time over which arrivals are counted.
+	arrivalWindow = 5 * time.Second
+	// recentWindow is the time over which the latest rate of all hosts is taken.
+	recentWindow = 1500 * time.Millisecond
+	// unreportedTime is the time after which the counts of other hosts are known.
+	unreportedTime = 1200 * time.Millisecond
+)
 
 // arrivals estimates the request rate from the current window and the one
 // before it.
@@ -36,3 +42,33 @@
 	}
 	a.windowStart, a.count = now, 0
 }
+
+// requestHistory holds the latest counts of a service's requests over all hosts.
+type requestHistory struct {
+	samples []requestSample
+}
+
+type requestSample struct {
+	at       time.Time
+	requests float64
+}
+
+// add records the number of requests since the order.
+func (h *requestHistory) add(now time.Time, requests float64) {
+	for len(h.samples) > 1 && now.Sub(h.samples[1].at) >= recentWindow {
+		h.samples = h.samples[1:]
+	}
+	h.samples = append(h.samples, requestSample{at: now, requests: requests})
+}
+
+// rate returns the requests per second in the recent window; zero if it is not known yet.
+func (h *requestHistory) rate() float64 {
+	if len(h.samples) == 0 {
+		return 0
+	}
+	first, last := h.samples[0], h.samples[len(h.samples)-1]
+	if elapsed := last.at.Sub(first.at); elapsed >= recentWindow {
+		return max(0, last.requests-first.requests) / elapsed.Seconds()
+	}
+	return 0
+}
--- a/control/coordinator.go
+++ b/control/coordinator.go
@@ -11,8 +11,13 @@
 	"github.com/corianderlever/corianderlever/rollout"
 )
 
-// coordinateInterval is the time between two checks of the active roll-out orders.
-const coordinateInterval = 300 * time.Millisecond
+const (
+	// coordinateInterval is the time between two checks of the active roll-out orders.
+	coordinateInterval = 300 * time.Millisecond
+	// finalInterval is that time in the last finalTime before the deadline of an order.
+	finalInterval = 50 * time.Millisecond
+	finalTime     = 2 * time.Second
+)
 
 // commitTimeout bounds the write of a step to the store.
 const commitTimeout = 1500 * time.Millisecond
@@ -33,13 +38,11 @@
 
 // Run advances the roll-outs until ctx ends.
 func (c *Coordinator) Run(ctx context.Context) error {
-	ticker := c.Rollouts.clock.NewTicker(coordinateInterval)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.Chan():
+		case <-c.Rollouts.clock.After(c.Rollouts.checkInterval()):
 		}
 		if !c.IsCoordinator() {
 			continue
@@ -50,6 +53,19 @@
 	}
 }
 
+// checkInterval returns the time until the active orders are to be checked again.
+func (r *Rollouts) checkInterval() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.services {
+		remaining := s.order.TimeLimit - s.elapsed(r.clock.Now())
+		if s.hasOrder && !isFinal(s.current().State) && remaining > 0 && remaining <= finalTime {
+			return finalInterval
+		}
+	}
+	return coordinateInterval
+}
+
 // proposal is a step to publish.
 type proposal struct {
 	service string
@@ -97,12 +113,14 @@
 	if isFinal(step.State) {
 		return step, "publish"
 	}
-	elapsed := s.elapsed(r.clock.Now())
+	now := r.clock.Now()
+	elapsed := s.elapsed(now)
 	target, baseline := s.tallies(r.self)
 	hosts := r.hosts()
+	requests := s.requests(hosts)
+	s.history.add(now, requests)
 	d := r.stage().Advance(s.order, elapsed, step.Share, target, baseline, rollout.Conditions{
-		CapacityRatio: r.capacityRatio(name, s.order.Target), RequestRate: s.arrivals.rate(r.clock.Now()) * float64(hosts),
-		Requests: s.requests(hosts),
+		CapacityRatio: r.capacityRatio(name, s.order.Target), RequestRate: s.rate(now, hosts), Requests: requests, Hosts: hosts,
 	})
 	if s.targetWorse {
 		d = rollout.Decision{State: rollout.OrderReverted, Reason: "target is worse"}
@@ -113,6 +131,11 @@
 	return Step{Order: s.order.Revision, Target: s.order.Target, State: d.State, Share: d.Share, ElapsedMS: elapsed.Milliseconds()}, d.Reason
 }
 
+// rate estimates the requests per second for the service over a number of hosts.
+func (s *service) rate(now time.Time, hosts int) float64 {
+	return max(s.arrivals.rate(now)*float64(hosts), s.history.rate())
+}
+
 // capacityRatio returns the number of the target's endpoints divided by the number
 // of the other versions' endpoints, or by 1 if there are none. Draining endpoints
 // are not counted.
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -62,8 +62,11 @@
 	latency       *latencyBaseline
 	routeLatency  *routeBaseline
 	pace          *paceBaseline
-	// arrivals counts the requests at this host.
+	// arrivals counts the requests at this host, history those at all hosts.
 	arrivals arrivals
+	history  requestHistory
+	// limit bounds the requests that this host sends to the target.
+	limit exposureLimit
 	// baselineSessions are the sessions that a version other than the target serves.
 	baselineSessions *sessions
 }
@@ -109,6 +112,7 @@
 	s.canaryTallies = make(map[uint32]rollout.Tally)
 	s.routes = newRouteTallies()
 	s.targetWorse = false
+	s.history, s.limit = requestHistory{}, exposureLimit{}
 }
 
 func (r *Rollouts) setOrder(o rollout.Order) {
@@ -216,7 +220,7 @@
 	now := r.clock.Now()
 	s.arrivals.add(now)
 	step := s.current()
-	if s.hasOrder && r.usesTarget(s, step, point) {
+	if s.hasOrder && r.usesTarget(name, s, step, point) {
 		return r.versionIfServed(name, s.order.Target)
 	}
 	if point < r.stage().MaxCanaryShare() {
@@ -232,13 +236,18 @@
 }
 
 // usesTarget reports whether a session uses the target of a roll-out in progress.
-func (r *Rollouts) usesTarget(s *service, step Step, point float64) bool {
-	if s.targetWorse || isFinal(step.State) || point >= step.Share {
+func (r *Rollouts) usesTarget(name string, s *service, step Step, point float64) bool {
+	if s.targetWorse || isFinal(step.State) || point >= s.limit.share(step) {
 		return false
 	}
-	if step.Share > r.stage().MaxCanaryShare() {
-		return true
+	if step.Share <= r.stage().MaxCanaryShare() && !r.joinsFirstStage(s, point) {
+		return false
 	}
+	return r.targetPermitted(name, s, step, point)
+}
+
+// joinsFirstStage reports whether a session may use the target in the first stage.
+func (r *Rollouts) joinsFirstStage(s *service, point float64) bool {
 	return r.stage().CanaryStarted(s.order, s.elapsed(r.clock.Now())) && !s.baselineSessions.contains(sessionKey(point))
 }
 
@@ -287,19 +296,6 @@
 	return ""
 }
 
-// Sent implements relay.Versions.
-func (r *Rollouts) Sent(name, version string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := r.service(name)
-	if !s.hasOrder {
-		return
-	}
-	t := s.ownTallies[version]
-	t.Sent++
-	s.ownTallies[version] = t
-}
-
 // Observe implements relay.Versions.
 func (r *Rollouts) Observe(name, version string, o rollout.Observation) {
 	r.mu.Lock()
--- a/control/rollouts_test.go
+++ b/control/rollouts_test.go
@@ -39,6 +39,10 @@
 	store       *memkv.Store
 	hosts       []*host
 	coordinator atomic.Int64 // index of the active coordinator
+	// heartbeat is the time between two exchanges of the hosts' counts, gossiped the time
+	// of the last one.
+	heartbeat time.Duration
+	gossiped  time.Time
 }
 
 func newTestCluster(t *testing.T, n int) *testCluster {
@@ -101,10 +105,15 @@
 		time.Sleep(100 * time.Millisecond)
 		synctest.Wait()
 		tc.sync()
-		tc.gossip()
+		if time.Since(tc.gossiped) >= tc.heartbeat {
+			tc.gossiped = time.Now()
+			tc.gossip()
+		}
 		for _, h := range tc.hosts {
 			point += 0.618
-			request(h, h.rollouts.Pick("s", point-float64(int(point))))
+			if version, ok := send(h, "s", point-float64(int(point))); ok {
+				request(h, version)
+			}
 		}
 	}
 	cancel()
@@ -112,6 +121,17 @@
 	tc.sync()
 }
 
+// send chooses the version for a session and counts an attempt there, as the relay does. It
+// returns false if the attempt is refused.
+func send(h *host, service string, point float64) (version string, ok bool) {
+	version = h.rollouts.Pick(service, point)
+	a := h.rollouts.Admit(service, version, point)
+	if a.Admitted || a.Instead == "" {
+		return version, a.Admitted
+	}
+	return a.Instead, h.rollouts.Admit(service, a.Instead, point).Admitted
+}
+
 func (tc *testCluster) status() string {
 	e, err := tc.store.Get(context.Background(), "status/rollout/s")
 	if err != nil {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -49,7 +49,9 @@
 	if ctx.Err() != nil {
 		return j.giveUp(endReason(ctx), "before an attempt was sent", shortRetryAfter)
 	}
-	j.relay.Versions.Sent(j.pool.service, sl.endpoint.Version)
+	if a := j.relay.Versions.Admit(j.pool.service, sl.endpoint.Version, j.point); !a.Admitted {
+		return j.handleExposureLimit(sl, a)
+	}
 	sl.run = j.relay.Parts.Start(endpointStart(sl.endpoint), j.parts)
 	defer j.endRun(sl)
 	sendCtx, cancel := context.WithCancel(ctx)
@@ -105,6 +107,20 @@
 	return nil
 }
 
+// handleExposureLimit handles an attempt at a version that has had all the requests that its
+// roll-out may expose to it: another version serves the request, which has not been sent.
+func (j *job) handleExposureLimit(sl *slot, a rollout.Admission) *ErrorResponse {
+	j.addStep(sl.endpoint.ID, sl.endpoint.Version, "exposure")
+	j.count("exposure")
+	sl.release(limiter.OutcomeIgnored)
+	j.denials++
+	if a.Instead == "" || j.denials >= maxDenials {
+		return j.giveUp("rollout_exposure", "version "+sl.endpoint.Version+" may get no more requests yet", max(a.RetryAfter, shortRetryAfter))
+	}
+	j.version, j.firstVersion = a.Instead, ""
+	return nil
+}
+
 // checkExpectedStart rejects a request immediately if even the best engine is not
 // expected to start it before its deadline. The request has not run, so the caller
 // may retry it later.
@@ -170,6 +186,9 @@
 	var failed *upstream.Error
 	sent := !errors.As(err, &failed) || failed.MaybeSent
 	j.addStep(sl.endpoint.ID, j.model, "failed")
+	if !sent {
+		j.relay.Versions.Unsent(j.pool.service, sl.endpoint.Version)
+	}
 	if ctx.Err() != nil {
 		if sent {
 			j.possibleRuns++
--- a/relay/job.go
+++ b/relay/job.go
@@ -46,6 +46,8 @@
 	requiresKey bool
 	service     *route.Service
 	pool        *pool
+	// point is the session's position in [0, 1), by which roll-outs choose its version.
+	point float64
 	// version is the version chosen for the session; empty for any. firstVersion is
 	// the version of the first endpoint that was chosen.
 	version, firstVersion string
@@ -77,7 +79,8 @@
 	// that could not serve it.
 	forwards     int
 	excludeHosts []string
-	// denials counts the endpoints that had reached their rate limits.
+	// denials counts the endpoints that had reached their rate limits, and those whose
+	// version may not get the request.
 	denials int
 	// endpoint is the id of the endpoint that has last answered.
 	endpoint string
@@ -134,14 +137,14 @@
 		return errResp
 	}
 	j.enginePriority = j.priority*routePriorityLevels + min(j.route.Priority, routePriorityLevels-1)
-	point := sessionPoint(j.req.sessionKey())
-	name := j.route.PickService(point)
+	j.point = sessionPoint(j.req.sessionKey())
+	name := j.route.PickService(j.point)
 	j.service, ok = table.Service(name)
 	if !ok {
 		return &ErrorResponse{Status: http.StatusServiceUnavailable, Reason: "no_service", Detail: name, RetryAfter: shortRetryAfter}
 	}
 	j.pool = j.relay.pool(name)
-	j.version = j.relay.Versions.Pick(name, point)
+	j.version = j.relay.Versions.Pick(name, j.point)
 	j.setDeadline()
 	j.model = j.req.Model
 	if len(j.route.Models) > 0 {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -39,8 +39,11 @@
 	// Pick returns the version for the session that hashes to point in [0, 1), or
 	// an empty string if any version may serve it.
 	Pick(service string, point float64) string
-	// Sent records that an attempt is sent to a version.
-	Sent(service, version string)
+	// Admit counts an attempt that is about to be sent to a version for the session at
+	// point, if it may be sent there.
+	Admit(service, version string, point float64) rollout.Admission
+	// Unsent takes back that an attempt was admitted that has not reached its endpoint.
+	Unsent(service, version string)
 	// Observe records the outcome of an attempt at a version.
 	Observe(service, version string, o rollout.Observation)
 }
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -106,7 +106,10 @@
 
 func (*unrestrictedVersions) Pick(string, float64) string { return "" }
 
-func (*unrestrictedVersions) Sent(string, string) {}
+func (*unrestrictedVersions) Admit(string, string, float64) rollout.Admission {
+	return rollout.Admission{Admitted: true}
+}
+func (*unrestrictedVersions) Unsent(string, string) {}
 
 func (v *unrestrictedVersions) Observe(_, _ string, o rollout.Observation) {
 	v.mu.Lock()
--- a/rollout/exposure.go
+++ b/rollout/exposure.go
@@ -1,11 +1,21 @@
 package rollout
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// exposureReserve is the fraction of the permitted exposure that a roll-out plans
-	// to use. The rest covers a request rate that rises.
-	exposureReserve = 0.8
+	// completionReserve is the fraction of the exposure that is kept for the time between
+	// the completion of a roll-out and its deadline, when only the target is left.
+	completionReserve = 0.5
+	// firstStageLimit is the fraction of the exposure that the sessions of the first stage
+	// may use.
+	firstStageLimit = 0.8
+	// rateRise and rateRiseAtCompletion are the factors by which the request rate may
+	// rise before and after the completion without a host having to limit the target.
+	rateRise             = 1.25
+	rateRiseAtCompletion = 1.5
 	// countDelay is the time after which the counts of other hosts are known.
 	countDelay = 1200 * time.Millisecond
 	// maxTrialShare is the maximum share before the target receives all traffic.
@@ -13,45 +23,152 @@
 	// minShareIncrease is the factor by which a new share exceeds the last one, so that
 	// a share that follows its budget does not change all the time.
 	minShareIncrease = 1.3
-	// fullTrafficTime is the time before the deadline for which the target is meant
+	// fullTrafficTime is the time before the completion for which the target is meant
 	// to receive all traffic, so that most requests at the other versions end before
 	// their endpoints are stopped.
 	fullTrafficTime = 2 * time.Second
 	// maxFullTrafficFraction bounds the last part of the time limit in which the
 	// target receives all traffic.
 	maxFullTrafficFraction = 0.26
+	// completionFraction is the fraction of the order's time limit from which a good
+	// version is declared done, if its exposure permits that much time before the
+	// deadline. The remaining time allows for a store that responds late.
+	completionFraction = 0.96
+	// usualCompletionTime is the minimum of that time, minCompletionTime what remains of
+	// it when the request rate is high.
+	usualCompletionTime = 900 * time.Millisecond
+	minCompletionTime   = 350 * time.Millisecond
 )
 
-// exposure is what a roll-out may still send to its target. A fault may show only under
-// a load that the target has not had yet, so the requests that it will have received at
-// its deadline stay within the exposure, however good its answers are.
+// Counts are the requests for a service since the order of its roll-out.
+type Counts struct {
+	// Requests is the number of requests for the service, Target that of those sent to
+	// the target.
+	Requests, Target float64
+	// Hosts is the number of hosts that sent them.
+	Hosts int
+}
+
+// allowed returns the number of requests that a bad version may receive.
+func (c StageConfig) allowed(requests float64) float64 {
+	return c.ExposureShare*requests + c.ExposureTolerance
+}
+
+// roundingReserve returns the number of requests by which hosts together may exceed what
+// is left, since each rounds its part at random: two standard deviations.
+func roundingReserve(hosts int) float64 { return math.Sqrt(float64(hosts)) }
+
+// leftBeforeCompletion returns how many more requests the target may receive until it is
+// declared done.
+func (c StageConfig) leftBeforeCompletion(n Counts) float64 {
+	return (1-completionReserve)*c.allowed(n.Requests) - n.Target - roundingReserve(n.Hosts)
+}
+
+// leftAfterCompletion returns how many requests the target may receive between its
+// completion and the deadline. Counts of the target are late, but before the completion
+// no host exceeds its part.
+func (c StageConfig) leftAfterCompletion(n Counts) float64 {
+	allowed := c.allowed(n.Requests)
+	return min(completionReserve*allowed, allowed-n.Target) - roundingReserve(n.Hosts)
+}
+
+// FirstStagePermits reports whether the sessions of the first stage may send another
+// request to the target.
+func (c StageConfig) FirstStagePermits(n Counts) bool {
+	return n.Target+1 <= firstStageLimit*c.allowed(n.Requests)
+}
+
+// Allowance bounds the requests that one host sends to the target from some moment on. The
+// allowances of all hosts add up to what is left of the exposure. A host needs only its own
+// counts to keep it, so it holds however the request rate changes and however late the
+// coordinator and the counts of other hosts are.
+type Allowance struct {
+	// start is the number of the host's requests at that moment.
+	start int
+	// initial is the number of requests that may be sent to the target without further
+	// requests for the service, perRequest what each of these adds.
+	initial, perRequest float64
+}
+
+// AllowanceBeforeCompletion returns the allowance of a host for the stages after the first.
+// all are the counts of all hosts, own the requests of this host. offset, in [0, 1), rounds
+// the host's part; it is spread evenly over the hosts.
+func (c StageConfig) AllowanceBeforeCompletion(all Counts, own int, offset float64) Allowance {
+	return Allowance{
+		start: own, initial: hostPart(c.leftBeforeCompletion(all), all, own) + offset,
+		perRequest: (1 - completionReserve) * c.ExposureShare,
+	}
+}
+
+// AllowanceAfterCompletion returns the allowance of a host for the time between the
+// completion and the deadline.
+func (c StageConfig) AllowanceAfterCompletion(all Counts, own int, offset float64) Allowance {
+	return Allowance{start: own, initial: hostPart(c.leftAfterCompletion(all), all, own) + offset}
+}
+
+// hostPart returns the part of what is left for a host, in proportion to its requests.
+func hostPart(left float64, all Counts, own int) float64 {
+	switch {
+	case left <= 0:
+		return 0
+	case all.Requests == 0:
+		return left / float64(max(1, all.Hosts))
+	}
+	return left * min(1, float64(own)/all.Requests)
+}
+
+// Permits reports whether a host that has sent so many requests for the service since the
+// order may send another one to the target after it has sent some there under the allowance.
+func (a Allowance) Permits(requests, sent int) bool {
+	return float64(sent+1) <= a.initial+a.perRequest*float64(requests-a.start)
+}
+
+// exposure is what a roll-out may still send to its target before its completion. A fault
+// may show only under a load that the target has not had yet, so the requests that it will
+// have received at its deadline stay within the exposure, however good its answers are.
 type exposure struct {
 	// requests is the number of requests that the target may still receive.
 	requests float64
 	// rate is the number of requests per second for the service.
 	rate float64
-	// remaining is the time to the deadline.
-	remaining time.Duration
-	limit     time.Duration
+	// remaining is the time to the completion, which comes completion before the deadline.
+	remaining, completion time.Duration
+	limit                 time.Duration
 }
 
 // exposure returns what is left of the exposure after some time with a share.
 func (c StageConfig) exposure(o Order, elapsed time.Duration, share float64, target, baseline Tally, cond Conditions) exposure {
-	e := exposure{rate: cond.RequestRate, remaining: max(0, o.TimeLimit-elapsed), limit: o.TimeLimit}
-	total := max(cond.Requests, float64(target.Requests()+baseline.Requests()))
+	e := exposure{rate: cond.RequestRate, limit: o.TimeLimit}
+	n := Counts{Requests: max(cond.Requests, float64(target.Requests()+baseline.Requests())), Target: float64(target.Requests()), Hosts: cond.Hosts}
 	if elapsed > 0 {
-		e.rate = max(e.rate, total/elapsed.Seconds())
+		e.rate = max(e.rate, n.Requests/elapsed.Seconds())
 	}
-	total += e.rate * e.remaining.Seconds()
-	sent := float64(target.Requests()) + share*e.rate*countDelay.Seconds()
-	e.requests = exposureReserve*(c.ExposureShare*total+c.ExposureTolerance) - sent
+	e.completion = c.completionTime(o, n, e.rate)
+	e.remaining = max(0, o.TimeLimit-elapsed-e.completion)
+	n.Requests += e.rate * e.remaining.Seconds()
+	n.Target += share * e.rate * countDelay.Seconds()
+	e.requests = c.leftBeforeCompletion(n)
 	return e
 }
 
+// completionTime returns how long before the deadline the target may be declared done.
+func (c StageConfig) completionTime(o Order, n Counts, rate float64) time.Duration {
+	usual := max(usualCompletionTime, time.Duration((1-completionFraction)*float64(o.TimeLimit)))
+	if rate == 0 {
+		return usual
+	}
+	permitted := c.leftAfterCompletion(n) / (rateRiseAtCompletion * rate)
+	if permitted >= usual.Seconds() {
+		return usual
+	}
+	return max(minCompletionTime, time.Duration(permitted*float64(time.Second)))
+}
+
 // permitsFullTraffic reports whether the target may receive all traffic from now until
-// the deadline.
+// its completion.
 func (e exposure) permitsFullTraffic() bool {
-	return e.remaining.Seconds() <= maxFullTrafficFraction*e.limit.Seconds() && e.rate*e.remaining.Seconds() <= e.requests
+	inTime := (e.remaining + e.completion).Seconds() <= maxFullTrafficFraction*e.limit.Seconds()
+	return inTime && rateRise*e.rate*e.remaining.Seconds() <= e.requests
 }
 
 // trialShare returns the share that the target may have until it receives all traffic.
@@ -61,5 +178,5 @@
 	if trial == 0 {
 		return 0
 	}
-	return min(maxTrialShare, max(0, e.requests-full.Seconds()*e.rate)/trial)
+	return min(maxTrialShare, max(0, e.requests-rateRise*full.Seconds()*e.rate)/trial)
 }
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -59,3 +59,12 @@
 	// have not delayed; zero if it had too few events.
 	EventGap time.Duration
 }
+
+// Admission is the answer to whether an attempt may be sent to a version.
+type Admission struct {
+	Admitted bool
+	// Instead is the version to use for an attempt that is not admitted; empty if there is
+	// none. RetryAfter is then the time until the version may be used.
+	Instead    string
+	RetryAfter time.Duration
+}
--- a/rollout/stage.go
+++ b/rollout/stage.go
@@ -85,20 +85,6 @@
 // of the first stage. Sessions keep their version in the first half.
 const canaryFraction = 0.55
 
-const (
-	// completionFraction is the fraction of the order's time limit at which a good
-	// version is declared done. The remaining time allows for a store that responds
-	// late.
-	completionFraction = 0.96
-	// minCompletionTime is the minimum of that time.
-	minCompletionTime = 900 * time.Millisecond
-)
-
-// completes reports whether it is time to declare a good version done.
-func completes(o Order, elapsed time.Duration) bool {
-	return o.TimeLimit-elapsed <= max(minCompletionTime, time.Duration((1-completionFraction)*float64(o.TimeLimit)))
-}
-
 // Conditions describes the service at the time of a decision.
 type Conditions struct {
 	// CapacityRatio is the number of endpoints of the target divided by the
@@ -110,6 +96,8 @@
 	// Requests is the number of requests for the service since the order, over all
 	// hosts, or zero if unknown.
 	Requests float64
+	// Hosts is the number of hosts that send requests.
+	Hosts int
 }
 
 // Decision is the next step of a roll-out as decided by its coordinator.
@@ -207,38 +195,39 @@
 	if isWorse(target, baseline) {
 		return Decision{State: OrderReverted, Reason: "target is worse"}
 	}
+	left := c.exposure(o, elapsed, share, target, baseline, cond)
+	completes := o.TimeLimit-elapsed <= left.completion
 	next := Decision{State: OrderRunning, Share: share, Reason: "stage"}
 	if isProbablyWorse(target, baseline) {
-		if o.TimeLimit > 0 && completes(o, elapsed) {
+		if o.TimeLimit > 0 && completes {
 			return Decision{State: OrderReverted, Reason: "target looks worse at its deadline"}
 		}
 		next.Reason = "target looks worse"
 		return next // the next answers show whether it is
 	}
-	wanted := c.wantedShare(o, elapsed, share, target, baseline, cond)
+	wanted := c.wantedShare(o, elapsed, share, target, baseline, cond.RequestRate, left)
 	if wanted > next.Share && cond.CapacityRatio >= min(wanted, fullTrafficCapacityRatio) {
 		next.Share = wanted
 	}
 	switch {
-	case share < 1 || !completes(o, elapsed):
+	case !completes, share < 1 && cond.CapacityRatio < fullTrafficCapacityRatio:
 	case looksWorse(target, baseline):
 		return Decision{State: OrderReverted, Reason: "target looks worse at its deadline"}
 	default:
-		next.State, next.Reason = OrderDone, "target is as good"
+		next.State, next.Share, next.Reason = OrderDone, 1, "target is as good"
 	}
 	return next
 }
 
 // wantedShare returns the share that the target may have now, if its endpoints can serve
 // it.
-func (c StageConfig) wantedShare(o Order, elapsed time.Duration, share float64, target, baseline Tally, cond Conditions) float64 {
+func (c StageConfig) wantedShare(o Order, elapsed time.Duration, share float64, target, baseline Tally, rate float64, left exposure) float64 {
 	if elapsed.Seconds() < canaryFraction*o.TimeLimit.Seconds() {
 		if share > 0 {
 			return share
 		}
-		return c.canaryShare(cond.RequestRate)
+		return c.canaryShare(rate)
 	}
-	left := c.exposure(o, elapsed, share, target, baseline, cond)
 	if left.permitsFullTraffic() {
 		return 1
 	}
