rollout: the trial stage uses a part of what is left; postmortem

Cause: what was left of the exposure was kept for the full stage, which came 0.3 s before the decision, so its answers came too late for it. Change: at least 0.6 of what is left until the completion goes to the trial stage, spread over that time.

--- a/rollout/exposure.go
+++ b/rollout/exposure.go
@@ -20,6 +20,9 @@
 	countDelay = 1200 * time.Millisecond
 	// maxTrialShare is the maximum share before the target receives all traffic.
 	maxTrialShare = 0.5
+	// minTrialFraction is the fraction of what is left that the trial stage may use at least.
+	// Its answers come in time for the decision.
+	minTrialFraction = 0.6
 	// minShareIncrease is the factor by which a new share exceeds the last one, so that
 	// a share that follows its budget does not change all the time.
 	minShareIncrease = 1.3
@@ -173,10 +176,13 @@
 
 // trialShare returns the share that the target may have until it receives all traffic.
 func (e exposure) trialShare() float64 {
-	full := min(fullTrafficTime, e.remaining)
-	trial := (e.remaining - full).Seconds() * e.rate
-	if trial == 0 {
+	if e.remaining == 0 || e.rate == 0 {
 		return 0
 	}
-	return min(maxTrialShare, max(0, e.requests-rateRise*full.Seconds()*e.rate)/trial)
+	full := min(fullTrafficTime, e.remaining)
+	share := max(0, minTrialFraction*e.requests/(e.rate*e.remaining.Seconds()))
+	if trial := e.rate * (e.remaining - full).Seconds(); trial > 0 {
+		share = max(share, (e.requests-rateRise*e.rate*full.Seconds())/trial)
+	}
+	return min(maxTrialShare, share)
 }
