admin: a message of Watch is bounded

Operators of similar systems saw: bytes without end until memory ran out. Cause: Client.Watch decoded a host's stream without a bound, alone among the calls of this client. Change: each message has the bound of a reply.

--- a/admin/client.go
+++ b/admin/client.go
@@ -15,9 +15,12 @@
 	"github.com/corianderlever/corianderlever/api"
 )
 
-// maxReplyBytes bounds a reply of a host, except to Watch.
+// maxReplyBytes bounds a reply of a host, or one message of Watch.
 const maxReplyBytes = 64 << 20
 
+// errMessageTooLong reports a message of Watch of more than maxReplyBytes.
+var errMessageTooLong = errors.Newf("admin: message over %d bytes", maxReplyBytes)
+
 // Client calls the operators' interface of an entry host.
 type Client struct {
 	base string
@@ -110,9 +113,11 @@
 		return err
 	}
 	defer resp.Body.Close()
-	dec := json.NewDecoder(resp.Body)
+	body := &messageLimit{r: resp.Body}
+	dec := json.NewDecoder(body)
 	for {
 		var list ListResponse
+		body.left = maxReplyBytes
 		if err := dec.Decode(&list); err != nil {
 			return errors.Wrap(err, "admin: watch")
 		}
@@ -122,6 +127,22 @@
 	}
 }
 
+// messageLimit reads a stream of messages of which each is bounded: left is set before each.
+type messageLimit struct {
+	r    io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (l *messageLimit) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errMessageTooLong
+	}
+	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
 // Status returns the hosts and their revisions.
 func (c *Client) Status(ctx context.Context) (StatusResponse, error) {
 	var out StatusResponse
