engine, dispatch: one budget for all buffered bytes, answers without end are given up

Operators of similar systems saw: an engine that sent bytes without end made the machine that called it run out of memory, and the requests of its other clients ended with it (LOST). Cause: on this path each reader had a bound of its own or none. Tokens beyond max_tokens, comments and empty lines were read until the deadline, the text of an answer grew without bound, lines and replies were bounded one by one only, and the daemon set no memory limit. Change: a ByteBudget for lines, texts and replies together; an answer is given up at the first token too many, at 1 MiB without an event and at 4 MiB of text; limits.memory_bytes sets the soft limit and the budget. limiter.Accumulator serves relay, engine and dispatch.

--- a/config/config.go
+++ b/config/config.go
@@ -128,6 +128,9 @@
 	WriteTimeout resource.Duration `json:"write_timeout"`
 	// MaxWaiting bounds the number of requests that wait for admission.
 	MaxWaiting int `json:"max_waiting"`
+	// MemoryBytes is the memory that the process may use; zero if it is not limited. A
+	// fifth of it buffers answers.
+	MemoryBytes int64 `json:"memory_bytes"`
 }
 
 // Drain bounds the graceful shutdown.
--- a/config/load.go
+++ b/config/load.go
@@ -202,6 +202,8 @@
 		return fieldError("limits.write_timeout", "must be positive")
 	case s.Limits.MaxWaiting <= 0:
 		return fieldError("limits.max_waiting", "must be positive")
+	case s.Limits.MemoryBytes < 0:
+		return fieldError("limits.memory_bytes", "must not be negative")
 	case s.Drain.Timeout <= 0:
 		return fieldError("drain.timeout", "must be positive")
 	case s.Drain.EntryTTL <= 0:
--- a/daemon/command/command.go
+++ b/daemon/command/command.go
@@ -85,6 +85,7 @@
 	if err := s.settings.Validate(); err != nil {
 		return err
 	}
+	limitMemory(s.settings.Limits.MemoryBytes)
 	var level slog.LevelVar
 	level.Set(s.settings.Level())
 	queue := logqueue.New(s.out, logQueueBytes)
--- a/daemon/command/hostcommand.go
+++ b/daemon/command/hostcommand.go
@@ -87,7 +87,13 @@
 	if s.CPUFraction > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(s.CPUFraction))))
 	}
-	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(softMemoryShare * float64(s.MemoryBytes)))
+	limitMemory(s.MemoryBytes)
+}
+
+// limitMemory sets the soft memory limit of the runtime for a process that may use a number
+// of bytes, zero if it is not limited.
+func limitMemory(bytes int64) {
+	if bytes > 0 {
+		debug.SetMemoryLimit(int64(softMemoryShare * float64(bytes)))
 	}
 }
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -63,10 +63,11 @@
 	s.newConfig = make(chan *resource.Snapshot, 1)
 	s.engines = newEngines(s.opts, certs)
 	s.engines.OnLimit = s.signals.permits.Observe
+	s.engines.Buffers = limiter.NewHostByteBudget(s.opts.Settings.Limits.MemoryBytes)
 	s.pool = dispatch.NewEndpointPool(s.opts.Clock, s.opts.newRand(), s.opts.Settings.FailureDomain, s.signals.setSlots)
 	s.signals.registerProbation()
 	s.Dispatcher = dispatch.New(dispatch.Options{
-		Config: s.config.Store, Engines: s.engines, Signer: signer, Pool: s.pool,
+		Config: s.config.Store, Engines: s.engines, Buffers: s.engines.Buffers, Signer: signer, Pool: s.pool,
 		Chooser: s.signals.chooser, Detector: s.signals.detector, Queue: s.signals.queue,
 		Retries: limiter.NewRetryBudget(s.opts.Clock), Crashes: s.signals.crashes, Parts: s.signals.parts, Permits: s.signals.permits, Probation: s.signals,
 		Ledger: ledgers.Ledger, Claims: claims, Rater: newRater(s.opts, certs),
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -181,7 +181,7 @@
 		Direct: h.readsStore, QueryPeers: h.queryPeers, FetchFrom: h.fetchFrom, PeerWait: peerWait, PeerPause: peerPause,
 		PeerFetchAge: peerFetchAge, PeerFetchInterval: peerFetchInterval, ProbeInterval: h.probeInterval, Announce: h.announceState,
 	})
-	h.buffers = limiter.NewByteBudget(bufferBytes(opts.Settings.MemoryBytes))
+	h.buffers = limiter.NewHostByteBudget(opts.Settings.MemoryBytes)
 	h.maxCallerConns = callerConns(opts.Settings.MemoryBytes, descriptorLimit())
 	h.crashes = limiter.NewCrashGuard(opts.Clock, limiter.PropagationTime(minHosts, membership.DefaultInterval))
 	h.parts = limiter.NewPartGuard(opts.Clock, opts.Logger, true)
@@ -212,23 +212,6 @@
 	return out
 }
 
-const (
-	// bufferShare is the part of a host's memory in which requests and answers are
-	// buffered.
-	bufferShare = 0.2
-	// defaultBufferBytes applies if the memory limit is unknown.
-	defaultBufferBytes = 32 << 20
-)
-
-// bufferBytes returns the budget for buffered requests and answers at a host with the
-// given memory limit.
-func bufferBytes(memoryLimit int64) int64 {
-	if memoryLimit <= 0 {
-		return defaultBufferBytes
-	}
-	return int64(bufferShare * float64(memoryLimit))
-}
-
 // newRand returns a new independent source of random numbers.
 func (h *Host) newRand() *rand.Rand {
 	h.rngMu.Lock()
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -1,10 +1,21 @@
 package dispatch
 
 import (
-	"strings"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/corianderlever/corianderlever/api"
 	"github.com/corianderlever/corianderlever/engine"
+	"github.com/corianderlever/corianderlever/limiter"
+)
+
+const (
+	// maxAnswerBytes bounds the text of one answer.
+	maxAnswerBytes = 4 << 20
+	// answerBufferBytes is the length of a text that does not count towards the host's
+	// budget.
+	answerBufferBytes = 4 << 10
 )
 
 // generation is the state of one version's answer across its attempts.
@@ -15,14 +26,24 @@
 	// rated.
 	buffered bool
 	// text holds the tokens received so far, and tokens is their number.
-	text   strings.Builder
+	text   *limiter.Accumulator
 	tokens int
 }
 
+// newGeneration returns the state of an answer of a version. Its text is released at the end
+// of the request.
+func (r *run) newGeneration(version string, buffered bool) *generation {
+	g := &generation{run: r, version: version, buffered: buffered, text: r.d.Buffers.NewAccumulator(maxAnswerBytes, answerBufferBytes)}
+	r.texts = append(r.texts, g.text)
+	return g
+}
+
 // onToken records a token and sends it to the caller unless the answer is buffered.
 func (g *generation) onToken(ev engine.Event) error {
+	if err := g.text.Append([]byte(ev.Token)); err != nil {
+		return textError(err)
+	}
 	g.tokens++
-	g.text.WriteString(ev.Token)
 	if g.tokens == 1 {
 		g.observeFirstToken()
 	}
@@ -32,6 +53,15 @@
 	return g.send(ev.Token)
 }
 
+// textError returns the error for the caller for an answer whose text cannot be kept. Another
+// attempt would not help.
+func textError(err error) error {
+	if errors.Is(err, limiter.ErrBufferFull) {
+		return apiError(http.StatusServiceUnavailable, api.CodeOverloaded, "this host has no room for the answer")
+	}
+	return apiError(http.StatusBadGateway, api.CodeEndpointFailed, "the answer is longer than %d bytes", maxAnswerBytes)
+}
+
 func (g *generation) observeFirstToken() {
 	team, rank := classLabels(g.d.Config.Current(), g.req.Team, g.target.rankName)
 	observe(g.d.metrics.firstToken, team, rank, g.d.Clock.Since(g.arrived))
@@ -40,10 +70,11 @@
 // answer returns the complete answer with the receipt by which the caller can
 // verify it.
 func (g *generation) answer(final engine.Final) (Answer, error) {
+	text := string(g.text.Bytes())
 	digest := api.NewDigest(g.req.ID)
-	digest.Add(g.text.String())
+	digest.Add(text)
 	out := Answer{
-		Text: g.text.String(), FinishReason: final.FinishReason,
+		Text: text, FinishReason: final.FinishReason,
 		Usage: api.Usage{
 			PromptTokens: final.PromptTokens, CompletionTokens: final.Tokens,
 			TotalTokens: final.PromptTokens + final.Tokens,
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -148,7 +148,7 @@
 	b := g.req.Body
 	return engine.GenerateRequest{
 		Attempt: attempt, Version: g.version, Messages: b.Messages, MaxTokens: b.MaxTokens,
-		ResumeFrom: g.tokens, Prefix: g.text.String(), Priority: g.target.rank.Priority,
+		ResumeFrom: g.tokens, Prefix: string(g.text.Bytes()), Priority: g.target.rank.Priority,
 		Temperature: b.Temperature, TopP: b.TopP, User: b.User,
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -93,6 +93,8 @@
 	Probation ProbationCoordinator
 	Ledger    Ledger
 	Claims    Claims
+	// Buffers bounds the bytes of answers that are kept for all requests together.
+	Buffers *limiter.ByteBudget
 	// Rater rates answers; nil disables ratings.
 	Rater Rater
 	// Allowance limits the cost spent in the busiest minute; nil disables the limit.
@@ -155,6 +157,7 @@
 		d: d, req: req, sink: sink, arrived: d.Clock.Now(),
 		trace: d.traces.start(req.ID), hash: contentHash(req.Body.Messages), parts: sharedParts(req.Body.Messages),
 	}
+	defer r.releaseTexts()
 	var answer Answer
 	var err error
 	if r.target, err = d.resolve(req); err == nil {
@@ -171,6 +174,12 @@
 	return answer, err
 }
 
+func (r *run) releaseTexts() {
+	for _, text := range r.texts {
+		text.Release()
+	}
+}
+
 // outcome is how a request ended.
 type outcome struct {
 	id, team, rank, version string
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -91,7 +91,7 @@
 	engineClient := engine.NewClient(nil)
 	engineClient.OnLimit = permits.Observe
 	r.d = dispatch.New(dispatch.Options{
-		Config: r.config, Engines: engineClient, Permits: permits, Signer: signer,
+		Config: r.config, Engines: engineClient, Buffers: engineClient.Buffers, Permits: permits, Signer: signer,
 		Chooser:  cascade.New(cascade.Config{Host: "host", Incarnation: 1}, clock, rng()),
 		Detector: rollout.NewDetector(rollout.Config{Host: "host", Incarnation: 1}, clock),
 		Queue:    queue, Pool: r.pool, Retries: limiter.NewRetryBudget(clock),
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -28,6 +28,8 @@
 	// parts identify the messages that other requests may have too.
 	parts []limiter.Hash
 	bill  *bill
+	// texts hold the texts of the answers until the end of the request.
+	texts []*limiter.Accumulator
 
 	// streamed is set once text has been sent to the caller. After that, no other
 	// version can answer the request.
@@ -260,7 +262,7 @@
 // runStep returns the complete answer of one version. A gated answer is buffered.
 func (r *run) runStep(ctx context.Context, step cascade.Step, gated bool) (Answer, error) {
 	started := r.d.Clock.Now()
-	g := &generation{run: r, version: step.Version, buffered: gated}
+	g := r.newGeneration(step.Version, gated)
 	final, err := g.generate(ctx)
 	r.bill.add(step.Version, final, g.tokens, r.promptTokens())
 	if err != nil {
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -47,6 +47,14 @@
 	Body        []byte
 	// Replayed is set if the answer was stored by an earlier run.
 	Replayed bool
+	reply    engine.Reply
+}
+
+// Release returns the part of the host's budget for buffered bytes that the body takes. It
+// must be called once the body is no longer used.
+func (a *ServiceAnswer) Release() {
+	a.reply.Release()
+	a.Body = nil
 }
 
 // call is the state of one service request while it is served.
@@ -210,7 +218,7 @@
 		c.bill.cost = c.op.Cost
 	}
 	c.bill.close(ctx, c.mayHaveRun, err == nil)
-	return ServiceAnswer{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}, err
+	return ServiceAnswer{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body, reply: reply}, err
 }
 
 // runAttempts tries endpoints until one answers or no retry is allowed. After an
--- a/engine/client.go
+++ b/engine/client.go
@@ -9,13 +9,13 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/corianderlever/corianderlever/api"
+	"github.com/corianderlever/corianderlever/limiter"
 )
 
 const (
@@ -26,12 +26,17 @@
 	maxReplyBytes = 4 << 20
 	// maxErrorBytes bounds the part of an error reply that is read.
 	maxErrorBytes = 4 << 10
+	// lineBufferBytes is the size of a line that does not count towards the host's budget.
+	lineBufferBytes = 4 << 10
 )
 
 // errIncomplete reports an answer with missing or repeated tokens, or without
 // its final event.
 var errIncomplete = errors.New("incomplete answer")
 
+// errTooManyTokens reports an answer with more tokens than were asked for.
+var errTooManyTokens = errors.New("more tokens than asked for")
+
 // errWrongAttempt reports a response or event that belongs to another attempt.
 var errWrongAttempt = errors.New("response to another attempt")
 
@@ -46,6 +51,9 @@
 	// request that was sent at a time, in requests a second, zero if it names none. It may
 	// be set before the first call.
 	OnLimit func(addr string, sent time.Time, rate float64)
+	// Buffers bounds the bytes that are buffered for all calls together. It may be replaced
+	// before the first call.
+	Buffers *limiter.ByteBudget
 }
 
 // NewClient returns a client that uses transport, or a default one if it is nil.
@@ -64,6 +72,8 @@
 		scheme: scheme,
 		http:   &http.Client{Transport: transport},
 		probe:  &http.Client{Transport: probeTransport},
+
+		Buffers: limiter.NewHostByteBudget(0),
 	}
 }
 
@@ -92,24 +102,34 @@
 		}
 		return Final{}, statusError(resp.Response)
 	}
-	return readEvents(resp.Body, req, onToken)
+	return readEvents(resp.Body, c.Buffers, req, onToken)
 }
 
 // readEvents checks that each event belongs to the attempt and that tokens are
-// consecutive, so that late or misdirected data never reaches a caller.
-func readEvents(body io.Reader, req GenerateRequest, onToken func(Event) error) (Final, error) {
-	scanner := bufio.NewScanner(body)
-	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
+// consecutive, so that late or misdirected data never reaches a caller. An answer that goes
+// on without end is given up: at the first token too many, or when no event comes among
+// many bytes.
+func readEvents(body io.Reader, buffers *limiter.ByteBudget, req GenerateRequest, onToken func(Event) error) (Final, error) {
+	lines := newLineReader(body, buffers)
+	defer lines.close()
 	next := req.ResumeFrom
-	for scanner.Scan() {
-		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+	for {
+		line, err := lines.next()
+		if errors.Is(err, io.EOF) {
+			return Final{}, lost(errIncomplete)
+		}
+		if err != nil {
+			return Final{}, lost(err)
+		}
+		data, ok := bytes.CutPrefix(line, []byte("data: "))
 		if !ok {
 			continue
 		}
 		var ev Event
-		if err := json.Unmarshal([]byte(data), &ev); err != nil {
+		if err := json.Unmarshal(data, &ev); err != nil {
 			return Final{}, lost(errors.Wrap(err, "decode event"))
 		}
+		lines.accept()
 		if ev.Attempt != req.Attempt {
 			return Final{}, lost(errors.Wrapf(errWrongAttempt, "%q", ev.Attempt))
 		}
@@ -122,22 +142,69 @@
 		if ev.Index != next {
 			return Final{}, lost(errors.Wrapf(errIncomplete, "token %d after %d", ev.Index, next-1))
 		}
+		if req.MaxTokens > 0 && next >= req.MaxTokens {
+			return Final{}, lost(errors.Wrapf(errTooManyTokens, "over %d", req.MaxTokens))
+		}
 		next++
 		if err := onToken(ev); err != nil {
 			return Final{}, &Error{Outcome: api.OutcomeRun, Err: err}
 		}
 	}
-	if err := scanner.Err(); err != nil {
-		return Final{}, lost(err)
+}
+
+// lineReader splits an event stream into lines. It bounds the bytes between two events,
+// comments and empty lines included.
+type lineReader struct {
+	br   *bufio.Reader
+	line *limiter.Accumulator
+	// skipped is the number of bytes since the last event.
+	skipped int
+}
+
+func newLineReader(r io.Reader, buffers *limiter.ByteBudget) *lineReader {
+	return &lineReader{br: bufio.NewReaderSize(r, lineBufferBytes), line: buffers.NewAccumulator(maxEventBytes, lineBufferBytes)}
+}
+
+func (r *lineReader) close() { r.line.Release() }
+
+// accept notes that the last line was an event.
+func (r *lineReader) accept() { r.skipped = 0 }
+
+// next returns the next line without its end, which is valid until the next call. It returns
+// io.EOF after the last one.
+func (r *lineReader) next() ([]byte, error) {
+	r.line.Reset()
+	for {
+		part, err := r.br.ReadSlice('\n')
+		if tooLong := r.line.Append(part); tooLong != nil {
+			return nil, errors.Wrap(tooLong, "read event")
+		}
+		if r.skipped += len(part); r.skipped > maxEventBytes {
+			return nil, errors.Newf("%d bytes without an event", r.skipped)
+		}
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err == nil, errors.Is(err, io.EOF) && len(r.line.Bytes()) > 0:
+			return bytes.TrimRight(r.line.Bytes(), "\r\n"), nil
+		}
+		return nil, err
 	}
-	return Final{}, lost(errIncomplete)
 }
 
-// Reply is the reply of a plain service.
+// Reply is the reply of a plain service. Its body counts towards the budget of the client
+// until Release is called.
 type Reply struct {
 	Status      int
 	ContentType string
 	Body        []byte
+	buffer      limiter.Buffer
+}
+
+// Release returns the body's part of the budget. The body must not be used any more.
+func (r *Reply) Release() {
+	r.buffer.Release()
+	r.Body = nil
 }
 
 // Call runs one operation of a plain service.
@@ -161,14 +228,16 @@
 	if resp.StatusCode >= http.StatusInternalServerError || resp.StatusCode == http.StatusTooManyRequests {
 		return Reply{}, statusError(resp.Response)
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
-	if err != nil {
+	buffer, err := c.Buffers.Read(resp.Body, maxReplyBytes, resp.ContentLength)
+	switch {
+	case errors.Is(err, limiter.ErrTooLong):
+		return Reply{}, &Error{Outcome: api.OutcomeRun, Err: errors.Wrap(err, "read reply")}
+	case errors.Is(err, limiter.ErrBufferFull):
+		return Reply{}, &Error{Outcome: api.OutcomeUnknown, Err: errors.Wrap(err, "read reply")}
+	case err != nil:
 		return Reply{}, lost(err)
 	}
-	if len(data) > maxReplyBytes {
-		return Reply{}, &Error{Outcome: api.OutcomeRun, Err: errors.Newf("reply over %d bytes", maxReplyBytes)}
-	}
-	return Reply{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: data}, nil
+	return Reply{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: buffer.Data, buffer: buffer}, nil
 }
 
 // response is a response and the connection on which it came.
--- a/engine/fuzz_test.go
+++ b/engine/fuzz_test.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/corianderlever/corianderlever/api"
+	"github.com/corianderlever/corianderlever/limiter"
 )
 
 // Guards against panics on malformed events, and against skipped or duplicated
@@ -18,7 +19,7 @@
 	f.Add([]byte("data: {\"attempt\":\"a\",\"final\":{\"tokens\":-1}}\n"), -1)
 	f.Fuzz(func(t *testing.T, body []byte, from int) {
 		next := from
-		final, err := readEvents(bytes.NewReader(body), GenerateRequest{Attempt: "a", ResumeFrom: from}, func(ev Event) error {
+		final, err := readEvents(bytes.NewReader(body), limiter.NewByteBudget(1<<20), GenerateRequest{Attempt: "a", ResumeFrom: from}, func(ev Event) error {
 			if ev.Attempt != "a" || ev.Index != next {
 				t.Errorf("got token %d of attempt %q, want token %d of attempt a", ev.Index, ev.Attempt, next)
 			}
--- a/entry/service.go
+++ b/entry/service.go
@@ -24,6 +24,7 @@
 		Service: r.PathValue("service"), Operation: r.PathValue("operation"),
 		Body: body,
 	})
+	defer answer.Release()
 	if h.forward(w, r, id, body, err) {
 		return
 	}
--- a/limiter/bytes.go
+++ b/limiter/bytes.go
@@ -26,6 +26,23 @@
 // NewByteBudget returns a budget of limit bytes.
 func NewByteBudget(limit int64) *ByteBudget { return &ByteBudget{limit: limit} }
 
+const (
+	// bufferShare is the part of a host's memory in which requests and answers are
+	// buffered.
+	bufferShare = 0.2
+	// defaultBufferBytes applies if the memory limit is unknown.
+	defaultBufferBytes = 32 << 20
+)
+
+// NewHostByteBudget returns the budget of a host with the given memory limit in bytes, zero
+// if it is unknown.
+func NewHostByteBudget(memoryLimit int64) *ByteBudget {
+	if memoryLimit <= 0 {
+		return NewByteBudget(defaultBufferBytes)
+	}
+	return NewByteBudget(int64(bufferShare * float64(memoryLimit)))
+}
+
 // Used returns the number of reserved bytes.
 func (b *ByteBudget) Used() int64 { return b.used.Load() }
 
@@ -100,3 +117,57 @@
 	buf.Data, buf.budget = data, b
 	return nil
 }
+
+// Accumulator collects bytes whose number is not known beforehand, within a maximum of its
+// own and the budget of the host. Release must be called once they are no longer used.
+type Accumulator struct {
+	budget *ByteBudget
+	max    int64
+	// free is the capacity that does not count towards the budget.
+	free     int64
+	data     []byte
+	reserved int64
+}
+
+// NewAccumulator returns an accumulator of at most limit bytes, of which the first free ones
+// do not count towards the budget.
+func (b *ByteBudget) NewAccumulator(limit, free int64) *Accumulator {
+	return &Accumulator{budget: b, max: limit, free: free}
+}
+
+// Append adds data. The error is ErrTooLong or ErrBufferFull, and then nothing is added.
+func (a *Accumulator) Append(data []byte) error {
+	size := int64(len(a.data) + len(data))
+	if size > a.max {
+		return errors.Wrapf(ErrTooLong, "over %d", a.max)
+	}
+	if size > int64(cap(a.data)) {
+		if err := a.grow(max(2*int64(cap(a.data)), size, a.free)); err != nil {
+			return err
+		}
+	}
+	a.data = append(a.data, data...)
+	return nil
+}
+
+func (a *Accumulator) grow(size int64) error {
+	extra := max(0, size-a.free-a.reserved)
+	if extra > 0 && !a.budget.Reserve(extra) {
+		return ErrBufferFull
+	}
+	a.reserved += extra
+	a.data = append(make([]byte, 0, size), a.data...)
+	return nil
+}
+
+// Bytes returns the collected bytes, which are valid until the next call.
+func (a *Accumulator) Bytes() []byte { return a.data }
+
+// Reset drops the collected bytes and keeps the capacity.
+func (a *Accumulator) Reset() { a.data = a.data[:0] }
+
+// Release drops the collected bytes and returns their part of the budget.
+func (a *Accumulator) Release() {
+	a.budget.Release(a.reserved)
+	a.reserved, a.data = 0, nil
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -167,56 +167,33 @@
 
 // eventReader splits a stream into complete events.
 type eventReader struct {
-	br      *bufio.Reader
-	buffers *limiter.ByteBudget
-	// data is the current event. Its bytes beyond eventBufferBytes are reserved.
-	data     []byte
-	reserved int64
+	br *bufio.Reader
+	// data is the current event.
+	data *limiter.Accumulator
 }
 
+// eventBufferBytes is the size of an event that does not count towards the host's budget.
 const eventBufferBytes = 2 << 10
 
 func newEventReader(r io.Reader, buffers *limiter.ByteBudget) *eventReader {
-	return &eventReader{br: bufio.NewReaderSize(r, eventBufferBytes), buffers: buffers}
+	return &eventReader{br: bufio.NewReaderSize(r, eventBufferBytes), data: buffers.NewAccumulator(maxEventBytes, eventBufferBytes)}
 }
 
 // close releases the buffer. The last event must not be used any more.
-func (r *eventReader) close() {
-	r.buffers.Release(r.reserved)
-	r.reserved, r.data = 0, nil
-}
-
-// add appends to the current event, within the limits of an event and of the host.
-func (r *eventReader) add(line []byte) error {
-	size := len(r.data) + len(line)
-	if size > maxEventBytes {
-		return errors.Wrapf(errEvent, "event over %d bytes", maxEventBytes)
-	}
-	if size > cap(r.data) {
-		grown := int64(max(2*cap(r.data), size, eventBufferBytes))
-		extra := grown - eventBufferBytes - r.reserved
-		if extra > 0 && !r.buffers.Reserve(extra) {
-			return errors.Mark(limiter.ErrBufferFull, errEvent)
-		}
-		r.reserved += max(extra, 0)
-		r.data = append(make([]byte, 0, grown), r.data...)
-	}
-	r.data = append(r.data, line...)
-	return nil
-}
+func (r *eventReader) close() { r.data.Release() }
 
 // next returns the next event, which is valid until the next call. It returns io.EOF
 // only if the stream ends between two events; a truncated event is an error.
 func (r *eventReader) next() (event, error) {
 	ev := event{id: -1}
-	r.data = r.data[:0]
+	r.data.Reset()
 	for {
-		start := len(r.data)
+		start := len(r.data.Bytes())
 		if err := r.readLine(); err != nil {
 			return ev, err
 		}
-		ev.data = r.data
-		text := bytes.TrimRight(r.data[start:], "\r\n")
+		ev.data = r.data.Bytes()
+		text := bytes.TrimRight(ev.data[start:], "\r\n")
 		if len(text) == 0 {
 			return ev, nil
 		}
@@ -235,13 +212,13 @@
 func (r *eventReader) readLine() error {
 	for {
 		part, err := r.br.ReadSlice('\n')
-		if tooLarge := r.add(part); tooLarge != nil {
-			return tooLarge
+		if tooLarge := r.data.Append(part); tooLarge != nil {
+			return errors.Mark(tooLarge, errEvent)
 		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && len(r.data) == 0:
+		case errors.Is(err, io.EOF) && len(r.data.Bytes()) == 0:
 			return io.EOF
 		case errors.Is(err, io.EOF):
 			return errors.Wrap(errEvent, "stream ends in the middle of an event")
