rollout: hosts may use more than the plan does

A session at such a host goes back to the old version. Change: the plan uses half of the exposure until the completion, the hosts' parts add up to three fifths.

--- a/rollout/exposure.go
+++ b/rollout/exposure.go
@@ -6,9 +6,12 @@
 )
 
 const (
-	// completionReserve is the fraction of the exposure that is kept for the time between
-	// the completion of a roll-out and its deadline, when only the target is left.
-	completionReserve = 0.5
+	// plannedFraction is the fraction of the exposure that a roll-out plans to use until its
+	// completion, maxFraction the one that the hosts may use. The difference absorbs that
+	// some hosts have more of the sessions at the target than others. The rest is kept for
+	// the time between the completion and the deadline, when only the target is left.
+	plannedFraction = 0.5
+	maxFraction     = 0.6
 	// firstStageLimit is the fraction of the exposure that the sessions of the first stage
 	// may use.
 	firstStageLimit = 0.8
@@ -62,9 +65,9 @@
 func roundingReserve(hosts int) float64 { return math.Sqrt(float64(hosts)) }
 
 // leftBeforeCompletion returns how many more requests the target may receive until it is
-// declared done.
-func (c StageConfig) leftBeforeCompletion(n Counts) float64 {
-	return (1-completionReserve)*c.allowed(n.Requests) - n.Target - roundingReserve(n.Hosts)
+// declared done, if it may receive a fraction of the exposure until then.
+func (c StageConfig) leftBeforeCompletion(n Counts, fraction float64) float64 {
+	return fraction*c.allowed(n.Requests) - n.Target - roundingReserve(n.Hosts)
 }
 
 // leftAfterCompletion returns how many requests the target may receive between its
@@ -72,7 +75,7 @@
 // no host exceeds its part.
 func (c StageConfig) leftAfterCompletion(n Counts) float64 {
 	allowed := c.allowed(n.Requests)
-	return min(completionReserve*allowed, allowed-n.Target) - roundingReserve(n.Hosts)
+	return min((1-maxFraction)*allowed, allowed-n.Target) - roundingReserve(n.Hosts)
 }
 
 // FirstStagePermits reports whether the sessions of the first stage may send another
@@ -98,8 +101,8 @@
 // the host's part; it is spread evenly over the hosts.
 func (c StageConfig) AllowanceBeforeCompletion(all Counts, own int, offset float64) Allowance {
 	return Allowance{
-		start: own, initial: hostPart(c.leftBeforeCompletion(all), all, own) + offset,
-		perRequest: (1 - completionReserve) * c.ExposureShare,
+		start: own, initial: hostPart(c.leftBeforeCompletion(all, maxFraction), all, own) + offset,
+		perRequest: maxFraction * c.ExposureShare,
 	}
 }
 
@@ -150,7 +153,7 @@
 	e.remaining = max(0, o.TimeLimit-elapsed-e.completion)
 	n.Requests += e.rate * e.remaining.Seconds()
 	n.Target += share * e.rate * countDelay.Seconds()
-	e.requests = c.leftBeforeCompletion(n)
+	e.requests = c.leftBeforeCompletion(n, plannedFraction)
 	return e
 }
 
