relay: a host without a part of the exposure lets another serve

Cause: a host's part for that time is a few requests, and the requests of one host come unevenly; others have parts left that nobody uses. Change: such a request is forwarded to another host, as when this one has no links to the endpoints; at most two are asked, and that says nothing of their links.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -50,7 +50,7 @@
 		return j.giveUp(endReason(ctx), "before an attempt was sent", shortRetryAfter)
 	}
 	if a := j.relay.Versions.Admit(j.pool.service, sl.endpoint.Version, j.point); !a.Admitted {
-		return j.handleExposureLimit(sl, a)
+		return j.handleExposureLimit(ctx, sl, a)
 	}
 	sl.run = j.relay.Parts.Start(endpointStart(sl.endpoint), j.parts)
 	defer j.endRun(sl)
@@ -107,18 +107,24 @@
 	return nil
 }
 
-// handleExposureLimit handles an attempt at a version that has had all the requests that its
-// roll-out may expose to it: another version serves the request, which has not been sent.
-func (j *job) handleExposureLimit(sl *slot, a rollout.Admission) *ErrorResponse {
+// handleExposureLimit handles an attempt at a version to which this host may not send more
+// requests yet. The request has not been sent: another version serves it, or another host
+// that has a part of the exposure left.
+func (j *job) handleExposureLimit(ctx context.Context, sl *slot, a rollout.Admission) *ErrorResponse {
 	j.addStep(sl.endpoint.ID, sl.endpoint.Version, "exposure")
 	j.count("exposure")
 	sl.release(limiter.OutcomeIgnored)
 	j.denials++
-	if a.Instead == "" || j.denials >= maxDenials {
-		return j.giveUp("rollout_exposure", "version "+sl.endpoint.Version+" may get no more requests yet", max(a.RetryAfter, shortRetryAfter))
+	if a.Instead != "" && j.denials < maxDenials {
+		j.version, j.firstVersion = a.Instead, ""
+		return nil
 	}
-	j.version, j.firstVersion = a.Instead, ""
-	return nil
+	if a.Instead == "" && j.forwards < maxExposureForwards {
+		if forwarded, errResp := j.forward(ctx); forwarded {
+			return errResp
+		}
+	}
+	return j.giveUp(reasonExposure, "version "+sl.endpoint.Version+" may get no more requests yet", max(a.RetryAfter, shortRetryAfter))
 }
 
 // checkExpectedStart rejects a request immediately if even the best engine is not
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -65,6 +65,9 @@
 const (
 	// maxForwards is the number of hosts to which one request is sent at most.
 	maxForwards = 3
+	// maxExposureForwards is that number while the host may not send the request to the only
+	// version that is left.
+	maxExposureForwards = 2
 	// maxForwardedDialFailures is the number of unreachable endpoints after which a host
 	// gives a forwarded request back.
 	maxForwardedDialFailures = 2
@@ -188,7 +191,12 @@
 // handleForwardRefusal handles the error response of a host. If the host has not run the
 // request and another one may be able to, that one is tried next.
 func (j *job) handleForwardRefusal(ctx context.Context, host string, answer *upstream.Response, res forwardResult) *ErrorResponse {
-	if j.possibleRuns == 0 && answer.Status == http.StatusServiceUnavailable && slices.Contains(reasonsOfHost, res.outcome) {
+	notRun := j.possibleRuns == 0 && answer.Status == http.StatusServiceUnavailable
+	if notRun && res.outcome == reasonExposure {
+		j.excludeHosts = append(j.excludeHosts, host)
+		return nil // says nothing of the host's links
+	}
+	if notRun && slices.Contains(reasonsOfHost, res.outcome) {
 		j.excludeHost(host)
 		return nil
 	}
@@ -217,6 +225,10 @@
 // endpoints.
 const reasonFull = "endpoints_full"
 
+// reasonExposure is the reason of an error response if this host has used up its part of the
+// exposure of a version that is the only one left.
+const reasonExposure = "rollout_exposure"
+
 // Reasons for which a host rejects a forwarded request before it looks at it.
 const (
 	// ReasonStopping is that of a host that is stopping.
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -93,6 +93,8 @@
 
 // unrestrictedVersions allows every version and keeps the observations.
 type unrestrictedVersions struct {
+	// refuse, if set, returns the refusal of an attempt at a version, or false.
+	refuse   func(version string) (rollout.Admission, bool)
 	mu       sync.Mutex
 	bad      int
 	observed []rollout.Observation
@@ -106,7 +108,12 @@
 
 func (*unrestrictedVersions) Pick(string, float64) string { return "" }
 
-func (*unrestrictedVersions) Admit(string, string, float64) rollout.Admission {
+func (v *unrestrictedVersions) Admit(_, version string, _ float64) rollout.Admission {
+	if v.refuse != nil {
+		if refused, ok := v.refuse(version); ok {
+			return refused
+		}
+	}
 	return rollout.Admission{Admitted: true}
 }
 func (*unrestrictedVersions) Unsent(string, string) {}
