upstream: a test no longer depends on the speed of the machine

Cause: its endpoint reads the rest of the body at once; 32 MiB were read within the 10 ms in which the end of the write is awaited, so the connection had carried the whole request and was rightly used again, and this endpoint answers no second one. Now the endpoint reads nothing until the first answer has been received, and the body is larger than both socket buffers, so a part of it is unsent whatever the speed. What is asserted is the same.

--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -223,11 +223,13 @@
 // an endpoint which has already rejected the request without reading the body,
 // and against the reuse of a connection on which part of the body is unsent.
 func TestReadsAnAnswerThatComesBeforeTheBody(t *testing.T) {
-	const length = 32 << 20 // more than the socket buffers hold
+	const length = 64 << 20 // more than the socket buffers hold
+	answered := make(chan struct{})
 	addr, dials := serve(t, func(n int, conn net.Conn, br *bufio.Reader) {
 		if n == 1 {
 			_, _ = http.ReadRequest(br)
 			respond(conn, "1", "early")
+			<-answered
 			_, _ = io.Copy(io.Discard, br)
 			return
 		}
@@ -239,6 +241,7 @@
 	if got, err := exchange(t, c, addr, request("1", strings.Repeat("b", length))); err != nil || got != "early" {
 		t.Fatalf("got %q, error %v", got, err)
 	}
+	close(answered)
 	if got, err := exchange(t, c, addr, request("2", "")); err != nil || got != "own" || dials.Load() != 2 {
 		t.Errorf("got %q, error %v, %d connections; want 2 connections", got, err, dials.Load())
 	}
