upstream, relay: endpoints that send without end take no time from others

Operators of similar systems saw: bytes that were no answer, without end. Cause: maxBodyBytes counts content, of which such a body has little; the ejector needs five failures in a row and ejects a third at most; each request read the bytes up to a limit again. Change: the framing of a body is bounded by its content and 64 KiB; after an answer without end a host avoids the endpoint for 1 to 30 s unless it has no other. TestBoundsTheFramingOfABody and TestEndpointThatSendsWithoutEndIsAvoided check it.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -21,6 +21,10 @@
 // buffered completely before any of it is sent to the caller.
 const maxBodyBytes = 16 << 20
 
+// maxUnstatedBytes is the size from which an answer that states no length, and for which the
+// host has no more room, counts as one without end.
+const maxUnstatedBytes = 1 << 20
+
 // attempt makes one attempt at an endpoint. It returns an error response if the
 // request has failed. It returns nil with j.status set once the answer has been
 // sent to the caller, and nil without it if another attempt may follow.
@@ -215,6 +219,7 @@
 	j.delivered++
 	j.possibleRuns++
 	j.count("lost")
+	j.checkEndless(sl, err)
 	j.investigateLoss(sl, true)
 	j.excludeEndpoint(sl, limiter.OutcomeError)
 	return j.checkRetry(ctx, "answer_lost")
@@ -335,6 +340,10 @@
 func (j *job) forwardBody(ctx context.Context, sl *slot, answer *upstream.Response, outcome limiter.Outcome) *ErrorResponse {
 	buffer, err := j.relay.Buffers.Read(answer, maxBodyBytes, answer.ContentLength)
 	if err != nil {
+		if outgrown := answer.ContentLength < 0 && answer.BytesRead() > maxUnstatedBytes; outgrown && errors.Is(err, limiter.ErrBufferFull) {
+			err = errors.Mark(err, upstream.ErrEndless)
+		}
+		j.checkEndless(sl, err)
 		return j.handleBrokenAnswer(ctx, sl, "answer_cut", err.Error())
 	}
 	defer buffer.Release()
@@ -353,6 +362,17 @@
 	return nil
 }
 
+// checkEndless makes this host avoid an endpoint for a while whose answer failed because it
+// went on without end. Reading such answers costs processor time that other requests need.
+func (j *job) checkEndless(sl *slot, err error) {
+	if !errors.IsAny(err, upstream.ErrEndless, limiter.ErrTooLong) {
+		return
+	}
+	if pause := j.relay.holds.avoid(sl.endpoint, j.relay.Clock.Now()); pause > 0 {
+		j.relay.Logger.Warn("endpoint sends without end", "request", j.req.ID, "endpoint", sl.endpoint.ID, "avoided_ms", pause.Milliseconds(), "error", err)
+	}
+}
+
 // writeAnswer sends a complete answer to the caller.
 func (j *job) writeAnswer(answer *upstream.Response, body []byte) {
 	j.firstByte = j.relay.Clock.Since(j.arrived)
--- a/relay/bounds_test.go
+++ b/relay/bounds_test.go
@@ -166,3 +166,43 @@
 		t.Errorf("got %q, error %v; want all events", body, err)
 	}
 }
+
+// TestEndpointThatSendsWithoutEndIsAvoided guards against a host that gives its time to an
+// endpoint in trouble: every request would read its bytes up to a limit. The only endpoint is
+// still used, as it may be sound again.
+func TestEndpointThatSendsWithoutEndIsAvoided(t *testing.T) {
+	const calls = 12
+	r := newRig(t, plainRoute(route.Idempotent, 2))
+	r.setPlainService(plainRoute(route.Idempotent, 2))
+	part := []byte(strings.Repeat("x", 32<<10))
+	trouble := r.endpoint("trouble", func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, http.StatusOK, "")
+		for {
+			if _, err := w.Write(part); err != nil {
+				return
+			}
+		}
+	})
+	sound := r.endpoint("sound", func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, "served") })
+	for range calls {
+		if resp, body, err := r.call("POST", "/p/x"); err != nil || resp.StatusCode != http.StatusOK || body != "served" {
+			t.Errorf("got %v, %.20q, %v; want the answer of the sound endpoint", resp, body, err)
+		}
+	}
+	troubled := 0
+	for _, got := range r.arrivals() {
+		if got == "trouble" {
+			troubled++
+		}
+	}
+	if troubled > 1 {
+		t.Errorf("%d of %d requests reached the endpoint in trouble, want at most 1", troubled, calls)
+	}
+	sound.Close()
+	r.fleet.Remove("sound", 1<<40, false, time.Now())
+	_, _, _ = r.call("POST", "/p/x") // it fails
+	if got := r.arrivals(); got[len(got)-1] != "trouble" {
+		t.Errorf("the only endpoint that is left gets no request, the last one reached %s", got[len(got)-1])
+	}
+	trouble.Close()
+}
--- a/relay/holds.go
+++ b/relay/holds.go
@@ -21,6 +21,59 @@
 	// leaving endpoints never take requests again.
 	leaving bool
 	until   time.Time
+	// endless is the number of answers without end since the start, avoidUntil the end of
+	// the time for which the endpoint is avoided because of them.
+	endless    int
+	avoidUntil time.Time
+}
+
+const (
+	// endlessPause is the time for which an endpoint is avoided after an answer without end.
+	// It doubles with each further one, up to maxEndlessPause.
+	endlessPause    = time.Second
+	maxEndlessPause = 30 * time.Second
+)
+
+// avoid records that an endpoint has sent an answer without end, and returns how long it is
+// avoided.
+func (h *endpointHolds) avoid(e fleet.Endpoint, now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	hold := h.byID[e.ID]
+	if hold.started != e.Started {
+		hold = endpointHold{started: e.Started}
+	}
+	if now.Before(hold.avoidUntil) {
+		return 0 // an answer that had begun before
+	}
+	pause := min(maxEndlessPause, endlessPause<<min(hold.endless, 8))
+	hold.endless++
+	hold.avoidUntil = now.Add(pause)
+	h.set(e.ID, hold)
+	return pause
+}
+
+func (h *endpointHolds) set(id string, hold endpointHold) {
+	if h.byID == nil {
+		h.byID = make(map[string]endpointHold)
+	}
+	h.byID[id] = hold
+}
+
+// avoided returns those of the endpoints that are avoided.
+func (h *endpointHolds) avoided(endpoints []fleet.Endpoint, now time.Time) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.byID) == 0 {
+		return nil
+	}
+	var out []string
+	for _, e := range endpoints {
+		if hold, ok := h.byID[e.ID]; ok && hold.started == e.Started && now.Before(hold.avoidUntil) {
+			out = append(out, e.ID)
+		}
+	}
+	return out
 }
 
 // observe records what an answer says of its endpoint.
@@ -38,10 +91,7 @@
 	if until := now.Add(retryAfter); until.After(hold.until) {
 		hold.until = until
 	}
-	if h.byID == nil {
-		h.byID = make(map[string]endpointHold)
-	}
-	h.byID[e.ID] = hold
+	h.set(e.ID, hold)
 }
 
 // leavingWait is the wait that stands for an endpoint that does not take requests again.
@@ -51,7 +101,9 @@
 func (h *endpointHolds) waits(endpoints []fleet.Endpoint, now time.Time) map[string]time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	maps.DeleteFunc(h.byID, func(_ string, hold endpointHold) bool { return !hold.leaving && !now.Before(hold.until) })
+	maps.DeleteFunc(h.byID, func(_ string, hold endpointHold) bool {
+		return !hold.leaving && hold.endless == 0 && !now.Before(hold.until)
+	})
 	if len(h.byID) == 0 {
 		return nil
 	}
@@ -59,7 +111,7 @@
 	for _, e := range endpoints {
 		hold, ok := h.byID[e.ID]
 		switch {
-		case !ok || hold.started != e.Started:
+		case !ok || hold.started != e.Started || !hold.leaving && !now.Before(hold.until):
 		case hold.leaving:
 			out[e.ID] = leavingWait
 		default:
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -145,6 +145,7 @@
 // endpoint resumes it where the route allows that.
 func (j *job) handleBrokenStream(ctx context.Context, sl *slot, events int, err error) *ErrorResponse {
 	detail := "after " + strconv.Itoa(events) + " events: " + err.Error()
+	j.checkEndless(sl, err)
 	if ctx.Err() != nil {
 		return j.handleBrokenAnswer(ctx, sl, "stream_cut", detail)
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -61,7 +61,7 @@
 		}
 		return nil, &Error{Cause: err, MaybeSent: true, Reused: e.reused}
 	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength, body: resp.Body, resp: resp, exchange: e}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength, body: resp.Body, resp: resp, exchange: e, bodyStart: e.conn.consumed()}, nil
 }
 
 func (e *exchange) send(payload []byte) {
@@ -137,9 +137,9 @@
 	if _, err := e.conn.br.Peek(1); err != nil {
 		return nil, errors.Mark(err, ErrConnectionLost)
 	}
-	before := e.conn.head.received - int64(e.conn.br.Buffered())
+	before := e.conn.consumed()
 	resp, err := http.ReadResponse(e.conn.br, out)
-	*left -= e.conn.head.received - int64(e.conn.br.Buffered()) - before
+	*left -= e.conn.consumed() - before
 	if err == nil && *left < 0 {
 		err = errHeadTooLarge
 	}
@@ -165,8 +165,11 @@
 	body     io.ReadCloser
 	resp     *http.Response
 	exchange *exchange
-	complete bool
-	closed   bool
+	// bodyStart is the number of bytes used on the connection before the body, content the
+	// number of bytes of the body that have been read.
+	bodyStart, content int64
+	complete           bool
+	closed             bool
 }
 
 // Reused reports whether the connection had carried another request before.
@@ -181,12 +184,21 @@
 // Read reads the body. It returns io.EOF only after the complete body.
 func (a *Response) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
+	a.content += int64(n)
 	if errors.Is(err, io.EOF) {
 		a.complete = true
+	} else if err == nil && a.framing() > maxFramingBytes+a.content {
+		err = errFraming
 	}
 	return n, err
 }
 
+// BytesRead returns the number of bytes of the body that have been read.
+func (a *Response) BytesRead() int64 { return a.content }
+
+// framing returns the number of bytes received for the body that are not its content.
+func (a *Response) framing() int64 { return a.exchange.conn.consumed() - a.bodyStart - a.content }
+
 // Close returns the connection to the pool if the body was read to its end, and
 // closes it otherwise.
 func (a *Response) Close() {
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -11,8 +11,19 @@
 // without end.
 const maxHeadBytes = 64 << 10
 
+// maxFramingBytes bounds the bytes of a response's body that are not its content, chunk sizes
+// above all, beyond as many as the content itself.
+const maxFramingBytes = 64 << 10
+
+// ErrEndless marks the failure of a response that goes on without end and is no answer. The
+// endpoint that sends it is in trouble.
+var ErrEndless = errors.New("upstream: response without end")
+
 // errHeadTooLarge reports a response head of more than maxHeadBytes.
-var errHeadTooLarge = errors.Newf("upstream: response head over %d bytes", maxHeadBytes)
+var errHeadTooLarge = errors.Mark(errors.Newf("upstream: response head over %d bytes", maxHeadBytes), ErrEndless)
+
+// errFraming reports a body with more than maxFramingBytes of framing.
+var errFraming = errors.Mark(errors.Newf("upstream: over %d bytes that are not the content of the response", maxFramingBytes), ErrEndless)
 
 // headLimit reads from a connection and bounds the bytes that are read while it is
 // started. http.ReadResponse itself has no limit.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -29,6 +29,9 @@
 	return &conn{Conn: raw, br: bufio.NewReaderSize(head, readBufferBytes), head: head}
 }
 
+// consumed returns the number of bytes received on the connection that have been used.
+func (c *conn) consumed() int64 { return c.head.received - int64(c.br.Buffered()) }
+
 // reusable reports whether an idle connection may carry another request. It may
 // not after idleUntil, or if the endpoint has closed it or sent unrequested data.
 func (c *conn) reusable(now time.Time) bool {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -398,3 +398,27 @@
 		}
 	})
 }
+
+// TestBoundsTheFramingOfABody guards against a host whose time goes into bytes that are no
+// content: chunks of one byte count little as content and much on the connection. A body of
+// small chunks that ends is read whole.
+func TestBoundsTheFramingOfABody(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const chunk, chunks = "1\r\nx\r\n", 8 << 10
+	for name, endless := range map[string]bool{"ends": false, "does not end": true} {
+		addr, _ := serve(t, func(_ int, conn net.Conn, br *bufio.Reader) {
+			_, _, _, _ = read(br)
+			_, err := io.WriteString(conn, head+strings.Repeat(chunk, chunks))
+			for endless && err == nil {
+				_, err = io.WriteString(conn, strings.Repeat(chunk, chunks))
+			}
+			_, _ = io.WriteString(conn, "0\r\n\r\n")
+		})
+		c := upstream.NewClient(upstream.DefaultOptions())
+		got, err := exchange(t, c, addr, request("1", ""))
+		if errors.Is(err, upstream.ErrEndless) != endless || !endless && (err != nil || len(got) != chunks) {
+			t.Errorf("body that %s: got %d bytes, error %v", name, len(got), err)
+		}
+		c.Close()
+	}
+}
