rollout, control: what a host may send after the completion follows its own counts

Causes: a host that starts after the completion takes the time of the last step for the present and has no counts, so it limited the target; and two fifths of the exposure were kept for the time after the completion, whatever the rate. Change: a host limits only what it has seen in progress. A fifth is kept at least, more where the rate asks for it; after the completion a host uses 0.85 of what is left of its own part by its own counts, which are never late. The coordinator plans with the age of the share in place of a fixed delay. TestHostThatStartsAfterTheCompletionServes fails without the change.

--- a/control/coordinator.go
+++ b/control/coordinator.go
@@ -121,6 +121,7 @@
 	s.history.add(now, requests)
 	d := r.stage().Advance(s.order, elapsed, step.Share, target, baseline, rollout.Conditions{
 		CapacityRatio: r.capacityRatio(name, s.order.Target), RequestRate: s.rate(now, hosts), Requests: requests, Hosts: hosts,
+		ShareAge: elapsed - time.Duration(step.ElapsedMS)*time.Millisecond,
 	})
 	if s.targetWorse {
 		d = rollout.Decision{State: rollout.OrderReverted, Reason: "target is worse"}
--- a/control/exposure.go
+++ b/control/exposure.go
@@ -15,6 +15,9 @@
 	// requests is the number of attempts sent to the service since the order, toTarget
 	// that of those sent to the target.
 	requests, toTarget int
+	// inProgress is set once this host has sent a request while the roll-out was in progress.
+	// One that starts later does not know the time of the order.
+	inProgress bool
 	// firstShare is the share of the first stage; zero if this host has not seen it.
 	firstShare float64
 	// before and after are the allowances before and after the completion; nil until the
@@ -61,6 +64,7 @@
 		s.limit.toTarget++
 	}
 	s.limit.requests++
+	s.limit.inProgress = s.limit.inProgress || !isFinal(s.current().State)
 	t := s.ownTallies[version]
 	t.Sent++
 	s.ownTallies[version] = t
@@ -85,7 +89,7 @@
 	step := s.current()
 	if step.State == rollout.OrderDone {
 		remaining := s.order.TimeLimit - s.elapsed(r.clock.Now())
-		if remaining <= 0 || s.limit.permits(r.allowanceAfter(s)) {
+		if !s.limit.inProgress || remaining <= 0 || s.limit.permits(r.allowanceAfter(s)) {
 			return rollout.Admission{}, false
 		}
 		return rollout.Admission{RetryAfter: remaining}, true
@@ -126,7 +130,7 @@
 func (r *Rollouts) allowanceBefore(s *service) *startedAllowance {
 	if s.limit.before == nil {
 		all := r.counts(s)
-		all.Target += s.limit.firstShare * s.rate(r.clock.Now(), all.Hosts) * unreportedTime.Seconds()
+		all.Target += s.limit.firstShare * all.Rate * unreportedTime.Seconds()
 		a := r.stage().AllowanceBeforeCompletion(all, s.limit.requests, r.roundingOffset(s, "before"))
 		s.limit.before = &startedAllowance{Allowance: a, toTarget: s.limit.toTarget}
 	}
@@ -136,7 +140,8 @@
 // allowanceAfter returns the allowance of this host from the completion to the deadline.
 func (r *Rollouts) allowanceAfter(s *service) *startedAllowance {
 	if s.limit.after == nil {
-		a := r.stage().AllowanceAfterCompletion(r.counts(s), s.limit.requests, r.roundingOffset(s, "after"))
+		own := rollout.Counts{Requests: float64(s.limit.requests), Target: float64(s.limit.toTarget)}
+		a := r.stage().AllowanceAfterCompletion(r.counts(s), own, r.roundingOffset(s, "after"))
 		s.limit.after = &startedAllowance{Allowance: a, toTarget: s.limit.toTarget}
 	}
 	return s.limit.after
@@ -152,5 +157,5 @@
 func (r *Rollouts) counts(s *service) rollout.Counts {
 	hosts := r.hosts()
 	target, _ := s.tallies(r.self)
-	return rollout.Counts{Requests: s.requests(hosts), Target: float64(target.Requests()), Hosts: hosts}
+	return rollout.Counts{Requests: s.requests(hosts), Target: float64(target.Requests()), Rate: s.rate(r.clock.Now(), hosts), Hosts: hosts}
 }
--- a/control/exposure_test.go
+++ b/control/exposure_test.go
@@ -70,3 +70,20 @@
 		}
 	}
 }
+
+// TestHostThatStartsAfterTheCompletionServes guards against a host that rejects its callers,
+// because it takes the time of the last step for the present and has no requests of its own.
+func TestHostThatStartsAfterTheCompletionServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t, 3)
+		playRollout(t, tc, rise{0, 1}, 1)
+		started := newTestCluster(t, 1)
+		started.store = tc.store
+		started.sync()
+		for range 200 {
+			if version, ok := send(started.hosts[0], "s", 0.5); !ok || version != "v2" {
+				t.Fatalf("got version %q, sent %t; want v2", version, ok)
+			}
+		}
+	})
+}
--- a/rollout/exposure.go
+++ b/rollout/exposure.go
@@ -6,26 +6,33 @@
 )
 
 const (
-	// plannedFraction is the fraction of the exposure that a roll-out plans to use until its
-	// completion, maxFraction the one that the hosts may use. The difference absorbs that
-	// some hosts have more of the sessions at the target than others. The rest is kept for
-	// the time between the completion and the deadline, when only the target is left.
-	plannedFraction = 0.5
-	maxFraction     = 0.6
+	// minReserve and maxReserve bound the fraction of the exposure that is kept for the time
+	// between the completion and the deadline, when only the target is left.
+	minReserve = 0.2
+	maxReserve = 0.4
+	// afterCompletionFraction is the fraction of what is left of its part that a host may use
+	// after the completion. The rest makes up for hosts that have used more than their part.
+	afterCompletionFraction = 0.85
+	// reservedTime is the part of that time for which the reserve is meant to last.
+	reservedTime = 400 * time.Millisecond
+	// plannedFraction is the fraction that a roll-out plans to use of what the hosts may use
+	// until the completion. The rest absorbs that some hosts have more of the sessions at the
+	// target than others.
+	plannedFraction = 0.95
 	// firstStageLimit is the fraction of the exposure that the sessions of the first stage
 	// may use.
 	firstStageLimit = 0.8
 	// rateRise and rateRiseAtCompletion are the factors by which the request rate may
 	// rise before and after the completion without a host having to limit the target.
 	rateRise             = 1.25
-	rateRiseAtCompletion = 1.5
+	rateRiseAtCompletion = 1.4
 	// countDelay is the time after which the counts of other hosts are known.
 	countDelay = 1200 * time.Millisecond
 	// maxTrialShare is the maximum share before the target receives all traffic.
 	maxTrialShare = 0.5
 	// minTrialFraction is the fraction of what is left that the trial stage may use at least.
 	// Its answers come in time for the decision.
-	minTrialFraction = 0.6
+	minTrialFraction = 0.4
 	// minShareIncrease is the factor by which a new share exceeds the last one, so that
 	// a share that follows its budget does not change all the time.
 	minShareIncrease = 1.3
@@ -51,6 +58,11 @@
 	// Requests is the number of requests for the service, Target that of those sent to
 	// the target.
 	Requests, Target float64
+	// Rate is the number of requests per second, Share the share of them that the target
+	// gets.
+	Rate, Share float64
+	// ShareAge is the time for which the target has had that share; zero if unknown.
+	ShareAge time.Duration
 	// Hosts is the number of hosts that sent them.
 	Hosts int
 }
@@ -64,6 +76,12 @@
 // is left, since each rounds its part at random: two standard deviations.
 func roundingReserve(hosts int) float64 { return math.Sqrt(float64(hosts)) }
 
+// reserve returns the fraction of the exposure that is kept for the time after the completion.
+func (c StageConfig) reserve(n Counts) float64 {
+	needed := rateRiseAtCompletion*n.Rate*reservedTime.Seconds() + roundingReserve(n.Hosts)
+	return min(maxReserve, max(minReserve, needed/max(1, c.allowed(n.Requests))))
+}
+
 // leftBeforeCompletion returns how many more requests the target may receive until it is
 // declared done, if it may receive a fraction of the exposure until then.
 func (c StageConfig) leftBeforeCompletion(n Counts, fraction float64) float64 {
@@ -71,11 +89,21 @@
 }
 
 // leftAfterCompletion returns how many requests the target may receive between its
-// completion and the deadline. Counts of the target are late, but before the completion
-// no host exceeds its part.
-func (c StageConfig) leftAfterCompletion(n Counts) float64 {
+// completion and the deadline, if a fraction of the exposure was kept for that. Before the
+// completion the target has received what the hosts permit at most, and often less.
+func (c StageConfig) leftAfterCompletion(n Counts, reserve float64) float64 {
 	allowed := c.allowed(n.Requests)
-	return min((1-maxFraction)*allowed, allowed-n.Target) - roundingReserve(n.Hosts)
+	received := min((1-reserve)*allowed, n.Target+n.unreported())
+	return allowed - received - roundingReserve(n.Hosts)
+}
+
+// unreported estimates the requests to the target that are not in the counts yet.
+func (n Counts) unreported() float64 {
+	delay := countDelay
+	if n.ShareAge > 0 {
+		delay = min(delay, n.ShareAge)
+	}
+	return n.Share * n.Rate * delay.Seconds()
 }
 
 // FirstStagePermits reports whether the sessions of the first stage may send another
@@ -100,16 +128,20 @@
 // all are the counts of all hosts, own the requests of this host. offset, in [0, 1), rounds
 // the host's part; it is spread evenly over the hosts.
 func (c StageConfig) AllowanceBeforeCompletion(all Counts, own int, offset float64) Allowance {
+	fraction := 1 - c.reserve(all)
 	return Allowance{
-		start: own, initial: hostPart(c.leftBeforeCompletion(all, maxFraction), all, own) + offset,
-		perRequest: maxFraction * c.ExposureShare,
+		start: own, initial: hostPart(c.leftBeforeCompletion(all, fraction), all, own) + offset,
+		perRequest: fraction * c.ExposureShare,
 	}
 }
 
 // AllowanceAfterCompletion returns the allowance of a host for the time between the
-// completion and the deadline.
-func (c StageConfig) AllowanceAfterCompletion(all Counts, own int, offset float64) Allowance {
-	return Allowance{start: own, initial: hostPart(c.leftAfterCompletion(all), all, own) + offset}
+// completion and the deadline: what is left of its own part of the exposure. all are the counts
+// of all hosts, of which only the number of requests matters, own those of this host.
+func (c StageConfig) AllowanceAfterCompletion(all, own Counts, offset float64) Allowance {
+	tolerance := hostPart(c.ExposureTolerance, all, int(own.Requests))
+	left := max(0, c.ExposureShare*own.Requests+tolerance-own.Target)
+	return Allowance{start: int(own.Requests), initial: afterCompletionFraction*left + offset}
 }
 
 // hostPart returns the part of what is left for a host, in proportion to its requests.
@@ -137,9 +169,10 @@
 	requests float64
 	// rate is the number of requests per second for the service.
 	rate float64
-	// remaining is the time to the completion, which comes completion before the deadline.
-	remaining, completion time.Duration
-	limit                 time.Duration
+	// completion is the time before the deadline from which the target may be declared done,
+	// plannedCompletion what is sure to be left of it. remaining is the time until then.
+	completion, plannedCompletion, remaining time.Duration
+	limit                                    time.Duration
 }
 
 // exposure returns what is left of the exposure after some time with a share.
@@ -149,21 +182,26 @@
 	if elapsed > 0 {
 		e.rate = max(e.rate, n.Requests/elapsed.Seconds())
 	}
-	e.completion = c.completionTime(o, n, e.rate)
-	e.remaining = max(0, o.TimeLimit-elapsed-e.completion)
+	n.Rate, n.Share, n.ShareAge = e.rate, share, cond.ShareAge
+	reserve := c.reserve(n)
+	e.completion = completionTime(o, e.rate, c.leftAfterCompletion(n, reserve))
+	kept := reserve*c.allowed(n.Requests) - roundingReserve(n.Hosts)
+	e.plannedCompletion = completionTime(o, e.rate, kept)
+	e.remaining = max(0, o.TimeLimit-elapsed-e.plannedCompletion)
+	n.Target += n.unreported()
 	n.Requests += e.rate * e.remaining.Seconds()
-	n.Target += share * e.rate * countDelay.Seconds()
-	e.requests = c.leftBeforeCompletion(n, plannedFraction)
+	e.requests = c.leftBeforeCompletion(n, plannedFraction*(1-reserve))
 	return e
 }
 
-// completionTime returns how long before the deadline the target may be declared done.
-func (c StageConfig) completionTime(o Order, n Counts, rate float64) time.Duration {
+// completionTime returns how long before the deadline a target may be declared done that may
+// receive a number of requests in that time.
+func completionTime(o Order, rate, requests float64) time.Duration {
 	usual := max(usualCompletionTime, time.Duration((1-completionFraction)*float64(o.TimeLimit)))
 	if rate == 0 {
 		return usual
 	}
-	permitted := c.leftAfterCompletion(n) / (rateRiseAtCompletion * rate)
+	permitted := requests / (rateRiseAtCompletion * rate)
 	if permitted >= usual.Seconds() {
 		return usual
 	}
@@ -173,7 +211,7 @@
 // permitsFullTraffic reports whether the target may receive all traffic from now until
 // its completion.
 func (e exposure) permitsFullTraffic() bool {
-	inTime := (e.remaining + e.completion).Seconds() <= maxFullTrafficFraction*e.limit.Seconds()
+	inTime := (e.remaining + e.plannedCompletion).Seconds() <= maxFullTrafficFraction*e.limit.Seconds()
 	return inTime && rateRise*e.rate*e.remaining.Seconds() <= e.requests
 }
 
@@ -183,9 +221,10 @@
 		return 0
 	}
 	full := min(fullTrafficTime, e.remaining)
-	share := max(0, minTrialFraction*e.requests/(e.rate*e.remaining.Seconds()))
-	if trial := e.rate * (e.remaining - full).Seconds(); trial > 0 {
-		share = max(share, (e.requests-rateRise*e.rate*full.Seconds())/trial)
+	trial := e.rate * (e.remaining - full).Seconds()
+	if trial == 0 {
+		return 0
 	}
-	return min(maxTrialShare, share)
+	share := minTrialFraction * e.requests / (e.rate * e.remaining.Seconds())
+	return min(maxTrialShare, max(0, share, (e.requests-rateRise*e.rate*full.Seconds())/trial))
 }
--- a/rollout/stage.go
+++ b/rollout/stage.go
@@ -98,6 +98,8 @@
 	Requests float64
 	// Hosts is the number of hosts that send requests.
 	Hosts int
+	// ShareAge is the time for which the target has had its share; zero if unknown.
+	ShareAge time.Duration
 }
 
 // Decision is the next step of a roll-out as decided by its coordinator.
