relay: events without an id stay out of a numbered stream

Cause: events without an id passed every check, also in a stream whose events have ids. Change: where a stream may be resumed, or its events have had ids, an event without one breaks the attempt, and another endpoint goes on. TestEventsWithoutIDsStayOutOfANumberedStream fails without it. TestLongLineIsOneLine, whose events have no ids, now uses a route whose streams are not resumed; what it asserts is the same.

--- a/relay/bounds_test.go
+++ b/relay/bounds_test.go
@@ -108,7 +108,7 @@
 // TestLongLineIsOneLine guards against the rest of a line that is longer than a buffer
 // being read as a line of its own: as an event id, or as the end of the event.
 func TestLongLineIsOneLine(t *testing.T) {
-	r := newRig(t, streamRoute(true))
+	r := newRig(t, streamRoute(false))
 	var events strings.Builder
 	for _, rest := range []string{"id: 99", "", "id: x"} {
 		for length := 2040; length < 2056; length++ {
@@ -206,3 +206,29 @@
 	}
 	trouble.Close()
 }
+
+// TestEventsWithoutIDsStayOutOfANumberedStream guards against callers that find bytes of an
+// endpoint in trouble, which are no answer, within or in place of the events of their stream.
+func TestEventsWithoutIDsStayOutOfANumberedStream(t *testing.T) {
+	for name, before := range map[string]string{"at the start": "", "after three events": eventSeries(1, 3)} {
+		r := newRig(t, streamRoute(true))
+		var first sync.Once
+		handler := func(w http.ResponseWriter, hr *http.Request) {
+			trouble := false
+			first.Do(func() { trouble = true })
+			switch {
+			case trouble:
+				answer(w, http.StatusOK, before+strings.Repeat("data: x\n\n", 1<<10))
+			case before != "":
+				answer(w, http.StatusOK, eventSeries(4, 6))
+			default:
+				answer(w, http.StatusOK, eventSeries(1, 6))
+			}
+		}
+		r.endpoint("e1", handler)
+		r.endpoint("e2", handler)
+		if _, body, err := r.call("POST", "/p/x"); err != nil || body != eventSeries(1, 6) {
+			t.Errorf("%s: got %.80q, error %v; want the six events of the stream", name, body, err)
+		}
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -90,6 +90,8 @@
 			return ev, errStreamEnd
 		case err != nil:
 			return ev, err
+		case ev.id < 0 && (j.lastEvent >= 0 || j.route.Resumable):
+			return ev, errors.Wrap(errEvent, "event without an id in a numbered stream")
 		case ev.id < 0, j.lastEvent < 0, ev.id == j.lastEvent+1:
 			return ev, nil
 		case ev.id > j.lastEvent:
