--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -158,6 +158,18 @@
 	}},
 }
 
+// endlessFaults act on endpoints that send bytes without end.
+var endlessFaults = []fault{
+	{"endpoint sends without end", func(s *soak, ctx context.Context, pick func(int) int, d time.Duration) {
+		e := s.endpoints()[pick(len(s.endpoints()))]
+		kind := 1 + platformtest.Endless(pick(int(platformtest.EndlessKinds)-1))
+		s.log("%s sends without end, kind %d", e.ID, kind)
+		e.Endless.Store(int64(kind))
+		wait(ctx, d)
+		e.Endless.Store(int64(platformtest.EndlessNone))
+	}},
+}
+
 // silentTime is the time for which a sound endpoint sends nothing.
 const silentTime = 1500 * time.Millisecond
 
@@ -196,6 +208,7 @@
 	wg.Go(func() { s.injectMore(ctx, laterFaults, 2) })
 	wg.Go(func() { s.injectMore(ctx, linkFaults, 3) })
 	wg.Go(func() { s.injectMore(ctx, signalFaults, 4) })
+	wg.Go(func() { s.injectMore(ctx, endlessFaults, 5) })
 	revokeAt := time.Now().Add(s.Duration / 2)
 	end := time.Now().Add(s.Duration)
 	for time.Now().Before(end) && ctx.Err() == nil {
