control: hosts limit small shares by the counts of all hosts

Cause: in the trial stage a host's part is a few requests in a fleet of 295, one session uses it up, and the host takes the session back. Change: as in the first stage, shares below 1 are limited by the counts of all hosts; the host's own part holds at share 1 and after the completion.

--- a/control/exposure.go
+++ b/control/exposure.go
@@ -102,15 +102,16 @@
 }
 
 // targetPermitted reports whether this host may send another request to the target of a
-// roll-out in progress. The sessions of the first stage are few. They are limited by the
-// counts of all hosts, as one of them may make most of the requests of its host.
+// roll-out in progress. While the share is small, few sessions use the target. They are
+// limited by the counts of all hosts, as one of them may make most of the requests of its host,
+// whose own part may be smaller than that.
 func (r *Rollouts) targetPermitted(name string, s *service, step Step, point float64) bool {
 	l := &s.limit
 	permitted := false
 	if step.Share <= r.stage().MaxCanaryShare() {
 		l.firstShare = step.Share
 	}
-	if point < l.firstShare {
+	if point < l.firstShare || step.Share < 1 {
 		permitted = r.stage().FirstStagePermits(r.counts(s))
 	} else {
 		permitted = l.permits(r.allowanceBefore(s))
