rollout, control: one constant for the delay of counts; comments say what holds

The delay stood in both packages. The doc comment of Allowance claimed more than it keeps: its parts rest on the counts known when it begins. No behaviour changes; tests of control and rollout pass.

--- a/control/arrivals.go
+++ b/control/arrivals.go
@@ -7,8 +7,6 @@
 	arrivalWindow = 5 * time.Second
 	// recentWindow is the time over which the latest rate of all hosts is taken.
 	recentWindow = 1500 * time.Millisecond
-	// unreportedTime is the time after which the counts of other hosts are known.
-	unreportedTime = 1200 * time.Millisecond
 )
 
 // arrivals estimates the request rate from the current window and the one
--- a/control/exposure.go
+++ b/control/exposure.go
@@ -111,7 +111,7 @@
 	if step.Share <= r.stage().MaxCanaryShare() {
 		l.firstShare = step.Share
 	}
-	if point < l.firstShare || step.Share < 1 {
+	if step.Share < 1 || point < l.firstShare {
 		permitted = r.stage().FirstStagePermits(r.counts(s))
 	} else {
 		permitted = l.permits(r.allowanceBefore(s))
@@ -131,7 +131,7 @@
 func (r *Rollouts) allowanceBefore(s *service) *startedAllowance {
 	if s.limit.before == nil {
 		all := r.counts(s)
-		all.Target += s.limit.firstShare * all.Rate * unreportedTime.Seconds()
+		all.Target += s.limit.firstShare * all.Rate * rollout.CountDelay.Seconds()
 		a := r.stage().AllowanceBeforeCompletion(all, s.limit.requests, r.roundingOffset(s, "before"))
 		s.limit.before = &startedAllowance{Allowance: a, toTarget: s.limit.toTarget}
 	}
--- a/rollout/exposure.go
+++ b/rollout/exposure.go
@@ -19,15 +19,15 @@
 	// until the completion. The rest absorbs that some hosts have more of the sessions at the
 	// target than others.
 	plannedFraction = 0.95
-	// firstStageLimit is the fraction of the exposure that the sessions of the first stage
-	// may use.
+	// firstStageLimit is the fraction of the exposure that the target may use while it does
+	// not get all traffic.
 	firstStageLimit = 0.8
 	// rateRise and rateRiseAtCompletion are the factors by which the request rate may
 	// rise before and after the completion without a host having to limit the target.
 	rateRise             = 1.25
 	rateRiseAtCompletion = 1.4
-	// countDelay is the time after which the counts of other hosts are known.
-	countDelay = 1200 * time.Millisecond
+	// CountDelay is the time after which the counts of other hosts are known.
+	CountDelay = 1200 * time.Millisecond
 	// maxTrialShare is the maximum share before the target receives all traffic.
 	maxTrialShare = 0.5
 	// minTrialFraction is the fraction of what is left that the trial stage may use at least.
@@ -99,23 +99,23 @@
 
 // unreported estimates the requests to the target that are not in the counts yet.
 func (n Counts) unreported() float64 {
-	delay := countDelay
+	delay := CountDelay
 	if n.ShareAge > 0 {
 		delay = min(delay, n.ShareAge)
 	}
 	return n.Share * n.Rate * delay.Seconds()
 }
 
-// FirstStagePermits reports whether the sessions of the first stage may send another
-// request to the target.
+// FirstStagePermits reports whether another request may be sent to the target while it does
+// not get all traffic.
 func (c StageConfig) FirstStagePermits(n Counts) bool {
 	return n.Target+1 <= firstStageLimit*c.allowed(n.Requests)
 }
 
 // Allowance bounds the requests that one host sends to the target from some moment on. The
-// allowances of all hosts add up to what is left of the exposure. A host needs only its own
-// counts to keep it, so it holds however the request rate changes and however late the
-// coordinator and the counts of other hosts are.
+// allowances of all hosts add up to about what is left of the exposure, by the counts known at
+// that moment. A host needs only its own counts to keep its allowance, so a rise of the request
+// rate or a late coordinator does not exceed it.
 type Allowance struct {
 	// start is the number of the host's requests at that moment.
 	start int
