relay, drain: logs tell why a request counts as left by its caller; panics of handlers are logged

A panic of a handler closes the connection without an answer; net/http logged it at a level that hosts do not print.

Tested by TestReadErrorTellsWhyARequestWasCancelled. No logic changed.

--- a/daemon/router/servers.go
+++ b/daemon/router/servers.go
@@ -80,7 +80,7 @@
 func (s *serverService) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(s.host.opts.Logger.Handler(), slog.LevelDebug),
+		ErrorLog: slog.NewLogLogger(s.host.opts.Logger.Handler(), slog.LevelWarn),
 	}
 }
 
--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -89,6 +89,8 @@
 	// rejected is set while the connection has a request that arrived after Refuse. It is
 	// protected by the lock of the tracker.
 	rejected bool
+	// readErr is the last error of a read since the header of the last request was read.
+	readErr atomic.Pointer[error]
 
 	closeOnce sync.Once
 	closeErr  error
@@ -103,6 +105,9 @@
 	if n > 0 && !c.tracker.received(c) {
 		return 0, net.ErrClosed
 	}
+	if err != nil {
+		c.readErr.Store(&err)
+	}
 	return n, err
 }
 
@@ -228,6 +233,7 @@
 	case http.StateActive:
 		t.setPhase(c, phaseActive)
 		c.endHeader()
+		c.readErr.Store(nil) // net/http ended a read of its own before this request
 	case http.StateIdle:
 		t.setPhase(c, phaseIdle)
 		c.endHeader()
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -162,6 +162,28 @@
 	}
 }
 
+// TestReadErrorTellsWhyARequestWasCancelled guards against a log that blames the caller for a
+// connection that this host has ended.
+func TestReadErrorTellsWhyARequestWasCancelled(t *testing.T) {
+	g := newGate(t)
+	before, after := make(chan error, 1), make(chan error, 1)
+	tracker := start(t, g, nil, func(_ http.ResponseWriter, r *http.Request) {
+		before <- drain.ReadError(r.Context())
+		<-r.Context().Done()
+		after <- drain.ReadError(r.Context())
+	})
+	c := dial(t, g)
+	c.request()
+	waitFor(t, "the request arrives", func() bool { return tracker.InFlight() == 1 })
+	if err := receive(t, before); err != nil {
+		t.Errorf("got %v while the connection is open", err)
+	}
+	_ = c.conn.Close()
+	if err := receive(t, after); err != io.EOF {
+		t.Errorf("got %v after the caller has closed its connection, want EOF", err)
+	}
+}
+
 // TestConnectionWithoutAnswerIsClosedLast guards against a handler that never ends and holds
 // up the end of the process.
 func TestConnectionWithoutAnswerIsClosedLast(t *testing.T) {
--- a/internal/drain/writer.go
+++ b/internal/drain/writer.go
@@ -19,6 +19,20 @@
 	}
 }
 
+// ReadError returns what ended the reading of the connection of a request: io.EOF if the caller
+// has closed it, and nil while it can be read. net/http cancels the contexts of requests whose
+// connections can't be read, whatever the reason is.
+func ReadError(ctx context.Context) error {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	if c == nil {
+		return nil
+	}
+	if err := c.readErr.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
 // closedBefore reports whether the connection of a request was closed as an unused one while
 // the server decoded the request.
 func closedBefore(r *http.Request) bool {
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -39,6 +39,9 @@
 	if errResp != nil && (callerGone || outcome == reasonCallerLeft) {
 		outcome = endReason(ctx)
 	}
+	if outcome == reasonCallerLeft {
+		detail = j.explainCallerLeft(ctx, detail)
+	}
 	took := j.relay.Clock.Since(j.arrived)
 	j.log(outcome, status, detail, took)
 	j.observeDuration(outcome, took)
@@ -57,6 +60,16 @@
 	errResp.Write(j.w)
 }
 
+// explainCallerLeft adds to a detail what the connection of the caller has reported, because
+// the context of a request ends in the same way whether the caller has closed the connection
+// or this host can't read it any more.
+func (j *job) explainCallerLeft(ctx context.Context, detail string) string {
+	if err := drain.ReadError(ctx); err != nil {
+		return detail + "; connection: " + err.Error()
+	}
+	return detail
+}
+
 // observeDuration records how long a request has lasted that was served to its end or to
 // its deadline.
 func (j *job) observeDuration(outcome string, took time.Duration) {
