relay: a test that fails: a host cuts a stream whose endpoint refuses new connections

Four callers' streams end in the middle 0.4 to 1.3 s after the completion of a roll-out, because their own hosts have closed the connections to the engines.

TestStreamOfAnEndpointThatRefusesNewConnectionsGoesOn reproduces it: the stream ends after 1.0 s with "unexpected EOF".

--- a/relay/silentpath_test.go
+++ b/relay/silentpath_test.go
@@ -132,3 +132,52 @@
 		t.Errorf("the busy endpoint got %d more attempts, want none", n)
 	}
 }
+
+// TestStreamOfAnEndpointThatRefusesNewConnectionsGoesOn guards against a stream that the host
+// cuts because its endpoint, which is leaving or has all the connections that it takes, refuses
+// a new one while it is about to send the next event.
+func TestStreamOfAnEndpointThatRefusesNewConnectionsGoesOn(t *testing.T) {
+	const pause = 2 * time.Second // longer than a silent attempt may last
+	var refusing atomic.Bool
+	r := newRigWith(t, func(o *relay.Options) {
+		client := upstream.DefaultOptions()
+		client.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if refusing.Load() {
+				return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+			}
+			return new(net.Dialer).DialContext(ctx, network, address)
+		}
+		o.Client = upstream.NewClient(client)
+	}, streamRoute(true))
+	r.retryBudget.RetryRatio, r.retryBudget.ExtraRetries = 0, 0
+	started := make(chan struct{})
+	for _, id := range []string{"e1", "e2", "e3"} {
+		r.endpoint(id, func(w http.ResponseWriter, hr *http.Request) {
+			events(w, 1, 2, false)
+			w.(http.Flusher).Flush()
+			close(started)
+			select {
+			case <-time.After(pause):
+			case <-hr.Context().Done():
+			}
+			events(w, 3, 4, false)
+		})
+	}
+	type result struct {
+		body string
+		err  error
+	}
+	done := make(chan result, 1)
+	go func() {
+		_, body, err := r.call("POST", "/p/x")
+		done <- result{body, err}
+	}()
+	<-started
+	refusing.Store(true)
+	for len(r.relay.LostServices()) == 0 {
+		_, _, _ = r.call("POST", "/p/x") // fails until the service counts as lost
+	}
+	if got := <-done; got.err != nil || got.body != eventSeries(1, 4) {
+		t.Errorf("got %q, %v; want the whole stream", got.body, got.err)
+	}
+}
