relay: an answer in progress is ended only on evidence about its own links

Cause: while a service counts as lost, which three refused connections in a row bring about, the host ended attempts that were silent for a second if their endpoints accepted no new connection. An endpoint that leaves, is stopped after a completed roll-out, or has all the connections that it takes refuses new ones and serves on. What became of the stream then depended on the retry budget and the exposure of the roll-out.

An attempt is now ended only if no endpoint has sent anything for a second and its own one does not answer to a connection attempt at all. A refusal shows that the way there and back works, and a dead process would have reset the open connection. The end of an attempt has a log line.

TestStreamOfAnEndpointThatRefusesNewConnectionsGoesOn failed before (unexpected EOF after 1.0 s) and passes; TestAttemptOnSilentLinksIsEnded fails without the check.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -72,7 +72,7 @@
 // watch keeps track of the attempt for the checks of the paths to its service, until the
 // returned function is called.
 func (j *job) watch(sl *slot, cancel context.CancelFunc) (unwatch func()) {
-	sl.received = j.relay.Clock.Now()
+	sl.received, sl.request = j.relay.Clock.Now(), j.req.ID
 	if j.route.Retryable() {
 		sl.cancel = cancel
 	}
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -151,6 +151,8 @@
 	// lock of paths guards received.
 	received time.Time
 	cancel   context.CancelFunc
+	// request is the id of the request, for the log.
+	request string
 }
 
 // choose picks an endpoint for the job and takes a slot there. Endpoints that have lately
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -30,8 +30,8 @@
 	// registered, after some seconds.
 	silentCheckInterval = time.Second
 	silentChecks        = 10
-	// silentTime is the time without a byte after which an attempt is given up if its
-	// service is lost and its endpoint accepts no connections.
+	// silentTime is the time without a byte from any endpoint of a lost service after which
+	// its attempts are given up.
 	silentTime = time.Second
 )
 
@@ -158,25 +158,39 @@
 	return !ps.watching
 }
 
-// cancelSilent ends the attempts on which nothing has arrived for silentTime and that
-// another endpoint may go on with, if their endpoints accept no connections. An endpoint
-// that does may only be busy.
+// cancelSilent ends the attempts that another endpoint may go on with, if the links of this
+// host seem to be silent: no endpoint has sent anything for silentTime, and theirs do not
+// answer to connection attempts. An endpoint that accepts one may only be busy, and one that
+// refuses it may serve on: it may be leaving, or have all the connections that it takes.
 func (ps *paths) cancelSilent() {
+	if ps.answeredWithin(silentTime) {
+		return
+	}
 	silent := ps.silentAttempts()
 	var endpoints []fleet.Endpoint
 	for _, attempts := range silent {
 		endpoints = append(endpoints, attempts[0].endpoint)
 	}
-	for i, accepted := range ps.dialAll(endpoints) {
-		if accepted {
+	for i, err := range ps.dialAll(endpoints) {
+		if !upstream.Unanswered(err) {
 			continue
 		}
 		for _, sl := range silent[endpoints[i].ID] {
+			ps.pool.relay.Logger.Warn("silent attempt ended", "request", sl.request, "endpoint", sl.endpoint.ID,
+				"silent_ms", ps.silence(sl).Milliseconds(), "error", err)
 			sl.cancel()
 		}
 	}
 }
 
+// silence returns the time for which nothing has arrived on an attempt.
+func (ps *paths) silence(sl *slot) time.Duration {
+	now := ps.pool.relay.Clock.Now()
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	return now.Sub(sl.received)
+}
+
 // silentAttempts returns, by endpoint, the attempts that may be ended and on which nothing
 // has arrived for silentTime.
 func (ps *paths) silentAttempts() map[string][]*slot {
@@ -262,11 +276,11 @@
 	ps.mu.Unlock()
 	defer close(c.done)
 	near, far := ps.witnesses(failed)
-	accepted := ps.dialAll(append(near, far...))
-	c.opened = slices.Contains(accepted[:len(near)], true)
-	if len(near) == 0 {
-		c.opened = slices.Contains(accepted, true)
+	errs := ps.dialAll(append(near, far...))
+	if len(near) > 0 {
+		errs = errs[:len(near)]
 	}
+	c.opened = slices.Contains(errs, nil)
 	return c.opened
 }
 
@@ -297,15 +311,16 @@
 	ps.dialAll(list)
 }
 
-// dialAll connects to endpoints and reports which of them accepted the connection.
-func (ps *paths) dialAll(list []fleet.Endpoint) []bool {
-	accepted := make([]bool, len(list))
+// dialAll connects to endpoints and returns the error of each, nil for those that accepted
+// the connection.
+func (ps *paths) dialAll(list []fleet.Endpoint) []error {
+	errs := make([]error, len(list))
 	var wg sync.WaitGroup
 	for i, e := range list {
-		wg.Go(func() { accepted[i] = ps.dial(e) == nil })
+		wg.Go(func() { errs[i] = ps.dial(e) })
 	}
 	wg.Wait()
-	return accepted
+	return errs
 }
 
 // dial connects to an endpoint and records the result.
--- a/relay/silentpath_test.go
+++ b/relay/silentpath_test.go
@@ -133,35 +133,66 @@
 	}
 }
 
-// TestStreamOfAnEndpointThatRefusesNewConnectionsGoesOn guards against a stream that the host
-// cuts because its endpoint, which is leaving or has all the connections that it takes, refuses
-// a new one while it is about to send the next event.
-func TestStreamOfAnEndpointThatRefusesNewConnectionsGoesOn(t *testing.T) {
-	const pause = 2 * time.Second // longer than a silent attempt may last
-	var refusing atomic.Bool
+// linkState is what happens to the connection attempts of a host.
+type linkState int32
+
+const (
+	linksOpen linkState = iota
+	linksRefuse
+	linksSilent
+)
+
+// newLinkedRig returns a rig whose connection attempts meet the state of its links.
+func newLinkedRig(t *testing.T, routes ...route.Route) (*rig, *atomic.Int32) {
+	t.Helper()
+	state := new(atomic.Int32)
 	r := newRigWith(t, func(o *relay.Options) {
 		client := upstream.DefaultOptions()
 		client.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-			if refusing.Load() {
+			switch linkState(state.Load()) {
+			case linksRefuse:
 				return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+			case linksSilent:
+				<-ctx.Done()
+				return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
 			}
 			return new(net.Dialer).DialContext(ctx, network, address)
 		}
 		o.Client = upstream.NewClient(client)
-	}, streamRoute(true))
+	}, routes...)
+	return r, state
+}
+
+// loseService sends requests that fail until the service counts as lost.
+func (r *rig) loseService() {
+	r.t.Helper()
+	for len(r.relay.LostServices()) == 0 {
+		_, _, _ = r.call("POST", "/p/x")
+	}
+}
+
+// streamWithPause sends a stream that pauses for longer than a silent attempt may last.
+func streamWithPause(w http.ResponseWriter, hr *http.Request, started chan<- struct{}) {
+	const pause = 2 * time.Second
+	events(w, 1, 2, false)
+	w.(http.Flusher).Flush()
+	started <- struct{}{}
+	select {
+	case <-time.After(pause):
+	case <-hr.Context().Done():
+	}
+	events(w, 3, 4, false)
+}
+
+// TestStreamOfAnEndpointThatRefusesNewConnectionsGoesOn guards against a stream that the host
+// cuts because its endpoint, which is leaving or has all the connections that it takes, refuses
+// a new one while it is about to send the next event.
+func TestStreamOfAnEndpointThatRefusesNewConnectionsGoesOn(t *testing.T) {
+	r, links := newLinkedRig(t, streamRoute(true))
 	r.retryBudget.RetryRatio, r.retryBudget.ExtraRetries = 0, 0
-	started := make(chan struct{})
+	started := make(chan struct{}, 1)
 	for _, id := range []string{"e1", "e2", "e3"} {
-		r.endpoint(id, func(w http.ResponseWriter, hr *http.Request) {
-			events(w, 1, 2, false)
-			w.(http.Flusher).Flush()
-			close(started)
-			select {
-			case <-time.After(pause):
-			case <-hr.Context().Done():
-			}
-			events(w, 3, 4, false)
-		})
+		r.endpoint(id, func(w http.ResponseWriter, hr *http.Request) { streamWithPause(w, hr, started) })
 	}
 	type result struct {
 		body string
@@ -173,11 +204,40 @@
 		done <- result{body, err}
 	}()
 	<-started
-	refusing.Store(true)
-	for len(r.relay.LostServices()) == 0 {
-		_, _, _ = r.call("POST", "/p/x") // fails until the service counts as lost
-	}
+	links.Store(int32(linksRefuse))
+	r.loseService()
 	if got := <-done; got.err != nil || got.body != eventSeries(1, 4) {
 		t.Errorf("got %q, %v; want the whole stream", got.body, got.err)
 	}
 }
+
+// TestAttemptOnSilentLinksIsEnded guards against a request that waits for its endpoint until
+// the connection times out, although this host hears nothing from any endpoint.
+func TestAttemptOnSilentLinksIsEnded(t *testing.T) {
+	r, links := newLinkedRig(t, plainRoute(route.Idempotent, 1))
+	started, ended := make(chan struct{}, 1), make(chan struct{})
+	for _, id := range []string{"e1", "e2", "e3"} {
+		r.endpoint(id, func(_ http.ResponseWriter, hr *http.Request) {
+			started <- struct{}{}
+			<-hr.Context().Done()
+			close(ended)
+		})
+	}
+	answered := make(chan int, 1)
+	go func() {
+		resp, _, err := r.call("GET", "/p/x")
+		if err != nil {
+			t.Error(err)
+			answered <- 0
+			return
+		}
+		answered <- resp.StatusCode
+	}()
+	<-started
+	links.Store(int32(linksSilent))
+	r.loseService()
+	if status := <-answered; status != http.StatusBadGateway {
+		t.Errorf("got status %d, want 502 before the deadline", status)
+	}
+	<-ended
+}
