relay, control: retries follow a roll-out that has ended

Cause: the version is chosen once, when the request arrives, and kept for its retries. It still is while the roll-out is in progress, so that a session keeps its version; once a roll-out has ended against the version, the next attempt goes to the one that serves in its place.

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -109,6 +109,7 @@
 // version, except for a request with a version that has already excluded an endpoint,
 // or whose endpoints may only have reached their rate limits.
 func (j *job) choose() (*slot, error) {
+	j.followRollout()
 	anyVersionAllowed := j.version == "" || len(j.exclude) == 0 && j.pool.shortestDenial() == 0
 	sl, err := j.pool.choose(j, cmp.Or(j.version, j.firstVersion))
 	if err != nil && anyVersionAllowed {
@@ -119,3 +120,12 @@
 	}
 	return sl, err
 }
+
+// followRollout moves the request to another version if a roll-out has meanwhile ended against
+// its own one, whose endpoints stop.
+func (j *job) followRollout() {
+	if next, ok := j.relay.Versions.Successor(j.pool.service, cmp.Or(j.version, j.firstVersion)); ok {
+		j.addStep("follows", next)
+		j.version, j.firstVersion = next, ""
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -39,6 +39,9 @@
 	// Pick returns the version for the session that hashes to point in [0, 1), or
 	// an empty string if any version may serve it.
 	Pick(service string, point float64) string
+	// Successor returns the version that serves in place of another one, whose roll-out has
+	// ended against it; false while the other one serves.
+	Successor(service, version string) (string, bool)
 	// Admit counts an attempt that is about to be sent to a version for the session at
 	// point, if it may be sent there.
 	Admit(service, version string, point float64) rollout.Admission
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -98,6 +98,8 @@
 	mu       sync.Mutex
 	bad      int
 	observed []rollout.Observation
+	// version is the version of new requests, if set; replaced is the one that it has replaced.
+	version, replaced string
 }
 
 func (v *unrestrictedVersions) observations() []rollout.Observation {
@@ -106,7 +108,24 @@
 	return slices.Clone(v.observed)
 }
 
-func (*unrestrictedVersions) Pick(string, float64) string { return "" }
+// setVersion sets the version of new requests, and the one whose endpoints stop.
+func (v *unrestrictedVersions) setVersion(version, replaced string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.version, v.replaced = version, replaced
+}
+
+func (v *unrestrictedVersions) Pick(string, float64) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.version
+}
+
+func (v *unrestrictedVersions) Successor(_, version string) (string, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.version, version != "" && version == v.replaced
+}
 
 func (v *unrestrictedVersions) Admit(_, version string, _ float64) rollout.Admission {
 	if v.refuse != nil {
