relay: a request that has run is handed to the next host when one refuses it

Cause: only the status 503 was taken for a refusal without a run, and a request that has run before must not get 503.

What counts is the number of runs that the host reports. TestStreamThatHasBegunAsksAnotherHost failed before (unexpected EOF, one host asked).

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -189,9 +189,10 @@
 }
 
 // handleForwardRefusal handles the error response of a host. If the host has not run the
-// request and another one may be able to, that one is tried next.
+// request and another one may be able to, that one is tried next. The status does not tell: a
+// request that has run before may not be answered with 503.
 func (j *job) handleForwardRefusal(ctx context.Context, host string, answer *upstream.Response, res forwardResult) *ErrorResponse {
-	notRun := j.possibleRuns == 0 && answer.Status == http.StatusServiceUnavailable
+	notRun := res.runs == 0 && (j.possibleRuns > 0 || answer.Status == http.StatusServiceUnavailable)
 	if notRun && res.outcome == reasonExposure {
 		j.excludeHosts = append(j.excludeHosts, host)
 		return nil // says nothing of the host's links
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -18,6 +18,7 @@
 	"github.com/corianderlever/corianderlever/forward"
 	"github.com/corianderlever/corianderlever/limiter"
 	"github.com/corianderlever/corianderlever/relay"
+	"github.com/corianderlever/corianderlever/rollout"
 	"github.com/corianderlever/corianderlever/route"
 	"github.com/corianderlever/corianderlever/upstream"
 )
@@ -213,3 +214,28 @@
 		t.Errorf("got %q, %v; want the events 1 to 5", body, err)
 	}
 }
+
+// TestStreamThatHasBegunAsksAnotherHost guards against a stream that ends in the middle because
+// the first of the hosts that may go on with it refuses, although it has not run it.
+func TestStreamThatHasBegunAsksAnotherHost(t *testing.T) {
+	origin, links := newCutRig(t, streamRoute(true))
+	links.cut.Store(false)
+	for _, id := range []string{"e1", "e2", "e3"} {
+		origin.endpoint(id, func(w http.ResponseWriter, _ *http.Request) {
+			links.cut.Store(true)
+			events(w, 1, 2, true)
+		})
+	}
+	refusing, serving := newRig(t, streamRoute(true)), newRig(t, streamRoute(true))
+	refusing.endpoint("r", func(w http.ResponseWriter, _ *http.Request) { events(w, 3, 4, false) })
+	refusing.refuseVersion("v1", rollout.Admission{RetryAfter: time.Minute})
+	serving.endpoint("s", func(w http.ResponseWriter, _ *http.Request) { events(w, 3, 4, false) })
+	links.hosts = []string{refusing.listen(nil), serving.listen(nil)}
+	_, body, err := origin.call("POST", "/p/x")
+	if err != nil || body != eventSeries(1, 4) {
+		t.Errorf("got %q, %v; want the events 1 to 4", body, err)
+	}
+	if n := links.forwards(); n != 2 {
+		t.Errorf("%d hosts were asked, want 2", n)
+	}
+}
