relay: a stream that has begun waits for the end of a roll-out's exposure

A caller's stream ended in the middle when its endpoint broke off between the completion of a roll-out and its deadline: no version was left but the new one, and this host and those that it asked had used up their parts of the exposure.

A request that has run, and so can't be sent again by its caller without a loss, now waits for that moment if its own deadline lies later. Others are rejected at once, as before, with the time to the deadline as Retry-After. TestStreamThatHasBegunWaitsForTheExposure failed before (unexpected EOF).

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -128,9 +128,30 @@
 			return errResp
 		}
 	}
+	if j.awaitExposure(ctx, a.RetryAfter) {
+		return nil
+	}
 	return j.giveUp(reasonExposure, "version "+sl.endpoint.Version+" may get no more requests yet", max(a.RetryAfter, shortRetryAfter))
 }
 
+// minExposureWait is the shortest time between two attempts that wait for the exposure.
+const minExposureWait = 10 * time.Millisecond
+
+// awaitExposure waits until the version of a request may get more requests again. It returns
+// false for a request that has not run, which its caller can send again, for one of another
+// host, which waits itself, and if the wait would last longer than the request may.
+func (j *job) awaitExposure(ctx context.Context, wait time.Duration) bool {
+	if j.possibleRuns == 0 || j.from != "" || wait <= 0 || wait >= j.remaining() {
+		return false
+	}
+	j.addStep("waited_ms=" + strconv.FormatInt(wait.Milliseconds(), 10))
+	select {
+	case <-j.relay.Clock.After(max(wait, minExposureWait)):
+	case <-ctx.Done(): // the next attempt reports it
+	}
+	return true
+}
+
 // checkExpectedStart rejects a request immediately if even the best engine is not
 // expected to start it before its deadline. The request has not run, so the caller
 // may retry it later.
--- a/relay/rollout_test.go
+++ b/relay/rollout_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/corianderlever/corianderlever/rollout"
 	"github.com/corianderlever/corianderlever/route"
 )
 
@@ -27,3 +30,34 @@
 		})
 	}
 }
+
+// TestStreamThatHasBegunWaitsForTheExposure guards against a stream that ends in the middle
+// because its only version may get no more requests until the deadline of its roll-out.
+func TestStreamThatHasBegunWaitsForTheExposure(t *testing.T) {
+	const untilDeadline = 200 * time.Millisecond
+	r := newRig(t, streamRoute(true))
+	var limited atomic.Bool
+	var end atomic.Pointer[time.Time]
+	r.versions.refuse = func(string) (rollout.Admission, bool) {
+		if !limited.Load() {
+			return rollout.Admission{}, false
+		}
+		end.CompareAndSwap(nil, new(time.Now().Add(untilDeadline)))
+		left := time.Until(*end.Load())
+		return rollout.Admission{RetryAfter: left}, left > 0
+	}
+	var attempts atomic.Int32
+	for _, id := range []string{"e1", "e2"} {
+		r.endpoint(id, func(w http.ResponseWriter, _ *http.Request) {
+			if attempts.Add(1) > 1 {
+				events(w, 3, 4, false)
+				return
+			}
+			limited.Store(true)
+			events(w, 1, 2, true)
+		})
+	}
+	if _, body, err := r.call("POST", "/p/x"); err != nil || body != eventSeries(1, 4) {
+		t.Errorf("got %q, %v; want the events 1 to 4", body, err)
+	}
+}
