relay: an answer that has begun goes on after its key is revoked

The request was accepted with a valid key and sent before the change; a planned change cuts no answer.

Requests of which nothing has been sent to the caller are refused as before (TestRechecksKeyBeforeRetry), and so are new ones. TestStreamThatHasBegunGoesOnAfterItsKeyIsRevoked failed before (unexpected EOF).

--- a/relay/job.go
+++ b/relay/job.go
@@ -224,10 +224,11 @@
 	return j.deadline.Sub(j.relay.Clock.Now())
 }
 
-// recheck repeats the checks of age and key right before a send, because
-// their result may have changed while the request waited.
+// recheck repeats the checks of age and key right before a send, because their result may
+// have changed while the request waited. An answer that has begun goes on: its request was
+// accepted, and a change of the configuration cuts no answer in the middle.
 func (j *job) recheck() *ErrorResponse {
-	if !j.requiresKey {
+	if !j.requiresKey || j.headerSent {
 		return nil
 	}
 	if errResp := j.checkKeyAge(); errResp != nil {
--- a/relay/rollout_test.go
+++ b/relay/rollout_test.go
@@ -61,3 +61,40 @@
 		t.Errorf("got %q, %v; want the events 1 to 4", body, err)
 	}
 }
+
+// TestStreamThatHasBegunGoesOnAfterItsKeyIsRevoked guards against a stream that ends in the
+// middle, at its next attempt, because of a change of the configuration.
+func TestStreamThatHasBegunGoesOnAfterItsKeyIsRevoked(t *testing.T) {
+	r := newRig(t, streamRoute(true))
+	var attempts atomic.Int32
+	for _, id := range []string{"e1", "e2"} {
+		r.endpoint(id, func(w http.ResponseWriter, _ *http.Request) {
+			if attempts.Add(1) > 1 {
+				events(w, 3, 4, false)
+				return
+			}
+			r.config.set(func(s *configSource) { s.table = r.withoutKeys() })
+			events(w, 1, 2, true)
+		})
+	}
+	if _, body, err := r.call("POST", "/p/x"); err != nil || body != eventSeries(1, 4) {
+		t.Errorf("got %q, %v; want the events 1 to 4", body, err)
+	}
+	if resp, _, err := r.call("POST", "/p/x"); err != nil || resp.StatusCode != http.StatusUnauthorized {
+		t.Errorf("a new request with the key got %v, %v; want 401", resp, err)
+	}
+}
+
+// withoutKeys returns the routing table of the rig without the keys of its team.
+func (r *rig) withoutKeys() *route.Table {
+	routes := []route.Route{streamRoute(true)}
+	routes[0].Host, routes[0].Shares = "h.example", []route.Share{{Service: "s", Weight: 1}}
+	table, err := route.NewTable(route.Config{
+		Version: 2, Routes: routes, Services: []route.Service{{Name: "s", Engine: &route.Engine{Slots: 4, KVCacheTokens: 10000, TokensPerEvent: 1}}},
+		Teams: []route.Team{{Name: "red", Keys: []string{"another key"}}},
+	})
+	if err != nil {
+		r.t.Error(err)
+	}
+	return table
+}
