relay: endpoints that a roll-out has stopped have not crashed

An endpoint of a version against which a roll-out has ended is no longer counted.

TestEndpointStoppedByARolloutHasNotCrashed fails without the check.

--- a/relay/crash.go
+++ b/relay/crash.go
@@ -114,7 +114,7 @@
 	j.pool.paths.failed(sl.endpoint.ID, err)
 	go func() {
 		start := endpointStart(sl.endpoint)
-		if j.pool.paths.othersAccept(sl.endpoint) && upstream.Refused(err) && j.relay.Parts.Watches(start) {
+		if j.pool.paths.othersAccept(sl.endpoint) && upstream.Refused(err) && !j.pool.paths.stops(sl.endpoint) && j.relay.Parts.Watches(start) {
 			j.relay.Parts.RecordCrash(start)
 		}
 	}()
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -244,7 +244,7 @@
 // crashed reports whether an endpoint has crashed according to an investigation. If the
 // endpoint was silent, it waits until the endpoint refuses connections, has started anew or
 // is gone. One that accepts connections again, or stays silent, has not crashed as far as
-// this host knows.
+// this host knows, and one that was stopped has not.
 func (ps *paths) crashed(e fleet.Endpoint, found verdict) bool {
 	for range silentChecks {
 		if found != endpointSilent {
@@ -257,7 +257,14 @@
 		}
 		found = ps.investigate(e)
 	}
-	return found == endpointDown
+	return found == endpointDown && !ps.stops(e)
+}
+
+// stops reports whether an endpoint refuses connections because it was stopped: a roll-out has
+// ended against its version.
+func (ps *paths) stops(e fleet.Endpoint) bool {
+	_, replaced := ps.pool.relay.Versions.Successor(ps.pool.service, e.Version)
+	return replaced
 }
 
 // othersAccept reports whether endpoints other than one that has failed accept connections
--- a/relay/rollout_test.go
+++ b/relay/rollout_test.go
@@ -98,3 +98,22 @@
 	}
 	return table
 }
+
+// TestEndpointStoppedByARolloutHasNotCrashed guards against sound requests that count as the
+// cause of a crash, because a completed roll-out has stopped the endpoint that ran them.
+func TestEndpointStoppedByARolloutHasNotCrashed(t *testing.T) {
+	r := newRig(t, plainRoute(route.Idempotent, 3))
+	old := r.endpointOf("v1", "old", reject)
+	r.endpointOf("v2", "new", func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, "served") })
+	if _, body, err := r.call("GET", "/p/x"); err != nil || body != "served" {
+		t.Fatalf("got %q, %v", body, err)
+	}
+	old.Close()
+	if !r.relay.Crashed("old") {
+		t.Error("an endpoint that refuses connections has not crashed")
+	}
+	r.versions.setVersion("v2", "v1")
+	if r.relay.Crashed("old") {
+		t.Error("an endpoint that a roll-out has stopped counts as crashed")
+	}
+}
