relay: a host with open connections to sound endpoints serves on after refused ones

After two refused connections a host handed the request to others, which met the same stopped endpoints, although it had open connections to endpoints that were answering. Those were used only while the service counted as lost, and only for requests without a refusal of their own.

Open connections now come first after a refusal, if some endpoint has answered within the last second and no connection attempt of the request stayed unanswered.

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -24,8 +24,8 @@
 	return j.unreachable || j.dialFailures >= maxOwnDialFailures || j.pool.paths.reach.Lost()
 }
 
-// chooseIdle picks an endpoint with an open connection, while new ones cannot be opened.
-// It returns false if there is none or the open connections are silent, too.
+// chooseIdle picks an endpoint with an open connection after new ones were refused. It returns
+// false if there is none or the open connections are silent, too.
 func (j *job) chooseIdle() (*slot, bool) {
 	if !j.pool.paths.answeredWithin(silentTime) {
 		return nil, false
@@ -47,8 +47,7 @@
 	if !j.mustForward() {
 		return j.chooseOwn()
 	}
-	lost := j.pool.paths.reach.Lost()
-	if lost && !j.unreachable && j.dialFailures == 0 {
+	if !j.unreachable {
 		if sl, ok := j.chooseIdle(); ok {
 			return sl, nil
 		}
@@ -56,7 +55,7 @@
 	if forwarded, errResp := j.forward(ctx); forwarded {
 		return nil, errResp
 	}
-	if lost {
+	if j.pool.paths.reach.Lost() {
 		return j.chooseUntried()
 	}
 	return j.chooseOwn()
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -239,3 +239,29 @@
 		t.Errorf("%d hosts were asked, want 2", n)
 	}
 }
+
+// TestRefusedConnectionsLeaveOpenOnes guards against a request that fails, or is handed to
+// another host, because some endpoints have crashed, while this host has open connections to
+// others that serve.
+func TestRefusedConnectionsLeaveOpenOnes(t *testing.T) {
+	origin, links := newCutRig(t, plainRoute(route.NonIdempotent, 1))
+	links.cut.Store(false)
+	origin.endpoint("sound", func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, "served") })
+	if _, body, err := origin.call("POST", "/p/x"); err != nil || body != "served" {
+		t.Fatalf("got %q, %v", body, err)
+	}
+	for _, id := range []string{"c1", "c2", "c3", "c4", "c5", "c6"} {
+		origin.endpoint(id, reject).Close()
+	}
+	helper := newRig(t, plainRoute(route.NonIdempotent, 1))
+	links.hosts = []string{helper.listen(nil), helper.listen(nil), helper.listen(nil)}
+	for range 5 {
+		resp, body, err := origin.call("POST", "/p/x")
+		if err != nil || resp.StatusCode != http.StatusOK || body != "served" {
+			t.Fatalf("got %v, %q, %v; want the answer of the endpoint with an open connection", resp, body, err)
+		}
+	}
+	if n := links.forwards(); n != 0 {
+		t.Errorf("%d requests were handed to other hosts, want none", n)
+	}
+}
