relay: hosts tell each other which endpoints a forwarded request did not reach

A host that forwards a request, or gives one back, now names the endpoints to which it could not connect. The next host tries them last, not never: only the first one may have lost the path to them. Nothing is kept beyond the request, so the word of one host takes no endpoint from the others.

The field and the header are additions; hosts of earlier builds ignore both. TestForwardedRequestAvoidsEndpointsThatOthersDidNotReach covers both directions and the case without other endpoints.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -19,6 +19,9 @@
 	TimeLeft time.Duration `json:"time_left"`
 	// Exclude lists the endpoints that failed or rejected the request.
 	Exclude []string `json:"exclude,omitempty"`
+	// Unreached lists the endpoints to which a host could not connect for the request. They
+	// may have failed, or only that host may not reach them.
+	Unreached []string `json:"unreached,omitempty"`
 	// Delivered counts the endpoints that have received the request, Runs those that may
 	// have run it.
 	Delivered int `json:"delivered,omitempty"`
@@ -58,6 +61,9 @@
 	headerRuns      = "Forward-Runs"
 	// headerEndpoint is the id of the endpoint that has answered.
 	headerEndpoint = "Forward-Endpoint"
+	// headerUnreached, in an error response, is the id of an endpoint to which the host could
+	// not connect; one line for each.
+	headerUnreached = "Forward-Unreached"
 	// outcomeAnswered means that the answer comes from an endpoint.
 	outcomeAnswered = "answered"
 )
@@ -85,7 +91,7 @@
 	j.forwards++
 	sent := j.relay.Clock.Now()
 	answer, err := j.relay.Forwarder.Forward(ctx, host, Forwarded{
-		Request: j.req, TimeLeft: j.remaining(), Exclude: j.failedEndpoints(), Delivered: j.delivered, Runs: j.possibleRuns,
+		Request: j.req, TimeLeft: j.remaining(), Exclude: j.failedEndpoints(), Unreached: slices.Concat(j.avoid, j.unreached), Delivered: j.delivered, Runs: j.possibleRuns,
 		ModelIndex: j.modelIndex, Version: j.firstVersion, LastEvent: j.lastEvent, HeaderSent: j.headerSent,
 	}, j.req.Body)
 	if err != nil {
@@ -131,6 +137,7 @@
 type forwardResult struct {
 	outcome, detail string
 	endpoint        string
+	unreached       []string
 	delivered, runs int
 }
 
@@ -140,10 +147,11 @@
 // takeForwardResult removes the result from the header of a host's answer.
 func takeForwardResult(h http.Header) (forwardResult, error) {
 	res := forwardResult{outcome: h.Get(headerOutcome), detail: h.Get(headerDetail), endpoint: h.Get(headerEndpoint)}
+	res.unreached = h.Values(headerUnreached)
 	var err, runsErr error
 	res.delivered, err = strconv.Atoi(h.Get(headerDelivered))
 	res.runs, runsErr = strconv.Atoi(h.Get(headerRuns))
-	for _, name := range []string{headerOutcome, headerDetail, headerEndpoint, headerDelivered, headerRuns} {
+	for _, name := range []string{headerOutcome, headerDetail, headerEndpoint, headerUnreached, headerDelivered, headerRuns} {
 		h.Del(name)
 	}
 	if err != nil || runsErr != nil || res.outcome == "" || res.runs < 0 || res.delivered < 0 {
@@ -192,6 +200,7 @@
 // request and another one may be able to, that one is tried next. The status does not tell: a
 // request that has run before may not be answered with 503.
 func (j *job) handleForwardRefusal(ctx context.Context, host string, answer *upstream.Response, res forwardResult) *ErrorResponse {
+	j.avoid = append(j.avoid, res.unreached...)
 	notRun := res.runs == 0 && (j.possibleRuns > 0 || answer.Status == http.StatusServiceUnavailable)
 	if notRun && res.outcome == reasonExposure {
 		j.excludeHosts = append(j.excludeHosts, host)
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -265,3 +267,41 @@
 		t.Errorf("%d requests were handed to other hosts, want none", n)
 	}
 }
+
+// TestForwardedRequestAvoidsEndpointsThatOthersDidNotReach guards against hosts that try the same
+// crashed endpoints one after the other, and against endpoints that are left out although only
+// the host that has forwarded the request does not reach them.
+func TestForwardedRequestAvoidsEndpointsThatOthersDidNotReach(t *testing.T) {
+	r := newRig(t, plainRoute(route.NonIdempotent, 1))
+	serve := func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, "served") }
+	for _, id := range []string{"a", "b", "c"} {
+		r.endpoint(id, serve)
+	}
+	forwarded := func(f relay.Forwarded) *httptest.ResponseRecorder {
+		f.TimeLeft, f.LastEvent = time.Minute, -1
+		f.Request = &relay.Request{ID: "attempt-1", Method: "POST", Target: "/p/x", Path: "/p/x", Host: "h.example", Key: r.key, Header: make(http.Header), LastEvent: -1}
+		w := httptest.NewRecorder()
+		r.relay.ServeForwarded(t.Context(), w, "origin", f)
+		return w
+	}
+	for range 10 {
+		if w := forwarded(relay.Forwarded{Unreached: []string{"a", "c"}}); w.Code != http.StatusOK {
+			t.Fatalf("got status %d", w.Code)
+		}
+	}
+	for _, got := range r.arrivals() {
+		if !strings.HasPrefix(got, "b") {
+			t.Errorf("a request reached %s, want b", got)
+		}
+	}
+	if w := forwarded(relay.Forwarded{Unreached: []string{"a", "b", "c"}}); w.Code != http.StatusOK {
+		t.Errorf("got status %d although all endpoints serve", w.Code)
+	}
+	for _, e := range r.fleet.Service("s") {
+		e.Address, e.Revision = "127.0.0.1:1", e.Revision+10 // refuses connections
+		r.fleet.Set(e)
+	}
+	if w := forwarded(relay.Forwarded{}); len(w.Header().Values("Forward-Unreached")) == 0 {
+		t.Errorf("got the header %v, want the endpoints that were tried", w.Header())
+	}
+}
--- a/relay/job.go
+++ b/relay/job.go
@@ -64,6 +64,9 @@
 	// exclude lists the endpoints that failed or rejected the request, unreached those of
 	// them to which this host could not connect. Other hosts may reach these.
 	exclude, unreached []string
+	// avoid lists the endpoints to which other hosts could not connect for this request. They
+	// are tried if there are no others.
+	avoid []string
 	// delivered counts the attempts that an endpoint has received. possibleRuns
 	// counts the attempts that may have run.
 	delivered, possibleRuns, rejections, dialFailures int
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -156,11 +156,13 @@
 }
 
 // choose picks an endpoint for the job and takes a slot there. Endpoints that have lately
-// refused a connection, or sent an answer without end, are picked only if there is no other.
+// refused a connection, also of another host for this request, or sent an answer without end,
+// are picked only if there is no other.
 func (p *pool) choose(j *job, version string) (*slot, error) {
 	p.refresh(j.service)
 	exclude := p.excluded(j)
 	avoided := slices.AppendSeq(p.relay.holds.avoided(p.relay.Fleet.Service(p.service), p.relay.Clock.Now()), maps.Keys(p.paths.reach.Avoided()))
+	avoided = append(avoided, j.avoid...)
 	if len(avoided) > 0 {
 		if sl, err := p.chooseFrom(j, version, append(slices.Clone(exclude), avoided...)); err == nil {
 			return sl, nil
--- a/relay/serveforwarded.go
+++ b/relay/serveforwarded.go
@@ -13,7 +13,7 @@
 	now := r.Clock.Now()
 	f.Request.Timeout = max(time.Millisecond, f.TimeLeft)
 	j := &job{
-		relay: r, req: f.Request, w: w, arrived: now, lastEvent: f.LastEvent, from: from, exclude: f.Exclude,
+		relay: r, req: f.Request, w: w, arrived: now, lastEvent: f.LastEvent, from: from, exclude: f.Exclude, avoid: f.Unreached,
 		delivered: f.Delivered, possibleRuns: f.Runs, deliveredBefore: f.Delivered, runsBefore: f.Runs,
 		firstVersion: f.Version, modelIndex: f.ModelIndex, headerSentBefore: f.HeaderSent,
 	}
@@ -35,6 +35,9 @@
 	h.Set(headerOutcome, outcome)
 	h.Set(headerDetail, detail[:min(len(detail), maxDetailBytes)])
 	h.Set(headerEndpoint, j.endpoint)
+	if outcome != outcomeAnswered {
+		h[headerUnreached] = j.unreached
+	}
 	h.Set(headerDelivered, strconv.Itoa(j.delivered-j.deliveredBefore))
 	h.Set(headerRuns, strconv.Itoa(j.possibleRuns-j.runsBefore))
 }
