relay: a lost service ends no answer in progress

An endpoint may pause for a second or so and then not answer to a connection attempt either, a plain body that is arriving counted as silent, events that came during the check were not seen, and the host's own end of an attempt was held against the endpoint and its version. Whatever a connection attempt says, it says nothing of the connection on which an answer is under way.

The check is gone. Open connections have their own evidence: keep-alive probes and the bound on unacknowledged data end them 3 to 4 s after their links have fallen silent.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -58,10 +58,7 @@
 	}
 	sl.run = j.relay.Parts.Start(endpointStart(sl.endpoint), j.parts)
 	defer j.endRun(sl)
-	sendCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer j.watch(sl, cancel)()
-	answer, err := j.send(sendCtx, sl)
+	answer, err := j.send(ctx, sl)
 	if err != nil {
 		return j.handleSendError(ctx, sl, err)
 	}
@@ -69,16 +66,6 @@
 	return j.handleAnswer(ctx, sl, answer)
 }
 
-// watch keeps track of the attempt for the checks of the paths to its service, until the
-// returned function is called.
-func (j *job) watch(sl *slot, cancel context.CancelFunc) (unwatch func()) {
-	sl.received, sl.request = j.relay.Clock.Now(), j.req.ID
-	if j.route.Retryable() {
-		sl.cancel = cancel
-	}
-	return j.pool.paths.track(sl)
-}
-
 // send sends the request to the endpoint of the attempt and waits for the header of its
 // answer.
 func (j *job) send(ctx context.Context, sl *slot) (*upstream.Response, error) {
@@ -87,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	j.pool.paths.received(sl)
+	j.pool.paths.received()
 	if !answer.Reused() {
 		j.pool.paths.opened(sl.endpoint.ID)
 	}
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -146,13 +146,6 @@
 	// observed is set once the outcome has been recorded for the version's roll-out.
 	observed bool
 	released bool
-	// received is when the endpoint last sent something, or the start before that. cancel
-	// ends the attempt if another endpoint may go on with it, and is nil otherwise. The
-	// lock of paths guards received.
-	received time.Time
-	cancel   context.CancelFunc
-	// request is the id of the request, for the log.
-	request string
 }
 
 // choose picks an endpoint for the job and takes a slot there. Endpoints that have lately
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -30,8 +30,8 @@
 	// registered, after some seconds.
 	silentCheckInterval = time.Second
 	silentChecks        = 10
-	// silentTime is the time without a byte from any endpoint of a lost service after which
-	// its attempts are given up.
+	// silentTime is the time without a byte from any endpoint after which open connections are
+	// not preferred to another host.
 	silentTime = time.Second
 )
 
@@ -44,8 +44,6 @@
 	mu sync.Mutex
 	// checks holds the last check for the endpoints of each failure domain.
 	checks map[string]*pathCheck
-	// attempts are the attempts in flight.
-	attempts map[*slot]struct{}
 	// answered is when an endpoint last sent something.
 	answered time.Time
 	// watching is set while watchLost runs.
@@ -63,28 +61,16 @@
 
 func newPaths(p *pool) *paths {
 	return &paths{
-		pool: p, reach: limiter.NewReach(p.relay.Clock), checks: make(map[string]*pathCheck), attempts: make(map[*slot]struct{}),
+		pool: p, reach: limiter.NewReach(p.relay.Clock), checks: make(map[string]*pathCheck),
 	}
 }
 
-// track keeps an attempt in flight. The returned function ends that.
-func (ps *paths) track(sl *slot) (untrack func()) {
-	ps.mu.Lock()
-	defer ps.mu.Unlock()
-	ps.attempts[sl] = struct{}{}
-	return func() {
-		ps.mu.Lock()
-		defer ps.mu.Unlock()
-		delete(ps.attempts, sl)
-	}
-}
-
-// received records that the endpoint of an attempt has sent something.
-func (ps *paths) received(sl *slot) {
+// received records that an endpoint has sent something.
+func (ps *paths) received() {
 	now := ps.pool.relay.Clock.Now()
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	ps.answered, sl.received = now, now
+	ps.answered = now
 }
 
 // answeredWithin reports whether an endpoint has sent something within the given time.
@@ -127,14 +113,14 @@
 	}
 }
 
-// watchLost checks the paths to a lost service until some endpoint accepts connections. It
-// ends the attempts that have become silent.
+// watchLost checks the paths to a lost service until some endpoint accepts connections. The
+// attempts in flight go on: an endpoint that refuses new connections, or pauses, may serve on,
+// and the probes on their own connections find out whether those are lost.
 func (ps *paths) watchLost() {
 	if !ps.beginWatch() {
 		return
 	}
 	for !ps.endWatch() {
-		ps.cancelSilent()
 		ps.dialAny()
 		ps.pool.relay.Clock.Sleep(lostCheckInterval)
 	}
@@ -158,54 +144,6 @@
 	return !ps.watching
 }
 
-// cancelSilent ends the attempts that another endpoint may go on with, if the links of this
-// host seem to be silent: no endpoint has sent anything for silentTime, and theirs do not
-// answer to connection attempts. An endpoint that accepts one may only be busy, and one that
-// refuses it may serve on: it may be leaving, or have all the connections that it takes.
-func (ps *paths) cancelSilent() {
-	if ps.answeredWithin(silentTime) {
-		return
-	}
-	silent := ps.silentAttempts()
-	var endpoints []fleet.Endpoint
-	for _, attempts := range silent {
-		endpoints = append(endpoints, attempts[0].endpoint)
-	}
-	for i, err := range ps.dialAll(endpoints) {
-		if !upstream.Unanswered(err) {
-			continue
-		}
-		for _, sl := range silent[endpoints[i].ID] {
-			ps.pool.relay.Logger.Warn("silent attempt ended", "request", sl.request, "endpoint", sl.endpoint.ID,
-				"silent_ms", ps.silence(sl).Milliseconds(), "error", err)
-			sl.cancel()
-		}
-	}
-}
-
-// silence returns the time for which nothing has arrived on an attempt.
-func (ps *paths) silence(sl *slot) time.Duration {
-	now := ps.pool.relay.Clock.Now()
-	ps.mu.Lock()
-	defer ps.mu.Unlock()
-	return now.Sub(sl.received)
-}
-
-// silentAttempts returns, by endpoint, the attempts that may be ended and on which nothing
-// has arrived for silentTime.
-func (ps *paths) silentAttempts() map[string][]*slot {
-	now := ps.pool.relay.Clock.Now()
-	ps.mu.Lock()
-	defer ps.mu.Unlock()
-	out := make(map[string][]*slot)
-	for sl := range ps.attempts {
-		if sl.cancel != nil && now.Sub(sl.received) >= silentTime {
-			out[sl.endpoint.ID] = append(out[sl.endpoint.ID], sl)
-		}
-	}
-	return out
-}
-
 // verdict is the result of an investigation.
 type verdict int
 
