relay: only streams that have begun wait for the exposure

Waiting is for answers that would otherwise end in the middle. TestRequestWithoutAnAnswerDoesNotWaitForTheExposure failed before.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -124,11 +124,11 @@
 // minExposureWait is the shortest time between two attempts that wait for the exposure.
 const minExposureWait = 10 * time.Millisecond
 
-// awaitExposure waits until the version of a request may get more requests again. It returns
-// false for a request that has not run, which its caller can send again, for one of another
-// host, which waits itself, and if the wait would last longer than the request may.
+// awaitExposure waits until the version of a request may get more requests again, if its caller
+// has received a part of the answer. It returns false for one of another host, which waits
+// itself, and if the wait would last longer than the request may.
 func (j *job) awaitExposure(ctx context.Context, wait time.Duration) bool {
-	if j.possibleRuns == 0 || j.from != "" || wait <= 0 || wait >= j.remaining() {
+	if !j.headerSent || j.from != "" || wait <= 0 || wait >= j.remaining() {
 		return false
 	}
 	j.addStep("waited_ms=" + strconv.FormatInt(wait.Milliseconds(), 10))
--- a/relay/rollout_test.go
+++ b/relay/rollout_test.go
@@ -62,6 +62,30 @@
 	}
 }
 
+// TestRequestWithoutAnAnswerDoesNotWaitForTheExposure guards against a request that is held for
+// most of its time, although its caller has received nothing and can be told at once.
+func TestRequestWithoutAnAnswerDoesNotWaitForTheExposure(t *testing.T) {
+	r := newRig(t, plainRoute(route.Idempotent, 3))
+	var limited atomic.Bool
+	var refusals atomic.Int32
+	r.versions.refuse = func(string) (rollout.Admission, bool) {
+		if !limited.Load() {
+			return rollout.Admission{}, false
+		}
+		refusals.Add(1)
+		return rollout.Admission{RetryAfter: 100 * time.Millisecond}, true
+	}
+	for _, id := range []string{"e1", "e2"} {
+		r.endpoint(id, func(w http.ResponseWriter, hr *http.Request) {
+			limited.Store(true)
+			dropConnection(w, hr)
+		})
+	}
+	if resp, _, err := r.call("GET", "/p/x"); err != nil || resp.StatusCode != http.StatusBadGateway || refusals.Load() != 1 {
+		t.Errorf("got %v, %v after %d refusals; want 502 after the first", resp, err, refusals.Load())
+	}
+}
+
 // TestStreamThatHasBegunGoesOnAfterItsKeyIsRevoked guards against a stream that ends in the
 // middle, at its next attempt, because of a change of the configuration.
 func TestStreamThatHasBegunGoesOnAfterItsKeyIsRevoked(t *testing.T) {
