relay: a stream that has begun goes on at a host with a newer configuration or full endpoints

Found in the review: a stream that had begun, whose key was revoked, went on at its own host, but the host that it was handed to refused it with 401, and it ended in the middle. The team and priority with which a request was accepted now travel with it; a host uses them only for an answer that has begun. A host whose endpoints were all full for the moment, or that had none of the version, ended such a stream as well; the next one is asked now, three at most, as before.

Hosts of earlier builds ignore the two fields, and do as before without them. TestStreamThatHasBegunGoesOnAtAnotherHost: the cases "key revoked" and "endpoints are full" failed before.

--- a/relay/crash.go
+++ b/relay/crash.go
@@ -15,7 +15,9 @@
 )
 
 const (
-	// crashRetryAfter is the Retry-After of a request that crashes endpoints.
+	// reasonCrashes is the reason of an error response to a request that crashes endpoints,
+	// and crashRetryAfter its Retry-After.
+	reasonCrashes   = "crashes_endpoints"
 	crashRetryAfter = 30 * time.Second
 )
 
@@ -60,7 +62,7 @@
 		}
 		detail = "prompt part " + j.req.Parts[i].ID + ", hash " + strconv.FormatUint(uint64(j.parts[i]), 10)
 	}
-	return &ErrorResponse{Status: http.StatusServiceUnavailable, Reason: "crashes_endpoints", Detail: detail, RetryAfter: crashRetryAfter}
+	return &ErrorResponse{Status: http.StatusServiceUnavailable, Reason: reasonCrashes, Detail: detail, RetryAfter: crashRetryAfter}
 }
 
 // recordComplete records that an endpoint has completed an answer. An answer that ends
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -35,6 +35,10 @@
 	LastEvent int64 `json:"last_event"`
 	// HeaderSent is set if the caller has received the header of an answer.
 	HeaderSent bool `json:"header_sent,omitempty"`
+	// Team and Priority are those of the key with which the request was accepted. They hold
+	// for an answer that has begun, also if the key has been revoked since.
+	Team     string `json:"team,omitempty"`
+	Priority int    `json:"priority,omitempty"`
 }
 
 // Forwarder reaches the hosts that may serve requests in place of this one.
@@ -93,6 +97,7 @@
 	answer, err := j.relay.Forwarder.Forward(ctx, host, Forwarded{
 		Request: j.req, TimeLeft: j.remaining(), Exclude: j.failedEndpoints(), Unreached: slices.Concat(j.avoid, j.unreached), Delivered: j.delivered, Runs: j.possibleRuns,
 		ModelIndex: j.modelIndex, Version: j.firstVersion, LastEvent: j.lastEvent, HeaderSent: j.headerSent,
+		Team: j.team, Priority: j.priority,
 	}, j.req.Body)
 	if err != nil {
 		return true, j.handleForwardError(ctx, host, err)
@@ -210,6 +215,10 @@
 		j.excludeHost(host)
 		return nil
 	}
+	if notRun && j.headerSent && res.outcome != reasonCrashes {
+		j.excludeHosts = append(j.excludeHosts, host) // its endpoints may be full for the moment
+		return nil
+	}
 	if res.outcome == ReasonStopping {
 		j.excludeHost(host)
 		return j.checkRetry(ctx, res.outcome)
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -217,28 +217,47 @@
 	}
 }
 
-// TestStreamThatHasBegunAsksAnotherHost guards against a stream that ends in the middle because
-// the first of the hosts that may go on with it refuses, although it has not run it.
-func TestStreamThatHasBegunAsksAnotherHost(t *testing.T) {
-	origin, links := newCutRig(t, streamRoute(true))
-	links.cut.Store(false)
-	for _, id := range []string{"e1", "e2", "e3"} {
-		origin.endpoint(id, func(w http.ResponseWriter, _ *http.Request) {
-			links.cut.Store(true)
-			events(w, 1, 2, true)
-		})
+// TestStreamThatHasBegunGoesOnAtAnotherHost guards against a stream that ends in the middle
+// because the first of the hosts that may go on with it refuses without having run it, or
+// because the host that does has a newer configuration, without the key of the request.
+func TestStreamThatHasBegunGoesOnAtAnotherHost(t *testing.T) {
+	nothing := func(*rig) {}
+	exposureUsedUp := func(r *rig) {
+		r.endpoint("unused", reject)
+		r.refuseVersion("v1", rollout.Admission{RetryAfter: time.Minute})
 	}
-	refusing, serving := newRig(t, streamRoute(true)), newRig(t, streamRoute(true))
-	refusing.endpoint("r", func(w http.ResponseWriter, _ *http.Request) { events(w, 3, 4, false) })
-	refusing.refuseVersion("v1", rollout.Admission{RetryAfter: time.Minute})
-	serving.endpoint("s", func(w http.ResponseWriter, _ *http.Request) { events(w, 3, 4, false) })
-	links.hosts = []string{refusing.listen(nil), serving.listen(nil)}
-	_, body, err := origin.call("POST", "/p/x")
-	if err != nil || body != eventSeries(1, 4) {
-		t.Errorf("got %q, %v; want the events 1 to 4", body, err)
-	}
-	if n := links.forwards(); n != 2 {
-		t.Errorf("%d hosts were asked, want 2", n)
+	for name, c := range map[string]struct{ first, second func(*rig) }{
+		"exposure used up":   {exposureUsedUp, nothing},
+		"endpoints are full": {func(r *rig) { r.endpoint("full", reject) }, nothing},
+		"key revoked":        {exposureUsedUp, func(r *rig) { r.config.set(func(s *configSource) { s.table = r.withoutKeys() }) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			origin, links := newCutRig(t, streamRoute(true))
+			links.cut.Store(false)
+			for _, id := range []string{"e1", "e2", "e3"} {
+				origin.endpoint(id, func(w http.ResponseWriter, _ *http.Request) {
+					links.cut.Store(true)
+					events(w, 1, 2, true)
+				})
+			}
+			first, second := newRig(t, streamRoute(true)), newRig(t, streamRoute(true))
+			c.first(first)
+			c.second(second)
+			second.endpoint("s", func(w http.ResponseWriter, hr *http.Request) {
+				if hr.Header.Get("X-Team") != "red" {
+					t.Errorf("got team %q, want red", hr.Header.Get("X-Team"))
+				}
+				events(w, 3, 4, false)
+			})
+			links.hosts = []string{first.listen(nil), second.listen(nil)}
+			_, body, err := origin.call("POST", "/p/x")
+			if err != nil || body != eventSeries(1, 4) {
+				t.Errorf("got %q, %v; want the events 1 to 4", body, err)
+			}
+			if n := links.forwards(); n != 2 {
+				t.Errorf("%d hosts were asked, want 2", n)
+			}
+		})
 	}
 }
 
--- a/relay/job.go
+++ b/relay/job.go
@@ -78,6 +78,10 @@
 	from                        string
 	deliveredBefore, runsBefore int
 	headerSentBefore            bool
+	// acceptedTeam and acceptedPriority are what the other host has found for the key; the
+	// team is empty if it did not say.
+	acceptedTeam     string
+	acceptedPriority int
 	// forwards counts the hosts to which the request was sent; excludeHosts lists those
 	// that could not serve it.
 	forwards     int
@@ -190,6 +194,10 @@
 		return errResp
 	}
 	team, ok := j.table.TeamForKey(j.req.Key)
+	if !ok && j.headerSentBefore && j.acceptedTeam != "" {
+		j.team, j.priority = j.acceptedTeam, j.acceptedPriority
+		return nil
+	}
 	if !ok {
 		return j.deny(http.StatusUnauthorized, "unknown_key", "")
 	}
@@ -231,7 +239,7 @@
 // have changed while the request waited. An answer that has begun goes on: its request was
 // accepted, and a change of the configuration cuts no answer in the middle.
 func (j *job) recheck() *ErrorResponse {
-	if !j.requiresKey || j.headerSent {
+	if !j.requiresKey || j.headerSent || j.headerSentBefore {
 		return nil
 	}
 	if errResp := j.checkKeyAge(); errResp != nil {
@@ -276,7 +284,7 @@
 	case j.delivered == 0:
 		return nil // no endpoint has received the request, so this is not a retry
 	case j.checkCrashGuard() != nil:
-		return j.giveUp("crashes_endpoints", reason, crashRetryAfter)
+		return j.giveUp(reasonCrashes, reason, crashRetryAfter)
 	}
 	if !j.pool.takeRetry() {
 		return j.giveUp(reason, "retry budget exhausted", shortRetryAfter)
--- a/relay/serveforwarded.go
+++ b/relay/serveforwarded.go
@@ -16,6 +16,7 @@
 		relay: r, req: f.Request, w: w, arrived: now, lastEvent: f.LastEvent, from: from, exclude: f.Exclude, avoid: f.Unreached,
 		delivered: f.Delivered, possibleRuns: f.Runs, deliveredBefore: f.Delivered, runsBefore: f.Runs,
 		firstVersion: f.Version, modelIndex: f.ModelIndex, headerSentBefore: f.HeaderSent,
+		acceptedTeam: f.Team, acceptedPriority: f.Priority,
 	}
 	errResp := j.run(ctx)
 	j.finish(ctx, errResp)
