relay: an endpoint that goes on with its answers has not crashed

A dead process ends all its connections, so an endpoint with an attempt of this host in flight that is heard of after the refusal, or stays open for two seconds, has not crashed.

TestEndpointThatServesOnHasNotCrashed failed before. The tests of parts that crash engines pass as before.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -58,6 +58,7 @@
 	}
 	sl.run = j.relay.Parts.Start(endpointStart(sl.endpoint), j.parts)
 	defer j.endRun(sl)
+	defer j.pool.paths.track(sl.endpoint.ID)()
 	answer, err := j.send(ctx, sl)
 	if err != nil {
 		return j.handleSendError(ctx, sl, err)
@@ -74,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	j.pool.paths.received()
+	j.pool.paths.received(sl.endpoint.ID)
 	if !answer.Reused() {
 		j.pool.paths.opened(sl.endpoint.ID)
 	}
@@ -355,6 +356,7 @@
 		return j.handleBrokenAnswer(ctx, sl, "answer_cut", err.Error())
 	}
 	defer buffer.Release()
+	j.pool.paths.received(sl.endpoint.ID)
 	body := buffer.Data
 	took := j.relay.Clock.Since(sl.started)
 	j.addStep(sl.endpoint.ID, j.model, strconv.Itoa(answer.Status))
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -115,8 +115,11 @@
 func (j *job) checkFailedDial(sl *slot, err error) {
 	j.pool.paths.failed(sl.endpoint.ID, err)
 	go func() {
-		start := endpointStart(sl.endpoint)
-		if j.pool.paths.othersAccept(sl.endpoint) && upstream.Refused(err) && !j.pool.paths.stops(sl.endpoint) && j.relay.Parts.Watches(start) {
+		start, ps := endpointStart(sl.endpoint), j.pool.paths
+		if !ps.othersAccept(sl.endpoint) || !upstream.Refused(err) || !j.relay.Parts.Watches(start) {
+			return
+		}
+		if !ps.stops(sl.endpoint) && !ps.servesOn(sl.endpoint.ID) {
 			j.relay.Parts.RecordCrash(start)
 		}
 	}()
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -30,6 +30,10 @@
 	// registered, after some seconds.
 	silentCheckInterval = time.Second
 	silentChecks        = 10
+	// servingCheckInterval is the time between two looks at the attempts in flight at an
+	// endpoint that refuses connections, and servingChecks their number.
+	servingCheckInterval = 100 * time.Millisecond
+	servingChecks        = 20
 	// silentTime is the time without a byte from any endpoint after which open connections are
 	// not preferred to another host.
 	silentTime = time.Second
@@ -44,8 +48,11 @@
 	mu sync.Mutex
 	// checks holds the last check for the endpoints of each failure domain.
 	checks map[string]*pathCheck
-	// answered is when an endpoint last sent something.
+	// answered is when an endpoint last sent something, heard when each one with attempts in
+	// flight did. running counts these attempts.
 	answered time.Time
+	heard    map[string]time.Time
+	running  map[string]int
 	// watching is set while watchLost runs.
 	watching bool
 }
@@ -62,15 +69,47 @@
 func newPaths(p *pool) *paths {
 	return &paths{
 		pool: p, reach: limiter.NewReach(p.relay.Clock), checks: make(map[string]*pathCheck),
+		heard: make(map[string]time.Time), running: make(map[string]int),
 	}
 }
 
-// received records that an endpoint has sent something.
-func (ps *paths) received() {
+// track counts an attempt in flight at an endpoint. The returned function ends that.
+func (ps *paths) track(id string) (untrack func()) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	ps.running[id]++
+	return func() {
+		ps.mu.Lock()
+		defer ps.mu.Unlock()
+		if ps.running[id]--; ps.running[id] == 0 {
+			delete(ps.running, id)
+			delete(ps.heard, id)
+		}
+	}
+}
+
+// received records that an endpoint with an attempt in flight has sent something.
+func (ps *paths) received(id string) {
 	now := ps.pool.relay.Clock.Now()
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	ps.answered = now
+	ps.answered, ps.heard[id] = now, now
+}
+
+// servesOn reports whether an endpoint goes on with attempts of this host some time after it
+// has refused a connection. If its process has ended, so have all of them.
+func (ps *paths) servesOn(id string) bool {
+	refused := ps.pool.relay.Clock.Now()
+	for range servingChecks {
+		ps.mu.Lock()
+		running, heard := ps.running[id] > 0, ps.heard[id].After(refused)
+		ps.mu.Unlock()
+		if !running || heard {
+			return running
+		}
+		ps.pool.relay.Clock.Sleep(servingCheckInterval)
+	}
+	return true
 }
 
 // answeredWithin reports whether an endpoint has sent something within the given time.
@@ -182,7 +221,8 @@
 // crashed reports whether an endpoint has crashed according to an investigation. If the
 // endpoint was silent, it waits until the endpoint refuses connections, has started anew or
 // is gone. One that accepts connections again, or stays silent, has not crashed as far as
-// this host knows, and one that was stopped has not.
+// this host knows. One that was stopped has not, nor one that refuses new connections and goes
+// on with its answers.
 func (ps *paths) crashed(e fleet.Endpoint, found verdict) bool {
 	for range silentChecks {
 		if found != endpointSilent {
@@ -191,11 +231,11 @@
 		ps.pool.relay.Clock.Sleep(silentCheckInterval)
 		now, ok := ps.pool.relay.Fleet.Endpoint(e.ID)
 		if !ok || now.Started != e.Started {
-			return true
+			return !ps.stops(e)
 		}
 		found = ps.investigate(e)
 	}
-	return found == endpointDown && !ps.stops(e)
+	return found == endpointDown && !ps.stops(e) && !ps.servesOn(e.ID)
 }
 
 // stops reports whether an endpoint refuses connections because it was stopped: a roll-out has
--- a/relay/silentpath_test.go
+++ b/relay/silentpath_test.go
@@ -214,3 +214,34 @@
 		})
 	}
 }
+
+// TestEndpointThatServesOnHasNotCrashed guards against sound requests that count as the cause of
+// a crash, because their endpoint refuses new connections while it goes on with its answers.
+func TestEndpointThatServesOnHasNotCrashed(t *testing.T) {
+	r, links := newLinkedRig(t, streamRoute(true))
+	started, goOn := make(chan struct{}), make(chan struct{})
+	r.endpoint("serving", func(w http.ResponseWriter, _ *http.Request) {
+		events(w, 1, 2, false)
+		w.(http.Flusher).Flush()
+		close(started)
+		<-goOn
+		events(w, 3, 4, false)
+	})
+	done := make(chan string)
+	go func() {
+		_, body, _ := r.call("POST", "/p/x")
+		done <- body
+	}()
+	<-started
+	links.Store(int32(linksRefuse))
+	if r.relay.Crashed("serving") {
+		t.Error("an endpoint with an answer under way counts as crashed")
+	}
+	close(goOn)
+	if body := <-done; body != eventSeries(1, 4) {
+		t.Errorf("got %q, want the whole stream", body)
+	}
+	if !r.relay.Crashed("serving") {
+		t.Error("an endpoint that refuses connections and serves nothing has not crashed")
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -51,7 +51,7 @@
 			return j.handleBrokenStream(ctx, sl, n, err)
 		}
 		now := j.relay.Clock.Now()
-		j.pool.paths.received()
+		j.pool.paths.received(sl.endpoint.ID)
 		if n > 0 {
 			j.longestEventGap = max(j.longestEventGap, now.Sub(last))
 			pace.add(now.Sub(last))
