dispatch: an answer is kept while its endpoint turns probes away

What callers saw: an answer on which nothing had arrived for 4.9 s was given up while its endpoint worked on it, if that endpoint took no new connections (it stops, or is at its connection limit) or answered the probe as busy. The request then depended on the retry budget and on another endpoint.

Cause: a probe that the endpoint refuses was treated like one that gets no answer, so the detector's limit ran out. The refusal tells about new work and nothing about the connection of the answer.

Change: a refused probe (connection refused, reset or closed, or answered as busy) restarts the limit. Probes without any answer still count as before.

Shown: TestSlowAnswerOfEndpointThatTurnsProbesAwayIsKept failed before in its four cases of refusal ("connection went silent"; "timed out" passed) and passes now; go test -race ./engine ./limiter pass.

--- a/dispatch/silence.go
+++ b/dispatch/silence.go
@@ -73,17 +73,21 @@
 	}
 }
 
-// probe asks the endpoint for the state of the attempt over a new connection. A
-// failed probe is not reported to the detector, so its time limits keep running.
+// probe asks the endpoint for the state of the attempt over a new connection. A probe
+// without an answer is not reported to the detector, so its time limits keep running.
 func (g *silenceGuard) probe(ctx context.Context) limiter.SilenceAction {
 	ctx, cancel := context.WithTimeout(ctx, limiter.ProbeTimeout)
 	defer cancel()
 	status, err := g.d.Engines.Probe(ctx, g.addr, g.attempt)
-	if err != nil {
-		return limiter.SilenceNone
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	switch {
+	case engine.TurnedAway(err):
+		g.detector.HandleProbeTurnedAway(g.d.Clock.Now())
+		return limiter.SilenceNone
+	case err != nil:
+		return limiter.SilenceNone
+	}
 	return g.detector.HandleProbeResult(g.d.Clock.Now(), limiter.ProbeResult{
 		Running: status.Running, Progress: status.Progress, Sent: status.Sent,
 	})
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -3,6 +3,8 @@
 package engine
 
 import (
+	"io"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -144,3 +146,13 @@
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
+
+// TurnedAway reports whether an endpoint that is reachable has refused a request or its
+// connection. It may still serve its other connections.
+func TurnedAway(err error) bool {
+	var failed *Error
+	if errors.As(err, &failed) && failed.Status != 0 {
+		return failed.Busy
+	}
+	return errors.IsAny(err, syscall.ECONNREFUSED, syscall.ECONNRESET, io.EOF)
+}
--- a/limiter/silence.go
+++ b/limiter/silence.go
@@ -52,7 +52,7 @@
 // or its response is only slow. It is a state machine over the times passed to
 // it and is not safe for concurrent use. A connection is given up if the
 // attempt no longer runs, if it makes no progress, or if the endpoint has sent
-// more than was received.
+// more than was received. An endpoint that turns probes away tells none of this.
 type SilenceDetector struct {
 	lastProgress time.Time // last byte, or last progress shown by a probe
 	received     uint64
@@ -126,6 +126,17 @@
 	return SilenceNone
 }
 
+// HandleProbeTurnedAway records that the endpoint has refused the last probe, be it
+// the connection or the request. The endpoint is reachable, and its answer may only
+// be slow.
+func (d *SilenceDetector) HandleProbeTurnedAway(now time.Time) {
+	if d.probeStarted.IsZero() || now.Sub(d.probeStarted) > ProbeTimeout {
+		return
+	}
+	d.lastProgress = d.probeStarted
+	d.probeStarted = time.Time{}
+}
+
 func (d *SilenceDetector) giveUp() SilenceAction {
 	d.abandoned = true
 	return SilenceGiveUp
