dispatch: a broken stream goes on at the only endpoint that is left

What callers saw: a stream whose connection broke ended in the middle with "no endpoint serves version" although its endpoint was well, if the other endpoints of the version were leaving, had not loaded it, or were not in use by this host.

Cause: an endpoint that was tried was excluded until as many had been tried as the configuration declares, which counts endpoints that cannot be chosen. Calls to plain services allowed all again; chat did not.

Change: tried endpoints are the last choice, for both, in one place.

Shown: TestStreamResumesAtTheOnlyUsableEndpoint failed before ("no endpoint serves version \"small-2\"" after the first token); go test -race ./dispatch passes.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -30,39 +30,39 @@
 // the deadline passes. A broken answer is resumed at the next token.
 func (g *generation) generate(ctx context.Context) (engine.Final, error) {
 	g.d.Retries.RecordRequest()
-	var exclude []string
+	var tried []string
 	for n := 1; ; n++ {
 		tokensBefore := g.tokens
-		final, endpoint, err := g.attemptOnce(ctx, g.excludeCrashed(exclude))
+		final, endpoint, err := g.attemptOnce(ctx, g.excludeCrashed(tried))
 		if err == nil {
 			return final, nil
 		}
 		if endpoint != "" {
-			exclude = append(exclude, endpoint)
+			tried = append(tried, endpoint)
 		}
 		if stop := g.checkRetry(ctx, n, g.tokens > tokensBefore, err); stop != nil {
 			return engine.Final{}, stop
 		}
-		if g.triedAll(exclude) {
-			exclude = nil // every endpoint has been tried once, so all are allowed again
+		if g.triedAll(tried) {
+			tried = nil
 		}
 	}
 }
 
-// triedAll reports whether every endpoint of the version is excluded.
-func (g *generation) triedAll(exclude []string) bool {
-	return len(exclude) >= len(g.d.Config.Current().EndpointsForVersion(g.version))
+// triedAll reports whether every endpoint of the version has been tried.
+func (g *generation) triedAll(tried []string) bool {
+	return len(tried) >= len(g.d.Config.Current().EndpointsForVersion(g.version))
 }
 
 // excludeCrashed adds the endpoint that crashed while running the request, if
 // another endpoint serves the version. A second crash on another endpoint shows
 // that the request is the cause and not the endpoint.
-func (g *generation) excludeCrashed(exclude []string) []string {
+func (g *generation) excludeCrashed(tried []string) []string {
 	avoid := g.d.Crashes.Admit(g.hash).AvoidEndpoint
 	if avoid == "" || len(g.d.Config.Current().EndpointsForVersion(g.version)) < 2 {
-		return exclude
+		return tried
 	}
-	return append(slices.Clone(exclude), avoid)
+	return append(slices.Clone(tried), avoid)
 }
 
 // checkRetry returns nil if another attempt may be made, and the final error
@@ -85,8 +85,8 @@
 
 // attemptOnce makes one attempt and returns the endpoint that it used; empty if no
 // endpoint was available.
-func (g *generation) attemptOnce(ctx context.Context, exclude []string) (engine.Final, string, error) {
-	sl, err := g.acquire(ctx, exclude)
+func (g *generation) attemptOnce(ctx context.Context, tried []string) (engine.Final, string, error) {
+	sl, err := g.acquire(ctx, tried)
 	if err != nil {
 		return engine.Final{}, "", err
 	}
@@ -115,8 +115,10 @@
 
 // acquire waits for a slot and then checks the configuration again, because the
 // version may have been withdrawn during the wait.
-func (g *generation) acquire(ctx context.Context, exclude []string) (*slot, error) {
-	sl, err := g.d.acquire(ctx, g.trace, g.version, prefixBlocks(g.req.Body.Messages), exclude, g.hash)
+func (g *generation) acquire(ctx context.Context, tried []string) (*slot, error) {
+	sl, err := g.d.acquire(ctx, g.trace, slotRequest{
+		version: g.version, prefix: prefixBlocks(g.req.Body.Messages), hash: g.hash, tried: tried,
+	})
 	if err != nil {
 		if errors.Is(err, balance.ErrNoEndpoint) {
 			return nil, apiError(http.StatusServiceUnavailable, api.CodeUnavailable, "no endpoint serves version %q", g.version)
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,22 +12,31 @@
 	"github.com/corianderlever/corianderlever/limiter"
 )
 
+// slotRequest describes the slot that an attempt needs.
+type slotRequest struct {
+	version string
+	prefix  []uint64
+	hash    limiter.Hash
+	// tried are the endpoints that are used only if there is no other.
+	tried []string
+}
+
 // acquire waits for a slot at an endpoint that has not reached the rate limit which it
 // names. If all others have, it returns an *api.Error with the time until one may take a
 // request again.
-func (d *Dispatcher) acquire(ctx context.Context, trace *Trace, version string, prefix []uint64, exclude []string, hash limiter.Hash) (*slot, error) {
-	if d.Pool.lost(version) {
-		trace.add("reach", "this host reaches no endpoint of %s", version)
+func (d *Dispatcher) acquire(ctx context.Context, trace *Trace, req slotRequest) (*slot, error) {
+	if d.Pool.lost(req.version) {
+		trace.add("reach", "this host reaches no endpoint of %s", req.version)
 		return nil, unreachableError()
 	}
-	exclude = slices.Clone(exclude)
+	var exclude []string
 	shortest := time.Duration(0)
 	for name, wait := range d.denied() {
 		exclude = append(exclude, name)
 		shortest = shorter(shortest, wait)
 	}
 	for {
-		sl, err := d.Pool.acquire(ctx, version, prefix, exclude, hash)
+		sl, err := d.Pool.acquireUntried(ctx, req, exclude)
 		if errors.Is(err, balance.ErrNoEndpoint) && shortest > 0 {
 			return nil, limitedError(shortest)
 		}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/corianderlever/corianderlever/balance"
@@ -213,6 +214,16 @@
 	started      time.Time
 }
 
+// acquireUntried acquires a slot at an endpoint that is not excluded, and at one that was
+// tried before only if there is no other.
+func (ep *EndpointPool) acquireUntried(ctx context.Context, req slotRequest, exclude []string) (*slot, error) {
+	sl, err := ep.acquire(ctx, req.version, req.prefix, slices.Concat(exclude, req.tried), req.hash)
+	if errors.Is(err, balance.ErrNoEndpoint) && len(req.tried) > 0 {
+		return ep.acquire(ctx, req.version, req.prefix, exclude, req.hash)
+	}
+	return sl, err
+}
+
 // acquire chooses an endpoint with a free slot. It waits while all are full. hash
 // identifies the content of the request; 0 for a call to a plain service.
 func (ep *EndpointPool) acquire(ctx context.Context, version string, prefix []uint64, exclude []string, hash limiter.Hash) (*slot, error) {
--- /dev/null
+++ b/dispatch/resume_test.go
@@ -0,0 +1,64 @@
+package dispatch_test
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/corianderlever/corianderlever/api"
+	"github.com/corianderlever/corianderlever/client"
+	"github.com/corianderlever/corianderlever/dispatch"
+	"github.com/corianderlever/corianderlever/engine"
+)
+
+var errConnectionBroken = errors.New("connection broken")
+
+// breakingEngines is a dispatch.Engines whose first answer breaks off after a token, although
+// its endpoint goes on.
+type breakingEngines struct {
+	dispatch.Engines
+	broken atomic.Bool
+	// onBreak runs when the answer breaks off.
+	onBreak func()
+}
+
+func (e *breakingEngines) Generate(ctx context.Context, addr string, req engine.GenerateRequest, onToken func(engine.Event) error) (engine.Final, error) {
+	if e.broken.Swap(true) {
+		return e.Engines.Generate(ctx, addr, req, onToken)
+	}
+	_, err := e.Engines.Generate(ctx, addr, req, func(ev engine.Event) error {
+		return errors.CombineErrors(onToken(ev), errConnectionBroken)
+	})
+	e.onBreak()
+	return engine.Final{}, &engine.Error{Outcome: api.OutcomeUnknown, Lost: true, Err: err}
+}
+
+func (e *breakingEngines) Probe(context.Context, string, string) (engine.AttemptStatus, error) {
+	return engine.AttemptStatus{Running: true}, nil
+}
+
+// wantBrokenStreamResumed requests a stream that breaks off after its first token, and checks
+// that the caller gets the whole answer.
+func (r *rig) wantBrokenStreamResumed(onBreak func()) {
+	r.t.Helper()
+	r.d.Engines = &breakingEngines{Engines: r.d.Engines, onBreak: onBreak}
+	var text strings.Builder
+	_, err := r.client.Stream(context.Background(), client.Request{}, chat("small", "long letter"), func(s string) error {
+		text.WriteString(s)
+		return nil
+	})
+	if err != nil {
+		r.t.Errorf("the stream ended after %q: %v", text.String(), err)
+	}
+}
+
+// TestStreamResumesAtTheOnlyUsableEndpoint guards against a stream that ends with its
+// connection because the other endpoints of its version are leaving.
+func TestStreamResumesAtTheOnlyUsableEndpoint(t *testing.T) {
+	r := newRig(t, 2)
+	r.pool.ObserveLoad("engine-b", engine.LoadReport{Leaving: true})
+	r.wantBrokenStreamResumed(func() {})
+}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/corianderlever/corianderlever/api"
-	"github.com/corianderlever/corianderlever/balance"
 	"github.com/corianderlever/corianderlever/claim"
 	"github.com/corianderlever/corianderlever/engine"
 	"github.com/corianderlever/corianderlever/internal/drain"
@@ -225,13 +224,13 @@
 // attempt that may have run, only an idempotent operation is retried.
 func (c *call) runAttempts(ctx context.Context) (engine.Reply, error) {
 	c.d.Retries.RecordRequest()
-	var exclude []string
+	var tried []string
 	for n := 1; ; n++ {
-		reply, endpoint, err := c.attemptOnce(ctx, exclude)
+		reply, endpoint, err := c.attemptOnce(ctx, tried)
 		if err == nil {
 			return reply, nil
 		}
-		exclude = append(exclude, endpoint)
+		tried = append(tried, endpoint)
 		var apiErr *api.Error
 		retryable := c.op.Idempotent || !c.mayHaveRun
 		if errors.As(err, &apiErr) || !retryable || ctx.Err() != nil || n >= maxAttempts || !c.d.Retries.TryRetry() {
@@ -242,17 +241,14 @@
 }
 
 // attemptOnce makes one attempt and returns the endpoint that it used; empty if no
-// endpoint was available. If all endpoints are excluded, it chooses among all of them.
-func (c *call) attemptOnce(ctx context.Context, exclude []string) (engine.Reply, string, error) {
+// endpoint was available.
+func (c *call) attemptOnce(ctx context.Context, tried []string) (engine.Reply, string, error) {
 	if c.op.Timeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, c.op.Timeout.AsDuration())
 		defer cancel()
 	}
-	sl, err := c.d.acquire(ctx, c.trace, ServiceVersion(c.req.Service), nil, exclude, 0)
-	if errors.Is(err, balance.ErrNoEndpoint) && len(exclude) > 0 {
-		sl, err = c.d.acquire(ctx, c.trace, ServiceVersion(c.req.Service), nil, nil, 0)
-	}
+	sl, err := c.d.acquire(ctx, c.trace, slotRequest{version: ServiceVersion(c.req.Service), tried: tried})
 	var limited *api.Error
 	if errors.As(err, &limited) {
 		return engine.Reply{}, "", err
