dispatch: a request that may have run goes on although its service counts as lost

What callers saw: a stream that broke off ended with "this host reaches no endpoint" when two or three endpoints had refused new connections of this host, although others, or kept connections to the same ones, still served.

Cause: a service that counts as lost rejects every attempt, so that another host can serve the request. A request that may have run cannot be handed to another host, so the rejection only ended it.

Change: only requests that have not run are rejected for a lost service.

Shown: TestStreamResumesAlthoughServiceCountsAsLost failed before ("this host reaches no endpoint that could serve the request", after the first token); go test -race ./dispatch passes.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -117,7 +117,8 @@
 // version may have been withdrawn during the wait.
 func (g *generation) acquire(ctx context.Context, tried []string) (*slot, error) {
 	sl, err := g.d.acquire(ctx, g.trace, slotRequest{
-		version: g.version, prefix: prefixBlocks(g.req.Body.Messages), hash: g.hash, tried: tried,
+		version: g.version, prefix: prefixBlocks(g.req.Body.Messages), hash: g.hash,
+		tried: tried, started: g.mayHaveRun,
 	})
 	if err != nil {
 		if errors.Is(err, balance.ErrNoEndpoint) {
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -19,13 +19,15 @@
 	hash    limiter.Hash
 	// tried are the endpoints that are used only if there is no other.
 	tried []string
+	// started is set if the request may have run, so that no other host can serve it.
+	started bool
 }
 
 // acquire waits for a slot at an endpoint that has not reached the rate limit which it
 // names. If all others have, it returns an *api.Error with the time until one may take a
 // request again.
 func (d *Dispatcher) acquire(ctx context.Context, trace *Trace, req slotRequest) (*slot, error) {
-	if d.Pool.lost(req.version) {
+	if !req.started && d.Pool.lost(req.version) {
 		trace.add("reach", "this host reaches no endpoint of %s", req.version)
 		return nil, unreachableError()
 	}
--- a/dispatch/resume_test.go
+++ b/dispatch/resume_test.go
@@ -62,3 +62,16 @@
 	r.pool.ObserveLoad("engine-b", engine.LoadReport{Leaving: true})
 	r.wantBrokenStreamResumed(func() {})
 }
+
+// TestStreamResumesAlthoughServiceCountsAsLost guards against a stream that ends because
+// endpoints refuse new connections of this host. No other host can continue it.
+func TestStreamResumesAlthoughServiceCountsAsLost(t *testing.T) {
+	r := newRig(t, 2)
+	r.wantBrokenStreamResumed(func() {
+		r.pool.ObserveContact("engine-a", false)
+		r.pool.ObserveContact("engine-b", false)
+		if len(r.pool.LostServices()) == 0 {
+			t.Error("the engines do not count as lost")
+		}
+	})
+}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -248,7 +248,7 @@
 		ctx, cancel = context.WithTimeout(ctx, c.op.Timeout.AsDuration())
 		defer cancel()
 	}
-	sl, err := c.d.acquire(ctx, c.trace, slotRequest{version: ServiceVersion(c.req.Service), tried: tried})
+	sl, err := c.d.acquire(ctx, c.trace, slotRequest{version: ServiceVersion(c.req.Service), tried: tried, started: c.mayHaveRun})
 	var limited *api.Error
 	if errors.As(err, &limited) {
 		return engine.Reply{}, "", err
