--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -162,6 +162,19 @@
 	return out
 }
 
+// addressesOf returns the addresses of the endpoints that serve a version, by name.
+func (ep *EndpointPool) addressesOf(version string) map[string]string {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	out := make(map[string]string)
+	for name, st := range ep.endpoints {
+		if slices.Contains(st.versions(), version) {
+			out[name] = st.spec.Address
+		}
+	}
+	return out
+}
+
 // ObserveLoad records a load report of an endpoint.
 func (ep *EndpointPool) ObserveLoad(name string, r engine.LoadReport) {
 	at := ep.clock.Now().Add(-time.Duration(r.AgeMS) * time.Millisecond)
--- a/dispatch/resume_test.go
+++ b/dispatch/resume_test.go
@@ -75,3 +75,11 @@
 		}
 	})
 }
+
+// TestStreamWaitsForPermitToResume guards against a stream that ends in the middle because its
+// endpoint takes no request at this moment under the rate limit that it names.
+func TestStreamWaitsForPermitToResume(t *testing.T) {
+	r := newRig(t, 1)
+	r.endpoints.Engines[0].SetRateLimit(2)
+	r.wantBrokenStreamResumed(func() {})
+}
