dispatch: an endpoint that is removed while a request waits costs no retry

What callers saw: for a moment after an endpoint was removed or moved, accepted requests failed (chat: 503; plain services: 502) although other endpoints served and nothing had been sent.

Cause: the configuration in force may be newer than the pool. A request that had chosen such an endpoint took its next choice from the retry budget, which a host with little traffic, or after a wave of failures, does not have.

Change: the choice of an endpoint passes over those that are no longer in use, leaving ones included, within one attempt. A call to a plain service at a host whose configuration is stale now ends at once with 503, as chat does, instead of using up retries and ending with 502.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -127,14 +127,11 @@
 		return nil, errors.Wrapf(err, "wait for an endpoint of version %q", g.version)
 	}
 	snap := g.d.Config.Current()
-	spec := snap.Endpoints[sl.endpoint]
 	switch {
 	case !g.d.Config.Fresh():
-		err = apiError(http.StatusServiceUnavailable, api.CodeUnavailable, "this host cannot confirm that its configuration is current")
+		err = staleError()
 	case !snap.MayServe(g.req.Team, g.version):
 		err = apiError(http.StatusForbidden, api.CodeForbidden, "version %q is no longer allowed or serving", g.version)
-	case spec == nil || spec.Address != sl.addr:
-		err = errors.Newf("endpoint %q has been removed or moved", sl.endpoint)
 	default:
 		if err = g.d.rejectedPart(g.parts); err == nil {
 			err = g.d.startProbation(ctx, g.hash, sl.endpoint)
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -10,6 +10,7 @@
 	"github.com/corianderlever/corianderlever/api"
 	"github.com/corianderlever/corianderlever/balance"
 	"github.com/corianderlever/corianderlever/limiter"
+	"github.com/corianderlever/corianderlever/resource"
 )
 
 // slotRequest describes the slot that an attempt needs.
@@ -51,7 +52,7 @@
 	return !ok || d.Clock.Now().Add(wait).Before(deadline)
 }
 
-// acquirePermitted waits for a slot at an endpoint that grants a permit. If none does at this
+// acquirePermitted waits for a slot at an endpoint in use that grants a permit. If none does at this
 // moment, it returns the time until the first may.
 func (d *Dispatcher) acquirePermitted(ctx context.Context, trace *Trace, req slotRequest) (*slot, time.Duration, error) {
 	var exclude []string
@@ -69,16 +70,25 @@
 			return nil, 0, err
 		}
 		wait := d.Permits.Acquire(ctx, sl.addr)
-		if wait == 0 {
+		if wait == 0 && d.inUse(sl) {
 			return sl, 0, nil
 		}
-		trace.add("permit", "%s has reached its rate limit for %v", sl.endpoint, wait)
+		if wait > 0 {
+			trace.add("permit", "%s has reached its rate limit for %v", sl.endpoint, wait)
+			shortest = shorter(shortest, wait)
+		}
 		sl.release(limiter.OutcomeIgnored, 0)
 		exclude = append(exclude, sl.endpoint)
-		shortest = shorter(shortest, wait)
 	}
 }
 
+// inUse reports whether the configuration in force still has the endpoint of a slot. It may be
+// newer than the pool.
+func (d *Dispatcher) inUse(sl *slot) bool {
+	spec := d.Config.Current().Endpoints[sl.endpoint]
+	return spec != nil && spec.Address == sl.addr && spec.State != resource.EndpointLeaving
+}
+
 // shorter returns the shorter of two times; zero stands for none.
 func shorter(a, b time.Duration) time.Duration {
 	if a == 0 {
--- a/dispatch/resolve.go
+++ b/dispatch/resolve.go
@@ -31,8 +31,7 @@
 func (d *Dispatcher) resolve(req ChatRequest) (target, error) {
 	snap := d.Config.Current()
 	if !d.Config.Fresh() {
-		return target{}, apiError(http.StatusServiceUnavailable, api.CodeUnavailable,
-			"this host cannot confirm that its configuration is current")
+		return target{}, staleError()
 	}
 	t, err := resolveRank(snap, req.Team, req.Rank)
 	if err != nil {
@@ -44,6 +43,12 @@
 	return d.resolveModels(snap, req, t)
 }
 
+// staleError is the error for a request that comes, or would be sent, while the configuration
+// is not fresh.
+func staleError() *api.Error {
+	return apiError(http.StatusServiceUnavailable, api.CodeUnavailable, "this host cannot confirm that its configuration is current")
+}
+
 func resolveRank(snap *resource.Snapshot, team, requested string) (target, error) {
 	name, ok := snap.RankFor(team, requested)
 	if name == "" || snap.Ranks[name] == nil {
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -114,12 +114,18 @@
 	return r
 }
 
-func (r *rig) apply(queue *admission.Queue, list []resource.Resource) {
+func (r *rig) snapshot(list []resource.Resource) *resource.Snapshot {
 	r.t.Helper()
 	snap, err := resource.NewSnapshot(1, list)
 	if err != nil {
 		r.t.Fatal(err)
 	}
+	return snap
+}
+
+func (r *rig) apply(queue *admission.Queue, list []resource.Resource) {
+	r.t.Helper()
+	snap := r.snapshot(list)
 	r.config.snap.Store(snap)
 	if err := queue.ApplyConfig(dispatch.AdmissionConfig(snap)); err != nil {
 		r.t.Fatal(err)
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -88,7 +88,7 @@
 func (c *call) resolveAndServe(ctx context.Context) (ServiceAnswer, error) {
 	snap := c.d.Config.Current()
 	if !c.d.Config.Fresh() {
-		return ServiceAnswer{}, apiError(http.StatusServiceUnavailable, api.CodeUnavailable, "this host cannot confirm that its configuration is current")
+		return ServiceAnswer{}, staleError()
 	}
 	if err := c.resolve(snap); err != nil {
 		return ServiceAnswer{}, err
@@ -256,10 +256,9 @@
 	if err != nil {
 		return engine.Reply{}, "", apiError(http.StatusServiceUnavailable, api.CodeUnavailable, "no endpoint of service %q: %v", c.req.Service, err)
 	}
-	snap := c.d.Config.Current()
-	if spec := snap.Endpoints[sl.endpoint]; spec == nil || spec.Address != sl.addr || !c.d.Config.Fresh() {
+	if !c.d.Config.Fresh() {
 		sl.release(limiter.OutcomeIgnored, 0)
-		return engine.Reply{}, sl.endpoint, errors.Newf("endpoint %q is not in the current configuration, or the configuration is stale", sl.endpoint)
+		return engine.Reply{}, "", staleError()
 	}
 	c.trace.add("endpoint", "%s, attempt %s", sl.endpoint, sl.attempt)
 	started := c.d.Clock.Now()
