dispatch: a refused connection takes nothing from the retry budget

What callers saw: right after an endpoint had stopped or crashed, requests failed at its refused connection although other endpoints served, if the host had no retry left, as a host with little traffic never has.

Cause: the budget bounds repeated work, but an attempt for which no connection could be opened counted like one that had run.

Change: only attempts that may have reached an endpoint need the budget.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -67,13 +67,13 @@
 
 // checkRetry returns nil if another attempt may be made, and the final error
 // otherwise. An answer that has made progress may be resumed even without retry
-// budget, because resuming repeats no work.
+// budget, because resuming repeats no work. A request that was not sent has caused none.
 func (g *generation) checkRetry(ctx context.Context, n int, progressed bool, err error) error {
 	var apiErr *api.Error
 	if errors.As(err, &apiErr) || ctx.Err() != nil || n >= maxAttempts {
 		return errors.CombineErrors(err, g.d.delaySuspect(ctx, g.hash))
 	}
-	if !g.d.Retries.TryRetry() && !progressed {
+	if !notSent(err) && !g.d.Retries.TryRetry() && !progressed {
 		g.trace.add("retry", "retry budget exhausted after: %v", err)
 		g.d.metrics.decisions.WithLabelValues("retry", "refused").Inc()
 		return errors.CombineErrors(err, g.d.delaySuspect(ctx, g.hash))
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -233,7 +233,10 @@
 		tried = append(tried, endpoint)
 		var apiErr *api.Error
 		retryable := c.op.Idempotent || !c.mayHaveRun
-		if errors.As(err, &apiErr) || !retryable || ctx.Err() != nil || n >= maxAttempts || !c.d.Retries.TryRetry() {
+		if errors.As(err, &apiErr) || !retryable || ctx.Err() != nil || n >= maxAttempts {
+			return engine.Reply{}, c.failure(err)
+		}
+		if !notSent(err) && !c.d.Retries.TryRetry() {
 			return engine.Reply{}, c.failure(err)
 		}
 		c.trace.add("retry", "after: %v", err)
