dispatch: a request goes on with the version that has replaced its own

What callers saw: a request that waited while a roll-out of its model was completed (or rolled back) failed with "no endpoint serves version", or at connections that the stopping endpoints refused, although the other version served.

Cause: the version chosen at the start was given up only if it was withdrawn. A version whose roll-out has ended stays in state serving while its endpoints stop.

Change: a request that failed, and of which the caller has received nothing, is planned again if new work of its kind gets other versions now. If it may have run, this takes a retry from the budget. Sessions keep their version.

Shown: TestCompletionWhileWaitingReplans failed before ("no endpoint serves version \"small-2\"", outcome not_run); TestCompletionLetsRequestsEnd and TestCompletionKeepsSessions hold before and after. go test -race ./dispatch passes.

--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -104,7 +104,7 @@
 		return Answer{}, err
 	}
 	answer, err := r.execute(ctx, plan)
-	for n := 0; err != nil && n < maxReplans && r.versionWithdrawn(ctx); n++ {
+	for n := 0; err != nil && n < maxReplans && r.mayReplan(ctx, err); n++ {
 		if plan, err = r.replan(priceMultiplier); err == nil {
 			answer, err = r.execute(ctx, plan)
 		}
@@ -113,26 +113,36 @@
 	return answer, err
 }
 
-// maxReplans bounds how often one request is planned again after a withdrawal.
+// maxReplans bounds how often one request is planned again because versions have changed.
 const maxReplans = 2
 
-// versionWithdrawn reports whether a version that the request was resolved to may no
-// longer serve it. Another version may then still answer a request that failed.
-func (r *run) versionWithdrawn(ctx context.Context) bool {
+// mayReplan reports whether a request that failed may be tried with other versions: those that
+// it was resolved to may no longer serve it, or new work has moved away from them.
+func (r *run) mayReplan(ctx context.Context, err error) bool {
 	if r.streamed || ctx.Err() != nil {
 		return false
 	}
+	return r.versionWithdrawn() || !isDecision(err) && r.versionsMoved() && (!r.mayHaveRun || r.d.Retries.TryRetry())
+}
+
+func (r *run) versionWithdrawn() bool {
 	snap := r.d.Config.Current()
 	return slices.ContainsFunc(r.target.versions, func(v string) bool { return !snap.MayServe(r.req.Team, v) })
 }
 
+// versionsMoved reports whether a new request of the same kind would get other versions.
+func (r *run) versionsMoved() bool {
+	now, err := r.d.resolve(r.req)
+	return err == nil && !slices.Equal(now.versions, r.target.versions)
+}
+
 // replan resolves and plans the request again under the configuration in force.
 func (r *run) replan(priceMultiplier float64) (cascade.Plan, error) {
 	target, err := r.d.resolve(r.req)
 	if err != nil {
 		return cascade.Plan{}, r.failure(err)
 	}
-	r.trace.add("resolve", "resolved again after a withdrawal, versions %v", target.versions)
+	r.trace.add("resolve", "resolved again because versions have changed, versions %v", target.versions)
 	r.target = target
 	plan, err := r.plan(priceMultiplier)
 	if err != nil {
