dispatch: a stream is continued as long as its attempts bring tokens

What callers saw: a stream ended in the middle at its fourth broken connection, also if each attempt had continued it, as when the engines of a version stop one after the other.

Cause: attempts were counted for the request as a whole, though resuming a stream repeats no tokens.

Change: four attempts in a row without a token end it, and 16 in all, since each repeats the prefill.

Shown: TestStreamOutlastsManyBrokenConnections (six breaks) failed before ("connection broken" after the fourth token); go test -race ./dispatch passes.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -18,9 +18,12 @@
 )
 
 const (
-	// maxAttempts is the maximum number of attempts of one step. The retry budget
-	// limits them as well.
+	// maxAttempts is the maximum number of attempts of one step in a row that bring no
+	// token. The retry budget limits them as well.
 	maxAttempts = 4
+	// maxStreamAttempts is the maximum number of attempts of one step. Each repeats the
+	// prefill of the prompt.
+	maxStreamAttempts = 16
 	// prefixBlockBytes is the length of the prompt text that one block of an
 	// engine's prefix cache covers.
 	prefixBlockBytes = 256
@@ -31,6 +34,7 @@
 func (g *generation) generate(ctx context.Context) (engine.Final, error) {
 	g.d.Retries.RecordRequest()
 	var tried []string
+	failures := 0 // in a row that brought no token
 	for n := 1; ; n++ {
 		tokensBefore := g.tokens
 		final, endpoint, err := g.attemptOnce(ctx, g.excludeCrashed(tried))
@@ -40,7 +44,14 @@
 		if endpoint != "" {
 			tried = append(tried, endpoint)
 		}
-		if stop := g.checkRetry(ctx, n, g.tokens > tokensBefore, err); stop != nil {
+		progressed := g.tokens > tokensBefore
+		if failures++; progressed {
+			failures = 0
+		}
+		if failures >= maxAttempts || n >= maxStreamAttempts {
+			return engine.Final{}, g.giveUp(ctx, err)
+		}
+		if stop := g.checkRetry(ctx, progressed, err); stop != nil {
 			return engine.Final{}, stop
 		}
 		if g.triedAll(tried) {
@@ -68,21 +79,26 @@
 // checkRetry returns nil if another attempt may be made, and the final error
 // otherwise. An answer that has made progress may be resumed even without retry
 // budget, because resuming repeats no work. A request that was not sent has caused none.
-func (g *generation) checkRetry(ctx context.Context, n int, progressed bool, err error) error {
+func (g *generation) checkRetry(ctx context.Context, progressed bool, err error) error {
 	var apiErr *api.Error
-	if errors.As(err, &apiErr) || ctx.Err() != nil || n >= maxAttempts {
-		return errors.CombineErrors(err, g.d.delaySuspect(ctx, g.hash))
+	if errors.As(err, &apiErr) || ctx.Err() != nil {
+		return g.giveUp(ctx, err)
 	}
 	if !notSent(err) && !g.d.Retries.TryRetry() && !progressed {
 		g.trace.add("retry", "retry budget exhausted after: %v", err)
 		g.d.metrics.decisions.WithLabelValues("retry", "refused").Inc()
-		return errors.CombineErrors(err, g.d.delaySuspect(ctx, g.hash))
+		return g.giveUp(ctx, err)
 	}
 	g.trace.add("retry", "after: %v", err)
 	g.d.metrics.decisions.WithLabelValues("retry", "granted").Inc()
 	return g.d.awaitCrashGuard(ctx, g.trace, g.hash, g.parts)
 }
 
+// giveUp returns the final error once the other hosts know whether the request is suspect.
+func (g *generation) giveUp(ctx context.Context, err error) error {
+	return errors.CombineErrors(err, g.d.delaySuspect(ctx, g.hash))
+}
+
 // attemptOnce makes one attempt and returns the endpoint that it used; empty if no
 // endpoint was available.
 func (g *generation) attemptOnce(ctx context.Context, tried []string) (engine.Final, string, error) {
--- a/dispatch/resume_test.go
+++ b/dispatch/resume_test.go
@@ -16,17 +16,17 @@
 
 var errConnectionBroken = errors.New("connection broken")
 
-// breakingEngines is a dispatch.Engines whose first answer breaks off after a token, although
-// its endpoint goes on.
+// breakingEngines is a dispatch.Engines whose first answers break off after a token, although
+// their endpoints go on.
 type breakingEngines struct {
 	dispatch.Engines
-	broken atomic.Bool
-	// onBreak runs when the answer breaks off.
+	breaks atomic.Int32 // that are left
+	// onBreak runs when an answer breaks off.
 	onBreak func()
 }
 
 func (e *breakingEngines) Generate(ctx context.Context, addr string, req engine.GenerateRequest, onToken func(engine.Event) error) (engine.Final, error) {
-	if e.broken.Swap(true) {
+	if e.breaks.Add(-1) < 0 {
 		return e.Engines.Generate(ctx, addr, req, onToken)
 	}
 	_, err := e.Engines.Generate(ctx, addr, req, func(ev engine.Event) error {
@@ -40,11 +40,13 @@
 	return engine.AttemptStatus{Running: true}, nil
 }
 
-// wantBrokenStreamResumed requests a stream that breaks off after its first token, and checks
-// that the caller gets the whole answer.
-func (r *rig) wantBrokenStreamResumed(onBreak func()) {
+// wantStreamResumed requests a stream that breaks off after each of its first tokens, and
+// checks that the caller gets the whole answer.
+func (r *rig) wantStreamResumed(breaks int32, onBreak func()) {
 	r.t.Helper()
-	r.d.Engines = &breakingEngines{Engines: r.d.Engines, onBreak: onBreak}
+	broken := &breakingEngines{Engines: r.d.Engines, onBreak: onBreak}
+	broken.breaks.Store(breaks)
+	r.d.Engines = broken
 	var text strings.Builder
 	_, err := r.client.Stream(context.Background(), client.Request{}, chat("small", "long letter"), func(s string) error {
 		text.WriteString(s)
@@ -60,14 +62,14 @@
 func TestStreamResumesAtTheOnlyUsableEndpoint(t *testing.T) {
 	r := newRig(t, 2)
 	r.pool.ObserveLoad("engine-b", engine.LoadReport{Leaving: true})
-	r.wantBrokenStreamResumed(func() {})
+	r.wantStreamResumed(1, func() {})
 }
 
 // TestStreamResumesAlthoughServiceCountsAsLost guards against a stream that ends because
 // endpoints refuse new connections of this host. No other host can continue it.
 func TestStreamResumesAlthoughServiceCountsAsLost(t *testing.T) {
 	r := newRig(t, 2)
-	r.wantBrokenStreamResumed(func() {
+	r.wantStreamResumed(1, func() {
 		r.pool.ObserveContact("engine-a", false)
 		r.pool.ObserveContact("engine-b", false)
 		if len(r.pool.LostServices()) == 0 {
@@ -81,5 +83,13 @@
 func TestStreamWaitsForPermitToResume(t *testing.T) {
 	r := newRig(t, 1)
 	r.endpoints.Engines[0].SetRateLimit(2)
-	r.wantBrokenStreamResumed(func() {})
+	r.wantStreamResumed(1, func() {})
+}
+
+// TestStreamOutlastsManyBrokenConnections guards against a stream that ends although each of
+// its attempts has continued it, as when endpoints stop one after the other.
+func TestStreamOutlastsManyBrokenConnections(t *testing.T) {
+	const breaks = 6
+	r := newRig(t, 2)
+	r.wantStreamResumed(breaks, func() {})
 }
