--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -18,9 +18,12 @@
 )
 
 const (
-	// maxAttempts is the maximum number of attempts of one step. The retry budget
-	// limits them as well.
+	// maxAttempts is the maximum number of attempts of one step in a row that bring no
+	// token. The retry budget limits them as well.
 	maxAttempts = 4
+	// maxStreamAttempts is the maximum number of attempts of one step. Each repeats the
+	// prefill of the prompt.
+	maxStreamAttempts = 16
 	// prefixBlockBytes is the length of the prompt text that one block of an
 	// engine's prefix cache covers.
 	prefixBlockBytes = 256
@@ -30,63 +33,76 @@
 // the deadline passes. A broken answer is resumed at the next token.
 func (g *generation) generate(ctx context.Context) (engine.Final, error) {
 	g.d.Retries.RecordRequest()
-	var exclude []string
+	var tried []string
+	failures := 0 // in a row that brought no token
 	for n := 1; ; n++ {
 		tokensBefore := g.tokens
-		final, endpoint, err := g.attemptOnce(ctx, g.excludeCrashed(exclude))
+		final, endpoint, err := g.attemptOnce(ctx, g.excludeCrashed(tried))
 		if err == nil {
 			return final, nil
 		}
 		if endpoint != "" {
-			exclude = append(exclude, endpoint)
+			tried = append(tried, endpoint)
 		}
-		if stop := g.checkRetry(ctx, n, g.tokens > tokensBefore, err); stop != nil {
+		progressed := g.tokens > tokensBefore
+		if failures++; progressed {
+			failures = 0
+		}
+		if failures >= maxAttempts || n >= maxStreamAttempts {
+			return engine.Final{}, g.giveUp(ctx, err)
+		}
+		if stop := g.checkRetry(ctx, progressed, err); stop != nil {
 			return engine.Final{}, stop
 		}
-		if g.triedAll(exclude) {
-			exclude = nil // every endpoint has been tried once, so all are allowed again
+		if g.triedAll(tried) {
+			tried = nil
 		}
 	}
 }
 
-// triedAll reports whether every endpoint of the version is excluded.
-func (g *generation) triedAll(exclude []string) bool {
-	return len(exclude) >= len(g.d.Config.Current().EndpointsForVersion(g.version))
+// triedAll reports whether every endpoint of the version has been tried.
+func (g *generation) triedAll(tried []string) bool {
+	return len(tried) >= len(g.d.Config.Current().EndpointsForVersion(g.version))
 }
 
 // excludeCrashed adds the endpoint that crashed while running the request, if
 // another endpoint serves the version. A second crash on another endpoint shows
 // that the request is the cause and not the endpoint.
-func (g *generation) excludeCrashed(exclude []string) []string {
+func (g *generation) excludeCrashed(tried []string) []string {
 	avoid := g.d.Crashes.Admit(g.hash).AvoidEndpoint
 	if avoid == "" || len(g.d.Config.Current().EndpointsForVersion(g.version)) < 2 {
-		return exclude
+		return tried
 	}
-	return append(slices.Clone(exclude), avoid)
+	return append(slices.Clone(tried), avoid)
 }
 
 // checkRetry returns nil if another attempt may be made, and the final error
 // otherwise. An answer that has made progress may be resumed even without retry
-// budget, because resuming repeats no work.
-func (g *generation) checkRetry(ctx context.Context, n int, progressed bool, err error) error {
+// budget, because resuming repeats no work. A request that was not sent has caused none.
+func (g *generation) checkRetry(ctx context.Context, progressed bool, err error) error {
 	var apiErr *api.Error
-	if errors.As(err, &apiErr) || ctx.Err() != nil || n >= maxAttempts {
-		return errors.CombineErrors(err, g.d.delaySuspect(ctx, g.hash))
+	if errors.As(err, &apiErr) || ctx.Err() != nil {
+		return g.giveUp(ctx, err)
 	}
-	if !g.d.Retries.TryRetry() && !progressed {
+	if !notSent(err) && !g.d.Retries.TryRetry() && !progressed {
 		g.trace.add("retry", "retry budget exhausted after: %v", err)
 		g.d.metrics.decisions.WithLabelValues("retry", "refused").Inc()
-		return errors.CombineErrors(err, g.d.delaySuspect(ctx, g.hash))
+		return g.giveUp(ctx, err)
 	}
 	g.trace.add("retry", "after: %v", err)
 	g.d.metrics.decisions.WithLabelValues("retry", "granted").Inc()
 	return g.d.awaitCrashGuard(ctx, g.trace, g.hash, g.parts)
 }
 
+// giveUp returns the final error once the other hosts know whether the request is suspect.
+func (g *generation) giveUp(ctx context.Context, err error) error {
+	return errors.CombineErrors(err, g.d.delaySuspect(ctx, g.hash))
+}
+
 // attemptOnce makes one attempt and returns the endpoint that it used; empty if no
 // endpoint was available.
-func (g *generation) attemptOnce(ctx context.Context, exclude []string) (engine.Final, string, error) {
-	sl, err := g.acquire(ctx, exclude)
+func (g *generation) attemptOnce(ctx context.Context, tried []string) (engine.Final, string, error) {
+	sl, err := g.acquire(ctx, tried)
 	if err != nil {
 		return engine.Final{}, "", err
 	}
@@ -115,8 +131,11 @@
 
 // acquire waits for a slot and then checks the configuration again, because the
 // version may have been withdrawn during the wait.
-func (g *generation) acquire(ctx context.Context, exclude []string) (*slot, error) {
-	sl, err := g.d.acquire(ctx, g.trace, g.version, prefixBlocks(g.req.Body.Messages), exclude, g.hash)
+func (g *generation) acquire(ctx context.Context, tried []string) (*slot, error) {
+	sl, err := g.d.acquire(ctx, g.trace, slotRequest{
+		version: g.version, prefix: prefixBlocks(g.req.Body.Messages), hash: g.hash,
+		tried: tried, started: g.mayHaveRun,
+	})
 	if err != nil {
 		if errors.Is(err, balance.ErrNoEndpoint) {
 			return nil, apiError(http.StatusServiceUnavailable, api.CodeUnavailable, "no endpoint serves version %q", g.version)
@@ -124,14 +143,11 @@
 		return nil, errors.Wrapf(err, "wait for an endpoint of version %q", g.version)
 	}
 	snap := g.d.Config.Current()
-	spec := snap.Endpoints[sl.endpoint]
 	switch {
 	case !g.d.Config.Fresh():
-		err = apiError(http.StatusServiceUnavailable, api.CodeUnavailable, "this host cannot confirm that its configuration is current")
+		err = staleError()
 	case !snap.MayServe(g.req.Team, g.version):
 		err = apiError(http.StatusForbidden, api.CodeForbidden, "version %q is no longer allowed or serving", g.version)
-	case spec == nil || spec.Address != sl.addr:
-		err = errors.Newf("endpoint %q has been removed or moved", sl.endpoint)
 	default:
 		if err = g.d.rejectedPart(g.parts); err == nil {
 			err = g.d.startProbation(ctx, g.hash, sl.endpoint)
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/corianderlever/corianderlever/balance"
@@ -161,6 +162,19 @@
 	return out
 }
 
+// addressesOf returns the addresses of the endpoints that serve a version, by name.
+func (ep *EndpointPool) addressesOf(version string) map[string]string {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	out := make(map[string]string)
+	for name, st := range ep.endpoints {
+		if slices.Contains(st.versions(), version) {
+			out[name] = st.spec.Address
+		}
+	}
+	return out
+}
+
 // ObserveLoad records a load report of an endpoint.
 func (ep *EndpointPool) ObserveLoad(name string, r engine.LoadReport) {
 	at := ep.clock.Now().Add(-time.Duration(r.AgeMS) * time.Millisecond)
@@ -213,6 +227,16 @@
 	started      time.Time
 }
 
+// acquireUntried acquires a slot at an endpoint that is not excluded, and at one that was
+// tried before only if there is no other.
+func (ep *EndpointPool) acquireUntried(ctx context.Context, req slotRequest, exclude []string) (*slot, error) {
+	sl, err := ep.acquire(ctx, req.version, req.prefix, slices.Concat(exclude, req.tried), req.hash)
+	if errors.Is(err, balance.ErrNoEndpoint) && len(req.tried) > 0 {
+		return ep.acquire(ctx, req.version, req.prefix, exclude, req.hash)
+	}
+	return sl, err
+}
+
 // acquire chooses an endpoint with a free slot. It waits while all are full. hash
 // identifies the content of the request; 0 for a call to a plain service.
 func (ep *EndpointPool) acquire(ctx context.Context, version string, prefix []uint64, exclude []string, hash limiter.Hash) (*slot, error) {
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/corianderlever/corianderlever/api"
-	"github.com/corianderlever/corianderlever/balance"
 	"github.com/corianderlever/corianderlever/claim"
 	"github.com/corianderlever/corianderlever/engine"
 	"github.com/corianderlever/corianderlever/internal/drain"
@@ -89,7 +88,7 @@
 func (c *call) resolveAndServe(ctx context.Context) (ServiceAnswer, error) {
 	snap := c.d.Config.Current()
 	if !c.d.Config.Fresh() {
-		return ServiceAnswer{}, apiError(http.StatusServiceUnavailable, api.CodeUnavailable, "this host cannot confirm that its configuration is current")
+		return ServiceAnswer{}, staleError()
 	}
 	if err := c.resolve(snap); err != nil {
 		return ServiceAnswer{}, err
@@ -225,16 +224,19 @@
 // attempt that may have run, only an idempotent operation is retried.
 func (c *call) runAttempts(ctx context.Context) (engine.Reply, error) {
 	c.d.Retries.RecordRequest()
-	var exclude []string
+	var tried []string
 	for n := 1; ; n++ {
-		reply, endpoint, err := c.attemptOnce(ctx, exclude)
+		reply, endpoint, err := c.attemptOnce(ctx, tried)
 		if err == nil {
 			return reply, nil
 		}
-		exclude = append(exclude, endpoint)
+		tried = append(tried, endpoint)
 		var apiErr *api.Error
 		retryable := c.op.Idempotent || !c.mayHaveRun
-		if errors.As(err, &apiErr) || !retryable || ctx.Err() != nil || n >= maxAttempts || !c.d.Retries.TryRetry() {
+		if errors.As(err, &apiErr) || !retryable || ctx.Err() != nil || n >= maxAttempts {
+			return engine.Reply{}, c.failure(err)
+		}
+		if !notSent(err) && !c.d.Retries.TryRetry() {
 			return engine.Reply{}, c.failure(err)
 		}
 		c.trace.add("retry", "after: %v", err)
@@ -242,17 +244,14 @@
 }
 
 // attemptOnce makes one attempt and returns the endpoint that it used; empty if no
-// endpoint was available. If all endpoints are excluded, it chooses among all of them.
-func (c *call) attemptOnce(ctx context.Context, exclude []string) (engine.Reply, string, error) {
+// endpoint was available.
+func (c *call) attemptOnce(ctx context.Context, tried []string) (engine.Reply, string, error) {
 	if c.op.Timeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, c.op.Timeout.AsDuration())
 		defer cancel()
 	}
-	sl, err := c.d.acquire(ctx, c.trace, ServiceVersion(c.req.Service), nil, exclude, 0)
-	if errors.Is(err, balance.ErrNoEndpoint) && len(exclude) > 0 {
-		sl, err = c.d.acquire(ctx, c.trace, ServiceVersion(c.req.Service), nil, nil, 0)
-	}
+	sl, err := c.d.acquire(ctx, c.trace, slotRequest{version: ServiceVersion(c.req.Service), tried: tried, started: c.mayHaveRun})
 	var limited *api.Error
 	if errors.As(err, &limited) {
 		return engine.Reply{}, "", err
@@ -260,10 +259,9 @@
 	if err != nil {
 		return engine.Reply{}, "", apiError(http.StatusServiceUnavailable, api.CodeUnavailable, "no endpoint of service %q: %v", c.req.Service, err)
 	}
-	snap := c.d.Config.Current()
-	if spec := snap.Endpoints[sl.endpoint]; spec == nil || spec.Address != sl.addr || !c.d.Config.Fresh() {
+	if !c.d.Config.Fresh() {
 		sl.release(limiter.OutcomeIgnored, 0)
-		return engine.Reply{}, sl.endpoint, errors.Newf("endpoint %q is not in the current configuration, or the configuration is stale", sl.endpoint)
+		return engine.Reply{}, "", staleError()
 	}
 	c.trace.add("endpoint", "%s, attempt %s", sl.endpoint, sl.attempt)
 	started := c.d.Clock.Now()
