control, rollout, feed: a roll-out whose order was held up by the store is done in time

Seen: a good version was declared done after the operator's deadline and then rejected its callers (rollout_exposure), because hosts took the moment at which they heard of the order for its time.

Cause: the store had been silent; setOrder knew only the time of arrival.

Change: feed.Follower notes calls that the store did not answer in time. A host that follows the store then knows how long before its arrival an order may have been given; hosts report that (max_elapsed_ms, left out by earlier builds, whose orders count as heard at once) and use the shortest. The completion is planned for the earliest possible deadline, the exposure is held until the latest. How much earlier is bounded by the exposure that can be kept for that time, 0.6 of it at most, and by a tenth of the time limit: beyond that, callers would be rejected and a version be declared done before its trial.

--- a/control/coordinator.go
+++ b/control/coordinator.go
@@ -57,9 +57,11 @@
 func (r *Rollouts) checkInterval() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.clock.Now()
 	for _, s := range r.services {
-		remaining := s.order.TimeLimit - s.elapsed(r.clock.Now())
-		if s.hasOrder && !isFinal(s.current().State) && remaining > 0 && remaining <= finalTime {
+		remaining := s.order.TimeLimit - s.age.atLeast(now)
+		advance := s.order.CompletionAdvance(s.age.uncertainty(now))
+		if s.hasOrder && !isFinal(s.current().State) && remaining > 0 && remaining-advance <= finalTime {
 			return finalInterval
 		}
 	}
@@ -75,6 +77,8 @@
 	// the write to succeed.
 	expectStep, expectStatus int64
 	target, baseline         rollout.Tally
+	// uncertainty is how much older the order may be than the step says.
+	uncertainty time.Duration
 }
 
 // dueSteps returns the next steps of the active orders that are not yet published.
@@ -98,6 +102,7 @@
 		}
 		p := proposal{service: name, step: next, reason: reason, expectStep: s.stepRevision, expectStatus: s.status.Revision}
 		p.target, p.baseline = s.tallies(r.self)
+		p.uncertainty = s.age.uncertainty(r.clock.Now())
 		out = append(out, p)
 	}
 	return out
@@ -114,14 +119,14 @@
 		return step, "publish"
 	}
 	now := r.clock.Now()
-	elapsed := s.elapsed(now)
+	elapsed := s.age.atLeast(now)
 	target, baseline := s.tallies(r.self)
 	hosts := r.hosts()
 	requests := s.requests(hosts)
 	s.history.add(now, requests)
 	d := r.stage().Advance(s.order, elapsed, step.Share, target, baseline, rollout.Conditions{
 		CapacityRatio: r.capacityRatio(name, s.order.Target), RequestRate: s.rate(now, hosts), Requests: requests, Hosts: hosts,
-		ShareAge: elapsed - time.Duration(step.ElapsedMS)*time.Millisecond,
+		ShareAge: elapsed - milliseconds(step.ElapsedMS), Uncertainty: s.age.uncertainty(now),
 	})
 	if s.targetWorse {
 		d = rollout.Decision{State: rollout.OrderReverted, Reason: "target is worse"}
@@ -185,7 +190,7 @@
 		log.Warn("rollout step not published", "error", err)
 		return
 	}
-	log.Info("rollout step published", "reason", p.reason, "revision", revision, "elapsed_ms", p.step.ElapsedMS,
+	log.Info("rollout step published", "reason", p.reason, "revision", revision, "elapsed_ms", p.step.ElapsedMS, "uncertainty_ms", p.uncertainty.Milliseconds(),
 		"target_sent", p.target.Requests(), "target_bad", p.target.Bad, "target_slow", p.target.Slow, "target_good", p.target.Good,
 		"base_sent", p.baseline.Requests(), "base_bad", p.baseline.Bad, "base_slow", p.baseline.Slow, "base_good", p.baseline.Good)
 	c.Rollouts.recordPublished(p, revision)
--- a/control/exposure.go
+++ b/control/exposure.go
@@ -88,7 +88,7 @@
 func (r *Rollouts) refuseTarget(name string, s *service, point float64) (rollout.Admission, bool) {
 	step := s.current()
 	if step.State == rollout.OrderDone {
-		remaining := s.order.TimeLimit - s.elapsed(r.clock.Now())
+		remaining := s.order.TimeLimit - s.age.atLeast(r.clock.Now())
 		if !s.limit.inProgress || remaining <= 0 || s.limit.permits(r.allowanceAfter(s)) {
 			return rollout.Admission{}, false
 		}
@@ -156,7 +156,10 @@
 
 // counts returns the requests for the service since the order, as known here.
 func (r *Rollouts) counts(s *service) rollout.Counts {
-	hosts := r.hosts()
+	hosts, now := r.hosts(), r.clock.Now()
 	target, _ := s.tallies(r.self)
-	return rollout.Counts{Requests: s.requests(hosts), Target: float64(target.Requests()), Rate: s.rate(r.clock.Now(), hosts), Hosts: hosts}
+	return rollout.Counts{
+		Requests: s.requests(hosts), Target: float64(target.Requests()), Rate: s.rate(now, hosts), Hosts: hosts,
+		Advance: s.order.CompletionAdvance(s.age.uncertainty(now)),
+	}
 }
--- a/control/reports.go
+++ b/control/reports.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -14,9 +15,12 @@
 	// Order is the store revision of the order.
 	Order int64 `json:"order"`
 	Step  Step  `json:"step"`
-	// ElapsedMS is the time in milliseconds since the order, as measured by this
+	// ElapsedMS is the shortest time in milliseconds since the order, as known to this
 	// host. Peers need it because a restarted host has lost the time of the order.
 	ElapsedMS int64 `json:"elapsed_ms"`
+	// MaxElapsedMS is the longest time in milliseconds since the order, by what this host
+	// itself has heard; zero if it is not known, and in reports of releases that do not send it.
+	MaxElapsedMS int64 `json:"max_elapsed_ms,omitempty"`
 	// Started is the start time of the host's process in Unix nanoseconds; zero in reports of
 	// releases that do not send it. The counts begin anew with each start.
 	Started int64 `json:"started,omitempty"`
@@ -45,13 +49,19 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := make(map[string]Report)
+	now := r.clock.Now()
 	for name, s := range r.services {
-		if s.hasOrder {
-			out[name] = Report{
-				Order: s.order.Revision, Started: r.self.started, Step: s.step, ElapsedMS: s.elapsed(r.clock.Now()).Milliseconds(),
-				Tallies: maps.Clone(s.ownTallies), Routes: s.routes.report(),
-			}
+		if !s.hasOrder {
+			continue
+		}
+		e := Report{
+			Order: s.order.Revision, Started: r.self.started, Step: s.step, ElapsedMS: s.age.atLeast(now).Milliseconds(),
+			Tallies: maps.Clone(s.ownTallies), Routes: s.routes.report(),
+		}
+		if most, ok := s.age.ownLimit(now); ok {
+			e.MaxElapsedMS = most.Milliseconds() + 1 // rounded up
 		}
+		out[name] = e
 	}
 	return out
 }
@@ -64,7 +74,7 @@
 		s := r.service(name)
 		r.mergeStep(name, s, e.Step, host)
 		if s.hasOrder && e.Order == s.order.Revision {
-			s.raiseElapsed(e.ElapsedMS, r.clock.Now())
+			s.mergeAge(e, r.clock.Now())
 			from := source{host: host, started: e.Started}
 			s.mergePeerTallies(from, e.Tallies)
 			s.routes.merge(from, e.Routes)
@@ -74,6 +84,14 @@
 	}
 }
 
+// mergeAge adopts what another host knows of the time since the order.
+func (s *service) mergeAge(e Report, now time.Time) {
+	s.age.raise(milliseconds(e.ElapsedMS), now)
+	if e.MaxElapsedMS > 0 {
+		s.age.limit(milliseconds(e.MaxElapsedMS), now)
+	}
+}
+
 // tallies returns the answer counts of the target from all hosts, and of the
 // other versions from this host and those that report to it directly.
 func (s *service) tallies(self source) (target, baseline rollout.Tally) {
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -23,8 +23,8 @@
 	State  rollout.OrderState `json:"state"`
 	// Share is the fraction of the traffic that the target gets, 0 to 1.
 	Share float64 `json:"share"`
-	// ElapsedMS is the time in milliseconds from the order to the decision for
-	// this step.
+	// ElapsedMS is the shortest time in milliseconds that had passed since the order at the
+	// decision for this step.
 	ElapsedMS int64 `json:"elapsed_ms"`
 }
 
@@ -44,15 +44,14 @@
 
 // service is the state of the roll-out of one service at this host.
 type service struct {
-	order            rollout.Order
-	hasOrder         bool
-	referenceTime    time.Time     // when the order arrived or a longer elapsed time was adopted
-	referenceElapsed time.Duration // time since the order at referenceTime
-	orders           orderHistory
-	step             Step
-	stepRevision     int64
-	storedStep       Step // the step that the store has
-	status           rollout.OrderStatus
+	order        rollout.Order
+	hasOrder     bool
+	age          orderAge
+	orders       orderHistory
+	step         Step
+	stepRevision int64
+	storedStep   Step // the step that the store has
+	status       rollout.OrderStatus
 	// targetWorse is set once this host finds the target worse than the baseline.
 	targetWorse   bool
 	ownTallies    map[string]rollout.Tally            // by version, since the order
@@ -115,7 +114,9 @@
 	s.history, s.limit = requestHistory{}, exposureLimit{}
 }
 
-func (r *Rollouts) setOrder(o rollout.Order) {
+// setOrder adopts an order that may have been given as long ago as the store was silent, if that
+// is known.
+func (r *Rollouts) setOrder(o rollout.Order, silence time.Duration, silenceKnown bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.service(o.Service)
@@ -135,12 +136,14 @@
 	}
 	s.orders.start(o)
 	s.order, s.hasOrder = o, true
-	s.referenceTime, s.referenceElapsed = r.clock.Now(), 0
+	now := r.clock.Now()
+	s.age = newOrderAge(now, silence, silenceKnown)
 	s.reset()
 	if s.step.Order == o.Revision {
-		s.referenceElapsed = time.Duration(s.step.ElapsedMS) * time.Millisecond
+		s.age.raise(milliseconds(s.step.ElapsedMS), now)
 	}
-	r.log.Info("rollout ordered", "service", o.Service, "target", o.Target, "within", o.TimeLimit, "revision", o.Revision)
+	r.log.Info("rollout ordered", "service", o.Service, "target", o.Target, "within", o.TimeLimit, "revision", o.Revision,
+		"max_age_ms", silence.Milliseconds(), "max_age_known", silenceKnown)
 }
 
 func (r *Rollouts) dropOrder(name string) {
@@ -190,18 +193,12 @@
 	}
 	s.step = step
 	if s.hasOrder && s.order.Revision == step.Order {
-		s.raiseElapsed(step.ElapsedMS, r.clock.Now())
+		s.age.raise(milliseconds(step.ElapsedMS), r.clock.Now())
 	}
 	r.log.Info("rollout step", "service", name, "target", step.Target, "state", step.State, "share", step.Share, "from", from)
 }
 
-// raiseElapsed adopts the reported time since the order if it is longer than this
-// host's: the reporting host received the order earlier.
-func (s *service) raiseElapsed(elapsedMS int64, now time.Time) {
-	if elapsed := time.Duration(elapsedMS) * time.Millisecond; s.elapsed(now) < elapsed {
-		s.referenceTime, s.referenceElapsed = now, elapsed
-	}
-}
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // MergeStep adopts a step that the host named from has published, if it is newer.
 func (r *Rollouts) MergeStep(name string, step Step, from string) {
@@ -248,12 +245,7 @@
 
 // joinsFirstStage reports whether a session may use the target in the first stage.
 func (r *Rollouts) joinsFirstStage(s *service, point float64) bool {
-	return r.stage().CanaryStarted(s.order, s.elapsed(r.clock.Now())) && !s.baselineSessions.contains(sessionKey(point))
-}
-
-// elapsed returns the time since the order was given.
-func (s *service) elapsed(now time.Time) time.Duration {
-	return s.referenceElapsed + now.Sub(s.referenceTime)
+	return r.stage().CanaryStarted(s.order, s.age.atLeast(r.clock.Now())) && !s.baselineSessions.contains(sessionKey(point))
 }
 
 // current returns the latest step of the current order.
--- a/control/rollouts_test.go
+++ b/control/rollouts_test.go
@@ -43,6 +43,8 @@
 	// of the last one.
 	heartbeat time.Duration
 	gossiped  time.Time
+	// refused, if set, is called for each request that run could send nowhere.
+	refused func()
 }
 
 func newTestCluster(t *testing.T, n int) *testCluster {
@@ -113,6 +115,8 @@
 			point += 0.618
 			if version, ok := send(h, "s", point-float64(int(point))); ok {
 				request(h, version)
+			} else if tc.refused != nil {
+				tc.refused()
 			}
 		}
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
@@ -28,6 +29,10 @@
 	// OnNoCrashRecord is called for a listing at a revision without that record. It must
 	// be set before the first entry.
 	OnNoCrashRecord func(revision int64)
+	// Silence returns for how long an entry that arrives now may have been held up because the
+	// store was silent, or false if this host does not know. It must be set before the first
+	// entry; nil means that the host never knows.
+	Silence func() (time.Duration, bool)
 }
 
 var _ feed.Sink = (*State)(nil)
@@ -104,6 +109,13 @@
 // Tick implements feed.Sink.
 func (s *State) Tick() { s.fleet.Expire(s.clock.Now()) }
 
+func (s *State) silence() (duration time.Duration, known bool) {
+	if s.Silence == nil {
+		return 0, false
+	}
+	return s.Silence()
+}
+
 func (s *State) apply(ev kv.Event, afterOutage bool) {
 	kind, name := s.codec.Classify(ev.Entry.Key)
 	var err error
@@ -182,7 +194,8 @@
 	if err != nil {
 		return err
 	}
-	s.rollouts.setOrder(o)
+	silence, known := s.silence()
+	s.rollouts.setOrder(o, silence, known)
 	return nil
 }
 
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -181,6 +181,7 @@
 		Direct: h.readsStore, QueryPeers: h.queryPeers, FetchFrom: h.fetchFrom, PeerWait: peerWait, PeerPause: peerPause,
 		PeerFetchAge: peerFetchAge, PeerFetchInterval: peerFetchInterval, ProbeInterval: h.probeInterval, Announce: h.announceState,
 	})
+	h.state.Silence = h.follower.Silence
 	h.buffers = limiter.NewHostByteBudget(opts.Settings.MemoryBytes)
 	h.maxCallerConns = callerConns(opts.Settings.MemoryBytes, descriptorLimit())
 	h.crashes = limiter.NewCrashGuard(opts.Clock, limiter.PropagationTime(minHosts, membership.DefaultInterval))
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -128,6 +128,10 @@
 	ready         chan struct{}
 	// upstream is the address of the host that is followed; empty for none.
 	upstream string
+	// call is the call to the store that is in progress, the zero value between calls, and
+	// silence the last time in which it did not answer in time.
+	call    storeCall
+	silence silence
 	// peerAnswered is when another host last answered a query, with a state or without.
 	peerAnswered boottime.Instant
 }
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -141,7 +141,9 @@
 	}
 	callCtx, cancel := kv.WithTimeout(ctx, f.opts.Clock, wait+f.opts.CallTimeout)
 	defer cancel()
+	f.beginCall(storeCall{started: started, wait: wait})
 	events, revision, err := f.opts.Source.Changes(callCtx, f.opts.Prefix, after, wait)
+	f.endCall(err)
 	if errors.Is(err, kv.ErrCompacted) {
 		f.opts.Logger.Warn("store history compacted, listing again", "after", after)
 		return f.opts.Boottime(), true, f.list(ctx)
--- a/rollout/exposure.go
+++ b/rollout/exposure.go
@@ -51,8 +51,28 @@
 	// it when the request rate is high.
 	usualCompletionTime = 900 * time.Millisecond
 	minCompletionTime   = 350 * time.Millisecond
+	// publishTime is the time before the deadline by which a target is to be declared done, so
+	// that the operator learns of it in time.
+	publishTime = 600 * time.Millisecond
+	// fullAdvance is how much earlier than usual the completion is planned from which
+	// advancedMaxReserve and advancedRateRise replace maxReserve and rateRiseAtCompletion:
+	// the target then needs more of the exposure after its completion, and less before it.
+	fullAdvance        = 500 * time.Millisecond
+	advancedMaxReserve = 0.6
+	advancedRateRise   = 1.2
+	// maxAdvanceFraction bounds the fraction of the time limit by which the completion is
+	// planned earlier, so that the stages before it are not cut short.
+	maxAdvanceFraction = 0.1
 )
 
+// CompletionAdvance returns how much earlier than usual the completion is planned because the
+// order may have been given earlier than known, by the uncertainty. The usual time before the
+// deadline absorbs a small one.
+func (o Order) CompletionAdvance(uncertainty time.Duration) time.Duration {
+	longest := time.Duration(maxAdvanceFraction * float64(o.TimeLimit))
+	return min(longest, max(0, uncertainty-(usualCompletionTime-publishTime)))
+}
+
 // Counts are the requests for a service since the order of its roll-out.
 type Counts struct {
 	// Requests is the number of requests for the service, Target that of those sent to
@@ -65,6 +85,8 @@
 	ShareAge time.Duration
 	// Hosts is the number of hosts that sent them.
 	Hosts int
+	// Advance is how much earlier than usual the completion is planned.
+	Advance time.Duration
 }
 
 // allowed returns the number of requests that a bad version may receive.
@@ -78,8 +100,9 @@
 
 // reserve returns the fraction of the exposure that is kept for the time after the completion.
 func (c StageConfig) reserve(n Counts) float64 {
-	needed := rateRiseAtCompletion*n.Rate*reservedTime.Seconds() + roundingReserve(n.Hosts)
-	return min(maxReserve, max(minReserve, needed/max(1, c.allowed(n.Requests))))
+	reservedSeconds := n.Advance.Seconds() + n.advanced(reservedTime.Seconds(), usualCompletionTime.Seconds())
+	needed := rateRiseAtCompletion*n.Rate*reservedSeconds + roundingReserve(n.Hosts)
+	return min(n.advanced(maxReserve, advancedMaxReserve), max(minReserve, needed/max(1, c.allowed(n.Requests))))
 }
 
 // leftBeforeCompletion returns how many more requests the target may receive until it is
@@ -183,10 +206,11 @@
 		e.rate = max(e.rate, n.Requests/elapsed.Seconds())
 	}
 	n.Rate, n.Share, n.ShareAge = e.rate, share, cond.ShareAge
+	n.Advance = o.CompletionAdvance(cond.Uncertainty)
 	reserve := c.reserve(n)
-	e.completion = completionTime(o, e.rate, c.leftAfterCompletion(n, reserve))
+	e.completion = completionTime(o, n, c.leftAfterCompletion(n, reserve))
 	kept := reserve*c.allowed(n.Requests) - roundingReserve(n.Hosts)
-	e.plannedCompletion = completionTime(o, e.rate, kept)
+	e.plannedCompletion = completionTime(o, n, kept)
 	e.remaining = max(0, o.TimeLimit-elapsed-e.plannedCompletion)
 	n.Target += n.unreported()
 	n.Requests += e.rate * e.remaining.Seconds()
@@ -194,16 +218,26 @@
 	return e
 }
 
+// advanced returns full if the completion is planned at least fullAdvance earlier than usual, and
+// a value between usual and full below that.
+func (n Counts) advanced(usual, full float64) float64 {
+	return usual + (full-usual)*min(1, n.Advance.Seconds()/fullAdvance.Seconds())
+}
+
+// rateRise returns the factor by which the request rate may rise after the completion without a
+// host having to limit the target.
+func (n Counts) rateRise() float64 { return n.advanced(rateRiseAtCompletion, advancedRateRise) }
+
 // completionTime returns how long before the deadline a target may be declared done that may
 // receive a number of requests in that time.
-func completionTime(o Order, rate, requests float64) time.Duration {
-	usual := max(usualCompletionTime, time.Duration((1-completionFraction)*float64(o.TimeLimit)))
-	if rate == 0 {
-		return usual
+func completionTime(o Order, n Counts, requests float64) time.Duration {
+	wanted := n.Advance + max(usualCompletionTime, time.Duration((1-completionFraction)*float64(o.TimeLimit)))
+	if n.Rate == 0 {
+		return wanted
 	}
-	permitted := requests / (rateRiseAtCompletion * rate)
-	if permitted >= usual.Seconds() {
-		return usual
+	permitted := requests / (n.rateRise() * n.Rate)
+	if permitted >= wanted.Seconds() {
+		return wanted
 	}
 	return max(minCompletionTime, time.Duration(permitted*float64(time.Second)))
 }
--- a/rollout/stage.go
+++ b/rollout/stage.go
@@ -100,6 +100,8 @@
 	Hosts int
 	// ShareAge is the time for which the target has had its share; zero if unknown.
 	ShareAge time.Duration
+	// Uncertainty is how much longer ago the order may have been given; zero if unknown.
+	Uncertainty time.Duration
 }
 
 // Decision is the next step of a roll-out as decided by its coordinator.
@@ -190,7 +192,7 @@
 	return (centre - spread) / (1 + z2/n)
 }
 
-// Advance decides the next step of an order from the time since the order was
+// Advance decides the next step of an order from the shortest time since the order was
 // given, the current share, the tallies of the target and of the other versions
 // over all hosts, and the conditions of the service.
 func (c StageConfig) Advance(o Order, elapsed time.Duration, share float64, target, baseline Tally, cond Conditions) Decision {
