soak: endpoints that refuse new connections and finish their answers, and a roll-out that ends

Endpoints of the soak ended all answers when they stopped to listen, no stream paused for a second, no roll-out was played, and the retry budget went on with what was cut, so the soak could not see it.

Some or all endpoints now refuse connections for up to 7 s, or leave and return, in both tests, one series of such faults beside those before. With maintenance only, each caller has a line more with streams whose events are 1.1 to 2.5 s apart, and a roll-out is played, at whose end the engines of the old version refuse connections at once and finish their answers.

The check counts a call that was cut at the end of the grace period of a host as allowed if that host served it for the call's host, as it does for the host's own calls; only where hosts have no retries, from the log of the hosts. With retries the check is as it was.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -32,6 +32,9 @@
 	Runs  []platformtest.Run
 	// Stops are the graceful shutdowns of hosts.
 	Stops []Stop
+	// Helpers are the names of the hosts that served a call for its host, by the id of the
+	// call. It is empty in a run with retries: they go on with what a helper leaves at its end.
+	Helpers map[string][]string
 	// Events is the number of events in a complete stream.
 	Events int
 	// Revoked is the time at which the store acknowledged the revocation of a key.
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -209,6 +209,7 @@
 	wg.Go(func() { s.injectMore(ctx, linkFaults, 3) })
 	wg.Go(func() { s.injectMore(ctx, signalFaults, 4) })
 	wg.Go(func() { s.injectMore(ctx, endlessFaults, 5) })
+	wg.Go(func() { s.injectMore(ctx, refusalFaults, 9) })
 	revokeAt := time.Now().Add(s.Duration / 2)
 	end := time.Now().Add(s.Duration)
 	for time.Now().Before(end) && ctx.Err() == nil {
@@ -270,3 +271,6 @@
 func (s *soak) endpoints() []*platformtest.Endpoint {
 	return append(append([]*platformtest.Endpoint(nil), s.d.PlainEndpoints...), s.d.Engines...)
 }
+
+// allEndpoints returns also the engines of the version that a roll-out brings.
+func (s *soak) allEndpoints() []*platformtest.Endpoint { return append(s.endpoints(), s.d.Spares...) }
--- a/internal/soak/line.go
+++ b/internal/soak/line.go
@@ -16,8 +16,9 @@
 // http.Client it sends no request a second time.
 type line struct {
 	*Caller
-	// short excludes streams.
+	// short excludes streams; paused makes all calls streams with pauses.
 	short  bool
+	paused bool
 	host   string
 	conn   net.Conn
 	reader *bufio.Reader
@@ -69,10 +70,16 @@
 }
 
 // draw returns the n-th call: a lookup, a booking that takes up to a second, or a stream
-// of up to 12 s, at times from an engine that does not begin for seconds.
+// of up to 12 s, at times from an engine that does not begin for seconds. A paused line draws
+// streams with pauses only.
 func (l *line) draw(n int) Call {
 	ms := func(low, high int) time.Duration { return time.Duration(low+l.rng.IntN(high-low)) * time.Millisecond }
 	call := Call{ID: fmt.Sprintf("%s-%d", l.name, n), Key: platformtest.ValidKey, Host: l.host, Timeout: plainCallTimeout}
+	if l.paused {
+		call.Kind, call.Timeout = Stream, longCallTimeout
+		call.Work = platformtest.Work{Delay: ms(5, 200), Events: pausedEvents, EventInterval: ms(1100, 2500)}
+		return call
+	}
 	kinds := 10
 	if l.short {
 		kinds = 7
@@ -99,8 +106,9 @@
 }
 
 // longEvents is the number of events of a stream on a line; shortInterval is the time
-// between those of a short one.
+// between those of a short one. pausedEvents is the number of events of a stream with pauses.
 const (
+	pausedEvents  = 4
 	longEvents    = 40
 	shortInterval = 5 * time.Millisecond
 )
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"os"
+	"regexp"
+	"slices"
 	"time"
 
 	"github.com/corianderlever/corianderlever/platform/platformtest"
@@ -27,33 +30,36 @@
 	var stats struct{ stopping, cut, unread int }
 	for i := range h.Calls {
 		c, ran := &h.Calls[i], runs[h.Calls[i].ID]
-		stop := h.stopDuring(c)
-		if stop != nil {
+		stops := h.stopsDuring(c)
+		if len(stops) > 0 {
 			stats.stopping++
 		}
 		switch {
 		case c.Written.IsZero() || !c.Incomplete || c.Ended.Sub(c.Sent) >= c.Timeout:
 		case len(ran) == 0 && c.Ended.Sub(c.Written) < readSlack:
 			stats.unread++
-		case stop != nil && workedToTheEnd(c, ran, stop):
+		case slices.ContainsFunc(stops, func(s *Stop) bool { return workedToTheEnd(c, ran, s) }):
 			stats.cut++
 		default:
-			violations = append(violations, describeUnanswered(c, ran, stop))
+			violations = append(violations, describeUnanswered(c, ran, stops))
 		}
 	}
 	logf("%d calls met a stopping host; %d were cut at work at the end of the grace period, %d were not read", stats.stopping, stats.cut, stats.unread)
 	return violations
 }
 
-// stopDuring returns the shutdown of the call's host that ran when the call ended, or nil.
-func (h *History) stopDuring(c *Call) *Stop {
+// stopsDuring returns the shutdowns of the call's host, and of its helpers, that ran when the
+// call ended.
+func (h *History) stopsDuring(c *Call) []*Stop {
+	var stops []*Stop
 	for i := range h.Stops {
 		s := &h.Stops[i]
-		if s.Address == c.Host && !c.Ended.Before(s.Term) && c.Sent.Before(s.Exit) {
-			return s
+		serves := s.Address == c.Host || slices.Contains(h.Helpers[c.ID], s.Host)
+		if serves && !c.Ended.Before(s.Term) && c.Sent.Before(s.Exit) {
+			stops = append(stops, s)
 		}
 	}
-	return nil
+	return stops
 }
 
 // workedToTheEnd reports whether an endpoint still worked on the call when the last part
@@ -71,12 +77,13 @@
 	return false
 }
 
-func describeUnanswered(c *Call, runs []platformtest.Run, s *Stop) string {
+func describeUnanswered(c *Call, runs []platformtest.Run, stops []*Stop) string {
 	text := fmt.Sprintf("%s got no complete response: status %d, %d bytes, %q, %v after it was sent, %d runs, work %+v",
 		c.ID, c.Status, len(c.Body), c.Err, c.Ended.Sub(c.Sent).Round(time.Millisecond), len(runs), c.Work)
-	if s == nil {
+	if len(stops) == 0 {
 		return text + "; its host " + c.Host + " was not stopping"
 	}
+	s := stops[0]
 	since := func(t time.Time) time.Duration { return t.Sub(s.Term).Round(time.Millisecond) }
 	text += fmt.Sprintf("; sent %v and cut %v after SIGTERM to %s, which exited after %v", since(c.Sent), since(c.Ended), s.Host, since(s.Exit))
 	for _, r := range runs {
@@ -96,3 +103,19 @@
 	}
 	return runs
 }
+
+// helpedLine matches the line that a host logs at the end of a request of another host.
+var helpedLine = regexp.MustCompile(`msg=request self=\S+ request=(\S+) from=host-`)
+
+// helped returns the ids of the calls that the host has served for another one.
+func (h *Host) helped() ([]string, error) {
+	log, err := os.ReadFile(h.log)
+	if err != nil {
+		return nil, err
+	}
+	var ids []string
+	for _, m := range helpedLine.FindAllSubmatch(log, -1) {
+		ids = append(ids, string(m[1]))
+	}
+	return ids, nil
+}
--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -16,15 +16,19 @@
 	call := func(sent, ended float64) Call {
 		return Call{ID: "x", Kind: Stream, Host: "a", Sent: at(sent), Written: at(sent), Ended: at(ended), Timeout: longCallTimeout, Incomplete: true}
 	}
-	run := func(from, to float64) []platformtest.Run {
-		return []platformtest.Run{{Attempt: "x", At: at(from), Ended: at(to)}}
+	runOf := func(id string, from, to float64) []platformtest.Run {
+		return []platformtest.Run{{Attempt: id, At: at(from), Ended: at(to)}}
 	}
+	run := func(from, to float64) []platformtest.Run { return runOf("x", from, to) }
 	complete := call(1, 3)
 	complete.Incomplete, complete.Status = false, 503
 	notSent := call(1, 3)
 	notSent.Written = time.Time{}
 	elsewhere := call(1, 7.4)
 	elsewhere.Host = "b"
+	helped, helpedEarly := call(-1, 7.4), call(1, 3)
+	helped.Host, helpedEarly.Host = "b", "b"
+	helped.ID, helpedEarly.ID = "helped", "helped"
 	for name, c := range map[string]struct {
 		call Call
 		runs []platformtest.Run
@@ -41,8 +45,10 @@
 		"cut in the last part, work was over": {call(1, 7.4), run(1, 2), 1},
 		"cut in time after its own timeout":   {call(-20, 0.1), run(-20, 0.1), 0},
 		"the host was not stopping":           {elsewhere, run(1, 7.4), 1},
+		"cut at work at the end of a helper":  {helped, runOf("helped", -1, 7.4), 0},
+		"cut early at a helper":               {helpedEarly, runOf("helped", 1, 3), 1},
 	} {
-		h := History{Calls: []Call{c.call}, Runs: c.runs, Stops: []Stop{stop}}
+		h := History{Calls: []Call{c.call}, Runs: c.runs, Stops: []Stop{stop}, Helpers: map[string][]string{"helped": {"host-1"}}}
 		if got := h.checkUnanswered(t.Logf); len(got) != c.want {
 			t.Errorf("%s: got violations %q, want %d", name, got, c.want)
 		}
--- a/internal/soak/maintenance.go
+++ b/internal/soak/maintenance.go
@@ -74,6 +74,8 @@
 func (s *soak) maintain(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	wg.Go(func() { s.injectMore(ctx, refusalFaults, 9) })
+	wg.Go(func() { s.rollOut(ctx, rand.New(rand.NewPCG(s.Seed, 10))) })
 	rng := rand.New(rand.NewPCG(s.Seed, 5))
 	list := append(append([]fault(nil), signalFaults...), planFaults...)
 	for end := time.Now().Add(s.Duration); time.Now().Before(end) && ctx.Err() == nil; {
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -19,6 +19,22 @@
 // Restore writes the file as it should be.
 func (f *SettingsFile) Restore() error { return os.WriteFile(f.path, f.content, 0o600) }
 
+// allRetries is the retry budget in the settings, noRetries one without retries.
+const (
+	allRetries = "RetryBudgetRatio: 0.9, RetryWindowS: 10, RetryBudgetExtra: 52"
+	noRetries  = "RetryBudgetRatio: 0, RetryWindowS: 10, RetryBudgetExtra: 0"
+)
+
+// SetNoRetries leaves the host without retries.
+func (f *SettingsFile) SetNoRetries() error {
+	content := bytes.Replace(f.content, []byte(allRetries), []byte(noRetries), 1)
+	if bytes.Equal(content, f.content) {
+		return fmt.Errorf("no settings %s in %s", allRetries, f.path)
+	}
+	f.content = content
+	return f.Restore()
+}
+
 // damage is a way in which the file is wrong for a moment.
 type damage int
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -45,15 +45,17 @@
 // soak is the state of one run.
 type soak struct {
 	Options
-	rng        *rand.Rand
-	startTime  time.Time
-	d          *platformtest.Deployment
-	hosts      []*Host
-	callers    []*Caller
-	lines      []*line
-	history    History
-	mu         sync.Mutex
-	violations []string
+	rng       *rand.Rand
+	startTime time.Time
+	d         *platformtest.Deployment
+	hosts     []*Host
+	callers   []*Caller
+	lines     []*line
+	// pausedLines send streams with pauses while faults go on.
+	pausedLines []*line
+	history     History
+	mu          sync.Mutex
+	violations  []string
 }
 
 const (
@@ -92,6 +94,9 @@
 		}
 		wg.Go(func() { l.Run(lineCtx) })
 	}
+	for _, l := range s.pausedLines {
+		wg.Go(func() { l.Run(pressCtx) })
+	}
 	if s.Maintenance {
 		s.maintain(ctx)
 		stopPress()
@@ -125,13 +130,16 @@
 	if s.Maintenance {
 		s.d.StreamTimeout = longCallTimeout
 		s.d.Configure(platformtest.ValidKey, platformtest.RevokedKey)
-		for _, e := range s.endpoints() {
+		for range engineEndpoints {
+			s.d.AddSpare(platformtest.TargetVersion)
+		}
+		for _, e := range s.allEndpoints() {
 			e.Slots = s.Callers // at times streams wait for one
 		}
 	} else {
 		s.d.Engines[0].RateLimit = rateLimit
 	}
-	go s.d.SendHeartbeats(s.endpoints()...)
+	go s.d.SendHeartbeats(s.allEndpoints()...)
 	var all []platformtest.Addresses
 	for range s.Hosts {
 		a, err := platformtest.FreeAddresses()
@@ -146,6 +154,11 @@
 		if err != nil {
 			return err
 		}
+		if s.noRetries() {
+			if err := h.Settings.SetNoRetries(); err != nil {
+				return err
+			}
+		}
 		h.onExit = func(err error) { s.addViolation("%s ended by itself: %v", h.Name, err) }
 		s.hosts = append(s.hosts, h)
 		if err := h.Start(); err != nil {
@@ -172,6 +185,9 @@
 			l.short = k == 0
 			s.lines = append(s.lines, l)
 		}
+		l := newLine(fmt.Sprintf("p%d", i), s.hosts, s.Seed+uint64(s.Callers*linesPerCaller+i))
+		l.paused = true
+		s.pausedLines = append(s.pausedLines, l)
 	}
 }
 
@@ -214,17 +230,36 @@
 	for _, c := range s.callers {
 		s.history.Calls = append(s.history.Calls, c.Calls()...)
 	}
-	for _, l := range s.lines {
+	for _, l := range append(s.lines, s.pausedLines...) {
 		s.history.Calls = append(s.history.Calls, l.Calls()...)
 	}
 	for _, h := range s.hosts {
 		s.history.Stops = append(s.history.Stops, h.Stops()...)
 	}
-	for _, e := range s.endpoints() {
+	if s.noRetries() {
+		s.collectHelpers()
+	}
+	for _, e := range s.allEndpoints() {
 		s.history.Runs = append(s.history.Runs, e.Runs()...)
 	}
 }
 
+// noRetries reports whether hosts have no retries, so that callers see each answer that is cut.
+func (s *soak) noRetries() bool { return s.Maintenance && s.Seed%2 == 0 }
+
+func (s *soak) collectHelpers() {
+	s.history.Helpers = make(map[string][]string)
+	for _, h := range s.hosts {
+		ids, err := h.helped()
+		if err != nil {
+			s.addViolation("log of %s: %v", h.Name, err)
+		}
+		for _, id := range ids {
+			s.history.Helpers[id] = append(s.history.Helpers[id], h.Name)
+		}
+	}
+}
+
 // checkRecovery adds a violation unless enough calls sent after from were answered.
 func (s *soak) checkRecovery(from time.Time) {
 	total, answered := 0, 0
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,6 +23,12 @@
 	133: "after the loss of all hosts, a sound prompt part was rejected alone and for good",
 }
 
+// maintenanceRegressions is the same for runs with maintenance only. Seeds that are even play
+// hosts without retries.
+var maintenanceRegressions = map[uint64]string{
+	5002: "hosts cut streams in progress when endpoints refused new connections",
+}
+
 // TestSoak guards against guarantees that are violated when real processes meet
 // consecutive and simultaneous faults: kills, pauses, stops, a store that is
 // down, slow, stalled or compacted, and endpoints that fail, lose answers or cut
@@ -36,10 +42,15 @@
 }
 
 // TestMaintenanceLosesNoCall guards against calls that get no response, and processes that
-// end early, late or by a signal, while hosts are stopped, get signals in any order, and
-// their settings and configuration change.
+// end early, late or by a signal, while hosts are stopped, get signals in any order, their
+// settings and configuration change, endpoints refuse new connections or leave, and a
+// roll-out ends.
 func TestMaintenanceLosesNoCall(t *testing.T) {
 	runSeeds(t, true)
+	for seed, cause := range maintenanceRegressions {
+		t.Logf("regression seed %d: %s", seed, cause)
+		runSeed(context.Background(), t, build(t), seed, true)
+	}
 }
 
 // maxReported bounds the violations that are reported one by one.
