--- a/relay/job.go
+++ b/relay/job.go
@@ -64,6 +64,9 @@
 	// exclude lists the endpoints that failed or rejected the request, unreached those of
 	// them to which this host could not connect. Other hosts may reach these.
 	exclude, unreached []string
+	// avoid lists the endpoints to which other hosts could not connect for this request. They
+	// are tried if there are no others.
+	avoid []string
 	// delivered counts the attempts that an endpoint has received. possibleRuns
 	// counts the attempts that may have run.
 	delivered, possibleRuns, rejections, dialFailures int
@@ -224,10 +227,11 @@
 	return j.deadline.Sub(j.relay.Clock.Now())
 }
 
-// recheck repeats the checks of age and key right before a send, because
-// their result may have changed while the request waited.
+// recheck repeats the checks of age and key right before a send, because their result may
+// have changed while the request waited. An answer that has begun goes on: its request was
+// accepted, and a change of the configuration cuts no answer in the middle.
 func (j *job) recheck() *ErrorResponse {
-	if !j.requiresKey {
+	if !j.requiresKey || j.headerSent {
 		return nil
 	}
 	if errResp := j.checkKeyAge(); errResp != nil {
