--- a/engine/fakeengine/fakeengine.go
+++ b/engine/fakeengine/fakeengine.go
@@ -78,6 +78,8 @@
 
 	mu       sync.Mutex
 	server   *http.Server
+	listener net.Listener
+	refusing bool
 	addr     string
 	runs     []Run
 	attempts map[string]*attemptState
@@ -87,7 +89,9 @@
 	role     string
 	fencing  int64
 	quality  map[string]float64
-	crashes  int
+	// tokenDelay is the time between two tokens.
+	tokenDelay time.Duration
+	crashes    int
 	// rateLimit is named in answers; zero for none.
 	rateLimit float64
 	// stalled is closed to make the responses that started before send no more
@@ -101,12 +105,13 @@
 	opts.Capacity = max(opts.Capacity, 1)
 	opts.AnswerTokens = max(opts.AnswerTokens, 1)
 	e := &Endpoint{
-		opts:     opts,
-		slots:    make(chan struct{}, opts.Capacity),
-		attempts: make(map[string]*attemptState),
-		versions: slices.Clone(opts.Versions),
-		quality:  make(map[string]float64),
-		stalled:  make(chan struct{}),
+		opts:       opts,
+		slots:      make(chan struct{}, opts.Capacity),
+		attempts:   make(map[string]*attemptState),
+		versions:   slices.Clone(opts.Versions),
+		quality:    make(map[string]float64),
+		tokenDelay: opts.TokenDelay,
+		stalled:    make(chan struct{}),
 	}
 	for v, q := range opts.Quality {
 		e.quality[v] = q
@@ -129,9 +134,42 @@
 	}
 	server := &http.Server{Handler: e.handler(), ReadHeaderTimeout: 10 * time.Second}
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.server, e.addr = server, ln.Addr().String()
-	e.mu.Unlock()
-	go func() { _ = server.Serve(ln) }() // after Close, Serve returns an error
+	e.serve(ln)
+	return nil
+}
+
+// serve serves on a listener. The caller holds mu.
+func (e *Endpoint) serve(ln net.Listener) {
+	server := e.server
+	e.listener, e.refusing = ln, false
+	go func() { _ = server.Serve(ln) }() // ends with the server or its listener
+}
+
+// Refuse makes the endpoint refuse new connections and serve on the open ones.
+func (e *Endpoint) Refuse() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.refusing {
+		return nil
+	}
+	e.refusing = true
+	return errors.Wrap(e.listener.Close(), "fakeengine: refuse connections")
+}
+
+// Accept makes the endpoint accept connections again.
+func (e *Endpoint) Accept() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.refusing {
+		return nil
+	}
+	ln, err := net.Listen("tcp", e.addr)
+	if err != nil {
+		return errors.Wrap(err, "fakeengine: accept connections")
+	}
+	e.serve(ln)
 	return nil
 }
 
@@ -185,6 +223,13 @@
 	e.rateLimit = rate
 }
 
+// SetTokenDelay changes the time between two tokens.
+func (e *Endpoint) SetTokenDelay(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.tokenDelay = d
+}
+
 // nameLimit adds the rate limit to the header of an answer.
 func (e *Endpoint) nameLimit(w http.ResponseWriter) {
 	e.mu.Lock()
--- a/engine/fakeengine/generate.go
+++ b/engine/fakeengine/generate.go
@@ -45,7 +45,7 @@
 	rc := http.NewResponseController(w)
 	for i := req.ResumeFrom; i <= len(words); i++ {
 		select {
-		case <-time.After(e.opts.TokenDelay):
+		case <-time.After(e.nextDelay()):
 		case <-r.Context().Done():
 			return
 		}
@@ -79,6 +79,13 @@
 	}
 }
 
+// nextDelay returns the time until the next token.
+func (e *Endpoint) nextDelay() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.tokenDelay
+}
+
 func isClosed(ch <-chan struct{}) bool {
 	select {
 	case <-ch:
