upstream: a test that fails: an answer is cut while its endpoint has not read the request

TCP_USER_TIMEOUT (3 s) ends a connection on which sent data stays unacknowledged, also if the endpoint has only closed its window because it reads the request later, as it may. The answer that is arriving meanwhile ends in the middle.

--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -422,3 +422,44 @@
 		c.Close()
 	}
 }
+
+// TestAnswerGoesOnWhileTheRequestIsUnread guards against an answer that is cut because its
+// endpoint has not read the whole request yet, so that sent data stays unacknowledged.
+func TestAnswerGoesOnWhileTheRequestIsUnread(t *testing.T) {
+	const parts, pause, bodyBytes = 12, 500 * time.Millisecond, 256 << 10
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		br := bufio.NewReaderSize(c, 4<<10)
+		for line := ""; line != "\r\n"; {
+			if line, err = br.ReadString('\n'); err != nil {
+				return
+			}
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", parts)
+		for range parts {
+			if _, err := io.WriteString(c, "x"); err != nil {
+				return
+			}
+			time.Sleep(pause)
+		}
+	}()
+	client := upstream.NewClient(upstream.DefaultOptions())
+	defer client.Close()
+	resp, err := client.Do(t.Context(), ln.Addr().String(), &upstream.Request{Method: "POST", Target: "/x", Host: "h", Body: make([]byte, bodyBytes)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Close()
+	if body, err := io.ReadAll(resp); err != nil || string(body) != strings.Repeat("x", parts) {
+		t.Errorf("got %q, %v; want the whole answer", body, err)
+	}
+}
