engine: keep-alive also checks TLS connections and those of a given dialer

Change: the client sets keep-alive on every connection that a dialer returns, on a copy of the caller's transport.

Shown: the case TLS of TestLostConnectionsOfEndpointsEnd fails without it ("ends after 150 s"); go test -race ./engine ./dispatch pass. The options are checked, no run with lost packets was made.

--- a/engine/client.go
+++ b/engine/client.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -41,10 +40,6 @@
 // errWrongAttempt reports a response or event that belongs to another attempt.
 var errWrongAttempt = errors.New("response to another attempt")
 
-// endpointKeepAlive ends a connection whose packets are lost about 6 s after the last one.
-// This also finds connections of endpoints that turn probes away.
-var endpointKeepAlive = net.KeepAliveConfig{Enable: true, Idle: 3 * time.Second, Interval: time.Second, Count: 3}
-
 // Client calls endpoints. It is safe for concurrent use.
 type Client struct {
 	scheme string
@@ -71,9 +66,7 @@
 	if transport == nil {
 		transport = &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: api.MaxHeaderBytes}
 	}
-	if transport.DialContext == nil {
-		transport.DialContext = (&net.Dialer{KeepAliveConfig: endpointKeepAlive}).DialContext
-	}
+	transport = withKeepAlive(transport)
 	probeTransport := transport.Clone()
 	probeTransport.DisableKeepAlives = true
 	return &Client{
--- a/engine/keepalive_test.go
+++ b/engine/keepalive_test.go
@@ -1,51 +1,57 @@
-package engine_test
+package engine
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
-	"syscall"
+	"net/http/httptest"
 	"testing"
 
 	"golang.org/x/sys/unix"
-
-	"github.com/corianderlever/corianderlever/engine"
 )
 
 // TestLostConnectionsOfEndpointsEnd guards against an answer that waits until its deadline on a
 // connection whose packets are lost, while the endpoint turns new connections away.
 func TestLostConnectionsOfEndpointsEnd(t *testing.T) {
 	const maxSeconds = 10
-	transport := new(http.Transport)
-	engine.NewClient(transport)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	server := httptest.NewTLSServer(http.NotFoundHandler())
+	defer server.Close()
+	dialTLS := &tls.Dialer{Config: server.Client().Transport.(*http.Transport).TLSClientConfig}
+	transport := NewClient(&http.Transport{DialTLSContext: dialTLS.DialContext}).http.Transport.(*http.Transport)
+	for name, dial := range map[string]dialFunc{"TCP": transport.DialContext, "TLS": transport.DialTLSContext} {
+		conn, err := dial(context.Background(), "tcp", server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(name, err)
+		}
+		defer conn.Close()
+		if seconds := keepAliveSeconds(t, conn); seconds > maxSeconds {
+			t.Errorf("%s: a lost connection ends after %d s, want at most %d s", name, seconds, maxSeconds)
+		}
 	}
-	defer ln.Close()
-	conn, err := transport.DialContext(context.Background(), "tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
+}
+
+// keepAliveSeconds returns the time after the last packet at which the system ends a connection.
+func keepAliveSeconds(t *testing.T, conn net.Conn) int {
+	t.Helper()
+	tcp, ok := tcpConn(conn)
+	if !ok {
+		t.Fatalf("%T is no TCP connection", conn)
 	}
-	defer conn.Close()
-	raw, err := conn.(syscall.Conn).SyscallConn()
+	raw, err := tcp.SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
+	var options [3]int
 	err = raw.Control(func(fd uintptr) {
-		option := func(name int) int {
-			value, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name)
-			if err != nil {
+		for i, name := range []int{unix.TCP_KEEPIDLE, unix.TCP_KEEPINTVL, unix.TCP_KEEPCNT} {
+			if options[i], err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name); err != nil {
 				t.Error(err)
 			}
-			return value
-		}
-		idle, interval, count := option(unix.TCP_KEEPIDLE), option(unix.TCP_KEEPINTVL), option(unix.TCP_KEEPCNT)
-		if seconds := idle + interval*count; seconds > maxSeconds {
-			t.Errorf("a lost connection ends after %d s, want at most %d s", seconds, maxSeconds)
 		}
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
+	return options[0] + options[1]*options[2]
 }
