control, daemon/router: sessions that begin just before the first stage keep their version

Seen in a test: a session that begins on the old version less than a heartbeat before the first stage of a roll-out moves to the target at the next host, and back at the one after, until all hosts know it.

Cause: hosts told each other of ongoing sessions in heartbeats only (every 0.5 s, three hosts each), and none while the share was still 0, that is until the target's endpoints were there: 0.6 s of the 1.28 s of an order of 16 s.

Change: until the share is known, hosts exchange the sessions below twice the share that they expect; a session that begins on the old version before the first stage is announced to all hosts at once.

--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -81,6 +81,10 @@
 	hosts func() int
 	clock clockwork.Clock
 	log   *slog.Logger
+	// OnBaselineSession is called without the lock for a session that has begun at this host
+	// on the baseline shortly before the first stage of a roll-out. It must be set before the
+	// first request.
+	OnBaselineSession func(service string, key uint32)
 
 	mu       sync.Mutex
 	services map[string]*service
@@ -211,25 +215,34 @@
 // may serve it. point is the session's position in [0, 1). The target serves the
 // points below its share.
 func (r *Rollouts) Pick(name string, point float64) string {
+	version, announce := r.pick(name, point)
+	if announce && r.OnBaselineSession != nil {
+		r.OnBaselineSession(name, sessionKey(point))
+	}
+	return version
+}
+
+// pick returns the version for a session, and whether the other hosts must hear at once that
+// the baseline serves it.
+func (r *Rollouts) pick(name string, point float64) (version string, announce bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.service(name)
-	now := r.clock.Now()
-	s.arrivals.add(now)
+	s.arrivals.add(r.clock.Now())
 	step := s.current()
 	if s.hasOrder && r.usesTarget(name, s, step, point) {
-		return r.versionIfServed(name, s.order.Target)
+		return r.versionIfServed(name, s.order.Target), false
 	}
 	if point < r.stage().MaxCanaryShare() {
-		s.baselineSessions.add(sessionKey(point), now, r.sessionLifetime())
+		announce = r.addBaselineSession(s, point)
 	}
 	switch {
 	case !s.hasOrder:
-		return ""
+		return "", false
 	case step.State == rollout.OrderDone:
-		return r.versionIfServed(name, s.order.Target)
+		return r.versionIfServed(name, s.order.Target), false
 	}
-	return r.baselineVersion(name, s.order.Target)
+	return r.baselineVersion(name, s.order.Target), announce
 }
 
 // usesTarget reports whether a session uses the target of a roll-out in progress.
--- a/control/rollouts_test.go
+++ b/control/rollouts_test.go
@@ -90,6 +90,19 @@
 	}
 }
 
+// announceSessions delivers the sessions that a host announces to all others at once.
+func (tc *testCluster) announceSessions() {
+	for _, h := range tc.hosts {
+		h.rollouts.OnBaselineSession = func(service string, key uint32) {
+			for _, other := range tc.hosts {
+				if other != h {
+					other.rollouts.MergeBaselineSessions(map[string][]uint32{service: {key}})
+				}
+			}
+		}
+	}
+}
+
 // run advances the time by d, with a coordinator at each host, of which one is
 // active, and one request per host every 100 ms.
 func (tc *testCluster) run(d time.Duration, store kv.Feed, request func(h *host, version string)) {
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -14,6 +14,9 @@
 	maxSessionsPerSignal = 40
 	// longRequestTime is the duration up to which requests are usually answered.
 	longRequestTime = 10 * time.Second
+	// canaryShareMargin is the factor by which the share of the first stage may exceed what a
+	// host expects by its own requests.
+	canaryShareMargin = 2
 )
 
 // sessions holds the sessions that the baseline has served recently. The first
@@ -70,6 +73,29 @@
 // start of its last request.
 func (r *Rollouts) sessionLifetime() time.Duration { return longRequestTime + r.stage().SessionTTL }
 
+// canaryShareBound returns the share below which the first stage may move sessions.
+func (r *Rollouts) canaryShareBound(s *service, step Step) float64 {
+	if step.Share > 0 {
+		return step.Share
+	}
+	expected := r.stage().CanaryShare(s.rate(r.clock.Now(), r.hosts()))
+	return min(r.stage().MaxCanaryShare(), canaryShareMargin*expected)
+}
+
+// addBaselineSession records that the baseline serves a session now. It reports whether the
+// other hosts must hear of it at once: the first stage may begin before the next heartbeat.
+func (r *Rollouts) addBaselineSession(s *service, point float64) (announce bool) {
+	now, key := r.clock.Now(), sessionKey(point)
+	begins := !s.baselineSessions.contains(key)
+	s.baselineSessions.add(key, now, r.sessionLifetime())
+	if !begins || !s.hasOrder {
+		return false
+	}
+	step := s.current()
+	ahead := step.Share == 0 || !r.stage().CanaryStarted(s.order, s.age.atLeast(now))
+	return ahead && !isFinal(step.State) && point < r.canaryShareBound(s, step)
+}
+
 // BaselineSessions returns, by service, sessions that stay on the baseline while
 // a roll-out is in its first (canary) stage.
 func (r *Rollouts) BaselineSessions() map[string][]uint32 {
@@ -81,7 +107,7 @@
 		if !s.hasOrder || isFinal(step.State) || step.Share > r.stage().MaxCanaryShare() {
 			continue
 		}
-		if sampled := s.baselineSessions.sample(step.Share, r.clock.Now(), r.sessionLifetime()); len(sampled) > 0 {
+		if sampled := s.baselineSessions.sample(r.canaryShareBound(s, step), r.clock.Now(), r.sessionLifetime()); len(sampled) > 0 {
 			out[name] = sampled
 		}
 	}
--- /dev/null
+++ b/control/sessions_test.go
@@ -0,0 +1,71 @@
+package control_test
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// activeSession is a session whose requests each reach another host.
+type activeSession struct {
+	point     float64
+	remaining int // requests
+	host      int // the next host
+	version   string
+}
+
+// TestSessionsThatBeginBeforeTheFirstStageKeepTheirVersion guards against a session that begins
+// between an order and the first stage, less than a heartbeat before that, and changes its
+// version because a host has not heard of it; also while the target has no endpoints at first.
+func TestSessionsThatBeginBeforeTheFirstStageKeepTheirVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts, active, requests = 6, 12, 20
+		tc := newTestCluster(t, hosts)
+		tc.heartbeat = 1200 * time.Millisecond
+		tc.announceSessions()
+		targets := map[string][]byte{}
+		for _, id := range []string{"av2", "bv2"} {
+			e, err := tc.store.Get(t.Context(), "servers/"+id)
+			if err != nil {
+				t.Fatal(err)
+			}
+			targets["servers/"+id] = e.Value
+			if err := tc.store.Delete(t.Context(), "servers/"+id, e.Revision); err != nil {
+				t.Fatal(err)
+			}
+		}
+		rng := rand.New(rand.NewPCG(1, 1))
+		sessions := make([]activeSession, active)
+		for i := range sessions {
+			sessions[i] = activeSession{point: rng.Float64() / 50, remaining: i * requests / active, host: i}
+		}
+		served, turn := map[string]int{}, 0
+		request := func(*host, string) {
+			turn++
+			s := &sessions[turn%active]
+			if s.remaining == 0 {
+				*s = activeSession{point: rng.Float64() / 50, remaining: requests, host: rng.IntN(hosts)}
+			}
+			got := cmp.Or(tc.hosts[s.host%hosts].rollouts.Pick("s", s.point), "v1")
+			if s.version != "" && s.version != got {
+				t.Errorf("session %.6f moved from %s to %s", s.point, s.version, got)
+			}
+			s.version = got
+			s.remaining--
+			s.host++
+			served[got]++
+		}
+		tc.run(10*time.Second, tc.store, request)
+		tc.store.Put("op/rollout/s", []byte(`{"Service":"s","Target":"v2","DurationS":16}`))
+		tc.run(600*time.Millisecond, tc.store, request)
+		for key, value := range targets {
+			tc.store.Put(key, value)
+		}
+		tc.run(7*time.Second, tc.store, request)
+		if served["v2"] == 0 {
+			t.Error("no session was served by the target")
+		}
+	})
+}
--- a/daemon/router/peers.go
+++ b/daemon/router/peers.go
@@ -92,6 +92,7 @@
 	s.server.Handle(methodAnnounce, s.handleAnnounce)
 	s.server.Handle(methodLoads, s.handleLoads)
 	s.server.Handle(methodStep, s.handleStep)
+	s.server.Handle(methodSessions, s.handleSessions)
 	s.calls = broadcast.New(broadcast.Options{Self: set.Host, Members: s.members.Members, Call: s.client.Call, Rand: s.host.newRand(), Logger: o.Logger})
 	s.reports = s.newCrashReports()
 	s.reports.Register(s.server)
@@ -208,6 +209,24 @@
 	h.peers.calls.All(methodStep, stepCall{Service: service, Step: step})
 }
 
+// methodSessions tells a host of sessions that begin on the baseline of a roll-out, by service.
+const methodSessions = "rollout.Sessions"
+
+func (s *peerService) handleSessions(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var sessions map[string][]uint32
+	if err := json.Unmarshal(params, &sessions); err != nil {
+		return nil, errors.Wrap(err, "router: decode sessions")
+	}
+	s.host.rollouts.MergeBaselineSessions(sessions)
+	return struct{}{}, nil
+}
+
+// announceSession tells all live hosts of a session that begins on the baseline. Hosts that do
+// not answer learn of it from heartbeats.
+func (h *Host) announceSession(service string, key uint32) {
+	go h.peers.calls.All(methodSessions, map[string][]uint32{service: {key}})
+}
+
 // signal adds the result of produce to outgoing heartbeats under name, and passes the
 // values received from other hosts to consume.
 func signal[T any](s *peerService, name string, produce func() T, consume func(from string, v T)) {
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -174,6 +174,7 @@
 	h.SetBounds(opts.Settings.Bounds)
 	h.rollouts = control.NewRollouts(opts.Settings.Host, h.registry, func() rollout.StageConfig { return h.bounds.Load().Exposure },
 		func() int { return int(h.hosts.Load()) }, opts.Clock, opts.Logger)
+	h.rollouts.OnBaselineSession = h.announceSession
 	h.state = control.NewState(opts.Records, h.registry, h.rollouts, opts.Clock, opts.Logger)
 	h.follower = feed.New(feed.Options{
 		Source: opts.Store, Sink: h.state, Wait: feedWait, Pause: feedPause, CallTimeout: feedTimeout, SettleTime: settleTime,
--- a/rollout/stage.go
+++ b/rollout/stage.go
@@ -72,9 +72,9 @@
 	return elapsed.Seconds() >= canaryStartFraction*o.TimeLimit.Seconds()
 }
 
-// canaryShare returns the share of the first stage of a service that receives rate
+// CanaryShare returns the share of the first stage of a service that receives rate
 // requests per second (zero if unknown).
-func (c StageConfig) canaryShare(rate float64) float64 {
+func (c StageConfig) CanaryShare(rate float64) float64 {
 	if rate > 0 {
 		return min(c.MaxCanaryShare(), canaryRequestRate/rate)
 	}
@@ -230,7 +230,7 @@
 		if share > 0 {
 			return share
 		}
-		return c.canaryShare(rate)
+		return c.CanaryShare(rate)
 	}
 	if left.permitsFullTraffic() {
 		return 1
