control: sessions of the last target keep it when the next roll-out begins

Cause: hosts record the sessions that the baseline serves, not those that a target serves while its roll-out runs; once completed, that target is the baseline.

Change: hosts record the sessions of the target apart and take them over as sessions of the baseline when the next order arrives.

TestSessionsOfACompletedRolloutKeepItsTarget failed before: both hosts chose v3.

--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -66,8 +66,9 @@
 	history  requestHistory
 	// limit bounds the requests that this host sends to the target.
 	limit exposureLimit
-	// baselineSessions are the sessions that a version other than the target serves.
-	baselineSessions *sessions
+	// baselineSessions are the sessions that a version other than the target serves,
+	// targetSessions those that the target serves.
+	baselineSessions, targetSessions *sessions
 }
 
 // Rollouts chooses the version of a service for each request and counts good and
@@ -101,7 +102,7 @@
 func (r *Rollouts) service(name string) *service {
 	s := r.services[name]
 	if s == nil {
-		s = &service{latency: newLatencyBaseline(), routeLatency: newRouteBaseline(), pace: newPaceBaseline(), baselineSessions: newSessions()}
+		s = &service{latency: newLatencyBaseline(), routeLatency: newRouteBaseline(), pace: newPaceBaseline(), baselineSessions: newSessions(), targetSessions: newSessions()}
 		s.reset()
 		r.services[name] = s
 	}
@@ -142,6 +143,7 @@
 	s.order, s.hasOrder = o, true
 	now := r.clock.Now()
 	s.age = newOrderAge(now, silence, silenceKnown)
+	s.adoptTargetSessions()
 	s.reset()
 	if s.step.Order == o.Revision {
 		s.age.raise(milliseconds(s.step.ElapsedMS), now)
@@ -230,10 +232,14 @@
 	s := r.service(name)
 	s.arrivals.add(r.clock.Now())
 	step := s.current()
+	mayMove := point < r.stage().MaxCanaryShare()
 	if s.hasOrder && r.usesTarget(name, s, step, point) {
+		if mayMove {
+			s.targetSessions.add(sessionKey(point), r.clock.Now(), r.sessionLifetime())
+		}
 		return r.versionIfServed(name, s.order.Target), false
 	}
-	if point < r.stage().MaxCanaryShare() {
+	if mayMove {
 		announce = r.addBaselineSession(s, point)
 	}
 	switch {
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -64,6 +64,15 @@
 	return out
 }
 
+// addAll adds the sessions of o with the times at which they were last seen.
+func (s *sessions) addAll(o *sessions) {
+	for k, at := range o.lastSeen {
+		if at.After(s.lastSeen[k]) {
+			s.lastSeen[k] = at
+		}
+	}
+}
+
 func (s *sessions) contains(key uint32) bool {
 	_, ok := s.lastSeen[key]
 	return ok
@@ -73,6 +82,13 @@
 // start of its last request.
 func (r *Rollouts) sessionLifetime() time.Duration { return longRequestTime + r.stage().SessionTTL }
 
+// adoptTargetSessions makes the sessions of the last target, which may be the new baseline, sessions
+// of the baseline.
+func (s *service) adoptTargetSessions() {
+	s.baselineSessions.addAll(s.targetSessions)
+	s.targetSessions = newSessions()
+}
+
 // canaryShareBound returns the share below which the first stage may move sessions.
 func (r *Rollouts) canaryShareBound(s *service, step Step) float64 {
 	if step.Share > 0 {
--- a/control/sessions_test.go
+++ b/control/sessions_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/corianderlever/corianderlever/control"
+	"github.com/corianderlever/corianderlever/rollout"
 )
 
 // activeSession is a session whose requests each reach another host.
@@ -69,3 +73,44 @@
 		}
 	})
 }
+
+// orderToTrial orders a roll-out of a service "s" and brings it to its first stage at all hosts.
+func (tc *testCluster) orderToTrial(target string) (revision int64) {
+	revision = tc.store.Put("op/rollout/s", fmt.Appendf(nil, `{"Service":"s","Target":%q,"DurationS":10}`, target))
+	tc.sync()
+	tc.mergeStep(control.Step{Order: revision, Target: target, State: rollout.OrderRunning, Share: 0.075})
+	tc.gossip()
+	time.Sleep(time.Second)
+	return revision
+}
+
+func (tc *testCluster) mergeStep(step control.Step) {
+	for _, h := range tc.hosts {
+		h.rollouts.MergeStep("s", step, "coordinator")
+	}
+}
+
+// TestSessionsOfACompletedRolloutKeepItsTarget guards against a session that moves to the next
+// target in the first half of its roll-out, because the version that serves it was itself the
+// target of a roll-out when its last request began.
+func TestSessionsOfACompletedRolloutKeepItsTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t, 2)
+		tc.store.Put("servers/av3", []byte(`{"Service":"s","Address":"10.0.0.1:200","Zone":"z","Version":"v3","Slots":4,"State":"ready"}`))
+		first := tc.orderToTrial("v2")
+		const point = 0.02
+		if got := tc.hosts[0].rollouts.Pick("s", point); got != "v2" {
+			t.Fatalf("got %s in the first stage, want the target v2", got)
+		}
+		tc.mergeStep(control.Step{Order: first, Target: "v2", State: rollout.OrderDone, Share: 1})
+		for _, id := range []string{"av1", "bv1"} {
+			tc.store.Drop("servers/" + id)
+		}
+		tc.orderToTrial("v3")
+		for i, h := range tc.hosts {
+			if got := h.rollouts.Pick("s", point); got != "v2" {
+				t.Errorf("host %d serves the session with %s, want v2", i, got)
+			}
+		}
+	})
+}
