control: hosts forget ended sessions when a roll-out is ordered

Seen in a test: a host that had served a session a minute before an order kept it on the old version; the other hosts, which were not told of it, used the target, so the session changed its version from host to host.

Cause: hosts tell each other only of sessions that may still go on, but looked up all they had ever recorded (up to 256).

Change: ended sessions are forgotten when an order arrives.

TestEndedSessionsAreForgotten failed before: one host chose v1, the other v2.

--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -143,7 +143,7 @@
 	s.order, s.hasOrder = o, true
 	now := r.clock.Now()
 	s.age = newOrderAge(now, silence, silenceKnown)
-	s.adoptTargetSessions()
+	s.beginOrder(now, r.sessionLifetime())
 	s.reset()
 	if s.step.Order == o.Revision {
 		s.age.raise(milliseconds(s.step.ElapsedMS), now)
--- a/control/sessions.go
+++ b/control/sessions.go
@@ -39,7 +39,7 @@
 	if len(s.lastSeen) <= maxSessions {
 		return
 	}
-	maps.DeleteFunc(s.lastSeen, func(_ uint32, at time.Time) bool { return now.Sub(at) > lifetime })
+	s.forgetEnded(now, lifetime)
 	for k := range s.lastSeen {
 		if len(s.lastSeen) <= maxSessions {
 			return
@@ -64,6 +64,11 @@
 	return out
 }
 
+// forgetEnded removes the sessions that have ended.
+func (s *sessions) forgetEnded(now time.Time, lifetime time.Duration) {
+	maps.DeleteFunc(s.lastSeen, func(_ uint32, at time.Time) bool { return now.Sub(at) > lifetime })
+}
+
 // addAll adds the sessions of o with the times at which they were last seen.
 func (s *sessions) addAll(o *sessions) {
 	for k, at := range o.lastSeen {
@@ -82,10 +87,11 @@
 // start of its last request.
 func (r *Rollouts) sessionLifetime() time.Duration { return longRequestTime + r.stage().SessionTTL }
 
-// adoptTargetSessions makes the sessions of the last target, which may be the new baseline, sessions
-// of the baseline.
-func (s *service) adoptTargetSessions() {
+// beginOrder makes the sessions of the last target, which may be the new baseline, sessions of
+// the baseline. It forgets those that have ended: other hosts don't hear of them.
+func (s *service) beginOrder(now time.Time, lifetime time.Duration) {
 	s.baselineSessions.addAll(s.targetSessions)
+	s.baselineSessions.forgetEnded(now, lifetime)
 	s.targetSessions = newSessions()
 }
 
--- a/control/sessions_test.go
+++ b/control/sessions_test.go
@@ -114,3 +114,21 @@
 		}
 	})
 }
+
+// TestEndedSessionsAreForgotten guards against a session that changes its version from host to
+// host, because one of them has served it long before the order and the others don't know it.
+func TestEndedSessionsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tc := newTestCluster(t, 2)
+		tc.sync()
+		const point = 0.02
+		tc.hosts[0].rollouts.Pick("s", point)
+		time.Sleep(time.Minute)
+		tc.orderToTrial("v2")
+		for i, h := range tc.hosts {
+			if got := h.rollouts.Pick("s", point); got != "v2" {
+				t.Errorf("host %d serves the session with %s, want v2", i, got)
+			}
+		}
+	})
+}
