--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -66,8 +66,9 @@
 	history  requestHistory
 	// limit bounds the requests that this host sends to the target.
 	limit exposureLimit
-	// baselineSessions are the sessions that a version other than the target serves.
-	baselineSessions *sessions
+	// baselineSessions are the sessions that a version other than the target serves,
+	// targetSessions those that the target serves.
+	baselineSessions, targetSessions *sessions
 }
 
 // Rollouts chooses the version of a service for each request and counts good and
@@ -81,6 +82,10 @@
 	hosts func() int
 	clock clockwork.Clock
 	log   *slog.Logger
+	// OnBaselineSession is called without the lock for a session that has begun at this host
+	// on the baseline shortly before the first stage of a roll-out. It must be set before the
+	// first request.
+	OnBaselineSession func(service string, key uint32)
 
 	mu       sync.Mutex
 	services map[string]*service
@@ -97,7 +102,7 @@
 func (r *Rollouts) service(name string) *service {
 	s := r.services[name]
 	if s == nil {
-		s = &service{latency: newLatencyBaseline(), routeLatency: newRouteBaseline(), pace: newPaceBaseline(), baselineSessions: newSessions()}
+		s = &service{latency: newLatencyBaseline(), routeLatency: newRouteBaseline(), pace: newPaceBaseline(), baselineSessions: newSessions(), targetSessions: newSessions()}
 		s.reset()
 		r.services[name] = s
 	}
@@ -138,6 +143,7 @@
 	s.order, s.hasOrder = o, true
 	now := r.clock.Now()
 	s.age = newOrderAge(now, silence, silenceKnown)
+	s.beginOrder(now, r.sessionLifetime())
 	s.reset()
 	if s.step.Order == o.Revision {
 		s.age.raise(milliseconds(s.step.ElapsedMS), now)
@@ -211,25 +217,38 @@
 // may serve it. point is the session's position in [0, 1). The target serves the
 // points below its share.
 func (r *Rollouts) Pick(name string, point float64) string {
+	version, announce := r.pick(name, point)
+	if announce && r.OnBaselineSession != nil {
+		r.OnBaselineSession(name, sessionKey(point))
+	}
+	return version
+}
+
+// pick returns the version for a session, and whether the other hosts must hear at once that
+// the baseline serves it.
+func (r *Rollouts) pick(name string, point float64) (version string, announce bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.service(name)
-	now := r.clock.Now()
-	s.arrivals.add(now)
+	s.arrivals.add(r.clock.Now())
 	step := s.current()
+	mayMove := point < r.stage().MaxCanaryShare()
 	if s.hasOrder && r.usesTarget(name, s, step, point) {
-		return r.versionIfServed(name, s.order.Target)
+		if mayMove {
+			s.targetSessions.add(sessionKey(point), r.clock.Now(), r.sessionLifetime())
+		}
+		return r.versionIfServed(name, s.order.Target), false
 	}
-	if point < r.stage().MaxCanaryShare() {
-		s.baselineSessions.add(sessionKey(point), now, r.sessionLifetime())
+	if mayMove {
+		announce = r.addBaselineSession(s, point)
 	}
 	switch {
 	case !s.hasOrder:
-		return ""
+		return "", false
 	case step.State == rollout.OrderDone:
-		return r.versionIfServed(name, s.order.Target)
+		return r.versionIfServed(name, s.order.Target), false
 	}
-	return r.baselineVersion(name, s.order.Target)
+	return r.baselineVersion(name, s.order.Target), announce
 }
 
 // usesTarget reports whether a session uses the target of a roll-out in progress.
