logbatch: lines with many subjects stay below 4 KiB

The list is at most 3 KiB long now, so that the line stays below what a write to a pipe keeps in one piece.

--- a/internal/logbatch/logbatch.go
+++ b/internal/logbatch/logbatch.go
@@ -22,8 +22,9 @@
 	// from a change to its line.
 	interval = 500 * time.Millisecond
 	// maxSubjectsBytes bounds the list of subjects in one line, unless a single subject is
-	// longer.
-	maxSubjectsBytes = 4096
+	// longer. Whole lines stay below 4 KiB, the size up to which a write to a pipe is not
+	// split.
+	maxSubjectsBytes = 3 << 10
 )
 
 // Kind is a kind of change.
