membership, router: the member list is kept in order; counts need no copy

Profile of 120 hosts in one process with 248 endpoints and without requests: copies of the member list took 14.5 % of the processor time, more than half of it because each change of a member copied and sorted all of them to count the live ones; the rest mostly for the question which host coordinates. It grows with the size of the fleet.

The table keeps its records in order until one is added or deleted, counts without a copy, and a forward looks up its host alone.

TestPartitionedHostKeepsItsRetryBudgetShare passes real records through the counts now and also checks the number before the partition.

--- a/daemon/router/forward.go
+++ b/daemon/router/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -49,14 +48,13 @@
 
 // Forward implements relay.Forwarder.
 func (f *forwarding) Forward(ctx context.Context, host string, message relay.Forwarded, body []byte) (*upstream.Response, error) {
-	members := f.host.peers.members.Members()
-	i := slices.IndexFunc(members, func(m membership.Member) bool { return m.Host == host })
-	if i < 0 {
+	member, known := f.host.peers.members.Member(host)
+	if !known {
 		return nil, &upstream.Error{Cause: upstream.ErrDial}
 	}
 	ended := f.hosts.Started(host)
 	context.AfterFunc(ctx, ended)
-	return f.client.Do(ctx, members[i].ForwardAddress, message, body)
+	return f.client.Do(ctx, member.ForwardAddress, message, body)
 }
 
 // Refused implements relay.Forwarder.
--- a/daemon/router/peers.go
+++ b/daemon/router/peers.go
@@ -113,24 +113,12 @@
 	return errors.CombineErrors(s.run.Stop(ctx), errors.CombineErrors(s.client.Close(), s.feedClient.Close()))
 }
 
-func (s *peerService) memberChanged(membership.Member) {
-	s.host.countHosts(s.members.Members())
-}
+func (s *peerService) memberChanged(membership.Member) { s.host.countHosts(s.members.Count()) }
 
-// countHosts counts the live hosts, and the hosts that may be alive. A host that
-// does not answer may only be partitioned from this one.
-func (h *Host) countHosts(members []membership.Member) {
-	live, possible := int64(0), int64(0)
-	for _, m := range members {
-		if m.State.Live() {
-			live++
-		}
-		if m.State != membership.Left {
-			possible++
-		}
-	}
-	h.hosts.Store(live)
-	h.possibleHosts.Store(possible)
+// countHosts takes over the numbers of live hosts and of hosts that may be alive.
+func (h *Host) countHosts(c membership.Counts) {
+	h.hosts.Store(int64(c.Live))
+	h.possibleHosts.Store(int64(c.Possible))
 }
 
 // freshness is the signal by which a host reports whether its state is recent and
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -20,16 +20,21 @@
 	const fleet = 89
 	h := &Host{}
 	h.SetBounds(Bounds{RetryRatio: 0.9, RetryWindow: 10 * time.Second, ExtraRetries: 218})
-	members := make([]membership.Member, fleet)
-	for i := range members {
-		members[i] = membership.Member{Host: fmt.Sprint("h", i), State: membership.Alive}
+	now := time.Unix(1000, 0)
+	members := membership.NewTable(now, membership.Member{Host: "h0"})
+	others := func(state membership.State) {
+		for i := 1; i < fleet; i++ {
+			members.Merge(now, membership.Member{Host: fmt.Sprint("h", i), State: state})
+		}
 	}
-	h.countHosts(members)
+	others(membership.Alive)
+	h.countHosts(members.Count())
 	connected := h.relaySettings().Retry.ExtraRetries
-	for i := range members[1:] {
-		members[i+1].State = membership.Failed
+	if got := h.relaySettings().Hosts; got != fleet {
+		t.Errorf("got %d hosts that put load on engines, want all %d", got, fleet)
 	}
-	h.countHosts(members)
+	others(membership.Failed)
+	h.countHosts(members.Count())
 	if partitioned := h.relaySettings().Retry.ExtraRetries; partitioned > connected || partitioned*fleet > 218 {
 		t.Errorf("got %.2f extra retries when partitioned, want at most the %.2f before and at most 218 over %d hosts", partitioned, connected, fleet)
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -140,6 +140,13 @@
 	return m.table.Members(m.opts.Clock.Now())
 }
 
+// Count counts the members.
+func (m *Membership) Count() Counts {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Count()
+}
+
 // Member returns the record of one host.
 func (m *Membership) Member(host string) (Member, bool) {
 	m.mu.Lock()
--- a/membership/table.go
+++ b/membership/table.go
@@ -17,6 +17,8 @@
 	lastTick      time.Time
 	everContacted bool
 	records       map[string]*record
+	// order holds the records ordered by host; nil after one was added or deleted.
+	order []*record
 	// suspicions holds observations that a host is suspect or gone although this
 	// host was in contact with it within contactPrecedence. They are sent to the
 	// suspected host, which refutes them.
@@ -126,7 +128,7 @@
 		return Member{}, false
 	}
 	r := &record{Member: Member{Host: m.Host, Incarnation: m.Incarnation - 1}}
-	t.records[m.Host] = r
+	t.records[m.Host], t.order = r, nil
 	return t.update(now, r, m, ageOf(m))
 }
 
@@ -232,8 +234,7 @@
 	}
 	t.lastTick = now
 	var changed []Member
-	for _, host := range slices.Sorted(maps.Keys(t.records)) {
-		r := t.records[host]
+	for _, r := range t.inOrder() {
 		next := r.Member
 		switch {
 		case r.State == Suspect && now.Sub(r.since) >= DefaultSuspicionTime:
@@ -241,8 +242,9 @@
 		case r.State == Leaving && !r.unreachableSince.IsZero() && now.Sub(r.unreachableSince) >= DefaultSuspicionTime:
 			next.State = Left
 		case !r.State.Live() && now.Sub(r.since) >= DefaultFailedRetention:
-			delete(t.records, host)
-			delete(t.suspicions, host)
+			delete(t.records, r.Host)
+			delete(t.suspicions, r.Host)
+			t.order = nil
 			continue
 		default:
 			continue
@@ -268,12 +270,48 @@
 
 // Members returns all known members, self included, ordered by host.
 func (t *Table) Members(now time.Time) []Member {
-	out := []Member{t.viewSelf(now)}
-	for _, r := range t.records {
+	out := make([]Member, 0, t.size())
+	for _, r := range t.inOrder() {
 		out = append(out, r.view(now))
 	}
-	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Host, b.Host) })
-	return out
+	i, _ := slices.BinarySearchFunc(out, t.self.Host, func(m Member, host string) int { return cmp.Compare(m.Host, host) })
+	return slices.Insert(out, i, t.viewSelf(now))
+}
+
+// inOrder returns the records ordered by host. The caller must not change the list.
+func (t *Table) inOrder() []*record {
+	if t.order == nil {
+		t.order = slices.SortedFunc(maps.Values(t.records), func(a, b *record) int { return cmp.Compare(a.Host, b.Host) })
+	}
+	return t.order
+}
+
+// Counts are numbers of members, this host included.
+type Counts struct {
+	// Live is the number of live members.
+	Live int
+	// Possible is the number of members that may be alive. One that does not answer may
+	// only be partitioned from this host.
+	Possible int
+}
+
+// Count counts the members.
+func (t *Table) Count() Counts {
+	var c Counts
+	c.add(t.self.State)
+	for _, r := range t.records {
+		c.add(r.State)
+	}
+	return c
+}
+
+func (c *Counts) add(s State) {
+	if s.Live() {
+		c.Live++
+	}
+	if s != Left {
+		c.Possible++
+	}
 }
 
 // Member returns the record of one host.
