--- a/membership/table.go
+++ b/membership/table.go
@@ -346,18 +346,37 @@
 	if r, ok := t.records[to]; ok && (r.State != Alive || r.Incarnation > r.selfReported) {
 		out = append(out, r.view(now))
 	}
-	var pending []*record
-	for _, r := range t.records {
-		if r.transmitsLeft > 0 && r.Host != to {
-			pending = append(pending, r)
-		}
-	}
-	slices.SortFunc(pending, func(a, b *record) int {
-		return cmp.Or(cmp.Compare(b.transmitsLeft, a.transmitsLeft), cmp.Compare(a.Host, b.Host))
-	})
-	for _, r := range pending[:min(len(pending), max(0, limit-len(out)))] {
+	for _, r := range t.pending(to, limit-len(out)) {
 		r.transmitsLeft--
 		out = append(out, r.view(now))
 	}
 	return out
 }
+
+// pending returns at most limit records to send to the host named to, those sent least
+// often first.
+func (t *Table) pending(to string, limit int) []*record {
+	if limit <= 0 {
+		return nil
+	}
+	var first []*record
+	for _, r := range t.records {
+		if r.transmitsLeft <= 0 || r.Host == to {
+			continue
+		}
+		i, _ := slices.BinarySearchFunc(first, r, compareTransmits)
+		if i == limit {
+			continue
+		}
+		if len(first) == limit {
+			first = first[:limit-1]
+		}
+		first = slices.Insert(first, i, r)
+	}
+	return first
+}
+
+// compareTransmits orders records by how often they were sent, and by host.
+func compareTransmits(a, b *record) int {
+	return cmp.Or(cmp.Compare(b.transmitsLeft, a.transmitsLeft), cmp.Compare(a.Host, b.Host))
+}
