balance: a choice tests each engine's exclusion and rendezvous score once

While many engines are avoided (a wave of crashes), each choice searched the list of excluded engines up to three times for each engine of the service.

The engines that may serve a request are now collected once, with their rendezvous scores.

The choices stay: a property test compares them with a plain search of all engines and passes on the code before and after.

--- a/balance/engines.go
+++ b/balance/engines.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -70,6 +69,15 @@
 	peers   map[string]peerLoad
 	hosts   int         // number of hosts in the fleet
 	fleet   *sourceLoad // load of the other hosts, if one sums it up
+
+	candidates []candidate // used by each choice
+}
+
+// candidate is an engine that may serve a request.
+type candidate struct {
+	*engine
+	// score is the engine's rendezvous score for the request.
+	score uint64
 }
 
 // engine is the state of one engine.
@@ -82,6 +90,8 @@
 	// avoidUntil is the end of a period set by Avoid.
 	avoidUntil time.Time
 	weight     float64
+	// excluded is set during a choice that leaves the engine out.
+	excluded bool
 }
 
 // peerLoad is the last load digest received from a peer.
@@ -180,20 +190,24 @@
 	now := e.clock.Now()
 	keys := partKeys(req.Model, req.Parts)
 	timing := e.timing(req.Model)
-	preferred := e.preferred(req, keys)
+	candidates := e.serving(req, keys)
+	var preferred *engine
+	if len(keys) > 0 {
+		preferred = preferredOf(candidates)
+	}
 	minScore := uint64(0)
 	if e.fleetKnown(now) {
-		minScore = e.minAlternativeScore(req, keys)
+		minScore = minAlternativeScore(candidates)
 	}
 	best, bestCost := EngineChoice{}, math.Inf(1)
 	// The second pass considers engines that the first one leaves out.
 	for pass := 0; pass < 2 && math.IsInf(bestCost, 1); pass++ {
-		for _, en := range e.order {
-			if !en.serves(req) || pass == 0 && (now.Before(en.avoidUntil) || en.weight == 0) {
+		for _, en := range candidates {
+			if pass == 0 && (now.Before(en.avoidUntil) || en.weight == 0) {
 				continue
 			}
-			c, cost := e.evaluate(en, req, keys, timing, en == preferred, now)
-			if pass == 0 && c.Reason == ReasonLoad && rendezvousScore(keys, en) < minScore {
+			c, cost := e.evaluate(en.engine, req, keys, timing, en.engine == preferred, now)
+			if pass == 0 && c.Reason == ReasonLoad && en.score < minScore {
 				continue
 			}
 			if cost < bestCost {
@@ -207,11 +221,26 @@
 	return best, nil
 }
 
-func (en *engine) serves(req EngineRequest) bool {
-	if req.Version != "" && en.spec.Version != req.Version {
-		return false
+// serving returns the engines that may serve a request. The list holds until the next call.
+func (e *EngineChooser) serving(req EngineRequest, keys []uint64) []candidate {
+	e.setExcluded(req.Exclude, true)
+	defer e.setExcluded(req.Exclude, false)
+	e.candidates = e.candidates[:0]
+	for _, en := range e.order {
+		if en.excluded || req.Version != "" && en.spec.Version != req.Version {
+			continue
+		}
+		e.candidates = append(e.candidates, candidate{engine: en, score: rendezvousScore(keys, en)})
+	}
+	return e.candidates
+}
+
+func (e *EngineChooser) setExcluded(ids []string, excluded bool) {
+	for _, id := range ids {
+		if en := e.engines[id]; en != nil {
+			en.excluded = excluded
+		}
 	}
-	return !slices.Contains(req.Exclude, en.spec.ID)
 }
 
 // evaluate returns the choice of an engine and its cost in seconds. The preferred
@@ -301,24 +330,20 @@
 	return running, queued
 }
 
-// preferred returns the engine that all hosts prefer for the shared parts of a prompt,
-// by rendezvous hashing. The last part is specific to the request and does not count.
-func (e *EngineChooser) preferred(req EngineRequest, keys []uint64) *engine {
-	if len(keys) == 0 {
+// preferredOf returns the engine that all hosts prefer for the shared parts of a prompt, by
+// rendezvous hashing; nil if there is no candidate. The last part is specific to the request
+// and does not count.
+func preferredOf(candidates []candidate) *engine {
+	if len(candidates) == 0 {
 		return nil
 	}
-	var best *engine
-	var bestScore uint64
-	for _, en := range e.order {
-		if !en.serves(req) {
-			continue
-		}
-		score := rendezvousScore(keys, en)
-		if best == nil || score > bestScore {
-			best, bestScore = en, score
+	best := candidates[0]
+	for _, c := range candidates[1:] {
+		if c.score > best.score {
+			best = c
 		}
 	}
-	return best
+	return best.engine
 }
 
 // MeanBacklog returns the mean prefill time that a request of the given priority waits
--- a/balance/loadsum.go
+++ b/balance/loadsum.go
@@ -160,13 +160,10 @@
 // alternatives for a prompt. Prompts with the same shared parts have the same ones, so
 // that few engines prefill these; other prompts have others, so that not all hosts
 // choose the same idle engine until the next news.
-func (e *EngineChooser) minAlternativeScore(req EngineRequest, keys []uint64) uint64 {
+func minAlternativeScore(candidates []candidate) uint64 {
 	var best [alternativeCount]uint64 // descending
-	for _, en := range e.order {
-		if !en.serves(req) {
-			continue
-		}
-		score := rendezvousScore(keys, en)
+	for _, c := range candidates {
+		score := c.score
 		for i := range best {
 			if score > best[i] {
 				score, best[i] = best[i], score
