--- a/internal/logbatch/logbatch.go
+++ b/internal/logbatch/logbatch.go
@@ -22,8 +22,7 @@
 	// from a change to its line.
 	interval = 500 * time.Millisecond
 	// maxSubjectsBytes bounds the list of subjects in one line, unless a single subject is
-	// longer. Whole lines stay below 4 KiB, the size up to which a write to a pipe is not
-	// split.
+	// longer. Whole lines stay below 4 KiB.
 	maxSubjectsBytes = 3 << 10
 )
 
