--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -52,8 +52,8 @@
 	return !ok || d.Clock.Now().Add(wait).Before(deadline)
 }
 
-// acquirePermitted waits for a slot at an endpoint in use that grants a permit. If none does at this
-// moment, it returns the time until the first may.
+// acquirePermitted waits for a slot at an endpoint in use that grants a permit. If none does
+// at this moment, it returns the time until the first may.
 func (d *Dispatcher) acquirePermitted(ctx context.Context, trace *Trace, req slotRequest) (*slot, time.Duration, error) {
 	var exclude []string
 	shortest := time.Duration(0)
