Revert "limiter: many endpoints that crash at once are no evidence against prompt parts"

Endpoints that go down and up by turns make such waves, and a bound that must hold goes before rejections that callers come back from.

--- a/internal/crashreports/crashreports.go
+++ b/internal/crashreports/crashreports.go
@@ -29,9 +29,6 @@
 	MaxHops = 3
 	// reportInterval is the minimum time between two reports of one host.
 	reportInterval = 100 * time.Millisecond
-	// reviewInterval is the time between two checks whether crashes have come to count
-	// since they were reported.
-	reviewInterval = 100 * time.Millisecond
 )
 
 // Candidates returns the live members in the order in which they are chosen as
@@ -58,13 +55,12 @@
 }
 
 // Exchange reports the crashes that a host notices, and as a collector tells all hosts
-// which parts are rejected and when many endpoints crash at once.
+// which parts are rejected.
 type Exchange struct {
 	opts Options
-	// toldRevision is the revision of the guard that this host last told all hosts.
+	// toldRevision is the revision of the rejected parts that this host last told all
+	// hosts.
 	toldRevision atomic.Uint64
-	// reviewed is the revision of the guard at the last review.
-	reviewed uint64
 }
 
 // New returns an exchange. The caller registers its handlers.
@@ -74,15 +70,10 @@
 
 // Run reports crashes until ctx ends.
 func (e *Exchange) Run(ctx context.Context) error {
-	review := e.opts.Clock.NewTicker(reviewInterval)
-	defer review.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-review.Chan():
-			e.review()
-			continue
 		case <-e.opts.Guard.Reports():
 		}
 		e.report(ctx)
@@ -110,21 +101,8 @@
 	return slices.ContainsFunc(e.firstCandidates(), func(m membership.Member) bool { return m.Host == e.opts.Self })
 }
 
-// review tells all hosts, if this one is a collector, what has come to count against parts.
-func (e *Exchange) review() {
-	e.opts.Guard.Review()
-	revision := e.opts.Guard.Revision()
-	if e.reviewed == revision {
-		return
-	}
-	e.reviewed = revision
-	if e.isCollector() && e.mustTellAll() {
-		go e.opts.CallAll(MethodMarks, e.marks())
-	}
-}
-
 // report sends what this host knows to the collectors. A collector that rejects other
-// parts than before, or knows of many crashes at once, tells all hosts instead.
+// parts than before tells all hosts instead.
 func (e *Exchange) report(ctx context.Context) {
 	marks := e.marks()
 	if e.isCollector() && e.mustTellAll() {
@@ -161,8 +139,8 @@
 	return marks
 }
 
-// mustTellAll reports whether the other hosts must learn more than this host last told
-// all.
+// mustTellAll reports whether other parts are rejected than when this host last told all
+// hosts.
 func (e *Exchange) mustTellAll() bool {
 	revision := e.opts.Guard.Revision()
 	return e.toldRevision.Swap(revision) != revision
--- a/internal/crashreports/crashreports_test.go
+++ b/internal/crashreports/crashreports_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
-	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -121,27 +120,3 @@
 		})
 	}
 }
-
-// TestPartIsToldWhenItsCrashesCount guards against a collector that finds a part some time
-// after the last report and tells nobody.
-func TestPartIsToldWhenItsCrashesCount(t *testing.T) {
-	n := newNetwork(t, []string{"a-1", "a-2", "b-1", "b-2", "c-1", "c-2"}, nil)
-	reporter := n.hosts["b-2"].guard
-	for endpoint := limiter.Hash(10); endpoint < 13; endpoint++ {
-		reporter.Start(endpoint, []limiter.Hash{badPart}).End()
-		reporter.RecordCrash(endpoint)
-		n.clock.Advance(150 * time.Millisecond)
-	}
-	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
-	defer cancel()
-	for {
-		if _, rejects := n.hosts["c-2"].guard.Rejects([]limiter.Hash{badPart}); rejects {
-			return
-		}
-		if ctx.Err() != nil {
-			t.Fatal("a host that saw no crash does not reject the part")
-		}
-		n.clock.Advance(10 * time.Millisecond)
-		runtime.Gosched()
-	}
-}
--- a/limiter/partfleet_test.go
+++ b/limiter/partfleet_test.go
@@ -49,7 +49,6 @@
 	// faultEvery is the number of steps after which hosts are killed, frozen or cut off
 	// from the others; 0 disturbs none.
 	faultEvery int
-	waves      waves
 }
 
 // lateMarks are marks, or the stored record, on their way to a host.
@@ -71,11 +70,9 @@
 	hostFaults
 	guards  []*limiter.PartGuard
 	missed  map[int][]openRun // crashes that a frozen host has not noticed yet
-	notices []lateNotice
-	record  []byte         // the stored record of the rejected parts
-	stored  []limiter.Hash // the parts that it rejects
-	told    map[int]uint64 // the Revision of each host when it last reported
-	seen    map[int]uint64 // the Revision of each host at its last review
+	record  []byte            // the stored record of the rejected parts
+	stored  []limiter.Hash    // the parts that it rejects
+	told    map[int]uint64    // the Revision of each host when it last reported
 	network []lateMarks
 	starts  []limiter.Hash // the current start of each endpoint
 	next    limiter.Hash
@@ -99,7 +96,7 @@
 func newPartFleet(load partLoad) *partFleet {
 	f := &partFleet{
 		partLoad: load, hostFaults: hostFaults{clock: clockwork.NewFakeClockAt(epoch), rng: rand.New(rand.NewPCG(load.seed, 1))},
-		next: 1000, told: make(map[int]uint64), seen: make(map[int]uint64), missed: make(map[int][]openRun),
+		next: 1000, told: make(map[int]uint64), missed: make(map[int][]openRun),
 	}
 	for host := range load.hosts {
 		f.guards, f.faults = append(f.guards, nil), append(f.faults, hostFault{})
@@ -116,7 +113,7 @@
 func (f *partFleet) startHost(host int) {
 	f.guards[host] = limiter.NewPartGuard(f.clock, slog.New(slog.DiscardHandler), true)
 	f.guards[host].Tries = func() bool { return f.candidates(host)[0] == host }
-	f.told[host], f.seen[host] = 0, 0
+	f.told[host] = 0
 }
 
 // sinceFifth returns the time since the fifth crash by badPart, 0 before it.
@@ -173,28 +170,19 @@
 
 // crash ends an endpoint and all requests on it. Their hosts notice.
 func (f *partFleet) crash(endpoint int) {
-	for _, o := range f.stop(endpoint) {
-		f.noticeCrash(o)
-	}
-}
-
-// stop ends an endpoint and returns the requests on it.
-func (f *partFleet) stop(endpoint int) []openRun {
 	start := f.starts[endpoint]
 	f.downUntil[endpoint] = f.clock.Now().Add(fleetRestart)
 	f.next++
 	f.starts[endpoint] = f.next
-	var lost []openRun
 	kept := f.open[:0]
 	for _, o := range f.open {
 		if o.start != start {
 			kept = append(kept, o)
 			continue
 		}
-		lost = append(lost, o)
+		f.noticeCrash(o)
 	}
 	f.open = kept
-	return lost
 }
 
 // kill ends one to three endpoints that are up.
@@ -231,21 +219,6 @@
 	}
 }
 
-// review lets a host count crashes that have come to count, and tell all of it as a
-// collector.
-func (f *partFleet) review(t rapid.TB, host int) {
-	f.guards[host].Review()
-	revision := f.guards[host].Revision()
-	if !f.reports || f.seen[host] == revision {
-		return
-	}
-	f.seen[host] = revision
-	candidates := f.candidates(host)
-	if slices.Contains(candidates[:min(crashreports.Collectors, len(candidates))], host) {
-		f.tellAll(t, host)
-	}
-}
-
 // tellAll sends what a host knows to all, if it rejects other parts than when it last did
 // so.
 func (f *partFleet) tellAll(t rapid.TB, from int) bool {
@@ -278,7 +251,6 @@
 	f.clock.Advance(fleetStep)
 	now := f.clock.Now()
 	f.endFaults()
-	f.noticeWave()
 	kept := f.open[:0]
 	for _, o := range f.open {
 		if now.Sub(o.began) < f.answerTime || f.faults[o.host].kind == hostFrozen {
@@ -294,7 +266,6 @@
 		if f.faults[host].kind.stopsHost() {
 			continue
 		}
-		f.review(t, host)
 		select {
 		case <-guard.Reports():
 			if f.reports {
@@ -348,9 +319,6 @@
 		if f.faultEvery > 0 {
 			f.disturb(n)
 		}
-		if f.waves.every > 0 && n%f.waves.every == f.waves.every-1 {
-			f.wave()
-		}
 		if n%f.badEvery == 0 {
 			f.sendBad(host)
 		}
--- a/limiter/partmarks.go
+++ b/limiter/partmarks.go
@@ -32,8 +32,6 @@
 	Endpoint Hash  `json:"e,string"`
 	Number   int   `json:"n,omitempty"`
 	Age      int64 `json:"a"`
-	// Around is the number of crashes in the same moment; 0 if the part was on all.
-	Around int `json:"m,omitempty"`
 }
 
 // Marks returns the crashes and proofs to send to another host: those of rejected
@@ -45,22 +43,11 @@
 	g.expire(now)
 	g.evaluate(now)
 	parts := g.partsToSend(now)
-	return encodeMarks(g.marksOf(parts, now), nil)
-}
-
-// marksOf returns the marks of parts. The caller holds the lock.
-func (g *PartGuard) marksOf(parts []Hash, now time.Time) []partMark {
 	marks := make([]partMark, 0, len(parts))
-	if len(parts) == 0 {
-		return marks
-	}
-	log := g.newCrashLog(now)
 	for _, part := range parts {
-		if s := g.suspects[part]; s != nil {
-			marks = append(marks, g.mark(part, s, log))
-		}
+		marks = append(marks, g.suspects[part].mark(part, now))
 	}
-	return marks
+	return encodeMarks(marks, nil)
 }
 
 // partsToSend returns the rejected parts and those that changed recently, the most
@@ -90,19 +77,16 @@
 	return parts
 }
 
-func (g *PartGuard) mark(part Hash, s *partSuspect, log *crashLog) partMark {
+func (s *partSuspect) mark(part Hash, now time.Time) partMark {
 	m := partMark{Part: part, Trials: s.trials}
 	if !s.provenAt.IsZero() {
-		age := log.now.Sub(s.provenAt).Milliseconds()
+		age := now.Sub(s.provenAt).Milliseconds()
 		m.ProvenAge = &age
 	}
-	crashes := g.crashesSinceProof(s)
-	for _, c := range crashes {
-		out := partCrashMark{Endpoint: c.endpoint, Number: c.number, Age: log.now.Sub(c.at).Milliseconds()}
-		if from, to := c.span(); c.around > countBetween(crashes, from, to) {
-			out.Around = c.around
+	for _, c := range s.crashes {
+		if c.at.After(s.provenAt) {
+			m.Crashes = append(m.Crashes, partCrashMark{Endpoint: c.endpoint, Number: c.number, Age: now.Sub(c.at).Milliseconds()})
 		}
-		m.Crashes = append(m.Crashes, out)
 	}
 	return m
 }
@@ -136,8 +120,7 @@
 		if age < 0 || age >= CrashMarkTTL {
 			continue
 		}
-		crash := partCrash{endpoint: c.Endpoint, number: c.Number, at: now.Add(-age), around: c.Around}
-		g.noteCrash(crash)
+		crash := partCrash{endpoint: c.Endpoint, number: c.Number, at: now.Add(-age)}
 		if g.addCrash(m.Part, crash, now) {
 			g.attribute(crash, now)
 		}
--- a/limiter/partrecord.go
+++ b/limiter/partrecord.go
@@ -34,7 +34,11 @@
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	record := partRecord{WrittenMS: now.UnixMilli(), Rejected: g.Rejected()}
-	record.Marks = g.marksOf(record.Rejected, now)
+	for _, part := range record.Rejected {
+		if s := g.suspects[part]; s != nil {
+			record.Marks = append(record.Marks, s.mark(part, now))
+		}
+	}
 	data, err := json.Marshal(record)
 	return data, errors.Wrap(err, "limiter: encode part record")
 }
--- a/limiter/parts.go
+++ b/limiter/parts.go
@@ -53,18 +53,8 @@
 	endpoint Hash
 	number   int
 	at       time.Time
-	// around is the number of crashes of any endpoint in the moment of this one, as far
-	// as a host has known of them; 0 if no host has told.
-	around int
 }
 
-// compare orders crashes by time.
-func (c partCrash) compare(o partCrash) int {
-	return cmp.Or(c.at.Compare(o.at), cmp.Compare(c.endpoint, o.endpoint))
-}
-
-func (c partCrash) compareTime(at time.Time) int { return c.at.Compare(at) }
-
 // sameEvent reports whether two reports are about the same crash.
 func (c partCrash) sameEvent(o partCrash) bool {
 	return c.endpoint == o.endpoint && c.number == o.number
@@ -110,8 +100,7 @@
 // answer on them, although no two requests with such a part are alike. A crash counts
 // against each part of each request that ran on the endpoint. A part is cleared when
 // an endpoint goes on with an answer on it. A part with several crashes and no proof
-// explains them, and then they no longer count against other parts. Crashes in a moment
-// in which most endpoints crashed without the part count little against it.
+// explains them, and then they no longer count against other parts.
 //
 // The hosts exchange crashes and proofs (see Marks) and come to the same result.
 type PartGuard struct {
@@ -134,11 +123,6 @@
 	answered *simplelru.LRU[Hash, time.Time]
 	rejected atomic.Pointer[[]partGroup]
 	revision atomic.Uint64
-	// waveTold is the number of crashes when the revision last rose for a wave of them.
-	waveTold int
-	// reviewAt is when the rejected parts may change without a report; nil or zero for
-	// never.
-	reviewAt atomic.Pointer[time.Time]
 	reports  chan struct{}
 }
 
@@ -165,7 +149,6 @@
 // Rejects reports whether a request with these parts must not run, and the index of a
 // part that crashes endpoints.
 func (g *PartGuard) Rejects(parts []Hash) (int, bool) {
-	g.Review()
 	for _, group := range *g.rejected.Load() {
 		if group.in(parts) && !g.mayTry(group, parts) {
 			return slices.Index(parts, group.parts[0]), true
@@ -325,8 +308,7 @@
 	return last
 }
 
-// Revision returns a number that rises each time the other hosts must learn what this one
-// knows: other parts are rejected than before, or many endpoints have crashed at once.
+// Revision returns a number that rises each time other parts are rejected than before.
 func (g *PartGuard) Revision() uint64 { return g.revision.Load() }
 
 // Reports returns a channel that receives a value after this host has noticed crashes,
@@ -336,7 +318,9 @@
 // attribute counts a crash against the parts of the runs at the endpoint. It reports
 // whether it changed anything.
 func (g *PartGuard) attribute(c partCrash, now time.Time) bool {
-	g.noteCrash(c)
+	if last, known := g.lastCrash.Get(c.endpoint); !known || last.number < c.number {
+		g.lastCrash.Add(c.endpoint, c)
+	}
 	changed := false
 	for run := range g.runs[c.endpoint] {
 		if run.sent.After(c.at) || !run.ended.IsZero() && c.at.Sub(run.ended) > recentRunTime {
@@ -349,30 +333,6 @@
 	return changed
 }
 
-// noteCrash keeps the last crash of an endpoint: at the earliest reported time, with the
-// most crashes around it.
-func (g *PartGuard) noteCrash(c partCrash) {
-	last, known := g.lastCrash.Peek(c.endpoint)
-	if known && last.number > c.number {
-		return
-	}
-	if known && last.sameEvent(c) {
-		c.around = max(c.around, last.around)
-		if last.at.Before(c.at) {
-			c.at = last.at
-		}
-	}
-	g.lastCrash.Add(c.endpoint, c)
-}
-
-// known returns a crash with what was reported of it for any part.
-func (g *PartGuard) known(c partCrash) partCrash {
-	if last, known := g.lastCrash.Peek(c.endpoint); known && last.sameEvent(c) {
-		return last
-	}
-	return c
-}
-
 // addCrash counts a crash against a part. Of several reports of one crash the earliest
 // time is kept, which is closest to the crash.
 func (g *PartGuard) addCrash(part Hash, c partCrash, now time.Time) bool {
@@ -385,12 +345,11 @@
 	if i := slices.IndexFunc(s.crashes, c.sameEvent); i >= 0 {
 		if c.at.Before(s.crashes[i].at) {
 			s.crashes[i].at = c.at
-			slices.SortFunc(s.crashes, partCrash.compare)
 		}
 		return false
 	}
 	s.crashes = append(s.crashes, c)
-	slices.SortFunc(s.crashes, partCrash.compare)
+	slices.SortFunc(s.crashes, func(a, b partCrash) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.endpoint, b.endpoint)) })
 	if n := len(s.crashes); n > maxPartCrashes {
 		s.crashes = s.crashes[n-maxPartCrashes:]
 	}
--- a/limiter/partverdict.go
+++ b/limiter/partverdict.go
@@ -1,7 +1,6 @@
 package limiter
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -45,24 +44,15 @@
 type candidate struct {
 	part    Hash
 	proven  bool
-	crashes []partCrash // sorted by time
-	full    bool        // whether older crashes were dropped
-	evidence
+	crashes []partCrash
 }
 
 // explains reports whether the part must be taken for the cause of its crashes.
-func (c *candidate) explains() bool { return c.enough(c.evidence) }
-
-// mayExplain reports whether it would if all of its crashes counted.
-func (c *candidate) mayExplain() bool {
-	return c.enough(evidence{counted: c.crashes, settled: c.crashes})
-}
-
-func (c *candidate) enough(e evidence) bool {
+func (c *candidate) explains() bool {
 	if c.proven {
-		return countSeparate(e.counted, separateProvenCrashes) >= provenCrashLimit
+		return countSeparate(c.crashes, separateProvenCrashes) >= provenCrashLimit
 	}
-	return len(e.counted) >= maxPartCrashesAtOnce || countSeparate(e.settled, separateCrashes) >= partCrashLimit
+	return len(c.crashes) >= maxPartCrashesAtOnce || countSeparate(c.crashes, separateCrashes) >= partCrashLimit
 }
 
 // countSeparate counts the crashes that are at least a distance apart.
@@ -81,7 +71,16 @@
 // evaluate determines the rejected parts. It reports whether others are rejected than
 // before. The caller holds the lock.
 func (g *PartGuard) evaluate(now time.Time) bool {
-	groups := g.findGroups(now)
+	candidates := g.candidates(now)
+	var groups []partGroup
+	for {
+		group := strongest(candidates)
+		if group == nil {
+			break
+		}
+		groups = append(groups, partGroup{parts: partsOf(group), crashes: len(group[0].crashes), since: now})
+		candidates = withoutCrashes(candidates, group[0].crashes)
+	}
 	previous, changed := *g.rejected.Load(), false
 	for i, group := range groups {
 		if old, ok := findGroup(previous, group.parts); ok {
@@ -98,88 +97,36 @@
 		}
 	}
 	g.rejected.Store(&groups)
-	if g.checkWave(now) || changed {
+	if changed {
 		g.revision.Add(1)
 	}
 	return changed
 }
 
-// findGroups returns the parts that explain crashes, those with the most first.
-func (g *PartGuard) findGroups(now time.Time) []partGroup {
-	candidates := g.candidates(now)
-	if len(candidates) == 0 {
-		g.reviewAt.Store(nil)
-		return nil
-	}
-	var groups []partGroup
-	log := g.newCrashLog(now)
-	for {
-		log.weigh(candidates)
-		group := strongest(candidates)
-		if group == nil {
-			break
-		}
-		groups = append(groups, partGroup{parts: partsOf(group), crashes: len(group[0].crashes), since: now})
-		explained := group[0].crashes
-		log.explain(explained)
-		candidates = withoutCrashes(candidates, explained)
-	}
-	at := log.reviewAt(candidates)
-	g.reviewAt.Store(&at)
-	return groups
-}
-
-// weigh determines the crashes that count against each candidate.
-func (l *crashLog) weigh(candidates []candidate) {
-	for i := range candidates {
-		c := &candidates[i]
-		c.evidence = l.evidenceOf(c)
-	}
-}
-
-// Review determines the rejected parts again if all crashes of a moment have become known
-// since. It reports whether other parts are rejected than before.
-func (g *PartGuard) Review() bool {
-	now := g.clock.Now()
-	if at := g.reviewAt.Load(); at == nil || at.IsZero() || now.Before(*at) {
-		return false
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.evaluate(now)
-}
-
-// candidates returns the parts that would explain their crashes if all of them counted.
+// candidates returns the parts that explain their crashes. Another one cannot do so later,
+// when crashes that others explain are removed.
 func (g *PartGuard) candidates(now time.Time) []candidate {
 	var out []candidate
 	for part, s := range g.suspects {
 		if len(s.crashes) < partCrashLimit {
 			continue // nearly all parts, so this is checked before the crashes are copied
 		}
-		c := candidate{part: part, proven: s.isProven(now), crashes: g.countedCrashes(s), full: len(s.crashes) == maxPartCrashes}
-		if c.mayExplain() {
+		c := candidate{part: part, proven: s.isProven(now), crashes: g.countedCrashes(s)}
+		if c.explains() {
 			out = append(out, c)
 		}
 	}
 	return out
 }
 
-// countedCrashes returns the crashes of a part since its last proof that no answer
-// disproves.
+// countedCrashes returns the crashes of a part that count.
 func (g *PartGuard) countedCrashes(s *partSuspect) []partCrash {
-	return slices.DeleteFunc(g.crashesSinceProof(s), g.disproved)
-}
-
-// crashesSinceProof returns the crashes of a part since its last proof, with what was
-// reported of them for any part, sorted by time.
-func (g *PartGuard) crashesSinceProof(s *partSuspect) []partCrash {
 	var out []partCrash
-	for _, c := range s.crashes {
-		if c = g.known(c); c.at.After(s.provenAt) {
-			out = append(out, c)
+	for _, crash := range s.crashes {
+		if crash.at.After(s.provenAt) && !g.disproved(crash) {
+			out = append(out, crash)
 		}
 	}
-	slices.SortFunc(out, partCrash.compare)
 	return out
 }
 
@@ -195,7 +142,7 @@
 	return after < minRestartTime || after > maxRestartTime
 }
 
-// strongest returns the candidates with the most crashes that count, those without a
+// strongest returns the candidates that explain the most crashes, those without a
 // proof first. It returns several if their crashes are the same, and nil if none
 // explains its crashes.
 func strongest(candidates []candidate) []candidate {
@@ -222,7 +169,10 @@
 	if c.proven != o.proven {
 		return o.proven
 	}
-	return cmp.Or(cmp.Compare(len(o.counted), len(c.counted)), cmp.Compare(len(o.crashes), len(c.crashes)), cmp.Compare(c.part, o.part)) < 0
+	if len(c.crashes) != len(o.crashes) {
+		return len(c.crashes) > len(o.crashes)
+	}
+	return c.part < o.part
 }
 
 // sameCrashes reports whether two parts were on the same crashes.
@@ -249,12 +199,12 @@
 	return parts
 }
 
-// withoutCrashes removes explained crashes, and the candidates that keep too few.
+// withoutCrashes removes explained crashes, and the candidates that keep none.
 func withoutCrashes(candidates []candidate, explained []partCrash) []candidate {
 	var out []candidate
 	for _, c := range candidates {
 		c.crashes = slices.DeleteFunc(slices.Clone(c.crashes), func(crash partCrash) bool { return slices.ContainsFunc(explained, crash.sameEvent) })
-		if c.mayExplain() {
+		if len(c.crashes) > 0 {
 			out = append(out, c)
 		}
 	}
