--- a/Makefile
+++ b/Makefile
@@ -25,12 +25,7 @@
 RED := $(shell sed -n 's/^red: //p' KNOWN-RED.txt)
 empty :=
 space := $(empty) $(empty)
-RED_SKIP := $(if $(RED),-skip '^($(subst $(space),|,$(RED)))$$')
-
-# Simulations of large fleets in virtual time run in one goroutine, like the measurements, and
-# so without the race detector.
-SIMULATED := TestWaveOfCrashesRejectsNoPart TestCrashesIndependentOfPartsRejectNone TestBadPartIsFoundBesideWaves TestBadPartIsFoundBesideWavesInLargeFleet
-SKIP := -skip '^($(subst $(space),|,$(strip $(RED) $(SIMULATED))))$$'
+SKIP := $(if $(RED),-skip '^($(subst $(space),|,$(RED)))$$')
 
 # Property tests draw their cases from a fixed seed here, so that the same code gets the same
 # verdict; make fuzz draws new ones.
@@ -41,7 +36,6 @@
 	@echo "known red, passed over: $(RED)"
 	$(GO) test $(SKIP) -race -timeout 8m $$($(GO) list ./... | grep -v /internal/measure | grep -vxF "$$($(GO) list $(PROPERTY))")
 	$(GO) test $(SKIP) -race -timeout 8m $$($(GO) list $(PROPERTY) | grep -v /internal/measure) -rapid.seed=$(RAPIDSEED)
-	$(GO) test $(RED_SKIP) -timeout 6m -run '^($(subst $(space),|,$(SIMULATED)))$$' ./limiter -rapid.seed=$(RAPIDSEED)
 	$(GO) test -timeout 4m ./internal/measure/...
 
 measure:
