--- a/balance/engines.go
+++ b/balance/engines.go
@@ -37,6 +37,8 @@
 	// Priority is the priority by which the engine queues the request. 0 is the most
 	// urgent. Less urgent requests do not delay it.
 	Priority int
+	// Events is the expected number of events of the answer.
+	Events int
 	// Exclude lists the IDs of engines that must not be chosen.
 	Exclude []string
 }
@@ -52,6 +54,8 @@
 	Backlog time.Duration
 	// TimeToFirstEvent is the expected time to the first event.
 	TimeToFirstEvent time.Duration
+	// Completion is the expected time to the last event.
+	Completion time.Duration
 }
 
 // EngineChooser chooses model engines for one host by the expected time to the first
@@ -266,6 +270,7 @@
 	c := EngineChoice{
 		Endpoint: en.spec.ID, Reason: ReasonLoad, UncachedTokens: uncached, Backlog: backlog, TimeToFirstEvent: backlog + prefill,
 	}
+	c.Completion = c.TimeToFirstEvent + time.Duration(req.Events)*timing.eventGap
 	switch {
 	case preferred:
 		c.Reason = ReasonPreferred
--- a/relay/escalate.go
+++ b/relay/escalate.go
@@ -50,8 +50,12 @@
 // including the wait for an engine.
 func (j *job) answerTime(model string) time.Duration {
 	e := j.pool.engines
-	events := j.expectedTokens() / max(1, j.service.Engine.TokensPerEvent)
-	return e.MeanBacklog(j.version, j.enginePriority) + e.PrefillTime(model, j.req.unsharedTokens()) + time.Duration(events)*e.EventGap(model)
+	return e.MeanBacklog(j.version, j.enginePriority) + e.PrefillTime(model, j.req.unsharedTokens()) + time.Duration(j.expectedEvents())*e.EventGap(model)
+}
+
+// expectedEvents returns the expected number of events of the answer.
+func (j *job) expectedEvents() int {
+	return j.expectedTokens() / max(1, j.service.Engine.TokensPerEvent)
 }
 
 // expectedTokens returns the expected length of the answer in tokens.
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -185,7 +185,7 @@
 
 // chooseEngine picks a model engine. start counts the request there.
 func (p *pool) chooseEngine(j *job, version string, exclude []string) (sl *slot, start func(), err error) {
-	req := balance.EngineRequest{Model: j.model, Parts: j.req.Parts, Version: version, Priority: j.enginePriority, Exclude: exclude}
+	req := balance.EngineRequest{Model: j.model, Parts: j.req.Parts, Version: version, Priority: j.enginePriority, Events: j.expectedEvents(), Exclude: exclude}
 	choice, err := p.engines.Choose(req)
 	if err != nil {
 		return nil, nil, err
