relay: requests wait for the first configuration of a host that starts

Most callers retry once, so the rejection used up their retry. Change: such a request waits for the first listing, at most 1 s and a quarter of its time; at most 256 requests wait. Without a configuration it is rejected as before.

--- a/control/state.go
+++ b/control/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,9 @@
 	clock    clockwork.Clock
 	log      *slog.Logger
 	table    atomic.Pointer[route.Table]
+	// listed is closed after the first listing that holds a configuration.
+	listed     chan struct{}
+	listedOnce sync.Once
 	// OnCrashRecord is called with the stored record of the prompt parts that crash
 	// endpoints. It must be set before the first entry.
 	OnCrashRecord func(kv.Entry)
@@ -39,7 +43,7 @@
 
 // NewState returns a state without a routing table.
 func NewState(codec Codec, registry *fleet.Registry, rollouts *Rollouts, clock clockwork.Clock, log *slog.Logger) *State {
-	return &State{codec: codec, fleet: registry, rollouts: rollouts, clock: clock, log: log}
+	return &State{codec: codec, fleet: registry, rollouts: rollouts, clock: clock, log: log, listed: make(chan struct{})}
 }
 
 // Table returns the latest routing table, or false if there is none yet.
@@ -48,6 +52,10 @@
 	return t, t != nil
 }
 
+// Listed returns a channel that is closed once a complete state with a configuration has been
+// applied.
+func (s *State) Listed() <-chan struct{} { return s.listed }
+
 // Reset implements feed.Sink.
 func (s *State) Reset(l feed.Listing) {
 	var endpoints []fleet.Endpoint
@@ -79,6 +87,7 @@
 	}
 	s.rollouts.forgetUnlisted(l.Revision, steps, statuses)
 	s.fleet.Replace(endpoints, l.AfterOutage, s.clock.Now())
+	s.checkListed()
 	s.log.Info("state listed", "entries", len(l.Entries), "endpoints", len(endpoints), "disturbed", l.AfterOutage,
 		"era", kv.RevisionEra(l.Revision), "revision", kv.RevisionNumber(l.Revision))
 }
@@ -88,6 +97,14 @@
 	for _, ev := range events {
 		s.apply(ev, afterOutage)
 	}
+	s.checkListed()
+}
+
+// checkListed reports the first complete state. The endpoints of a listing are applied before.
+func (s *State) checkListed() {
+	if s.table.Load() != nil {
+		s.listedOnce.Do(func() { close(s.listed) })
+	}
 }
 
 // Relevant implements feed.Sink. Other hosts need neither unrelated keys nor
--- a/daemon/router/edge.go
+++ b/daemon/router/edge.go
@@ -25,6 +25,9 @@
 // Table implements relay.ConfigSource.
 func (h *Host) Table() (*route.Table, bool) { return h.state.Table() }
 
+// Listed implements relay.ConfigSource.
+func (h *Host) Listed() <-chan struct{} { return h.state.Listed() }
+
 // Age implements relay.ConfigSource.
 func (h *Host) Age() (time.Duration, bool) { return h.follower.Age() }
 
--- a/relay/job.go
+++ b/relay/job.go
@@ -111,6 +111,7 @@
 // run serves the request and returns nil once an answer has been sent to the
 // caller.
 func (j *job) run(ctx context.Context) *ErrorResponse {
+	j.awaitConfiguration(ctx)
 	if errResp := j.resolve(); errResp != nil {
 		return errResp
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -33,6 +33,8 @@
 	Age() (time.Duration, bool)
 	// Outdated reports whether a newer table may be in force on other hosts.
 	Outdated() bool
+	// Listed returns a channel that is closed once the first complete state has been applied.
+	Listed() <-chan struct{}
 }
 
 // Versions chooses the version of a service that serves a request.
@@ -99,6 +101,7 @@
 	holds     endpointHolds
 	durations routeDurations
 	changes   changeLog
+	startup   startupWaiters
 
 	mu    sync.Mutex
 	pools map[string]*pool
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -65,6 +65,10 @@
 	table    *route.Table
 	age      time.Duration
 	outdated bool
+	// listed is closed once the source has its first state.
+	listed chan struct{}
+	// onListed, if set, is called by Listed.
+	onListed func()
 }
 
 func (s *configSource) Table() (*route.Table, bool) {
@@ -79,6 +83,15 @@
 	return s.age, s.table != nil
 }
 
+func (s *configSource) Listed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.onListed != nil {
+		s.onListed()
+	}
+	return s.listed
+}
+
 func (s *configSource) Outdated() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -171,7 +184,7 @@
 // newRigWith returns a rig whose relay has changed options.
 func newRigWith(t *testing.T, change func(*relay.Options), routes ...route.Route) *rig {
 	t.Helper()
-	r := &rig{t: t, config: &configSource{}, versions: &unrestrictedVersions{}, fleet: fleet.NewRegistry(0), log: &syncWriter{}}
+	r := &rig{t: t, config: &configSource{listed: make(chan struct{})}, versions: &unrestrictedVersions{}, fleet: fleet.NewRegistry(0), log: &syncWriter{}}
 	r.maxKeyAge, r.key = time.Second, "key"
 	r.retryBudget = limiter.WindowConfig{Window: 10 * time.Second, RetryRatio: 1, ExtraRetries: 10}
 	for i := range routes {
@@ -182,6 +195,7 @@
 		Services: []route.Service{{Name: "s", Engine: &route.Engine{Slots: 4, KVCacheTokens: 10000, TokensPerEvent: 1}}},
 		Teams:    []route.Team{{Name: "red", Keys: []string{"key"}}},
 	})
+	close(r.config.listed)
 	rng := rand.New(rand.NewPCG(1, 2))
 	client := upstream.NewClient(upstream.DefaultOptions())
 	t.Cleanup(client.Close)
