resource: all problems of a configuration, and the lines of a file

Two faults came up: the YAML parser drops all documents after one that is empty or has only comments, so apply left resources out without a word; and floors of 0.33, 0.56 and 0.11 were rejected or accepted by the order of a map, because their sum exceeds 1 by rounding. ParseDocuments returns each document with its own fault and the lines of its fields; ParseYAML uses it. Separators of empty documents are left out before parsing. Elements of lists are named as models[1]. A document that is null counts as empty.

--- a/resource/codec.go
+++ b/resource/codec.go
@@ -128,22 +128,18 @@
 
 // ParseYAML reads a stream of YAML documents with one resource each.
 func ParseYAML(in io.Reader) ([]Resource, error) {
-	dec := yaml.NewDecoder(in, yaml.Strict())
+	docs, err := ParseDocuments(in)
+	if err != nil {
+		return nil, err
+	}
 	var out []Resource
-	for {
-		var r Resource
-		err := dec.Decode(&r)
-		if errors.Is(err, io.EOF) {
-			return out, nil
-		}
-		if err != nil {
-			return nil, errors.Mark(errors.Wrapf(err, "document %d", len(out)+1), ErrInvalid)
-		}
-		if r.Kind == "" {
-			continue // an empty document between separators
+	for i, d := range docs {
+		if d.Err != nil {
+			return nil, errors.Mark(errors.Wrapf(d.Err, "document %d", i+1), ErrInvalid)
 		}
-		out = append(out, r)
+		out = append(out, d.Resource)
 	}
+	return out, nil
 }
 
 // FormatYAML writes resources as a stream of YAML documents.
--- a/resource/resource_test.go
+++ b/resource/resource_test.go
@@ -79,3 +79,50 @@
 		})
 	}
 }
+
+// TestDocumentsAfterEmptyOnesAreRead guards against the loss of the resources that
+// follow an empty document or one of comments only, which apply then left out.
+func TestDocumentsAfterEmptyOnesAreRead(t *testing.T) {
+	for _, between := range []string{"---\n---\n", "---\n# comment\n---\n", "--- # x\n--- # y\n", "...\n---\n\n---\n", "---\n~\n---\n"} {
+		list, err := ParseYAML(strings.NewReader("kind: Model\nname: a\n" + between + "kind: Model\nname: b\n"))
+		if err != nil || len(list) != 2 || list[1].Name != "b" {
+			t.Errorf("%q between two documents: got %v, error %v; want both", between, list, err)
+		}
+	}
+}
+
+// TestFloorsThatAddUpToOneAreValid guards against a verdict that depends on the order
+// in which floors are added: 0.33 + 0.56 + 0.11 is above 1 by a rounding error.
+func TestFloorsThatAddUpToOneAreValid(t *testing.T) {
+	var list []Resource
+	for i, floor := range []float64{0.33, 0.56, 0.11} {
+		list = append(list, Resource{Kind: KindRank, Name: string(rune('a' + i)), Spec: &Rank{Priority: i, Floor: floor, Deadline: 1, MaxWait: 1}})
+	}
+	if found := Problems(list); len(found) > 0 {
+		t.Errorf("got %v, want no problem", found)
+	}
+}
+
+// TestProblemsNameEveryField guards against a validation that stops at the first
+// field, and against a document whose fields have the wrong line.
+func TestProblemsNameEveryField(t *testing.T) {
+	docs, err := ParseDocuments(strings.NewReader("# c\nkind: Rank\nname: a\nspec:\n  floor: 2\n  deadline: 1s\n---\n" +
+		"kind: Cascade\nname: c\nspec:\n  models:\n    - x\n    - y\n---\n" +
+		"kind: Rank\nname: b\nspec:\n  deadline: soon\n  flor: 1\n"))
+	if err != nil || len(docs) != 3 {
+		t.Fatalf("got %d documents, error %v", len(docs), err)
+	}
+	lines := map[string]int{}
+	for i, d := range docs[:2] {
+		for _, p := range Problems([]Resource{d.Resource}) {
+			lines[p.Field] = docs[i].Line(p.Field)
+		}
+	}
+	for _, p := range docs[2].Problems() {
+		lines[p.Field] = p.Line
+	}
+	want := map[string]int{"floor": 5, "deadline, max_wait": 6, "models[0]": 12, "models[1]": 13, "deadline": 18, "flor": 19}
+	if diff := cmp.Diff(want, lines); diff != "" {
+		t.Errorf("lines of the fields (-want +got):\n%s", diff)
+	}
+}
--- a/resource/snapshot.go
+++ b/resource/snapshot.go
@@ -36,8 +36,18 @@
 }
 
 // NewSnapshot validates the resources, including references between them, and
-// indexes them.
+// indexes them. The error is the first that Problems returns.
 func NewSnapshot(revision int64, resources []Resource) (*Snapshot, error) {
+	s, found := buildSnapshot(revision, resources)
+	if len(found) > 0 {
+		return nil, found[0]
+	}
+	return s, nil
+}
+
+// buildSnapshot returns the indexed snapshot, which may be used only if there are no
+// problems.
+func buildSnapshot(revision int64, resources []Resource) (*Snapshot, problems) {
 	s := &Snapshot{
 		Revision:  revision,
 		resources: slices.Clone(resources),
@@ -56,13 +66,10 @@
 		teamByKey: make(map[string]string),
 	}
 	Sort(s.resources)
-	if err := s.index(); err != nil {
-		return nil, err
-	}
-	if err := s.validate(); err != nil {
-		return nil, err
-	}
-	return s, nil
+	var found problems
+	s.index(&found)
+	s.validate(&found)
+	return s, found
 }
 
 // Resources returns a copy of the resources, sorted by kind and name.
--- a/resource/validate.go
+++ b/resource/validate.go
@@ -6,8 +6,6 @@
 	"net/netip"
 	"regexp"
 	"slices"
-
-	"github.com/cockroachdb/errors"
 )
 
 // TermsName is the required name of the Terms resource.
@@ -22,30 +20,24 @@
 	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
 )
 
-func invalidField(r Resource, field, format string, args ...any) error {
-	return errors.Wrapf(errors.Wrapf(ErrInvalid, format, args...), "%s %q: field %s", r.Kind, r.Name, field)
-}
-
-// index fills the maps and rejects invalid names and duplicates.
-func (s *Snapshot) index() error {
+// index fills the maps and reports invalid names and duplicates.
+func (s *Snapshot) index(p *problems) {
 	seen := make(map[Key]bool)
 	for _, r := range s.resources {
 		if !namePattern.MatchString(r.Name) {
-			return invalidField(r, "name", "must match %s", namePattern)
+			p.add(r, "name", "must match %s", namePattern)
 		}
 		if seen[r.Key()] {
-			return invalidField(r, "name", "declared twice")
+			p.add(r, "name", "declared twice")
+			continue
 		}
 		seen[r.Key()] = true
-		if err := s.indexResource(r); err != nil {
-			return err
-		}
+		s.indexResource(p, r)
 	}
 	s.indexRanks()
-	return nil
 }
 
-func (s *Snapshot) indexResource(r Resource) error {
+func (s *Snapshot) indexResource(p *problems, r Resource) {
 	switch spec := r.Spec.(type) {
 	case *Model:
 		s.Models[r.Name] = spec
@@ -56,7 +48,7 @@
 		s.Cascades[r.Name] = spec
 	case *Team:
 		s.Teams[r.Name] = spec
-		return s.indexKeys(r, spec)
+		s.indexKeys(p, r, spec)
 	case *Rank:
 		s.Ranks[r.Name] = spec
 	case *Endpoint:
@@ -68,26 +60,25 @@
 		s.Rollouts[r.Name] = spec
 	case *Terms:
 		if r.Name != TermsName {
-			return invalidField(r, "name", "must be %q", TermsName)
+			p.add(r, "name", "must be %q", TermsName)
 		}
 		s.Terms = spec
 	default:
-		return invalidField(r, "kind", "unknown spec %T", spec)
+		p.add(r, "kind", "unknown spec %T", spec)
 	}
-	return nil
 }
 
-func (s *Snapshot) indexKeys(r Resource, team *Team) error {
-	for _, h := range team.KeyHashes {
+func (s *Snapshot) indexKeys(p *problems, r Resource, team *Team) {
+	for i, h := range team.KeyHashes {
 		if !hashPattern.MatchString(h) {
-			return invalidField(r, "key_hashes", "%q is not a hex SHA-256 hash", h)
+			p.add(r, element("key_hashes", i), "%q is not a hex SHA-256 hash", h)
 		}
 		if other, ok := s.teamByKey[h]; ok {
-			return invalidField(r, "key_hashes", "key is also a key of team %q", other)
+			p.add(r, element("key_hashes", i), "key is also a key of team %q", other)
+			continue
 		}
 		s.teamByKey[h] = r.Name
 	}
-	return nil
 }
 
 func (s *Snapshot) indexEndpoint(name string, e *Endpoint) {
@@ -117,189 +108,188 @@
 }
 
 // validate checks each resource, including its references to other resources.
-func (s *Snapshot) validate() error {
+func (s *Snapshot) validate(p *problems) {
 	for _, r := range s.resources {
-		if err := s.validateResource(r); err != nil {
-			return err
-		}
+		s.validateResource(p, r)
 	}
-	return s.validateFloors()
+	s.validateFloors(p)
 }
 
-func (s *Snapshot) validateResource(r Resource) error {
+func (s *Snapshot) validateResource(p *problems, r Resource) {
 	switch spec := r.Spec.(type) {
 	case *Version:
-		return s.validateVersion(r, spec)
+		s.validateVersion(p, r, spec)
 	case *Cascade:
-		return s.validateCascade(r, spec)
+		s.validateCascade(p, r, spec)
 	case *Team:
-		return s.validateTeam(r, spec)
+		s.validateTeam(p, r, spec)
 	case *Rank:
-		return validateRank(r, spec)
+		validateRank(p, r, spec)
 	case *Endpoint:
-		return s.validateEndpoint(r, spec)
+		s.validateEndpoint(p, r, spec)
 	case *Service:
-		return validateService(r, spec)
+		validateService(p, r, spec)
 	case *Rollout:
-		return s.validateRollout(r, spec)
+		s.validateRollout(p, r, spec)
 	case *Terms:
 		if spec.PeakPrice < 0 || spec.StandingPeak < 0 || spec.Allowance < 0 {
-			return invalidField(r, "peak_price, standing_peak, allowance", "must not be negative")
+			p.add(r, "peak_price, standing_peak, allowance", "must not be negative")
 		}
 	case *Model:
 		if _, ok := s.Cascades[r.Name]; ok || r.Name == ModelAuto {
-			return invalidField(r, "name", "must not be reserved or the name of a cascade")
+			p.add(r, "name", "must not be reserved or the name of a cascade")
 		}
 	}
-	return nil
 }
 
-func (s *Snapshot) validateVersion(r Resource, v *Version) error {
+func (s *Snapshot) validateVersion(p *problems, r Resource, v *Version) {
 	if _, ok := s.Models[v.Model]; !ok {
-		return invalidField(r, "model", "unknown model %q", v.Model)
+		p.add(r, "model", "unknown model %q", v.Model)
 	}
 	if v.InputCost < 0 || v.OutputCost < 0 {
-		return invalidField(r, "input_cost, output_cost", "must not be negative")
+		p.add(r, "input_cost, output_cost", "must not be negative")
 	}
 	if v.PassRate < 0 || v.PassRate > 1 {
-		return invalidField(r, "pass_rate", "must be between 0 and 1")
+		p.add(r, "pass_rate", "must be between 0 and 1")
 	}
 	if v.MemoryGB < 0 {
-		return invalidField(r, "memory_gb", "must not be negative")
+		p.add(r, "memory_gb", "must not be negative")
 	}
 	switch v.State {
 	case VersionServing, VersionSuspect, VersionWithdrawn:
-		return nil
+	default:
+		p.add(r, "state", "unknown state %q", v.State)
 	}
-	return invalidField(r, "state", "unknown state %q", v.State)
 }
 
-func (s *Snapshot) validateCascade(r Resource, c *Cascade) error {
+func (s *Snapshot) validateCascade(p *problems, r Resource, c *Cascade) {
 	if len(c.Models) == 0 {
-		return invalidField(r, "models", "must not be empty")
+		p.add(r, "models", "must not be empty")
 	}
-	for _, m := range c.Models {
+	for i, m := range c.Models {
 		if _, ok := s.Models[m]; !ok {
-			return invalidField(r, "models", "unknown model %q", m)
+			p.add(r, element("models", i), "unknown model %q", m)
 		}
 	}
 	if c.QualityTarget < 0 || c.QualityTarget > 1 {
-		return invalidField(r, "quality_target", "must be between 0 and 1")
+		p.add(r, "quality_target", "must be between 0 and 1")
 	}
-	return nil
 }
 
-func (s *Snapshot) validateTeam(r Resource, t *Team) error {
+func (s *Snapshot) validateTeam(p *problems, r Resource, t *Team) {
 	if t.Weight <= 0 {
-		return invalidField(r, "weight", "must be positive")
+		p.add(r, "weight", "must be positive")
 	}
-	for _, m := range t.Models {
+	for i, m := range t.Models {
 		if _, ok := s.Models[m]; !ok {
-			return invalidField(r, "models", "unknown model %q", m)
+			p.add(r, element("models", i), "unknown model %q", m)
 		}
 	}
-	for _, v := range t.Versions {
+	for i, v := range t.Versions {
 		if _, ok := s.Versions[v]; !ok {
-			return invalidField(r, "versions", "unknown version %q", v)
+			p.add(r, element("versions", i), "unknown version %q", v)
 		}
 	}
-	for _, name := range t.Services {
+	for i, name := range t.Services {
 		if _, ok := s.Services[name]; !ok {
-			return invalidField(r, "services", "unknown service %q", name)
+			p.add(r, element("services", i), "unknown service %q", name)
 		}
 	}
-	for _, name := range t.Ranks {
+	for i, name := range t.Ranks {
 		if _, ok := s.Ranks[name]; !ok {
-			return invalidField(r, "ranks", "unknown rank %q", name)
+			p.add(r, element("ranks", i), "unknown rank %q", name)
 		}
 	}
-	return nil
 }
 
-func validateRank(r Resource, rank *Rank) error {
+func validateRank(p *problems, r Resource, rank *Rank) {
 	if rank.Priority < 0 {
-		return invalidField(r, "priority", "must not be negative")
+		p.add(r, "priority", "must not be negative")
 	}
 	if rank.Floor < 0 || rank.Floor > 1 {
-		return invalidField(r, "floor", "must be between 0 and 1")
+		p.add(r, "floor", "must be between 0 and 1")
 	}
 	if rank.Deadline <= 0 || rank.MaxWait <= 0 {
-		return invalidField(r, "deadline, max_wait", "must be positive")
+		p.add(r, "deadline, max_wait", "must be positive")
 	}
-	return nil
 }
 
-func (s *Snapshot) validateFloors() error {
-	sum := 0.0
-	for _, rank := range s.Ranks {
-		sum += rank.Floor
+// floorRounding allows for the rounding error of decimal floors that add up to 1.
+const floorRounding = 1e-9
+
+// validateFloors adds the floors up in the order of the ranks, so that the rounding
+// error, and with it the verdict, is the same at all hosts.
+func (s *Snapshot) validateFloors(p *problems) {
+	sum, last := 0.0, ""
+	for _, name := range s.ranksByPriority {
+		if floor := s.Ranks[name].Floor; floor > 0 {
+			sum += floor
+			last = name
+		}
 	}
-	if sum > 1 {
-		return errors.Wrapf(ErrInvalid, "the floors of all ranks add up to %.3f, which is more than 1", sum)
+	if sum > 1+floorRounding {
+		p.add(Resource{Kind: KindRank, Name: last}, "floor", "the floors of all ranks add up to %.3f, which is more than 1", sum)
 	}
-	return nil
 }
 
-func (s *Snapshot) validateEndpoint(r Resource, e *Endpoint) error {
+func (s *Snapshot) validateEndpoint(p *problems, r Resource, e *Endpoint) {
 	if _, err := netip.ParseAddrPort(e.Address); err != nil {
-		return invalidField(r, "address", "%q is not an IP address and port", e.Address)
+		p.add(r, "address", "%q is not an IP address and port", e.Address)
 	}
 	if e.FailureDomain == "" {
-		return invalidField(r, "failure_domain", "must not be empty")
+		p.add(r, "failure_domain", "must not be empty")
 	}
 	if e.Concurrency <= 0 {
-		return invalidField(r, "concurrency", "must be positive")
+		p.add(r, "concurrency", "must be positive")
 	}
 	if e.MemoryGB < 0 {
-		return invalidField(r, "memory_gb", "must not be negative")
+		p.add(r, "memory_gb", "must not be negative")
 	}
 	if e.State != EndpointActive && e.State != EndpointLeaving {
-		return invalidField(r, "state", "unknown state %q", e.State)
+		p.add(r, "state", "unknown state %q", e.State)
 	}
 	if (e.Service == "") == (len(e.Versions) == 0) {
-		return invalidField(r, "versions, service", "exactly one must be set")
+		p.add(r, "versions, service", "exactly one must be set")
 	}
-	for _, v := range e.Versions {
+	for i, v := range e.Versions {
 		if _, ok := s.Versions[v]; !ok {
-			return invalidField(r, "versions", "unknown version %q", v)
+			p.add(r, element("versions", i), "unknown version %q", v)
 		}
 	}
 	if _, ok := s.Services[e.Service]; e.Service != "" && !ok {
-		return invalidField(r, "service", "unknown service %q", e.Service)
+		p.add(r, "service", "unknown service %q", e.Service)
 	}
-	return nil
 }
 
-func validateService(r Resource, svc *Service) error {
+func validateService(p *problems, r Resource, svc *Service) {
 	seen := make(map[string]bool)
-	for _, op := range svc.Operations {
+	for i, op := range svc.Operations {
 		if !namePattern.MatchString(op.Name) || seen[op.Name] {
-			return invalidField(r, "operations", "operation %q is malformed or declared twice", op.Name)
+			p.add(r, element("operations", i), "operation %q is malformed or declared twice", op.Name)
 		}
 		if op.Cost < 0 || op.Timeout < 0 {
-			return invalidField(r, "operations", "cost and timeout of %q must not be negative", op.Name)
+			p.add(r, element("operations", i), "cost and timeout of %q must not be negative", op.Name)
 		}
 		seen[op.Name] = true
 	}
-	return nil
 }
 
-func (s *Snapshot) validateRollout(r Resource, ro *Rollout) error {
+func (s *Snapshot) validateRollout(p *problems, r Resource, ro *Rollout) {
 	from, to := s.Versions[ro.From], s.Versions[ro.To]
 	if from == nil || to == nil || from.Model != ro.Model || to.Model != ro.Model || ro.From == ro.To {
-		return invalidField(r, "from, to", "must be two versions of model %q", ro.Model)
+		p.add(r, "from, to", "must be two versions of model %q", ro.Model)
 	}
 	if len(ro.Steps) == 0 || !slices.IsSorted(ro.Steps) || ro.Steps[0] < 0 || ro.Steps[len(ro.Steps)-1] != 1 {
-		return invalidField(r, "steps", "must rise from 0 or more to 1")
+		p.add(r, "steps", "must rise from 0 or more to 1")
 	}
 	if ro.Step < 0 || ro.Step >= len(ro.Steps) {
-		return invalidField(r, "step", "must be an index into steps")
+		p.add(r, "step", "must be an index into steps")
 	}
 	switch ro.State {
 	case RolloutRunning, RolloutHalted, RolloutDone, RolloutRolledBack:
-		return nil
+	default:
+		p.add(r, "state", "unknown state %q", ro.State)
 	}
-	return invalidField(r, "state", "unknown state %q", ro.State)
 }
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
