resource/check, leverctl check: findings about a configuration

Cause: a configuration can be valid and still have entries that never take effect or limits that contradict each other, and errors had no place in the file. Change: package resource/check turns resources into findings with stable codes; leverctl check prints them with the differences to the revision in force, and leverctl diff uses the same code. Exit status 2 for wrong arguments and for what cannot be read. The command has no test yet.

--- a/cmd/leverctl/main.go
+++ b/cmd/leverctl/main.go
@@ -16,12 +16,12 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	err := ctl.Run(ctx, os.Args[1:], os.Stdout)
-	switch {
-	case err == nil, ctx.Err() != nil:
-	case errors.Is(err, flag.ErrHelp):
-		os.Exit(2)
-	default:
+	unreadable := errors.Is(err, ctl.ErrUnreadable)
+	if ctx.Err() != nil && !unreadable {
+		return // interrupted, which is how watch ends
+	}
+	if err != nil && !errors.Is(err, flag.ErrHelp) && !errors.Is(err, ctl.ErrFindings) {
 		fmt.Fprintln(os.Stderr, "leverctl:", err)
-		os.Exit(1)
 	}
+	os.Exit(ctl.ExitStatus(err))
 }
--- a/ctl/change.go
+++ b/ctl/change.go
@@ -16,39 +16,43 @@
 	"github.com/corianderlever/corianderlever/resource"
 )
 
-func (c *command) applyCommand(name, help string, dryRun bool) *ffcli.Command {
-	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+func (c *command) applyCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("apply", flag.ContinueOnError)
 	file := fs.String("f", "", "YAML file of resources, or - for standard input")
 	expect := fs.Int64("expect", 0, "revision that the change is based on; 0 means the one in force")
 	return &ffcli.Command{
-		Name: name, ShortUsage: "leverctl " + name + " -f FILE", ShortHelp: help, FlagSet: fs,
+		Name: "apply", ShortUsage: "leverctl apply -f FILE", ShortHelp: "Applies resources from a YAML file atomically.", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
 			if *file == "" || len(args) > 0 {
-				return errors.Wrapf(ErrUsage, "leverctl %s -f FILE", name)
+				return errors.Wrap(ErrUsage, "leverctl apply -f FILE")
 			}
 			set, err := readResources(*file)
 			if err != nil {
 				return err
 			}
-			return c.apply(ctx, admin.ApplyRequest{ExpectRevision: *expect, Set: set, DryRun: dryRun})
+			return c.apply(ctx, admin.ApplyRequest{ExpectRevision: *expect, Set: set})
 		},
 	}
 }
 
 func readResources(file string) ([]resource.Resource, error) {
-	in := io.Reader(os.Stdin)
-	if file != "-" {
-		f, err := os.Open(file)
-		if err != nil {
-			return nil, errors.Wrap(err, "open resources")
-		}
-		defer f.Close()
-		in = f
+	in, err := openResources(file)
+	if err != nil {
+		return nil, err
 	}
+	defer in.Close()
 	list, err := resource.ParseYAML(in)
 	return list, errors.Wrapf(err, "%s", file)
 }
 
+func openResources(file string) (io.ReadCloser, error) {
+	if file == "-" {
+		return io.NopCloser(os.Stdin), nil
+	}
+	f, err := os.Open(file)
+	return f, errors.Wrap(err, "open resources")
+}
+
 // apply sends a change and prints its differences. Without an expected revision,
 // the change is based on the revision in force.
 func (c *command) apply(ctx context.Context, req admin.ApplyRequest) error {
@@ -73,9 +77,6 @@
 		return err
 	}
 	c.printDifferences(resp.Differences)
-	if req.DryRun {
-		return nil
-	}
 	_, err = fmt.Fprintf(c.out, "revision %d accepted\n", resp.Revision)
 	return err
 }
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -41,7 +41,23 @@
 
 // Run runs leverctl with the given arguments and writes its output to out.
 func Run(ctx context.Context, args []string, out io.Writer) error {
-	return New(out).ParseAndRun(ctx, args)
+	root := New(out)
+	if err := root.Parse(args); err != nil {
+		return errors.Mark(err, ErrUsage)
+	}
+	return root.Run(ctx)
+}
+
+// ExitStatus returns the exit status for the error of Run: 2 for wrong arguments and
+// for a check that could not be made, 1 for other errors, including findings.
+func ExitStatus(err error) int {
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, ErrUsage), errors.Is(err, ErrUnreadable), errors.Is(err, flag.ErrHelp):
+		return 2
+	}
+	return 1
 }
 
 // New returns the root command, which writes to out.
@@ -64,8 +80,9 @@
 	return []*ffcli.Command{
 		c.subcommand("get", "get KIND NAME", "Shows one resource as YAML.", 2, c.get),
 		c.subcommand("list", "list [KIND]", "Lists resources.", -1, c.list),
-		c.applyCommand("apply", "Applies resources from a YAML file atomically.", false),
-		c.applyCommand("diff", "Shows what apply would change.", true),
+		c.applyCommand(),
+		c.checkCommand(),
+		c.diffCommand(),
 		c.subcommand("delete", "delete KIND NAME", "Deletes a resource.", 2, c.delete),
 		c.subcommand("watch", "watch [KIND [NAME]]", "Prints changes until interrupted.", -1, c.watch),
 		c.subcommand("status", "status", "Shows the hosts and the revision in force on each.", 0, c.status),
--- a/resource/document.go
+++ b/resource/document.go
@@ -142,9 +142,13 @@
 	return t.Position.Line
 }
 
-// Line returns the line of a field, which is named as in FieldError. It returns that
-// of the nearest enclosing entry if the document does not contain the field.
+// Line returns the line of a field, which is named as in FieldError, or that of the
+// name if the field is empty. It returns that of the nearest enclosing entry if the
+// document does not contain the field.
 func (d Document) Line(field string) int {
+	if field == "" {
+		field = "name"
+	}
 	line := tokenLine(firstToken(d.body))
 	for _, path := range strings.Split(field, ", ") {
 		if at, found := d.find(path); found {
