docs, ctl: the check of a configuration in the handbook; file errors without a host

Cause: the check was not documented, and errors of the file itself were not shown if the host could not be reached. A file with errors of its own is reported without asking the host. Findings and differences belong to one revision, after three attempts at most.

--- a/ctl/check.go
+++ b/ctl/check.go
@@ -120,9 +120,11 @@
 	}
 	report := &Report{File: name, Findings: append([]check.Finding{}, file.Findings...), Differences: []admin.Difference{}}
 	switch {
-	case offline && !check.HasErrors(file.Findings):
+	case check.HasErrors(file.Findings):
+		// Resources are missing, so that findings about the rest would be wrong.
+	case offline:
 		report.Findings = append(report.Findings, file.Locate(check.Run(file.Resources))...)
-	case !offline:
+	default:
 		err = c.compare(ctx, report, file, expect)
 	}
 	return report, err
@@ -133,8 +135,7 @@
 const compareAttempts = 3
 
 // compare adds what the file would change in the configuration in force, and the
-// findings about the result. A file with errors of its own is not compared, because
-// resources would be missing.
+// findings about the result.
 func (c *command) compare(ctx context.Context, report *Report, file *check.File, expect int64) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -145,9 +146,6 @@
 			return err
 		}
 		report.Revision = &list.Revision
-		if check.HasErrors(file.Findings) {
-			return nil
-		}
 		after := file.Locate(check.Run(admin.Merge(list.Resources, file.Resources, nil)))
 		found := check.Introduced(check.Run(list.Resources), after)
 		if check.HasErrors(found) {
--- a/ctl/check_test.go
+++ b/ctl/check_test.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -80,6 +81,10 @@
 		_, _ = w.Write([]byte(`{"error":{"code":"invalid_resource","message":"new rule"}}`))
 	}))
 	defer newer.Close()
+	newKind := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"revision":7,"resources":[{"kind":"Later","name":"x","spec":{}}]}`))
+	}))
+	defer newKind.Close()
 	unserved := inForce + "---\nkind: Model\nname: old\n"
 	check, offline, diff := []string{"check"}, []string{"check", "-offline"}, []string{"diff", "-f"}
 	cases := map[string]struct {
@@ -88,23 +93,25 @@
 		status     int
 		want       string // a part of the output
 	}{
-		"no change":            {startHost(t, unserved), inForce, check, 0, "errors: 0, warnings: 0, differences: 0\n"},
-		"change":               {startHost(t, unserved), better, check, 0, "differences to revision 7:\nchange Version m-1\n"},
-		"error":                {startHost(t, inForce), wrong, check, 1, "FILE:4: error field: Version \"m-1\": model: unknown model \"n\"\nerrors: 1, warnings: 0, differences: 0\n"},
-		"warning":              {startHost(t, inForce), useless, check, 1, "FILE:11: warning model_unserved: Model \"n\": has no version"},
-		"warning elsewhere":    {startHost(t, inForce), strings.Replace(better, "input_cost", "state: withdrawn, input_cost", 1), check, 1, "in force: warning model_unserved: Model \"m\""},
-		"host's own rule":      {newer.URL, inForce, check, 1, "FILE: error rejected: new rule\n"},
-		"no host":              {gone.URL, inForce, check, 2, ""},
-		"wrong key":            {startHost(t, inForce), inForce, []string{"-key", "x", "check"}, 2, ""},
-		"wrong flag":           {gone.URL, inForce, []string{"check", "-x"}, 2, ""},
-		"two files":            {gone.URL, inForce, []string{"check", "a"}, 2, ""},
-		"offline":              {gone.URL, inForce, offline, 0, "errors: 0, warnings: 0\n"},
-		"offline, syntax":      {gone.URL, "a: [\n", offline, 1, "FILE:1: error syntax: "},
-		"offline, wrong":       {gone.URL, wrong, offline, 1, "FILE:4: error field: "},
-		"diff":                 {startHost(t, inForce), better, diff, 0, "change Version m-1\n"},
-		"diff ignores warning": {startHost(t, inForce), useless, diff, 0, "add Model n\n"},
-		"diff of an error":     {startHost(t, inForce), wrong, diff, 1, "FILE:4: error field: "},
-		"diff without a host":  {gone.URL, better, diff, 2, ""},
+		"no change":             {startHost(t, unserved), inForce, check, 0, "errors: 0, warnings: 0, differences: 0\n"},
+		"change":                {startHost(t, unserved), better, check, 0, "differences to revision 7:\nchange Version m-1\n"},
+		"error":                 {startHost(t, inForce), wrong, check, 1, "FILE:4: error field: Version \"m-1\": model: unknown model \"n\"\nerrors: 1, warnings: 0, differences: 0\n"},
+		"warning":               {startHost(t, inForce), useless, check, 1, "FILE:11: warning model_unserved: Model \"n\": has no version"},
+		"warning elsewhere":     {startHost(t, inForce), strings.Replace(better, "input_cost", "state: withdrawn, input_cost", 1), check, 1, "in force: warning model_unserved: Model \"m\""},
+		"host's own rule":       {newer.URL, inForce, check, 1, "FILE: error rejected: new rule\n"},
+		"file before host":      {gone.URL, "a: [\n", check, 1, "FILE:1: error syntax: "},
+		"unknown kind in force": {newKind.URL, inForce, check, 2, ""},
+		"no host":               {gone.URL, inForce, check, 2, ""},
+		"wrong key":             {startHost(t, inForce), inForce, []string{"-key", "x", "check"}, 2, ""},
+		"wrong flag":            {gone.URL, inForce, []string{"check", "-x"}, 2, ""},
+		"two files":             {gone.URL, inForce, []string{"check", "a"}, 2, ""},
+		"offline":               {gone.URL, inForce, offline, 0, "errors: 0, warnings: 0\n"},
+		"offline, syntax":       {gone.URL, "a: [\n", offline, 1, "FILE:1: error syntax: "},
+		"offline, wrong":        {gone.URL, wrong, offline, 1, "FILE:4: error field: "},
+		"diff":                  {startHost(t, inForce), better, diff, 0, "change Version m-1\n"},
+		"diff ignores warning":  {startHost(t, inForce), useless, diff, 0, "add Model n\n"},
+		"diff of an error":      {startHost(t, inForce), wrong, diff, 1, "FILE:4: error field: "},
+		"diff without a host":   {gone.URL, better, diff, 2, ""},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -119,6 +126,23 @@
 	}
 }
 
+// TestRevisionsOfAReportAgree guards against findings of one revision with differences
+// to another, and against endless attempts while the configuration changes.
+func TestRevisionsOfAReportAgree(t *testing.T) {
+	for stableFrom, status := range map[int]int{3: 0, 100: 2} {
+		calls := 0
+		host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			calls++
+			_, _ = fmt.Fprintf(w, `{"revision":%d}`, min(calls, stableFrom))
+		}))
+		defer host.Close()
+		out, err := runOn(t, host.URL, "", "check", "-json")
+		if ExitStatus(err) != status || calls > 2*compareAttempts || status == 0 && !strings.Contains(out, `"revision": 3,`) {
+			t.Errorf("revision stable from call %d: got error %v after %d calls, output %s; want status %d", stableFrom, err, calls, out, status)
+		}
+	}
+}
+
 // TestJSONReport guards against a change of the documented JSON form.
 func TestJSONReport(t *testing.T) {
 	out, err := runOn(t, startHost(t, inForce), useless, "check", "-json")
--- a/internal/docscheck/docscheck_test.go
+++ b/internal/docscheck/docscheck_test.go
@@ -96,10 +96,18 @@
 	requireDocumented(t, "metric", names, 8)
 }
 
-// TestCodesAndHeadersAreDocumented guards against error codes, headers and
-// outcomes that the handbook does not explain.
+// TestCodesAndHeadersAreDocumented guards against error codes, headers, outcomes and
+// codes of findings that the handbook does not explain.
 func TestCodesAndHeadersAreDocumented(t *testing.T) {
-	file, err := parser.ParseFile(token.NewFileSet(), filepath.Join(root, "api", "api.go"), nil, 0)
+	requireDocumented(t, "code, header or outcome", namedConstants(t, "api", "api.go"), 28)
+	requireDocumented(t, "code of a finding", namedConstants(t, "resource", "check", "check.go"), 26)
+}
+
+// namedConstants returns the values of the constants in a file whose names begin with
+// Code, Header or Outcome.
+func namedConstants(t *testing.T, path ...string) []string {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), filepath.Join(append([]string{root}, path...)...), nil, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -120,7 +128,7 @@
 		}
 		return true
 	})
-	requireDocumented(t, "code, header or outcome", names, 28)
+	return names
 }
 
 // TestLogEventsAreDocumented guards against log messages that the handbook does
