leverctl: an interrupted check does not end with status 0

Cause: main compared errors with the standard library's errors.Is, which does not see the marks of cockroachdb/errors, so check and diff ended with 0 when interrupted. Change: ExitStatus also decides about interrupts, and main uses cockroachdb/errors.

--- a/cmd/leverctl/main.go
+++ b/cmd/leverctl/main.go
@@ -3,12 +3,13 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"os"
 	"os/signal"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/corianderlever/corianderlever/ctl"
 )
 
@@ -16,12 +17,9 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	err := ctl.Run(ctx, os.Args[1:], os.Stdout)
-	unreadable := errors.Is(err, ctl.ErrUnreadable)
-	if ctx.Err() != nil && !unreadable {
-		return // interrupted, which is how watch ends
-	}
-	if err != nil && !errors.Is(err, flag.ErrHelp) && !errors.Is(err, ctl.ErrFindings) {
+	status := ctl.ExitStatus(err, ctx.Err() != nil)
+	if status != 0 && !errors.Is(err, flag.ErrHelp) && !errors.Is(err, ctl.ErrFindings) {
 		fmt.Fprintln(os.Stderr, "leverctl:", err)
 	}
-	os.Exit(ctl.ExitStatus(err))
+	os.Exit(status)
 }
--- a/ctl/check_test.go
+++ b/ctl/check_test.go
@@ -116,16 +116,36 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			out, err := runOn(t, c.addr, c.text, c.args...)
-			if got := ExitStatus(err); got != c.status || !strings.Contains(out, c.want) {
+			if got := ExitStatus(err, false); got != c.status || !strings.Contains(out, c.want) {
 				t.Errorf("got status %d, error %v, output:\n%s\nwant status %d and %q", got, err, out, c.status, c.want)
 			}
 		})
 	}
-	if err := Run(context.Background(), []string{"check", "-offline", filepath.Join(t.TempDir(), "absent")}, &bytes.Buffer{}); ExitStatus(err) != 2 {
+	if err := Run(context.Background(), []string{"check", "-offline", filepath.Join(t.TempDir(), "absent")}, &bytes.Buffer{}); ExitStatus(err, false) != 2 {
 		t.Errorf("got error %v for an absent file, want status 2", err)
 	}
 }
 
+// TestInterruptedCheckHasNotPassed guards against a check that is interrupted and ends
+// with the status of one that found nothing.
+func TestInterruptedCheckHasNotPassed(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	host := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		cancel()
+		<-r.Context().Done()
+	}))
+	defer host.Close()
+	file := filepath.Join(t.TempDir(), "change.yaml")
+	if err := os.WriteFile(file, []byte(inForce), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for status, args := range map[int][]string{2: {"check", file}, 0: {"watch"}} {
+		if err := Run(ctx, append([]string{"-addr", host.URL}, args...), &bytes.Buffer{}); ExitStatus(err, true) != status {
+			t.Errorf("%s: got error %v, status %d; want %d", args[0], err, ExitStatus(err, true), status)
+		}
+	}
+}
+
 // TestRevisionsOfAReportAgree guards against findings of one revision with differences
 // to another, and against endless attempts while the configuration changes.
 func TestRevisionsOfAReportAgree(t *testing.T) {
@@ -137,7 +157,7 @@
 		}))
 		defer host.Close()
 		out, err := runOn(t, host.URL, "", "check", "-json")
-		if ExitStatus(err) != status || calls > 2*compareAttempts || status == 0 && !strings.Contains(out, `"revision": 3,`) {
+		if ExitStatus(err, false) != status || calls > 2*compareAttempts || status == 0 && !strings.Contains(out, `"revision": 3,`) {
 			t.Errorf("revision stable from call %d: got error %v after %d calls, output %s; want status %d", stableFrom, err, calls, out, status)
 		}
 	}
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -49,13 +49,19 @@
 }
 
 // ExitStatus returns the exit status for the error of Run: 2 for wrong arguments and
-// for a check that could not be made, 1 for other errors, including findings.
-func ExitStatus(err error) int {
+// for a check that could not be made, 1 for other errors, including findings. An
+// interrupt ends watch and other commands with 0, but not a check, whose status 0 means
+// that nothing was found.
+func ExitStatus(err error, interrupted bool) int {
 	switch {
 	case err == nil:
 		return 0
-	case errors.Is(err, ErrUsage), errors.Is(err, ErrUnreadable), errors.Is(err, flag.ErrHelp):
+	case errors.Is(err, ErrUnreadable), errors.Is(err, ErrUsage), errors.Is(err, flag.ErrHelp):
 		return 2
+	case errors.Is(err, ErrFindings):
+		return 1
+	case interrupted:
+		return 0
 	}
 	return 1
 }
