--- a/cmd/leverctl/main.go
+++ b/cmd/leverctl/main.go
@@ -3,12 +3,13 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"os"
 	"os/signal"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/corianderlever/corianderlever/ctl"
 )
 
@@ -16,12 +17,9 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	err := ctl.Run(ctx, os.Args[1:], os.Stdout)
-	switch {
-	case err == nil, ctx.Err() != nil:
-	case errors.Is(err, flag.ErrHelp):
-		os.Exit(2)
-	default:
+	status := ctl.ExitStatus(err, ctx.Err() != nil)
+	if status != 0 && !errors.Is(err, flag.ErrHelp) && !errors.Is(err, ctl.ErrFindings) {
 		fmt.Fprintln(os.Stderr, "leverctl:", err)
-		os.Exit(1)
 	}
+	os.Exit(status)
 }
