fleet, control, limiter: evacuated domains and strict limits of cold endpoints

Cause: hosts did not know the order to evacuate a failure domain, and the cold time in an endpoint's entry was used nowhere.

Change: keys below op/evacuate/ mark the endpoints of a domain in the registry. A restored store keeps an evacuation it does not list for 10 s. Cold times that rise or end are passed on to other hosts. Permits share the rate of a cold endpoint with no saved permits; of the hosts that cannot ask, only three use their share, and hosts wait 2 s after their start.

Not used by the relay yet.

--- a/control/record.go
+++ b/control/record.go
@@ -39,13 +39,16 @@
 	KindStep
 	// KindCrashRecord holds the prompt parts that crash endpoints.
 	KindCrashRecord
+	// KindEvacuation holds the order that a failure domain gets no requests. Only the
+	// existence of the key counts.
+	KindEvacuation
 )
 
 // Codec maps store keys to kinds and converts entries from and to the format of
 // the platform that writes them.
 type Codec interface {
-	// Classify returns the kind of a key, and the endpoint ID or the service name
-	// in it.
+	// Classify returns the kind of a key, and the endpoint ID, the service name or the
+	// failure domain in it.
 	Classify(key string) (Kind, string)
 	// DecodeConfig, DecodeEndpoint, DecodeOrder and DecodeStatus decode entries of
 	// these kinds.
--- a/control/state.go
+++ b/control/state.go
@@ -23,6 +23,9 @@
 	clock    clockwork.Clock
 	log      *slog.Logger
 	table    atomic.Pointer[route.Table]
+	// coldEnds holds, by key, the ends of the cold times that were passed on to other hosts.
+	// Only Relevant and Reset use it, which a follower never calls at the same time.
+	coldEnds map[string]time.Time
 	// OnCrashRecord is called with the stored record of the prompt parts that crash
 	// endpoints. It must be set before the first entry.
 	OnCrashRecord func(kv.Entry)
@@ -39,7 +42,7 @@
 
 // NewState returns a state without a routing table.
 func NewState(codec Codec, registry *fleet.Registry, rollouts *Rollouts, clock clockwork.Clock, log *slog.Logger) *State {
-	return &State{codec: codec, fleet: registry, rollouts: rollouts, clock: clock, log: log}
+	return &State{codec: codec, fleet: registry, rollouts: rollouts, clock: clock, log: log, coldEnds: make(map[string]time.Time)}
 }
 
 // Table returns the latest routing table, or false if there is none yet.
@@ -52,7 +55,7 @@
 func (s *State) Reset(l feed.Listing) {
 	var endpoints []fleet.Endpoint
 	steps, statuses := make(map[string]bool), make(map[string]bool)
-	crashRecord := false
+	crashRecord, evacuated := false, make(map[string]int64)
 	for _, e := range l.Entries {
 		kind, name := s.codec.Classify(e.Key)
 		switch kind {
@@ -62,12 +65,15 @@
 			statuses[name] = true
 		case KindCrashRecord:
 			crashRecord = true
+		case KindEvacuation:
+			evacuated[name] = e.Revision
+			continue
 		}
 		if kind != KindEndpoint {
 			s.apply(kv.Event{Entry: e}, l.AfterOutage)
 			continue
 		}
-		ep, err := s.codec.DecodeEndpoint(e)
+		ep, err := s.decodeEndpoint(e)
 		if err != nil {
 			s.logRejected(e, err)
 			continue
@@ -78,6 +84,8 @@
 		s.OnNoCrashRecord(l.Revision)
 	}
 	s.rollouts.forgetUnlisted(l.Revision, steps, statuses)
+	s.forgetColdEnds(l.Entries)
+	s.replaceEvacuated(evacuated, l.Revision)
 	s.fleet.Replace(endpoints, l.AfterOutage, s.clock.Now())
 	s.log.Info("state listed", "entries", len(l.Entries), "endpoints", len(endpoints), "disturbed", l.AfterOutage,
 		"era", kv.RevisionEra(l.Revision), "revision", kv.RevisionNumber(l.Revision))
@@ -91,23 +99,39 @@
 }
 
 // Relevant implements feed.Sink. Other hosts need neither unrelated keys nor
-// endpoint heartbeats that change only Revision or ColdFor.
+// endpoint heartbeats that change only Revision, or ColdFor as time passes.
 func (s *State) Relevant(ev kv.Event, old *kv.Entry) bool {
 	kind, _ := s.codec.Classify(ev.Entry.Key)
 	if kind == KindUnrelated {
 		return false
 	}
-	if kind != KindEndpoint || ev.Deleted || old == nil {
+	if kind != KindEndpoint {
+		return true
+	}
+	if ev.Deleted {
+		delete(s.coldEnds, ev.Entry.Key)
+		return true
+	}
+	newEndpoint, newErr := s.decodeEndpoint(ev.Entry)
+	coldChanged := s.coldEndChanged(ev.Entry.Key, newEndpoint.ColdUntil)
+	if old == nil || newErr != nil || coldChanged {
 		return true
 	}
 	oldEndpoint, oldErr := s.codec.DecodeEndpoint(*old)
-	newEndpoint, newErr := s.codec.DecodeEndpoint(ev.Entry)
+	if oldErr != nil {
+		return true
+	}
+	newEndpoint.ColdUntil = oldEndpoint.ColdUntil
 	oldEndpoint.Revision, oldEndpoint.ColdFor = newEndpoint.Revision, newEndpoint.ColdFor
-	return oldErr != nil || newErr != nil || oldEndpoint != newEndpoint
+	return oldEndpoint != newEndpoint
 }
 
 // Tick implements feed.Sink.
-func (s *State) Tick() { s.fleet.Expire(s.clock.Now()) }
+func (s *State) Tick() {
+	before := s.fleet.Evacuated()
+	s.fleet.Expire(s.clock.Now())
+	s.logEvacuations(before)
+}
 
 func (s *State) silence() (duration time.Duration, known bool) {
 	if s.Silence == nil {
@@ -132,6 +156,8 @@
 		err = s.rollouts.applyStep(name, ev)
 	case KindCrashRecord:
 		s.applyCrashRecord(ev)
+	case KindEvacuation:
+		s.applyEvacuation(ev, name)
 	case KindUnrelated:
 	}
 	if err != nil {
@@ -176,7 +202,7 @@
 		s.fleet.Remove(id, ev.Entry.Revision, afterOutage, s.clock.Now())
 		return nil
 	}
-	e, err := s.codec.DecodeEndpoint(ev.Entry)
+	e, err := s.decodeEndpoint(ev.Entry)
 	if err != nil {
 		s.fleet.Remove(id, ev.Entry.Revision, false, s.clock.Now())
 		return err
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -26,9 +26,15 @@
 	Slots int
 	// Draining endpoints accept no new requests.
 	Draining bool
+	// Evacuated is set while the endpoint's failure domain is evacuated. Such an endpoint
+	// gets no new requests.
+	Evacuated bool
 	// ColdFor is how much longer the endpoint stays slow after its start, as of the
 	// last entry.
 	ColdFor time.Duration
+	// ColdUntil is the end of that time by this host's clock, counted from the arrival of
+	// the entry; zero if the endpoint is not cold.
+	ColdUntil time.Time
 	// Started identifies the start of the process, because an endpoint may restart
 	// with the same ID. Zero means unknown.
 	Started int64
@@ -67,7 +73,9 @@
 	graceUntil map[string]time.Time // until when a vanished entry is still used
 	removals   removals
 	services   map[string][]Endpoint
-	onChange   []func(Change)
+	// evacuations holds the evacuated failure domains.
+	evacuations map[string]evacuation
+	onChange    []func(Change)
 	// generation counts the rebuilds of services.
 	generation atomic.Uint64
 }
@@ -76,7 +84,7 @@
 func NewRegistry(grace time.Duration) *Registry {
 	return &Registry{
 		grace: grace, byID: make(map[string]Endpoint), graceUntil: make(map[string]time.Time),
-		services: make(map[string][]Endpoint), removals: newRemovals(),
+		services: make(map[string][]Endpoint), removals: newRemovals(), evacuations: make(map[string]evacuation),
 	}
 }
 
@@ -174,7 +182,7 @@
 func (r *Registry) Expire(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changed := false
+	changed := r.expireEvacuations(now)
 	for _, e := range r.removals.due(now) {
 		r.set(e)
 		changed = true
@@ -211,11 +219,15 @@
 	}
 }
 
-// index rebuilds the lists by service. Readers share the lists, so they are never
-// changed in place.
+// index rebuilds the lists by service and marks the evacuated endpoints. Readers share the
+// lists, so they are never changed in place.
 func (r *Registry) index() {
 	services := make(map[string][]Endpoint)
-	for _, e := range r.byID {
+	for id, e := range r.byID {
+		if _, evacuated := r.evacuations[e.FailureDomain]; e.Evacuated != evacuated {
+			e.Evacuated = evacuated
+			r.byID[id] = e
+		}
 		services[e.Service] = append(services[e.Service], e)
 	}
 	for _, list := range services {
--- a/internal/permitpeers/permitpeers.go
+++ b/internal/permitpeers/permitpeers.go
@@ -79,6 +79,17 @@
 	return max(hosts, p.MinHosts)
 }
 
+// coldShareHosts is the number of hosts that may use their share of the rate of a cold
+// endpoint. Beside a granter and its successor, which may send 1.4 times the rate and two
+// more in one second, the endpoint bears a few more requests.
+const coldShareHosts = 3
+
+// SharesCold implements limiter.PermitPeers: the hosts are the first in rendezvous order,
+// alive or not, so that hosts which are cut off agree on them.
+func (p *Peers) SharesCold(endpoint string) bool {
+	return membership.Rank(endpoint, p.Self, p.Members()) < coldShareHosts
+}
+
 // Incarnation implements limiter.PermitPeers: a host that others suspect refutes it with a
 // new incarnation, and only that makes them take it for alive.
 func (p *Peers) Incarnation() int64 {
--- a/limiter/permithosts_test.go
+++ b/limiter/permithosts_test.go
@@ -89,6 +89,8 @@
 	return limiter.PermitReply{}, errNoAnswer
 }
 
+func (p disturbedPeers) SharesCold(string) bool { return p.host < 3 }
+
 func (p disturbedPeers) Hosts() int { return len(p.fleet.faults) }
 
 func (p disturbedPeers) Incarnation() int64 { return p.fleet.incarnations[p.host] }
--- a/limiter/permits.go
+++ b/limiter/permits.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"sync"
 	"time"
@@ -46,6 +45,10 @@
 	Endpoint string  `json:"endpoint"`
 	Rate     float64 `json:"rate"`
 	AgeMS    int64   `json:"age_ms"`
+	// Cold is set if the endpoint is cold according to the asking host, and ColdRate is the
+	// rate that it bears then. The granter may not have heard of it yet.
+	Cold     bool    `json:"cold,omitempty"`
+	ColdRate float64 `json:"cold_rate,omitempty"`
 }
 
 // PermitReply is the answer to a PermitRequest, with the limit that the granting host
@@ -55,6 +58,9 @@
 	WaitMS  int64   `json:"wait_ms,omitempty"` // until a permit may be free
 	Rate    float64 `json:"rate"`
 	AgeMS   int64   `json:"age_ms"`
+	// Cold is set if the granter has applied the limit of a cold endpoint. A granter of an
+	// older release does not know it.
+	Cold bool `json:"cold,omitempty"`
 }
 
 // PermitPeers reaches the other hosts.
@@ -67,6 +73,9 @@
 	Ask(ctx context.Context, host string, req PermitRequest) (PermitReply, error)
 	// Hosts returns the number of hosts that may be alive, this one included.
 	Hosts() int
+	// SharesCold reports whether this host is one of the few that may use their share of
+	// the rate of a cold endpoint when they cannot ask for a permit.
+	SharesCold(endpoint string) bool
 	// Incarnation returns a number that changes before hosts which took this one for
 	// failed take it for alive again.
 	Incarnation() int64
@@ -86,6 +95,9 @@
 // Hosts implements PermitPeers.
 func (LocalPermits) Hosts() int { return 1 }
 
+// SharesCold implements PermitPeers.
+func (LocalPermits) SharesCold(string) bool { return true }
+
 // Incarnation implements PermitPeers.
 func (LocalPermits) Incarnation() int64 { return 0 }
 
@@ -109,18 +121,26 @@
 // grant takes a permit that this host grants. It grants fewer and no bursts in the first
 // time.
 func (b *permitBucket) grant(rate float64, incarnation int64, now time.Time) time.Duration {
+	return b.grantUpTo(burst(rate), rate, incarnation, now)
+}
+
+// grantUpTo is grant with a limit on the permits that are kept.
+func (b *permitBucket) grantUpTo(most, rate float64, incarnation int64, now time.Time) time.Duration {
 	if b.since.IsZero() || incarnation != b.incarnation || now.Sub(b.updated) > takeoverTime {
 		b.since, b.incarnation = now, incarnation
 	}
 	if now.Sub(b.since) < takeoverTime {
 		return b.takeUpTo(1, takeoverShare*rate, now)
 	}
-	return b.take(rate, now)
+	return b.takeUpTo(most, rate, now)
 }
 
+// burst returns the permits that are kept at a rate.
+func burst(rate float64) float64 { return 1 + rate*permitBurstTime.Seconds() }
+
 // take takes a permit at a rate. It returns the time until the next one if none is free.
 func (b *permitBucket) take(rate float64, now time.Time) time.Duration {
-	return b.takeUpTo(1+rate*permitBurstTime.Seconds(), rate, now)
+	return b.takeUpTo(burst(rate), rate, now)
 }
 
 func (b *permitBucket) takeUpTo(most, rate float64, now time.Time) time.Duration {
@@ -149,6 +169,7 @@
 	granted, shares map[string]*permitBucket
 	// deniedUntil is when this host asks again for a permit.
 	deniedUntil map[string]time.Time
+	cold        coldPermits
 }
 
 // NewPermits returns permits that know of no limit.
@@ -156,6 +177,7 @@
 	return &Permits{
 		clock: clock, logger: logger, peers: peers, limits: make(map[string]endpointLimit),
 		granted: make(map[string]*permitBucket), shares: make(map[string]*permitBucket), deniedUntil: make(map[string]time.Time),
+		cold: newColdPermits(clock.Now()),
 	}
 }
 
@@ -207,6 +229,7 @@
 	delete(p.granted, endpoint)
 	delete(p.shares, endpoint)
 	delete(p.deniedUntil, endpoint)
+	p.cold.forget(endpoint)
 }
 
 // Denials returns the endpoints of which no permit is to be had, with the time until one
@@ -220,7 +243,9 @@
 	out := make(map[string]time.Duration)
 	now := p.clock.Now()
 	for endpoint, until := range p.deniedUntil {
-		if _, limited := p.current(endpoint); !limited || !now.Before(until) {
+		_, limited := p.current(endpoint)
+		_, cold := p.cold.current(endpoint, now)
+		if !limited && !cold || !now.Before(until) {
 			delete(p.deniedUntil, endpoint)
 			continue
 		}
@@ -235,11 +260,15 @@
 	p.mu.Lock()
 	limit, limited := p.current(endpoint)
 	age := p.clock.Since(limit.at)
+	coldRate, cold := p.cold.current(endpoint, p.clock.Now())
 	p.mu.Unlock()
-	if !limited {
+	if !limited && !cold {
 		return 0
 	}
-	req := PermitRequest{Endpoint: endpoint, Rate: limit.rate, AgeMS: age.Milliseconds()}
+	req := PermitRequest{Endpoint: endpoint, Rate: limit.rate, AgeMS: age.Milliseconds(), Cold: cold, ColdRate: coldRate}
+	if !limited {
+		req.Rate, req.AgeMS = 0, limitTTL.Milliseconds() // says nothing of a limit that the granter knows
+	}
 	wait := p.ask(ctx, req)
 	if wait > 0 {
 		p.mu.Lock()
@@ -258,7 +287,7 @@
 	case host == "":
 		return replyWait(p.Grant(req))
 	}
-	ctx, cancel := context.WithTimeout(ctx, permitAskTimeout)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout(req))
 	defer cancel()
 	reply, err := p.peers.Ask(ctx, host, req)
 	if err != nil {
@@ -269,6 +298,9 @@
 	defer p.mu.Unlock()
 	p.learn(req.Endpoint, reply.Rate, reply.AgeMS)
 	delete(p.shares, req.Endpoint)
+	if req.Cold && !reply.Cold {
+		return p.takeColdShare(req)
+	}
 	return replyWait(reply)
 }
 
@@ -285,6 +317,11 @@
 func (p *Permits) takeShare(req PermitRequest) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if req.Cold {
+		if wait := p.takeColdShare(req); wait > 0 || req.Rate <= 0 {
+			return wait
+		}
+	}
 	return p.bucket(p.shares, req.Endpoint).take(req.Rate/float64(max(1, p.peers.Hosts())), p.clock.Now())
 }
 
@@ -307,6 +344,11 @@
 	p.learn(req.Endpoint, req.Rate, req.AgeMS)
 	limit, limited := p.current(req.Endpoint)
 	reply := PermitReply{Granted: true, Rate: limit.rate, AgeMS: p.clock.Since(limit.at).Milliseconds()}
+	wait, cold := p.grantCold(req, incarnation)
+	if reply.Cold = cold; wait > 0 {
+		reply.Granted, reply.WaitMS = false, wait.Milliseconds()
+		return reply
+	}
 	if !limited {
 		return reply
 	}
@@ -315,48 +357,3 @@
 	}
 	return reply
 }
-
-// limitMark is the wire format of a limit.
-type limitMark struct {
-	Rate  float64 `json:"r"`
-	AgeMS int64   `json:"a"`
-}
-
-// Marks returns the limits to send to another host, so that hosts which got no answer
-// of an endpoint yet keep its limit too.
-func (p *Permits) Marks() (json.RawMessage, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	marks := make(map[string]limitMark)
-	for endpoint, limit := range p.limits {
-		age := p.clock.Since(limit.at)
-		if age >= limitTTL {
-			delete(p.limits, endpoint)
-			continue
-		}
-		if len(marks) < maxLimitMarks {
-			marks[endpoint] = limitMark{Rate: limit.rate, AgeMS: age.Milliseconds()}
-		}
-	}
-	if len(marks) == 0 {
-		return nil, nil
-	}
-	data, err := json.Marshal(marks)
-	return data, errors.Wrap(err, "limiter: encode limits")
-}
-
-// MergeMarks merges the limits that another host knows.
-func (p *Permits) MergeMarks(data json.RawMessage) error {
-	var marks map[string]limitMark
-	if err := json.Unmarshal(data, &marks); err != nil {
-		return errors.Mark(errors.Wrap(err, "limiter: limits"), ErrInvalidLimits)
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for endpoint, m := range marks {
-		if m.AgeMS >= 0 && m.AgeMS < limitTTL.Milliseconds() {
-			p.learn(endpoint, m.Rate, m.AgeMS)
-		}
-	}
-	return nil
-}
--- a/limiter/permits_test.go
+++ b/limiter/permits_test.go
@@ -69,6 +69,9 @@
 // Hosts implements limiter.PermitPeers.
 func (h *permitHost) Hosts() int { return len(h.fleet.hosts) }
 
+// SharesCold implements limiter.PermitPeers: the first three hosts.
+func (h *permitHost) SharesCold(string) bool { return h.index < 3 }
+
 // Incarnation implements limiter.PermitPeers: a dead host does not return.
 func (h *permitHost) Incarnation() int64 { return 0 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -101,6 +101,11 @@
 	// MaxConnections bounds the connections of all hosts to one endpoint; zero
 	// means no limit.
 	MaxConnections int
+	// ColdStart is the time for which an endpoint is slow after its start.
+	ColdStart time.Duration
+	// ColdRate is the number of requests per second that a cold endpoint bears from all
+	// hosts together; zero means no limit.
+	ColdRate float64
 	// Engine describes the service's model engines. It is nil for plain
 	// services.
 	Engine *Engine
