relay: no requests to evacuated endpoints, permits for cold ones

Cause: the relay neither left out endpoints of an evacuated domain nor limited cold ones.

Change: the pool leaves evacuated endpoints out and passes cold ones to the permits. Warm endpoints are preferred; a denied permit costs the request none of its four denials.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -37,9 +37,14 @@
 	if errResp := j.checkExpectedStart(sl); errResp != nil {
 		return errResp
 	}
-	if wait := j.relay.Permits.Acquire(ctx, sl.endpoint.ID); wait > 0 {
+	wait := j.relay.Permits.Acquire(ctx, sl.endpoint.ID)
+	j.countColdPermit(sl, wait == 0)
+	if wait > 0 {
 		return j.handleDenial(sl, wait)
 	}
+	if sl.evacuated() {
+		return nil // the next attempt chooses another endpoint
+	}
 	if ctx.Err() != nil {
 		return j.giveUp(endReason(ctx), "before an attempt was sent", shortRetryAfter)
 	}
@@ -79,6 +84,9 @@
 // handleDenial handles an endpoint that has reached its rate limit: another endpoint
 // serves the request, which has not been sent.
 func (j *job) handleDenial(sl *slot, wait time.Duration) *ErrorResponse {
+	if j.relay.Permits.Cold(sl.endpoint.ID) {
+		return j.handleColdDenial(sl)
+	}
 	j.addStep(sl.endpoint.ID, j.model, "limited")
 	j.count("limited")
 	sl.release(limiter.OutcomeIgnored)
--- a/relay/changelog.go
+++ b/relay/changelog.go
@@ -11,6 +11,7 @@
 	kindFound     = logbatch.Kind{Level: slog.LevelInfo, Message: "endpoint found"}
 	kindChanged   = logbatch.Kind{Level: slog.LevelInfo, Message: "endpoint changed"}
 	kindGone      = logbatch.Kind{Level: slog.LevelInfo, Message: "endpoint gone"}
+	kindCold      = logbatch.Kind{Level: slog.LevelInfo, Message: "endpoint cold"}
 	kindRestarted = logbatch.Kind{Level: slog.LevelWarn, Message: "endpoint restarted"}
 )
 
@@ -33,6 +34,9 @@
 	case c.Previous.Draining != e.Draining:
 		l.addChange(kindChanged, e, slog.Int64("revision", e.Revision), service, draining)
 	}
+	if !c.Removed && e.ColdFor > 0 && (c.Previous == nil || c.Previous.ColdFor == 0) {
+		l.addChange(kindCold, e, slog.Int64("for_ms", e.ColdFor.Milliseconds()), service)
+	}
 }
 
 func (l changeLog) addChange(kind logbatch.Kind, e fleet.Endpoint, own slog.Attr, common ...slog.Attr) {
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -82,6 +82,12 @@
 		return sl, nil
 	}
 	j.addStep("none")
+	if j.pool.allEvacuated.Load() {
+		return nil, j.giveUp(reasonEvacuated, "all endpoints are in evacuated domains", evacuatedRetryAfter)
+	}
+	if wait := j.coldWait(); wait > 0 {
+		return nil, j.giveUp("endpoints_limited", "all endpoints are cold or at their limits", wait)
+	}
 	if j.pool.shares.Active() {
 		return nil, j.giveUp(reasonFull, "this host's share of the endpoints is in use", shortRetryAfter)
 	}
--- /dev/null
+++ b/relay/evacuation_test.go
@@ -0,0 +1,161 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/corianderlever/corianderlever/limiter"
+	"github.com/corianderlever/corianderlever/relay"
+	"github.com/corianderlever/corianderlever/route"
+)
+
+// answeredPermits are the peers of a host whose permits another host grants as a test says.
+type answeredPermits struct {
+	limiter.LocalPermits
+	answer func() bool
+}
+
+func (answeredPermits) Granter(string) (string, bool) { return "granter", true }
+
+func (p answeredPermits) Ask(context.Context, string, limiter.PermitRequest) (limiter.PermitReply, error) {
+	return limiter.PermitReply{Granted: p.answer(), Cold: true, WaitMS: 5000}, nil
+}
+
+// newColdRig returns a rig whose service limits cold endpoints.
+func newColdRig(t *testing.T, granted func() bool) *rig {
+	rt := route.Route{Name: "r", Prefix: "/", Kind: route.Idempotent, MaxAttempts: 2}
+	r := newRigWith(t, func(o *relay.Options) {
+		o.Permits = limiter.NewPermits(clockwork.NewRealClock(), slog.New(slog.DiscardHandler), answeredPermits{answer: granted})
+	}, rt)
+	rt.Host, rt.Shares = "h.example", []route.Share{{Service: "s", Weight: 1}}
+	r.setConfig(route.Config{
+		Version: 2, Routes: []route.Route{rt}, Teams: []route.Team{{Name: "red", Keys: []string{"key"}}},
+		Services: []route.Service{{Name: "s", ColdStart: time.Minute, ColdRate: 1}},
+	})
+	return r
+}
+
+func answerOK(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, "ok") }
+
+// setCold makes an endpoint of the rig cold, in a failure domain.
+func (r *rig) setCold(id, domain string) {
+	e, _ := r.fleet.Endpoint(id)
+	e.FailureDomain, e.Revision = domain, e.Revision+100
+	e.ColdFor, e.ColdUntil = time.Minute, time.Now().Add(time.Minute)
+	r.fleet.Set(e)
+}
+
+// TestEvacuatedServiceRejectsRequestsUntilItReturns guards against requests that reach
+// endpoints of an evacuated domain because there are no others, and against ones that fail in
+// a way that does not promise that they have not run.
+func TestEvacuatedServiceRejectsRequestsUntilItReturns(t *testing.T) {
+	r := newRig(t, route.Route{Name: "r", Prefix: "/", Kind: route.NonIdempotent, MaxAttempts: 1})
+	r.endpoint("e1", answerOK)
+	r.fleet.SetEvacuated("a", 10)
+	resp, body, err := r.call("POST", "/p/x")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Fatalf("got response %v %q, error %v; want 503 with Retry-After", resp, body, err)
+	}
+	if got := r.arrivals(); len(got) > 0 || !strings.Contains(r.logged(), "service_evacuated") {
+		t.Errorf("requests arrived at %v, log %s; want none and the reason service_evacuated", got, r.logged())
+	}
+	r.fleet.ClearEvacuated("a", 11)
+	if resp, _, err := r.call("POST", "/p/x"); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("after the evacuation: got response %v, error %v; want 200", resp, err)
+	}
+}
+
+// TestRequestsInFlightFinishInAnEvacuatedDomain guards against answers that are cut by the
+// order to evacuate the domain of their endpoint.
+func TestRequestsInFlightFinishInAnEvacuatedDomain(t *testing.T) {
+	r := newRig(t, route.Route{Name: "r", Prefix: "/", Kind: route.NonIdempotent, MaxAttempts: 1})
+	r.endpoint("e1", func(w http.ResponseWriter, _ *http.Request) {
+		r.fleet.SetEvacuated("a", 10)
+		answer(w, http.StatusOK, "ok")
+	})
+	if resp, body, err := r.call("POST", "/p/x"); err != nil || resp.StatusCode != http.StatusOK || body != "ok" {
+		t.Errorf("got response %v %q, error %v; want 200", resp, body, err)
+	}
+}
+
+// TestEvacuationDuringTheWaitForAPermit guards against a request that is sent to a domain
+// which was evacuated while the request waited for its permit.
+func TestEvacuationDuringTheWaitForAPermit(t *testing.T) {
+	var r *rig
+	r = newColdRig(t, func() bool {
+		r.fleet.SetEvacuated("b", 1000)
+		return true
+	})
+	r.endpoint("e1", answerOK)
+	r.setCold("e1", "b")
+	if resp, _, err := r.call("POST", "/p/x"); err != nil || resp.StatusCode != http.StatusServiceUnavailable || len(r.arrivals()) > 0 {
+		t.Errorf("got response %v, error %v, arrivals %v; want 503 and none", resp, err, r.arrivals())
+	}
+}
+
+// TestColdEndpointsWithoutPermitsCostNoRequest guards against requests that are rejected
+// because more cold endpoints than maxDenials had no permit left, although a warm one serves
+// them, and against a request to a cold endpoint that is sent without a permit, also the first
+// one to an endpoint that is new.
+func TestColdEndpointsWithoutPermitsCostNoRequest(t *testing.T) {
+	r := newColdRig(t, func() bool { return false })
+	for i := range 9 {
+		r.endpoint(fmt.Sprint("cold", i), answerOK)
+		r.setCold(fmt.Sprint("cold", i), "b")
+	}
+	resp, _, err := r.call("POST", "/p/x")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Fatalf("got response %v, error %v; want 503 with Retry-After while all endpoints are cold", resp, err)
+	}
+	if !strings.Contains(r.logged(), "endpoints_limited") {
+		t.Errorf("log %s, want the reason endpoints_limited", r.logged())
+	}
+	r.endpoint("warm", answerOK)
+	for range 20 {
+		if resp, _, err := r.call("POST", "/p/x"); err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("got response %v, error %v; want 200 from the warm endpoint", resp, err)
+		}
+	}
+	for _, id := range r.arrivals() {
+		if id != "warm" {
+			t.Errorf("a request without a permit reached %s", id)
+		}
+	}
+}
+
+// TestBrokenAnswerContinuesOutsideTheEvacuatedDomain guards against a stream that breaks in an
+// evacuated domain and is resumed there.
+func TestBrokenAnswerContinuesOutsideTheEvacuatedDomain(t *testing.T) {
+	r := newRig(t, streamRoute(true))
+	var first sync.Once
+	for i, domain := range []string{"a", "a", "a", "b"} {
+		id := fmt.Sprint("e", i)
+		r.endpoint(id, func(w http.ResponseWriter, _ *http.Request) {
+			broken := false
+			first.Do(func() { broken = true })
+			if broken {
+				r.fleet.SetEvacuated("a", 1000)
+				events(w, 1, 2, true)
+				return
+			}
+			answer(w, http.StatusOK, eventSeries(3, 4))
+		})
+		e, _ := r.fleet.Endpoint(id)
+		e.FailureDomain, e.Revision = domain, e.Revision+100
+		r.fleet.Set(e)
+	}
+	if _, body, err := r.call("POST", "/p/x"); err != nil || !strings.Contains(body, "4") {
+		t.Errorf("got body %q, error %v; want a complete stream", body, err)
+	}
+	if got := r.arrivals(); len(got) != 2 || !strings.HasPrefix(got[1], "e3") {
+		t.Errorf("requests arrived at %v, want the second one at e3, outside the evacuated domain", got)
+	}
+}
--- a/relay/job.go
+++ b/relay/job.go
@@ -89,6 +89,8 @@
 	// denials counts the endpoints that had reached their rate limits, and those whose
 	// version may not get the request.
 	denials int
+	// coldDenied lists the cold endpoints that bore no more requests.
+	coldDenied []string
 	// endpoint is the id of the endpoint that has last answered.
 	endpoint string
 	// headerSent is set once the answer's header has been sent to the caller.
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -6,13 +6,17 @@
 
 // metrics are the counters and histograms of a relay.
 type metrics struct {
-	requests  *prometheus.CounterVec
-	attempts  *prometheus.CounterVec
-	retries   *prometheus.CounterVec
-	forwards  *prometheus.CounterVec
-	lost      *prometheus.GaugeVec
-	firstByte *prometheus.HistogramVec
-	duration  *prometheus.HistogramVec
+	requests *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	forwards *prometheus.CounterVec
+	lost     *prometheus.GaugeVec
+	// evacuated and cold count the endpoints of a service that are in an evacuated failure
+	// domain and those that are cold; permits counts the requests for permits of cold ones.
+	evacuated, cold *prometheus.GaugeVec
+	permits         *prometheus.CounterVec
+	firstByte       *prometheus.HistogramVec
+	duration        *prometheus.HistogramVec
 }
 
 // latencyBuckets cover the target latencies of short calls and of long streams, in
@@ -36,6 +40,15 @@
 		lost: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: "corianderlever", Name: "relay_service_lost", Help: "Whether this host cannot connect to the endpoints of a service.",
 		}, []string{"service"}),
+		evacuated: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: "corianderlever", Name: "relay_evacuated_endpoints", Help: "Endpoints of a service that are in evacuated failure domains.",
+		}, []string{"service"}),
+		cold: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: "corianderlever", Name: "relay_cold_endpoints", Help: "Endpoints of a service that are cold.",
+		}, []string{"service"}),
+		permits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "corianderlever", Name: "relay_cold_permits_total", Help: "Requests for permits of cold endpoints by service and whether they were granted.",
+		}, []string{"service", "granted"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: "corianderlever", Name: "relay_first_byte_seconds", Help: "Time from arrival to the first byte of an answer.", Buckets: latencyBuckets,
 		}, []string{"team", "priority"}),
@@ -43,6 +56,6 @@
 			Namespace: "corianderlever", Name: "relay_request_seconds", Help: "Time from arrival to the end of an answer.", Buckets: latencyBuckets,
 		}, []string{"team", "priority"}),
 	}
-	reg.MustRegister(m.requests, m.attempts, m.retries, m.forwards, m.lost, m.firstByte, m.duration)
+	reg.MustRegister(m.requests, m.attempts, m.retries, m.forwards, m.lost, m.evacuated, m.cold, m.permits, m.firstByte, m.duration)
 	return m
 }
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/corianderlever/corianderlever/balance"
@@ -36,12 +37,16 @@
 	budget  *limiter.WindowBudget
 	paths   *paths
 	shares  *limiter.SlotShares
+	cold    coldEndpoints
+	// allEvacuated is set while all endpoints are in evacuated failure domains.
+	allEvacuated atomic.Bool
 
 	mu               sync.Mutex
-	slots            map[string]int // of each endpoint that is not draining
+	slots            map[string]int // of each endpoint in endpointIDs
 	fleetGeneration  uint64
 	endpointsLoaded  bool
-	endpointIDs      []string // the endpoints that are not draining
+	endpointIDs      []string // the endpoints that are neither draining nor evacuated
+	coldRule         coldRule
 	weightsUpdatedAt time.Time
 }
 
@@ -69,8 +74,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	gen, now := p.relay.Fleet.Generation(), p.relay.Clock.Now()
-	if !p.endpointsLoaded || gen != p.fleetGeneration {
-		p.endpointsLoaded, p.fleetGeneration = true, gen
+	if rule := coldRuleOf(svc); !p.endpointsLoaded || gen != p.fleetGeneration || rule != p.coldRule {
+		p.endpointsLoaded, p.fleetGeneration, p.coldRule = true, gen, rule
 		p.setEndpoints(svc)
 	} else if now.Sub(p.weightsUpdatedAt) < weightUpdateInterval {
 		return
@@ -83,7 +88,7 @@
 
 // updateWeight copies an endpoint's weight from the ejector to the balancers.
 func (p *pool) updateWeight(id string) {
-	weight := p.ejector.Weight(id)
+	weight := p.weight(id)
 	p.picker.SetWeight(id, weight)
 	p.engines.SetWeight(id, weight)
 }
@@ -93,10 +98,7 @@
 	var plain []balance.Endpoint
 	var engines []balance.EngineSpec
 	p.endpointIDs, p.slots = p.endpointIDs[:0], make(map[string]int)
-	for _, e := range p.relay.Fleet.Service(p.service) {
-		if e.Draining {
-			continue
-		}
+	for _, e := range p.setCold(svc) {
 		p.endpointIDs = append(p.endpointIDs, e.ID)
 		p.slots[e.ID] = e.Slots
 		if svc.Engine == nil {
@@ -157,11 +159,11 @@
 	avoided := slices.AppendSeq(p.relay.holds.avoided(p.relay.Fleet.Service(p.service), p.relay.Clock.Now()), maps.Keys(p.paths.reach.Avoided()))
 	avoided = append(avoided, j.avoid...)
 	if len(avoided) > 0 {
-		if sl, err := p.chooseFrom(j, version, append(slices.Clone(exclude), avoided...)); err == nil {
+		if sl, err := p.chooseAmong(j, version, append(slices.Clone(exclude), avoided...)); err == nil {
 			return sl, nil
 		}
 	}
-	return p.chooseFrom(j, version, exclude)
+	return p.chooseAmong(j, version, exclude)
 }
 
 // chooseFrom picks an endpoint that is not excluded.
