relay: tests of cold endpoints fail without the exemption from maxDenials

Cause: with the exemption taken out on a scratch copy, the test still passed, because the warm endpoint was the only one in the host's failure domain.

Change: all endpoints of the test are in one domain; permits asked for are counted.

--- a/relay/evacuation_test.go
+++ b/relay/evacuation_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,7 +27,7 @@
 func (answeredPermits) Granter(string) (string, bool) { return "granter", true }
 
 func (p answeredPermits) Ask(context.Context, string, limiter.PermitRequest) (limiter.PermitReply, error) {
-	return limiter.PermitReply{Granted: p.answer(), Cold: true, WaitMS: 5000}, nil
+	return limiter.PermitReply{Granted: p.answer(), Cold: true}, nil
 }
 
 // newColdRig returns a rig whose service limits cold endpoints.
@@ -101,29 +102,48 @@
 	}
 }
 
-// TestColdEndpointsWithoutPermitsCostNoRequest guards against requests that are rejected
-// because more cold endpoints than maxDenials had no permit left, although a warm one serves
-// them, and against a request to a cold endpoint that is sent without a permit, also the first
-// one to an endpoint that is new.
-func TestColdEndpointsWithoutPermitsCostNoRequest(t *testing.T) {
-	r := newColdRig(t, func() bool { return false })
-	for i := range 9 {
+// newRigOfColdEndpoints returns a rig with thirty cold endpoints of which no permits are to be
+// had, and the number of permits asked for.
+func newRigOfColdEndpoints(t *testing.T) (*rig, *atomic.Int64) {
+	asked := &atomic.Int64{}
+	r := newColdRig(t, func() bool {
+		asked.Add(1)
+		return false
+	})
+	for i := range 30 {
 		r.endpoint(fmt.Sprint("cold", i), answerOK)
-		r.setCold(fmt.Sprint("cold", i), "b")
+		r.setCold(fmt.Sprint("cold", i), "a")
 	}
+	return r, asked
+}
+
+// TestNoPermitNoRequestToColdEndpoints guards against a request that is sent to a cold endpoint
+// without a permit, also the first one to an endpoint that is new, and against one that asks for
+// permits of all endpoints.
+func TestNoPermitNoRequestToColdEndpoints(t *testing.T) {
+	r, asked := newRigOfColdEndpoints(t)
 	resp, _, err := r.call("POST", "/p/x")
 	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
 		t.Fatalf("got response %v, error %v; want 503 with Retry-After while all endpoints are cold", resp, err)
 	}
-	if !strings.Contains(r.logged(), "endpoints_limited") {
-		t.Errorf("log %s, want the reason endpoints_limited", r.logged())
+	if n := asked.Load(); n > 8 || len(r.arrivals()) > 0 || !strings.Contains(r.logged(), "endpoints_limited") {
+		t.Errorf("%d permits asked for, requests at %v, log %s; want at most 8, none, the reason endpoints_limited", n, r.arrivals(), r.logged())
 	}
+}
+
+// TestColdEndpointsWithoutPermitsCostNoRequest guards against requests that are rejected because
+// as many cold endpoints as maxDenials had no permit left, although a warm one serves them.
+func TestColdEndpointsWithoutPermitsCostNoRequest(t *testing.T) {
+	r, asked := newRigOfColdEndpoints(t)
 	r.endpoint("warm", answerOK)
 	for range 20 {
 		if resp, _, err := r.call("POST", "/p/x"); err != nil || resp.StatusCode != http.StatusOK {
 			t.Fatalf("got response %v, error %v; want 200 from the warm endpoint", resp, err)
 		}
 	}
+	if n := asked.Load(); n > 20 {
+		t.Errorf("20 requests asked for %d permits, want at most one each while an endpoint is warm", n)
+	}
 	for _, id := range r.arrivals() {
 		if id != "warm" {
 			t.Errorf("a request without a permit reached %s", id)
