--- a/internal/permitpeers/permitpeers_test.go
+++ b/internal/permitpeers/permitpeers_test.go
@@ -1,6 +1,7 @@
 package permitpeers_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/corianderlever/corianderlever/internal/permitpeers"
@@ -50,3 +51,26 @@
 		t.Errorf("got incarnation %d, want 7", got)
 	}
 }
+
+// TestFewHostsShareAColdEndpoint guards against a cold endpoint that gets the saved shares of
+// many hosts at once, because hosts that are cut off do not agree on the few that may use theirs.
+func TestFewHostsShareAColdEndpoint(t *testing.T) {
+	const hosts = 90
+	for n := range 50 {
+		endpoint, sharing := fmt.Sprint("endpoint-", n), 0
+		for self := range hosts {
+			view := make([]membership.Member, hosts)
+			for i := range view {
+				view[i] = membership.Member{Host: fmt.Sprint("host-", i), State: membership.Failed}
+			}
+			view[self].State = membership.Alive // it is cut off from all others
+			peers := &permitpeers.Peers{Self: view[self].Host, Members: func() []membership.Member { return view }}
+			if peers.SharesCold(endpoint) {
+				sharing++
+			}
+		}
+		if sharing != 3 {
+			t.Errorf("%d of %d hosts use their share of %s, want 3", sharing, hosts, endpoint)
+		}
+	}
+}
