dispatch, resource, ctl: evacuation of a failure domain

Cause: operators of chat and plain services could take out endpoints one by one only.

Change: resource Evacuation with the field failure_domain; the pool leaves out the endpoints of its domain, and a slot that was taken before is not used. leverctl evacuate and readmit write and delete the resource.

--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -72,6 +72,8 @@
 		c.subcommand("history", "history", "Lists accepted changes.", 0, c.history),
 		c.subcommand("rollout", "rollout (halt|resume|back) NAME", "Halts, resumes or rolls back a roll-out.", 2, c.rollout),
 		c.subcommand("withdraw", "withdraw VERSION", "Withdraws a version, so that it receives no new requests.", 1, c.withdraw),
+		c.subcommand("evacuate", "evacuate DOMAIN", "Evacuates a failure domain: its endpoints receive no new requests.", 1, c.evacuate),
+		c.subcommand("readmit", "readmit DOMAIN", "Ends the evacuation of a failure domain.", 1, c.readmit),
 		c.billCommand(),
 		c.subcommand("newkey", "newkey", "Prints an idempotency key for a request.", 0, c.newKey),
 		c.subcommand("explain", "explain REQUEST_ID", "Shows the decisions about a request and their reasons.", 1, c.explain),
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -10,7 +10,6 @@
 	"github.com/corianderlever/corianderlever/api"
 	"github.com/corianderlever/corianderlever/balance"
 	"github.com/corianderlever/corianderlever/limiter"
-	"github.com/corianderlever/corianderlever/resource"
 )
 
 // slotRequest describes the slot that an attempt needs.
@@ -85,8 +84,9 @@
 // inUse reports whether the configuration in force still has the endpoint of a slot. It may be
 // newer than the pool.
 func (d *Dispatcher) inUse(sl *slot) bool {
-	spec := d.Config.Current().Endpoints[sl.endpoint]
-	return spec != nil && spec.Address == sl.addr && spec.State != resource.EndpointLeaving
+	snap := d.Config.Current()
+	spec := snap.Endpoints[sl.endpoint]
+	return spec != nil && spec.Address == sl.addr && snap.GetsWork(spec)
 }
 
 // shorter returns the shorter of two times; zero stands for none.
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -86,7 +86,7 @@
 	ep.mu.Lock()
 	next := make(map[string]*endpointState)
 	for name, spec := range snap.Endpoints {
-		if spec.State == resource.EndpointLeaving || !use(name) {
+		if !snap.GetsWork(spec) || !use(name) {
 			continue
 		}
 		st := ep.endpoints[name]
--- a/resource/codec.go
+++ b/resource/codec.go
@@ -50,6 +50,8 @@
 		return &Rollout{State: RolloutRunning}, nil
 	case KindTerms:
 		return new(Terms), nil
+	case KindEvacuation:
+		return new(Evacuation), nil
 	}
 	return nil, errors.Wrapf(ErrInvalid, "unknown kind %q", kind)
 }
@@ -57,7 +59,7 @@
 // Kinds returns all kinds.
 func Kinds() []Kind {
 	return []Kind{KindModel, KindVersion, KindCascade, KindTeam, KindRank,
-		KindEndpoint, KindService, KindRollout, KindTerms}
+		KindEndpoint, KindService, KindRollout, KindTerms, KindEvacuation}
 }
 
 // UnmarshalJSON decodes the spec by its kind and rejects unknown fields.
--- a/resource/snapshot.go
+++ b/resource/snapshot.go
@@ -24,6 +24,8 @@
 	Endpoints map[string]*Endpoint
 	Services  map[string]*Service
 	Rollouts  map[string]*Rollout
+	// evacuated holds the failure domains that an Evacuation names.
+	evacuated map[string]bool
 	// Terms is never nil.
 	Terms *Terms
 
@@ -53,6 +55,7 @@
 		byModel:   make(map[string][]string),
 		byVersion: make(map[string][]string),
 		byService: make(map[string][]string),
+		evacuated: make(map[string]bool),
 		teamByKey: make(map[string]string),
 	}
 	Sort(s.resources)
@@ -172,6 +175,12 @@
 	return r.Steps[min(r.Step, len(r.Steps)-1)]
 }
 
+// GetsWork reports whether an endpoint may get new work: it is active, and its failure domain
+// is not evacuated.
+func (s *Snapshot) GetsWork(e *Endpoint) bool {
+	return e.State != EndpointLeaving && !s.evacuated[e.FailureDomain]
+}
+
 // EndpointsForVersion returns the names of the active endpoints that declare the
 // version, sorted.
 func (s *Snapshot) EndpointsForVersion(version string) []string { return s.byVersion[version] }
--- a/resource/types.go
+++ b/resource/types.go
@@ -22,6 +22,8 @@
 	KindService  Kind = "Service"
 	KindRollout  Kind = "Rollout"
 	KindTerms    Kind = "Terms"
+	// KindEvacuation is the kind of Evacuation.
+	KindEvacuation Kind = "Evacuation"
 )
 
 // ErrInvalid reports a resource that fails validation.
@@ -158,6 +160,11 @@
 	MemoryGB float64 `json:"memory_gb,omitempty"`
 }
 
+// Evacuation is the order that the endpoints of a failure domain get no new work.
+type Evacuation struct {
+	FailureDomain string `json:"failure_domain"`
+}
+
 // Operation is an operation of a plain service.
 type Operation struct {
 	// Name is the last segment of the URL path.
--- a/resource/validate.go
+++ b/resource/validate.go
@@ -71,6 +71,8 @@
 			return invalidField(r, "name", "must be %q", TermsName)
 		}
 		s.Terms = spec
+	case *Evacuation:
+		s.evacuated[spec.FailureDomain] = true
 	default:
 		return invalidField(r, "kind", "unknown spec %T", spec)
 	}
@@ -140,6 +142,11 @@
 		return s.validateEndpoint(r, spec)
 	case *Service:
 		return validateService(r, spec)
+	case *Evacuation:
+		if spec.FailureDomain == "" {
+			return invalidField(r, "failure_domain", "is empty")
+		}
+		return nil
 	case *Rollout:
 		return s.validateRollout(r, spec)
 	case *Terms:
