--- a/control/evacuation_test.go
+++ b/control/evacuation_test.go
@@ -47,6 +47,9 @@
 		tc.store.Put("op/evacuate/z", []byte("{}"))
 		tc.sync()
 		expect("after the order", all)
+		if old := (kv.Entry{Key: "op/evacuate/z", Value: []byte("{}")}); !tc.hosts[0].state.Relevant(kv.Event{Entry: old}, &old) {
+			t.Error("the order is not passed on to hosts that do not reach the store")
+		}
 		tc.store.Put("op/evacuate/z", []byte("no value"))
 		tc.list()
 		expect("after an outage, with another value", all)
