--- a/limiter/coldpermits_test.go
+++ b/limiter/coldpermits_test.go
@@ -162,3 +162,26 @@
 		}
 	}
 }
+
+// newHost is the LocalPermits of a host that knows no other host yet.
+type newHost struct{ limiter.LocalPermits }
+
+func (newHost) Hosts() int { return 6 }
+
+// TestHostsThatStartTogetherGrantNoColdPermits guards against a cold endpoint that gets its rate
+// from each of the hosts that start at the same time, which do not know each other yet.
+func TestHostsThatStartTogetherGrantNoColdPermits(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(epoch)
+	permits := limiter.NewPermits(clock, slog.New(slog.DiscardHandler), newHost{})
+	permits.SetCold("e", 5, clock.Now().Add(time.Minute))
+	var first time.Duration
+	for clock.Since(epoch) < 10*time.Second && first == 0 {
+		clock.Advance(permitStep)
+		if permits.Acquire(context.Background(), "e") == 0 {
+			first = clock.Since(epoch)
+		}
+	}
+	if first < 2*time.Second || first > 4*time.Second {
+		t.Errorf("the first permit was granted %v after the start, want 2 s at least, and 4 s at most", first)
+	}
+}
