--- a/resource/snapshot.go
+++ b/resource/snapshot.go
@@ -24,6 +24,8 @@
 	Endpoints map[string]*Endpoint
 	Services  map[string]*Service
 	Rollouts  map[string]*Rollout
+	// evacuated holds the failure domains that an Evacuation names.
+	evacuated map[string]bool
 	// Terms is never nil.
 	Terms *Terms
 
@@ -63,6 +65,7 @@
 		byModel:   make(map[string][]string),
 		byVersion: make(map[string][]string),
 		byService: make(map[string][]string),
+		evacuated: make(map[string]bool),
 		teamByKey: make(map[string]string),
 	}
 	Sort(s.resources)
@@ -179,6 +182,12 @@
 	return r.Steps[min(r.Step, len(r.Steps)-1)]
 }
 
+// GetsWork reports whether an endpoint may get new work: it is active, and its failure domain
+// is not evacuated.
+func (s *Snapshot) GetsWork(e *Endpoint) bool {
+	return e.State != EndpointLeaving && !s.evacuated[e.FailureDomain]
+}
+
 // EndpointsForVersion returns the names of the active endpoints that declare the
 // version, sorted.
 func (s *Snapshot) EndpointsForVersion(version string) []string { return s.byVersion[version] }
--- a/resource/validate.go
+++ b/resource/validate.go
@@ -63,6 +63,8 @@
 			p.add(r, "name", "must be %q", TermsName)
 		}
 		s.Terms = spec
+	case *Evacuation:
+		s.evacuated[spec.FailureDomain] = true
 	default:
 		p.add(r, "kind", "unknown spec %T", spec)
 	}
@@ -129,6 +131,10 @@
 		s.validateEndpoint(p, r, spec)
 	case *Service:
 		validateService(p, r, spec)
+	case *Evacuation:
+		if spec.FailureDomain == "" {
+			p.add(r, "failure_domain", "is empty")
+		}
 	case *Rollout:
 		s.validateRollout(p, r, spec)
 	case *Terms:
