upstream, engine: never take a reset answer for a complete one

Cause: the system reports a reset once. If the concurrent write of the request receives it, the reader of an answer that ends with its connection sees a plain EOF. net/http also hides the result of the write. Statuses outside 200 to 599 came out as answers; upstream took those below 100 for interim responses and their bodies for the next response. TCP_USER_TIMEOUT also counts while the endpoint's receive window is closed.

Change: at the end of such a body, upstream.Response and a connection wrapper of engine.Client await the result of the write and the acknowledgement of what was written. Below TLS, an end without an alert is an error. Statuses out of range are malformed. SendOrder reads its reply. upstream lifts TCP_USER_TIMEOUT while an endpoint answers before it has acknowledged the request, and watches for unanswered probes instead.

--- a/engine/client.go
+++ b/engine/client.go
@@ -7,9 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,6 +65,7 @@
 		transport = &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: api.MaxHeaderBytes}
 	}
 	transport = withKeepAlive(transport)
+	withAnswerConns(transport, scheme)
 	probeTransport := transport.Clone()
 	probeTransport.DisableKeepAlives = true
 	return &Client{
@@ -229,6 +228,7 @@
 	if resp.StatusCode >= http.StatusInternalServerError || resp.StatusCode == http.StatusTooManyRequests {
 		return Reply{}, statusError(resp.Response)
 	}
+	resp.expectOrderlyEnd()
 	buffer, err := c.Buffers.Read(resp.Body, maxReplyBytes, resp.ContentLength)
 	switch {
 	case errors.Is(err, limiter.ErrTooLong):
@@ -241,33 +241,10 @@
 	return Reply{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: buffer.Data, buffer: buffer}, nil
 }
 
-// response is a response and the connection on which it came.
-type response struct {
-	*http.Response
-	// reused is set if the connection had carried another request before.
-	reused bool
-}
-
-// checkAttempt returns an error unless the response belongs to the attempt. An endpoint may
-// repeat an earlier response on a kept connection, so a response that names no attempt is
-// taken from a new connection only.
-func (r *response) checkAttempt(attempt string) error {
-	got := r.Header.Get(HeaderAttemptID)
-	if got == attempt || got == "" && !r.reused {
-		return nil
-	}
-	return lost(errors.Wrapf(errWrongAttempt, "%q", got))
-}
-
 // post sends a request. An error has the outcome not_run only if no connection
 // was obtained, so that no byte can have reached the endpoint.
 func (c *Client) post(ctx context.Context, url string, body []byte, set func(http.Header)) (*response, error) {
-	var connected, reused atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		reused.Store(info.Reused)
-		connected.Store(true)
-	}}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, notRun(err)
 	}
@@ -279,15 +256,7 @@
 		req.Header.Set(HeaderDeadlineMS, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
 	}
 	set(req.Header)
-	resp, err := c.http.Do(req)
-	switch {
-	case err == nil:
-		return &response{Response: resp, reused: reused.Load()}, nil
-	case connected.Load():
-		return nil, lost(err)
-	default:
-		return nil, notRun(err)
-	}
+	return do(c.http, req)
 }
 
 // reportLimit passes on the rate limit of an answer. A malformed one counts as missing.
@@ -353,13 +322,13 @@
 	if err != nil {
 		return errors.Wrap(err, "engine: build request")
 	}
-	resp, err := c.probe.Do(req)
+	resp, err := do(c.probe, req)
 	if err != nil {
 		return errors.Wrap(err, "engine: get")
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return statusError(resp)
+		return statusError(resp.Response)
 	}
 	dec := json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes))
 	return errors.Wrap(dec.Decode(into), "engine: decode reply")
@@ -379,6 +348,10 @@
 	defer resp.Body.Close()
 	switch resp.StatusCode {
 	case http.StatusOK:
+		resp.expectOrderlyEnd()
+		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorBytes)); err != nil {
+			return lost(errors.Wrap(err, "read reply"))
+		}
 		return nil
 	case http.StatusPreconditionFailed:
 		return ErrStaleFencing
--- a/engine/keepalive.go
+++ b/engine/keepalive.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -49,8 +48,12 @@
 
 // tcpConn returns the TCP connection below a connection.
 func tcpConn(conn net.Conn) (*net.TCPConn, bool) {
-	if t, ok := conn.(*tls.Conn); ok {
-		conn = t.NetConn()
+	for {
+		layer, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		conn = layer.NetConn()
 	}
 	tcp, ok := conn.(*net.TCPConn)
 	return tcp, ok
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -95,6 +95,9 @@
 // discardRest reads the rest of a short body so that the connection can be reused.
 func discardRest(answer *upstream.Response) {
 	const maxDrainBytes = 64 << 10
+	if answer.EndsWithConnection() {
+		return // its connection is not reused, and its end may wait for the upload
+	}
 	// If the read fails, the connection is not reused; nothing else is lost.
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxDrainBytes))
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -24,6 +24,8 @@
 	// keepAliveMargin is subtracted from the endpoint's keep-alive timeout, so that
 	// a request does not arrive while the endpoint closes the idle connection.
 	keepAliveMargin = time.Second
+	// maxStatus is the highest status of a response. RFC 9110 defines none outside 100 to 599.
+	maxStatus = 599
 )
 
 // exchange is one request and its response on one connection.
@@ -37,6 +39,8 @@
 	sent    chan struct{}
 	written int
 	sendErr error
+	// guard replaces the timeout of the connection; nil if it is not lifted.
+	guard *unreadGuard
 }
 
 // run writes the request and reads the header of its response.
@@ -61,6 +65,9 @@
 		}
 		return nil, &Error{Cause: err, MaybeSent: true, Reused: e.reused}
 	}
+	if payload.Len() > inlineSendBytes {
+		e.guard = e.guardUnread()
+	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength, body: resp.Body, resp: resp, exchange: e, bodyStart: e.conn.consumed()}, nil
 }
 
@@ -81,8 +88,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue // an interim response without a body
+		if interim(resp.StatusCode) {
+			continue // without a body
 		}
 		own, err := e.belongs(req, resp)
 		if own || err != nil {
@@ -146,74 +153,21 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrMalformed)
 	}
+	if !interim(resp.StatusCode) && (resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus) {
+		return nil, errors.Mark(errors.Newf("upstream: status %03d", resp.StatusCode), ErrMalformed)
+	}
 	return resp, nil
 }
 
+// interim reports whether a status is that of an interim response.
+func interim(status int) bool { return status >= http.StatusContinue && status < http.StatusOK }
+
 // abort closes the connection.
 func (e *exchange) abort() {
 	e.stopCancel()
 	_ = e.conn.Close()
 }
 
-// Response is an HTTP response. The caller reads its body with Read.
-type Response struct {
-	Status int
-	Header http.Header
-	// ContentLength is -1 if the response does not state it.
-	ContentLength int64
-
-	body     io.ReadCloser
-	resp     *http.Response
-	exchange *exchange
-	// bodyStart is the number of bytes used on the connection before the body, content the
-	// number of bytes of the body that have been read.
-	bodyStart, content int64
-	complete           bool
-	closed             bool
-}
-
-// Reused reports whether the connection had carried another request before.
-func (a *Response) Reused() bool { return a.exchange.reused }
-
-// EndsWithConnection reports whether the response states neither a length nor chunks, so
-// that its body cannot be told from one that was cut off between two parts.
-func (a *Response) EndsWithConnection() bool {
-	return a.ContentLength < 0 && len(a.resp.TransferEncoding) == 0
-}
-
-// Read reads the body. It returns io.EOF only after the complete body.
-func (a *Response) Read(p []byte) (int, error) {
-	n, err := a.body.Read(p)
-	a.content += int64(n)
-	if errors.Is(err, io.EOF) {
-		a.complete = true
-	} else if err == nil && a.framing() > maxFramingBytes+a.content {
-		err = errFraming
-	}
-	return n, err
-}
-
-// BytesRead returns the number of bytes of the body that have been read.
-func (a *Response) BytesRead() int64 { return a.content }
-
-// framing returns the number of bytes received for the body that are not its content.
-func (a *Response) framing() int64 { return a.exchange.conn.consumed() - a.bodyStart - a.content }
-
-// Close returns the connection to the pool if the body was read to its end, and
-// closes it otherwise.
-func (a *Response) Close() {
-	if a.closed {
-		return
-	}
-	a.closed = true
-	e := a.exchange
-	if !a.complete || a.resp.Close || !e.fullySent() || !e.stopCancel() {
-		e.abort()
-		return
-	}
-	e.client.pool.put(e.addr, e.conn, keepAliveTimeout(a.Header))
-}
-
 // fullySent reports whether the complete request has been written. If the endpoint has
 // read it, the goroutine that wrote it may still be about to say so.
 func (e *exchange) fullySent() bool {
--- a/upstream/sockopt.go
+++ b/upstream/sockopt.go
@@ -15,11 +15,7 @@
 		return nil
 	}
 	return func(_, _ string, c syscall.RawConn) error {
-		var sockErr error
-		err := c.Control(func(fd uintptr) {
-			sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
-		})
-		return errors.CombineErrors(err, sockErr)
+		return setTCPOption(c, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	}
 }
 
