upstream, engine, relay: one table of broken answers for three packages

Cause: the tests of upstream, engine and relay repeated the same endpoints, and the reader of a silent endpoint got "use of closed network connection". The reader gets errSilent.

--- a/internal/earlyanswer/earlyanswer.go
+++ b/internal/earlyanswer/earlyanswer.go
@@ -7,117 +7,95 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
+	"strings"
 	"testing"
 )
 
-// UploadBytes is the size of an upload that does not fit into the buffers of a connection, so
-// that it is still being written while the endpoint does not read.
-const UploadBytes = 8 << 20
+// end is the way in which an endpoint ends its connection after the answer.
+type end string
 
-// When is the part of an upload that the endpoint reads before it answers.
-type When struct {
-	Name  string
-	bytes int64
-}
-
-// Moments are the points of an upload at which an endpoint may answer.
-var Moments = []When{{"before the upload", 0}, {"during the upload", UploadBytes / 8}, {"after the upload", UploadBytes}}
-
-// receiveBytes fixes the size of the receive buffer, which otherwise grows.
-const receiveBytes = 64 << 10
-
-// End is the way in which an endpoint ends its connection after the answer.
-type End int
-
-// The ways to end a connection.
 const (
-	// Reset discards the connection without a FIN.
-	Reset End = iota
-	// FinishThenReset sends a FIN and then discards the connection.
-	FinishThenReset
-	// ReadOn sends a FIN and reads the rest of the upload.
-	ReadOn
+	reset           end = "reset"
+	finishThenReset end = "FIN, then reset"
+	readOn          end = "FIN, then reads on"
 )
 
-// Bodies are the kinds of bodies, each cut off after the first part.
-var Bodies = map[string]string{
-	"no length": "\r\npart",
-	"chunks":    "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
-	"length":    "Content-Length: 100\r\n\r\npart",
+// bodies are the kinds of bodies. Those with chunks or a length are cut.
+var bodies = map[string]string{
+	"no length": "\r\nid: 1\ndata: e1\n\n",
 	"events":    "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: e1\n\n",
+	"chunks":    "Transfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: e1\n\n\r\n",
+	"length":    "Content-Length: 100\r\n\r\nid: 1\ndata: e1\n\n",
 }
 
-// Endpoint answers each request on a connection of its own.
-type Endpoint struct {
-	When When
-	End  End
-	// Answer returns the bytes of the answer to a request with a header.
-	Answer func(http.Header) string
-	// Received, if it is not nil, delivers a value for each answer that the client has begun to
-	// receive. The connection ends after it.
-	Received <-chan struct{}
+const (
+	// receiveBytes fixes the size of the receive buffer, which otherwise grows.
+	receiveBytes = 64 << 10
+	// smallUpload fits into the buffers of the sender, largeUpload does not.
+	smallUpload, largeUpload = 3 << 20, 8 << 20
+)
+
+// Check sends uploads to endpoints that answer 200 with header lines before an upload, during it
+// and after it. upload returns an error unless it got a complete answer; it sends on received
+// when the answer has begun, after which the endpoint ends its connection. orderly is set if an
+// orderly end makes an answer without a length complete. An endpoint that ends its connection
+// in the middle of the upload may have crashed.
+func Check(t *testing.T, lines string, orderly bool, upload func(addr, body string, received chan<- struct{}) error) {
+	t.Helper()
+	tries := map[end]int{reset: 5, finishThenReset: 1, readOn: 1} // who receives the reset differs
+	for kind, body := range bodies {
+		for when, part := range map[string]int64{"before": 0, "during": 1 << 20, "after": largeUpload} {
+			for _, how := range []end{reset, finishThenReset, readOn} {
+				for _, size := range []int{smallUpload, largeUpload} {
+					unframed := kind == "no length" || kind == "events"
+					want := orderly && unframed && (how == readOn || how == finishThenReset && when == "after")
+					for range tries[how] {
+						received := make(chan struct{}, 1)
+						addr := serve(t, part, how, "HTTP/1.1 200 OK\r\n"+lines+body, received)
+						if err := upload(addr, strings.Repeat("u", size), received); (err == nil) != want {
+							t.Errorf("%s, answered %s the upload of %d bytes, %s: error %v, want complete %t", kind, when, size, how, err, want)
+						}
+						close(received)
+					}
+				}
+			}
+		}
+	}
 }
 
-// Serve runs the endpoint until the test ends.
-func (e Endpoint) Serve(t testing.TB) (addr string) {
+// serve answers one request after a part of its body. It ignores errors of the connection: they
+// show in what the client gets.
+func serve(t *testing.T, part int64, how end, answer string, received <-chan struct{}) (addr string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	var running sync.WaitGroup
-	ended := make(chan struct{})
-	t.Cleanup(func() {
-		close(ended)
+	go func() {
+		accepted, err := ln.Accept()
 		_ = ln.Close()
-		running.Wait()
-	})
-	running.Go(func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			served := make(chan struct{})
-			running.Go(func() {
-				defer close(served)
-				e.serve(conn.(*net.TCPConn), ended)
-			})
-			running.Go(func() {
-				select {
-				case <-served:
-				case <-ended:
-				}
-				_ = conn.Close()
-			})
+		if err != nil {
+			return
 		}
-	})
-	return ln.Addr().String()
-}
-
-// serve ignores errors: they show in what the client gets.
-func (e Endpoint) serve(conn *net.TCPConn, ended <-chan struct{}) {
-	_ = conn.SetReadBuffer(receiveBytes)
-	// A small buffer leaves the upload on the connection.
-	req, err := http.ReadRequest(bufio.NewReaderSize(conn, 16))
-	if err != nil {
-		return
-	}
-	_, _ = io.CopyN(io.Discard, req.Body, e.When.bytes)
-	_, _ = io.WriteString(conn, e.Answer(req.Header))
-	if e.End != Reset {
-		_ = conn.CloseWrite()
-	}
-	if e.Received != nil {
-		select {
-		case <-e.Received:
-		case <-ended:
+		conn := accepted.(*net.TCPConn)
+		defer conn.Close()
+		_ = conn.SetReadBuffer(receiveBytes)
+		// A small buffer leaves the upload on the connection.
+		req, err := http.ReadRequest(bufio.NewReaderSize(conn, 16))
+		if err != nil {
+			return
 		}
-	}
-	if e.End == ReadOn {
-		_, _ = io.Copy(io.Discard, conn)
-		return
-	}
-	_ = conn.SetLinger(0)
+		_, _ = io.CopyN(io.Discard, req.Body, part)
+		_, _ = io.WriteString(conn, answer)
+		if how != reset {
+			_ = conn.CloseWrite()
+		}
+		<-received
+		if how == readOn {
+			_, _ = io.Copy(io.Discard, conn)
+			return
+		}
+		_ = conn.SetLinger(0)
+	}()
+	return ln.Addr().String()
 }
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -41,13 +41,13 @@
 	a.content += int64(n)
 	if errors.Is(err, io.EOF) {
 		if err := a.checkEnd(); err != nil {
-			return n, err
+			return n, a.exchange.guard.explain(err)
 		}
 		a.complete = true
 	} else if err == nil && a.framing() > maxFramingBytes+a.content {
 		err = errFraming
 	}
-	return n, err
+	return n, a.exchange.guard.explain(err)
 }
 
 // checkEnd returns an error if the body ends with its connection and the end may be that of a
--- a/upstream/unread.go
+++ b/upstream/unread.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,8 +29,12 @@
 	raw     syscall.RawConn
 	timeout time.Duration
 	stopped chan struct{}
+	silent  atomic.Bool
 }
 
+// errSilent reports an endpoint that has fallen silent before it has acknowledged the request.
+var errSilent = errors.New("upstream: endpoint silent, request not acknowledged")
+
 // guardUnread lifts the timeout of a connection on which an answer has begun while the request
 // is not acknowledged in full. It returns nil if there is nothing to lift.
 func (e *exchange) guardUnread() *unreadGuard {
@@ -76,13 +81,21 @@
 		}
 		unanswered := info.Probes > 0 || info.Retransmits > 0
 		if s.observe(clock.Now(), unanswered, time.Duration(info.Last_ack_recv)*time.Millisecond) {
-			// Fails the reader and the write with a timeout. An error means that both have ended.
-			_ = e.conn.SetDeadline(time.Unix(1, 0))
+			g.silent.Store(true)
+			_ = e.conn.Close() // fails the reader
 			return
 		}
 	}
 }
 
+// explain returns errSilent in place of the error of a connection that watch has closed.
+func (g *unreadGuard) explain(err error) error {
+	if g != nil && err != nil && g.silent.Load() {
+		return errSilent
+	}
+	return err
+}
+
 // stop ends the guard and restores the timeout, for the next request on the connection.
 func (g *unreadGuard) stop() error {
 	if g == nil {
--- a/upstream/unread_test.go
+++ b/upstream/unread_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 	"pgregory.net/rapid"
 
@@ -23,29 +24,22 @@
 		const timeout = 3 * time.Second
 		s := silence{timeout: timeout}
 		now := time.Unix(0, 0)
-		lastAck, probe := now, time.Time{} // probe is the time of the first unanswered one
-		var seen time.Time                 // of the first look after it
+		lastAck, seen := now, time.Time{} // seen is the time of the first look at an unanswered probe
 		for range rapid.IntRange(1, 60).Draw(rt, "looks") {
 			now = now.Add(time.Duration(rapid.IntRange(100, 2000).Draw(rt, "ms")) * time.Millisecond)
-			switch rapid.IntRange(0, 4).Draw(rt, "peer") {
-			case 0:
-				lastAck, probe, seen = now, time.Time{}, time.Time{}
-			case 1: // acknowledged, and probed again
-				lastAck, probe, seen = now.Add(-20*time.Millisecond), now, time.Time{}
-			case 2:
-				if probe.IsZero() {
-					probe = now
-				}
+			probed := true
+			switch rapid.SampledFrom([]string{"unanswered", "unanswered", "unanswered", "answered", "answered, probed again"}).Draw(rt, "probe") {
+			case "answered":
+				lastAck, seen, probed = now, time.Time{}, false
+			case "answered, probed again":
+				lastAck, seen = now.Add(-20*time.Millisecond), time.Time{}
 			}
-			silent := s.observe(now, !probe.IsZero(), now.Sub(lastAck))
-			if !probe.IsZero() && seen.IsZero() {
+			if probed && seen.IsZero() {
 				seen = now
 			}
-			if silent && (probe.IsZero() || now.Sub(probe) < timeout) {
-				rt.Fatalf("silent at %v, unanswered since %v", now, probe)
-			}
-			if !silent && !seen.IsZero() && now.Sub(seen) >= timeout {
-				rt.Fatalf("not silent at %v, unanswered since %v", now, seen)
+			want := probed && now.Sub(seen) >= timeout
+			if got := s.observe(now, probed, now.Sub(lastAck)); got != want {
+				rt.Fatalf("silent %t at %v, want %t: unanswered since %v", got, now, want, seen)
 			}
 		}
 	})
@@ -113,8 +107,8 @@
 		_ = near.Close()
 	})
 	defer stop.Stop()
-	if n, err := io.Copy(io.Discard, resp); err == nil {
-		t.Errorf("got a whole answer of %d bytes from a silent endpoint", n)
+	if _, err := io.Copy(io.Discard, resp); !errors.Is(err, errSilent) {
+		t.Errorf("got error %v from a silent endpoint, want errSilent", err)
 	}
 }
 
