--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -88,7 +88,8 @@
 	// Keepalive detects connections whose peer disappeared without closing them.
 	Keepalive net.KeepAliveConfig
 	// UserTimeout ends connections on which sent data stays unacknowledged for
-	// this long; zero leaves the system's default.
+	// this long; zero leaves the system's default. While an endpoint answers before it
+	// has received the request, only unanswered probes count.
 	UserTimeout time.Duration
 	// Dial opens a connection; it defaults to TCP with Keepalive and UserTimeout.
 	Dial  DialFunc
