--- a/upstream/broken_test.go
+++ b/upstream/broken_test.go
@@ -6,11 +6,14 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/corianderlever/corianderlever/internal/earlyanswer"
 	"github.com/corianderlever/corianderlever/upstream"
@@ -90,3 +93,86 @@
 		c.Close()
 	}
 }
+
+// answerEarly reads the head of a request and nothing of its body, and begins an answer of one byte.
+func answerEarly(conn net.Conn) {
+	_, _ = http.ReadRequest(bufio.NewReaderSize(conn, 16))
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\n")
+}
+
+// TestSilentEndpointWithUnreadRequestIsNoticed guards against an answer that waits until its
+// deadline because the timeout of the connection was lifted and the endpoint has fallen silent.
+func TestSilentEndpointWithUnreadRequestIsNoticed(t *testing.T) {
+	const limit = 12 * time.Second // three times what DefaultOptions states
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	addr, _ := serve(t, func(_ int, conn net.Conn, _ *bufio.Reader) {
+		answerEarly(conn)
+		raw, _ := conn.(*net.TCPConn).SyscallConn()
+		drop := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K} // drops all that arrives
+		err := raw.Control(func(fd uintptr) {
+			if err := unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &drop}); err != nil {
+				t.Error(err)
+			}
+		})
+		if err != nil {
+			t.Error(err)
+		}
+		<-ctx.Done()
+	})
+	c := upstream.NewClient(upstream.DefaultOptions())
+	defer c.Close()
+	resp, err := c.Do(ctx, addr, request("1", strings.Repeat("u", 1<<20)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Close()
+	if _, err := io.ReadAll(resp); err == nil || ctx.Err() != nil {
+		t.Errorf("error %v, want one within %v", err, limit)
+	}
+}
+
+// TestTimeoutIsRestoredForTheNextRequest guards against a connection whose timeout stays lifted
+// when it carries another request.
+func TestTimeoutIsRestoredForTheNextRequest(t *testing.T) {
+	const bodyBytes = 256 << 10
+	looked := make(chan struct{})
+	addr, _ := serve(t, func(_ int, conn net.Conn, br *bufio.Reader) {
+		answerEarly(conn)
+		<-looked
+		_, _ = io.CopyN(io.Discard, conn, bodyBytes-16) // at most 16 bytes were read with the head
+		_, _ = io.WriteString(conn, "x")
+		_, _ = br.ReadByte()
+	})
+	opts := upstream.DefaultOptions()
+	dial := upstream.TCPDialer(opts.Keepalive, opts.UserTimeout)
+	var near net.Conn
+	opts.Dial = func(ctx context.Context, network, address string) (_ net.Conn, err error) {
+		near, err = dial(ctx, network, address)
+		return near, err
+	}
+	c := upstream.NewClient(opts)
+	defer c.Close()
+	expect := func(want time.Duration) {
+		raw, _ := near.(*net.TCPConn).SyscallConn()
+		err := raw.Control(func(fd uintptr) {
+			if ms, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT); err != nil || ms != int(want.Milliseconds()) {
+				t.Errorf("timeout %d ms, error %v; want %v", ms, err, want)
+			}
+		})
+		if err != nil {
+			t.Error("the connection was not kept:", err)
+		}
+	}
+	resp, err := c.Do(t.Context(), addr, request("1", strings.Repeat("u", bodyBytes)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	expect(0)
+	close(looked)
+	if _, err := io.ReadAll(resp); err != nil {
+		t.Fatal(err)
+	}
+	resp.Close()
+	expect(opts.UserTimeout)
+}
