balance: measured pace of engines, wait for a slot, and their share in the choice

Cause: EngineChooser had one event gap for all engines and took a request to start at once at an engine whose slots are all in use. A pair of host and engine sees one request in 15 s, so that a host alone learns too little. Change: each host measures the gap of its streams as events arrive and while one is overdue, and shares it: signal paces between few hosts, field paces in the load sums of large fleets (each second answer). The chooser keeps the gap of each engine, its growth with the load and its learned speed. The expected time to the first event includes the wait for a slot. The cost includes a part of the time of the answer, of the slowing down of others, and the stall that a prefill causes to the streams there. The gap that one host reports is clipped. A restart forgets the pace.

--- /dev/null
+++ b/balance/enginecost.go
@@ -0,0 +1,110 @@
+package balance
+
+import "time"
+
+const (
+	// crossDomainCost is the delay that an engine in another failure domain counts
+	// as. It covers the network latency and the price of the traffic.
+	crossDomainCost = 15 * time.Millisecond
+	// runningCost is the delay that each running request counts as: between two
+	// chunks of a prefill the engine decodes one token of each.
+	runningCost = 3 * time.Millisecond
+	// nonPreferredCost is the delay that an engine other than the preferred one
+	// counts as, since its cache would hold a second copy of the prompt.
+	nonPreferredCost = 50 * time.Millisecond
+	// prefillWeight is the factor by which the prefill time of a request counts: it
+	// delays both the request and those queued behind it.
+	prefillWeight = 2
+	// paceWeight is the part of the time of the answer, and of the delay that the
+	// request causes to others, that counts. The full time moved requests away from
+	// the engines that hold their shared parts, which cost more than it gained.
+	paceWeight = 0.25
+)
+
+// evaluate returns the choice of an engine and its cost in seconds. The cost is the sum
+// of the expected wait, the prefill and the delay that it causes to the streams there,
+// the time of the answer at the engine's pace, the slowing down of the requests running
+// there, and locality. The preferred engine of a prompt is assumed to have the shared
+// parts cached: the other hosts send them there too, and if none has yet, that engine is
+// the best one to prefill them.
+func (e *EngineChooser) evaluate(en *engine, req EngineRequest, keys []uint64, timing *modelTiming, preferred bool, now time.Time) (EngineChoice, float64) {
+	modelled := en.cache.cachedTokens(keys, req.Parts)
+	total, shared := 0, 0
+	for i, p := range req.Parts {
+		total += p.Tokens
+		if i < len(req.Parts)-1 {
+			shared += p.Tokens
+		}
+	}
+	cached := modelled
+	if preferred {
+		cached = max(modelled, shared)
+	}
+	running, queued := e.totalLoad(en, now)
+	backlog := queued.ahead(req.Priority)
+	uncached := total - cached
+	prefill := timing.prefillTime(uncached)
+	gap := e.expectedGap(en, running+1, now)
+	wait := backlog + e.slotWait(en, running, &queued, req, gap)
+	c := EngineChoice{
+		Endpoint: en.spec.ID, Reason: ReasonLoad, UncachedTokens: uncached, Backlog: backlog, TimeToFirstEvent: wait + prefill,
+	}
+	if gap == 0 {
+		c.Completion = c.TimeToFirstEvent + time.Duration(req.Events)*timing.eventGap
+	} else {
+		c.Completion = c.TimeToFirstEvent + time.Duration(float64(req.Events)*gap*float64(time.Second))
+	}
+	switch {
+	case preferred:
+		c.Reason = ReasonPreferred
+	case modelled > 0:
+		c.Reason = ReasonPrefix
+	}
+	cost := (wait + prefillWeight*prefill + time.Duration(running)*runningCost).Seconds()
+	cost += prefill.Seconds() * float64(en.pace.measuredStreams(now))
+	cost += paceWeight * (float64(req.Events)*gap + e.causedDelay(en, running, req, gap))
+	if en.weight > 0 && en.weight < 1 {
+		cost /= en.weight
+	}
+	if en.spec.FailureDomain != e.failureDomain {
+		cost += crossDomainCost.Seconds()
+	}
+	if !preferred {
+		cost += nonPreferredCost.Seconds()
+	}
+	return c, cost
+}
+
+// slotWait returns the expected wait for one of the engine's slots, if all are in use.
+// The answers there end evenly spread over the time of one. Requests that are queued and
+// less urgent do not count. gap is the engine's gap, zero if unknown.
+func (e *EngineChooser) slotWait(en *engine, running int, queued *backlog, req EngineRequest, gap float64) time.Duration {
+	slots := en.spec.Slots
+	if slots <= 0 || running < slots {
+		return 0
+	}
+	if gap == 0 {
+		gap = e.timing(req.Model).eventGap.Seconds()
+	}
+	ahead := float64(running - slots)
+	if all := queued.ahead(PriorityLevels - 1); all > 0 {
+		ahead *= queued.ahead(req.Priority).Seconds() / all.Seconds()
+	}
+	answer := e.answerEvents(req) * gap
+	return time.Duration((ahead + 1) / float64(slots+1) * answer * float64(time.Second))
+}
+
+// causedDelay returns the time in seconds by which the request delays the answers at the
+// engine together: each event that they still need comes later by the growth of the gap.
+func (e *EngineChooser) causedDelay(en *engine, running int, req EngineRequest, gap float64) float64 {
+	growth := gap * e.elasticity(en) / float64(running+2)
+	return float64(running) * e.answerEvents(req) / 2 * growth
+}
+
+// answerEvents returns the mean number of events of an answer.
+func (e *EngineChooser) answerEvents(req EngineRequest) float64 {
+	if e.paces.answerEvents > 0 {
+		return e.paces.answerEvents
+	}
+	return float64(req.Events)
+}
--- a/balance/engines.go
+++ b/balance/engines.go
@@ -23,6 +23,8 @@
 	Version string
 	// CacheTokens is the capacity of its prompt cache in tokens.
 	CacheTokens int
+	// Slots is the number of requests that it runs at the same time; 0 if unknown.
+	Slots int
 }
 
 // EngineRequest describes the request for which an engine is chosen.
@@ -73,6 +75,7 @@
 	peers   map[string]peerLoad
 	hosts   int         // number of hosts in the fleet
 	fleet   *sourceLoad // load of the other hosts, if one sums it up
+	paces   fleetPaces
 
 	candidates []candidate // used by each choice
 }
@@ -96,6 +99,7 @@
 	weight     float64
 	// excluded is set during a choice that leaves the engine out.
 	excluded bool
+	pace     enginePace
 }
 
 // peerLoad is the last load digest received from a peer.
@@ -107,18 +111,6 @@
 const (
 	// peerLoadTTL is the age up to which a peer's load digest counts.
 	peerLoadTTL = 3 * time.Second
-	// crossDomainCost is the delay that an engine in another failure domain counts
-	// as. It covers the network latency and the price of the traffic.
-	crossDomainCost = 15 * time.Millisecond
-	// runningCost is the delay that each running request counts as: between two
-	// chunks of a prefill the engine decodes one token of each.
-	runningCost = 3 * time.Millisecond
-	// nonPreferredCost is the delay that an engine other than the preferred one
-	// counts as, since its cache would hold a second copy of the prompt.
-	nonPreferredCost = 50 * time.Millisecond
-	// prefillWeight is the factor by which the prefill time of a request counts: it
-	// delays both the request and those queued behind it.
-	prefillWeight = 2
 )
 
 // NewEngineChooser returns a chooser without engines, for a host in the given failure
@@ -140,6 +132,7 @@
 		en := e.engines[spec.ID]
 		if en == nil {
 			en = &engine{idHash: hashString(spec.ID), cache: newPromptCache(spec.CacheTokens), weight: 1}
+			en.pace.streams = make(map[*InFlight]struct{})
 		}
 		en.spec = spec
 		next[spec.ID] = en
@@ -175,23 +168,24 @@
 	}
 }
 
-// ResetCache drops the modelled contents of an engine's prompt cache, after a restart
-// of the engine.
+// ResetCache drops the modelled contents of an engine's prompt cache and all that is
+// known of its pace, after a restart of the engine.
 func (e *EngineChooser) ResetCache(id string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if en := e.engines[id]; en != nil {
 		en.cache = newPromptCache(en.spec.CacheTokens)
+		e.forgetPace(en)
 	}
 }
 
-// Choose returns the engine with the least cost, which is the expected time to the
-// first event plus the delays given by the cost constants above. Engines that are
+// Choose returns the engine with the least cost (see evaluate). Engines that are
 // avoided or of weight 0 are considered only if there is no other.
 func (e *EngineChooser) Choose(req EngineRequest) (EngineChoice, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Now()
+	e.refreshPaces(now)
 	keys := partKeys(req.Model, req.Parts)
 	timing := e.timing(req.Model)
 	candidates := e.serving(req, keys)
@@ -247,49 +241,6 @@
 	}
 }
 
-// evaluate returns the choice of an engine and its cost in seconds. The preferred
-// engine of a prompt is assumed to have the shared parts cached: the other hosts send
-// them there too, and if none has yet, that engine is the best one to prefill them.
-func (e *EngineChooser) evaluate(en *engine, req EngineRequest, keys []uint64, timing *modelTiming, preferred bool, now time.Time) (EngineChoice, float64) {
-	modelled := en.cache.cachedTokens(keys, req.Parts)
-	total, shared := 0, 0
-	for i, p := range req.Parts {
-		total += p.Tokens
-		if i < len(req.Parts)-1 {
-			shared += p.Tokens
-		}
-	}
-	cached := modelled
-	if preferred {
-		cached = max(modelled, shared)
-	}
-	running, queued := e.totalLoad(en, now)
-	backlog := queued.ahead(req.Priority)
-	uncached := total - cached
-	prefill := timing.prefillTime(uncached)
-	c := EngineChoice{
-		Endpoint: en.spec.ID, Reason: ReasonLoad, UncachedTokens: uncached, Backlog: backlog, TimeToFirstEvent: backlog + prefill,
-	}
-	c.Completion = c.TimeToFirstEvent + time.Duration(req.Events)*timing.eventGap
-	switch {
-	case preferred:
-		c.Reason = ReasonPreferred
-	case modelled > 0:
-		c.Reason = ReasonPrefix
-	}
-	cost := (backlog + prefillWeight*prefill + time.Duration(running)*runningCost).Seconds()
-	if en.weight > 0 && en.weight < 1 {
-		cost /= en.weight
-	}
-	if en.spec.FailureDomain != e.failureDomain {
-		cost += crossDomainCost.Seconds()
-	}
-	if !preferred {
-		cost += nonPreferredCost.Seconds()
-	}
-	return c, cost
-}
-
 // totalLoad returns the load of this host and of its peers on an engine, from the sum
 // over the fleet or else from the load digests of the peers.
 func (e *EngineChooser) totalLoad(en *engine, now time.Time) (running int, queued backlog) {
--- a/balance/loadsum.go
+++ b/balance/loadsum.go
@@ -15,6 +15,8 @@
 	AgeMS int64 `json:"age_ms,omitempty"`
 	// Digest holds the sums.
 	Digest []byte `json:"digest,omitempty"`
+	// Paces holds the paces of the engines, see PaceSum. Older builds ignore it.
+	Paces []byte `json:"paces,omitempty"`
 }
 
 // LoadTable holds the latest load of each of several sources, which are hosts or groups
@@ -34,6 +36,7 @@
 	hosts int
 	age   time.Duration // at the time at
 	loads map[uint32]EngineLoad
+	paces sourcePaces
 }
 
 // NewLoadTable returns an empty table.
@@ -55,19 +58,25 @@
 
 func decodeSum(s LoadSum, now time.Time) (sourceLoad, error) {
 	loads, err := decodeDigest(s.Digest)
-	return sourceLoad{at: now, hosts: s.Hosts, age: time.Duration(s.AgeMS) * time.Millisecond, loads: loads}, err
+	if err != nil {
+		return sourceLoad{}, err
+	}
+	paces, err := decodePaces(s.Paces)
+	return sourceLoad{at: now, hosts: s.Hosts, age: time.Duration(s.AgeMS) * time.Millisecond, loads: loads, paces: paces}, err
 }
 
 // SumLoads returns the sum of all sources in the tables whose load is recent, as a digest
-// of at most limit bytes.
+// of at most limit bytes, and paces of at most half as many.
 func SumLoads(limit int, tables ...*LoadTable) LoadSum {
 	var out LoadSum
 	total := make(map[uint32]EngineLoad)
+	var paces []sourcePaces
 	age := time.Duration(0) // summed over hosts
 	for _, t := range tables {
 		for _, s := range t.recent() {
 			out.Hosts += s.hosts
 			age += time.Duration(s.hosts) * (s.age + t.clock.Since(s.at))
+			paces = append(paces, s.paces)
 			for key, l := range s.loads {
 				total[key] = addLoads(total[key], l, 1)
 			}
@@ -76,7 +85,7 @@
 	if out.Hosts > 0 {
 		out.AgeMS = (age / time.Duration(out.Hosts)).Milliseconds()
 	}
-	out.Digest = encodeDigest(total, limit)
+	out.Digest, out.Paces = encodeDigest(total, limit), encodePaces(sumPaces(paces), limit/2)
 	return out
 }
 
--- a/balance/work.go
+++ b/balance/work.go
@@ -14,6 +14,9 @@
 	engineIdle     bool
 	prefillDone    bool
 	ended          bool
+	ownTokens      int // of the part of the prompt that no other request shares
+	events         int
+	pace           streamPace
 }
 
 // Start records that a request was sent to the chosen engine.
@@ -27,7 +30,11 @@
 	}
 	f.engineIdle = c.Backlog < idleBacklog
 	f.prefill = e.timing(req.Model).prefillTime(c.UncachedTokens)
+	if n := len(req.Parts); n > 0 {
+		f.ownTokens = req.Parts[n-1].Tokens
+	}
 	en.running++
+	en.pace.tokens += f.ownTokens
 	en.backlog[f.priority] += f.prefill
 	en.cache.add(partKeys(req.Model, req.Parts), req.Parts)
 	return f
@@ -62,6 +69,7 @@
 	}
 	if en := e.engines[f.id]; en != nil && en.running > 0 {
 		en.running--
+		f.endPace(en)
 	}
 }
 
--- a/daemon/router/feed.go
+++ b/daemon/router/feed.go
@@ -39,6 +39,9 @@
 	reply := updateReply{Update: u}
 	if q.Loads != nil {
 		reply.Loads = s.host.loads.total()
+		if !q.Paces {
+			reply.Loads = withoutPaces(reply.Loads)
+		}
 	}
 	return reply, err
 }
@@ -150,6 +153,7 @@
 	q := updateQuery{Query: feed.Query{After: after, Pack: true, WaitMS: wait.Milliseconds()}}
 	if wait > 0 && h.sumsLoads() {
 		q.Loads = h.loads.report()
+		q.Paces = q.Loads != nil && h.loads.asksPaces()
 	}
 	var reply updateReply
 	if err := h.peers.feedClient.Call(ctx, host, methodUpdate, q, &reply); err != nil {
--- a/daemon/router/loads.go
+++ b/daemon/router/loads.go
@@ -35,6 +35,8 @@
 	feed.Query
 	// Loads is the load of the querying host, which asks for that of the fleet.
 	Loads relay.LoadSums `json:"loads,omitempty"`
+	// Paces asks for the paces of the engines, too.
+	Paces bool `json:"paces,omitempty"`
 }
 
 // updateReply is the answer to an updateQuery.
@@ -56,8 +58,9 @@
 	followers, readers map[string]*balance.LoadTable
 	sums               relay.LoadSums
 	summedAt           time.Time
-	// reportedAt is when this host last reported its load to a store reader.
-	reportedAt time.Time
+	// reportedAt is when this host last reported its load to a store reader, and
+	// pacesAskedAt when it last asked for the paces.
+	reportedAt, pacesAskedAt time.Time
 }
 
 // selfSource is the name under which a host's own load stands in its table.
@@ -139,6 +142,39 @@
 	return l.own()
 }
 
+// pacesInterval is the time between two answers with the paces of the engines. They would
+// double the size of the answers if all had them.
+const pacesInterval = time.Second
+
+// asksPaces reports whether it is time to ask a store reader for the paces.
+func (l *loadHub) asksPaces() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.clock.Since(l.pacesAskedAt) < pacesInterval {
+		return false
+	}
+	l.pacesAskedAt = l.clock.Now()
+	return true
+}
+
+// withoutPaces returns the sums without the paces.
+func withoutPaces(sums relay.LoadSums) relay.LoadSums {
+	out := make(relay.LoadSums, len(sums))
+	for service, sum := range sums {
+		sum.Paces = nil
+		out[service] = sum
+	}
+	return out
+}
+
+// localPaces returns the paces for heartbeats, unless store readers sum them up.
+func (s *peerService) localPaces() relay.Paces {
+	if s.host.sumsLoads() {
+		return nil
+	}
+	return s.host.relay.Paces()
+}
+
 // sumsLoads reports whether the fleet is so large that store readers sum up the load.
 func (h *Host) sumsLoads() bool { return h.hosts.Load() > maxGossipHosts }
 
--- a/daemon/router/peers.go
+++ b/daemon/router/peers.go
@@ -170,6 +170,7 @@
 	signal(s, "limits", s.limitMarks, s.mergeLimitMarks)
 	signal(s, "lost", s.host.relay.LostServices, func(from string, v []string) { s.host.forwarding.hosts.ObserveLost(from, v) })
 	signal(s, "load", s.host.relay.Loads, func(from string, v relay.Loads) { s.host.relay.ObserveLoads(from, v) })
+	signal(s, "paces", s.localPaces, func(from string, v relay.Paces) { s.host.relay.ObservePaces(from, v) })
 	signal(s, "rates", s.host.relay.PrefillEstimates, func(_ string, v relay.PrefillEstimates) { s.host.relay.ObservePrefillEstimates(v) })
 }
 
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -106,7 +106,7 @@
 			continue
 		}
 		engines = append(engines, balance.EngineSpec{
-			ID: e.ID, FailureDomain: e.FailureDomain, Version: e.Version, CacheTokens: svc.Engine.KVCacheTokens,
+			ID: e.ID, FailureDomain: e.FailureDomain, Version: e.Version, CacheTokens: svc.Engine.KVCacheTokens, Slots: e.Slots,
 		})
 	}
 	p.picker.SetEndpoints(plain)
@@ -269,6 +269,13 @@
 	}
 }
 
+// recordEvent records an event of the answer.
+func (sl *slot) recordEvent(now time.Time) {
+	if sl.inFlight != nil {
+		sl.inFlight.Event(now)
+	}
+}
+
 // recordEventGap records the mean time between two events of a complete stream.
 func (sl *slot) recordEventGap(gap time.Duration) {
 	if sl.inFlight != nil {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -57,7 +57,7 @@
 			pace.add(now.Sub(last))
 		}
 		last = now
-		sl.recordFirstByte()
+		sl.recordEvent(now)
 		if n == 0 {
 			first = last
 			j.addStep("event_ms=" + strconv.FormatInt(j.relay.Clock.Since(sl.started).Milliseconds(), 10))
