balance, relay: service time of each plain endpoint; slow engines in logs and metrics

Cause: Picker had one service time for all endpoints, so that an idle endpoint that takes several times as long as the others was chosen like them. An operator could not see which engine is slow. Change: Picker keeps a service time for each endpoint, with the mean as prior; an endpoint that is more than 1.25 times as slow counts with the excess. It returns to the mean within minutes without requests and after a restart. Events "engine slow" and "engine no longer slow" (hosts with a stream there), gauges relay_slow_engines and relay_engine_gap_seconds.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -106,6 +106,7 @@
 	sequence           uint64    // of the last cache event
 	synced             bool      // whether a cache event has been received
 	load               load
+	serviceTime        serviceTime
 	cachedBlocks       int // scratch of one Pick: leading prompt blocks in the cache
 	requests           int // scratch of one Pick: expected requests at the endpoint
 }
@@ -229,6 +230,10 @@
 		p.meanServiceTime += weight * (took.Seconds() - p.meanServiceTime)
 	}
 	if i, ok := p.byID[endpoint]; ok {
-		p.endpoints[i].load.recordLocal(p.clock.Now(), -1)
+		now, s := p.clock.Now(), p.endpoints[i]
+		s.load.recordLocal(now, -1)
+		if took > 0 {
+			s.serviceTime.add(now, took.Seconds())
+		}
 	}
 }
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -89,14 +89,16 @@
 	}
 }
 
-// score returns the expected time to first token in seconds, lowered for the
-// preferred endpoint of a prefix that no endpoint is known to hold.
+// score returns the expected time to first token in seconds, plus the time by which an
+// endpoint is slower than the others, lowered for the preferred endpoint of a prefix that
+// no endpoint is known to hold.
 func (p *Picker) score(k *pick, s *endpointState) (float64, Reason) {
 	requests := s.requests
 	slots := s.endpoint.Concurrency
-	score := batchSlowdown * p.meanServiceTime * float64(requests) / float64(slots)
+	own := s.serviceTime.estimate(k.now, p.meanServiceTime)
+	score := batchSlowdown*own*float64(requests)/float64(slots) + s.serviceTime.excess(k.now, p.meanServiceTime)
 	if waiting := requests + 1 - slots; waiting > 0 {
-		score += p.meanServiceTime * float64(waiting) / float64(slots)
+		score += own * float64(waiting) / float64(slots)
 	}
 	if !s.local {
 		score += p.cfg.CrossDomainCost.Seconds()
--- a/internal/measure/balance/paceengine.go
+++ b/internal/measure/balance/paceengine.go
@@ -35,7 +35,6 @@
 	shared    uint64
 	events    int
 	arrived   time.Time
-	onFirst   func()
 	onEvent   func()
 	onEnd     func()
 	uncached  int // prompt tokens left to prefill
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -6,13 +6,15 @@
 
 // metrics are the counters and histograms of a relay.
 type metrics struct {
-	requests  *prometheus.CounterVec
-	attempts  *prometheus.CounterVec
-	retries   *prometheus.CounterVec
-	forwards  *prometheus.CounterVec
-	lost      *prometheus.GaugeVec
-	firstByte *prometheus.HistogramVec
-	duration  *prometheus.HistogramVec
+	requests    *prometheus.CounterVec
+	attempts    *prometheus.CounterVec
+	retries     *prometheus.CounterVec
+	forwards    *prometheus.CounterVec
+	lost        *prometheus.GaugeVec
+	slowEngines *prometheus.GaugeVec
+	engineGap   *prometheus.GaugeVec
+	firstByte   *prometheus.HistogramVec
+	duration    *prometheus.HistogramVec
 }
 
 // latencyBuckets cover the target latencies of short calls and of long streams, in
@@ -36,6 +38,12 @@
 		lost: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: "corianderlever", Name: "relay_service_lost", Help: "Whether this host cannot connect to the endpoints of a service.",
 		}, []string{"service"}),
+		slowEngines: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: "corianderlever", Name: "relay_slow_engines", Help: "Engines whose events come slowly for their load, by service.",
+		}, []string{"service"}),
+		engineGap: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: "corianderlever", Name: "relay_engine_gap_seconds", Help: "Time between two events at the median and the slowest engine of a service.",
+		}, []string{"service", "engine"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: "corianderlever", Name: "relay_first_byte_seconds", Help: "Time from arrival to the first byte of an answer.", Buckets: latencyBuckets,
 		}, []string{"team", "priority"}),
@@ -43,6 +51,6 @@
 			Namespace: "corianderlever", Name: "relay_request_seconds", Help: "Time from arrival to the end of an answer.", Buckets: latencyBuckets,
 		}, []string{"team", "priority"}),
 	}
-	reg.MustRegister(m.requests, m.attempts, m.retries, m.forwards, m.lost, m.firstByte, m.duration)
+	reg.MustRegister(m.requests, m.attempts, m.retries, m.forwards, m.lost, m.slowEngines, m.engineGap, m.firstByte, m.duration)
 	return m
 }
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -36,6 +36,7 @@
 	budget  *limiter.WindowBudget
 	paths   *paths
 	shares  *limiter.SlotShares
+	slow    slowEngines
 
 	mu               sync.Mutex
 	slots            map[string]int // of each endpoint that is not draining
@@ -55,6 +56,7 @@
 		relay: r, service: service,
 		picker:  balance.NewPicker(r.Clock, r.Rand(), balance.DefaultConfig(r.FailureDomain)),
 		engines: balance.NewEngineChooser(r.Clock, r.FailureDomain),
+		slow:    make(slowEngines),
 		ejector: limiter.NewEjector(r.Clock),
 		budget:  limiter.NewWindowBudget(r.Clock, r.Settings().Retry),
 	}
@@ -76,6 +78,9 @@
 		return
 	}
 	p.weightsUpdatedAt = now
+	if svc.Engine != nil {
+		p.reportPaces()
+	}
 	for _, id := range p.endpointIDs {
 		p.updateWeight(id)
 	}
@@ -130,8 +135,12 @@
 // anyVersion is the pseudo-version that matches every endpoint.
 const anyVersion = ""
 
-// forgetCache discards the cache estimate of an endpoint that has restarted.
-func (p *pool) forgetCache(id string) { p.engines.ResetCache(id) }
+// forgetCache discards what is known of the cache and the pace of an endpoint that has
+// restarted.
+func (p *pool) forgetCache(id string) {
+	p.engines.ResetCache(id)
+	p.picker.ForgetServiceTime(id)
+}
 
 // slot is one attempt in flight at one endpoint.
 type slot struct {
