balance: engines whose memory is full are chosen last

Cause: an engine whose memory is full stops requests and reads their prompts again. Change: digests of paces hold the tokens of a host's requests (own parts of prompts and events); an engine whose sum over all hosts is above 0.9 of its memory is chosen only if all are. Shared parts do not count, since requests share their memory.

--- a/balance/enginepace.go
+++ b/balance/enginepace.go
@@ -127,9 +127,10 @@
 // localPace returns what this host measures at an engine now.
 func (en *engine) localPace(now time.Time) pace {
 	p := pace{hosts: 1, tokens: en.pace.tokens}
+	events := 0
 	total := time.Duration(0) // an integer, so that the order of the streams does not matter
 	for f := range en.pace.streams {
-		p.tokens += f.events
+		events += f.events
 		gap, overdue := f.pace.gap(now, en.pace.gap)
 		limit := seenWithin
 		if overdue {
@@ -141,6 +142,7 @@
 		p.streams++
 		total += time.Duration(gap * float64(time.Second))
 	}
+	p.tokens += events * en.spec.EventTokens
 	if p.streams > 0 {
 		p.gap = total.Seconds() / float64(p.streams)
 	}
--- a/balance/engines.go
+++ b/balance/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 	CacheTokens int
 	// Slots is the number of requests that it runs at the same time; 0 if unknown.
 	Slots int
+	// EventTokens is the number of tokens in an event of an answer; 0 if unknown. Without
+	// it, the memory in use is not known.
+	EventTokens int
 }
 
 // EngineRequest describes the request for which an engine is chosen.
@@ -201,14 +205,17 @@
 		minScore = minAlternativeScore(candidates)
 	}
 	best, bestCost := EngineChoice{}, math.Inf(1)
-	// The second pass considers engines that the first one leaves out.
-	for pass := 0; pass < 2 && math.IsInf(bestCost, 1); pass++ {
+	// Each pass considers engines that the one before leaves out.
+	for _, p := range passes(slices.ContainsFunc(candidates, func(c candidate) bool { return c.memoryFull() })) {
+		if !math.IsInf(bestCost, 1) {
+			break
+		}
 		for _, en := range candidates {
-			if pass == 0 && (now.Before(en.avoidUntil) || en.weight == 0) {
+			if !p.avoided && (now.Before(en.avoidUntil) || en.weight == 0) || !p.full && en.memoryFull() {
 				continue
 			}
 			c, cost := e.evaluate(en.engine, req, keys, timing, en.engine == preferred, now)
-			if pass == 0 && c.Reason == ReasonLoad && en.score < minScore {
+			if !p.others && c.Reason == ReasonLoad && en.score < minScore {
 				continue
 			}
 			if cost < bestCost {
--- a/balance/pace_test.go
+++ b/balance/pace_test.go
@@ -234,3 +234,38 @@
 		}
 	})
 }
+
+// TestFullEngineIsChosenLast guards against an engine whose memory the requests of several hosts
+// fill, while none of them alone does.
+func TestFullEngineIsChosenLast(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		e := NewEngineChooser(clock, "a")
+		var specs []EngineSpec
+		for i := range rapid.IntRange(1, 12).Draw(rt, "engines") {
+			specs = append(specs, EngineSpec{ID: fmt.Sprint("e", i), FailureDomain: "a", CacheTokens: 10_000, Slots: 16, EventTokens: 2})
+		}
+		e.SetEngines(specs)
+		used := make(map[string]int)
+		for host := range 3 {
+			paces := make(sourcePaces)
+			for _, en := range e.order {
+				tokens := paceTokenUnit * rapid.IntRange(0, 40).Draw(rt, "tokens")
+				used[en.spec.ID] += tokens
+				paces[engineKey(en.idHash)] = pace{hosts: 1, tokens: tokens}
+			}
+			if err := e.ObservePaces(fmt.Sprint("h", host), encodePaces(paces, 1<<12)); err != nil {
+				rt.Fatal(err)
+			}
+		}
+		room := false
+		for _, tokens := range used {
+			room = room || tokens <= 9000
+		}
+		clock.Advance(paceInterval)
+		c, err := e.Choose(EngineRequest{Model: "m", Parts: []PromptPart{{ID: "s", Tokens: 100}, {ID: "p", Tokens: 100}}})
+		if err != nil || room && used[c.Endpoint] > 9000 {
+			rt.Errorf("chose %+v (%v) with %d of 10000 tokens in use, of %v", c, err, used[c.Endpoint], used)
+		}
+	})
+}
--- a/balance/work.go
+++ b/balance/work.go
@@ -30,7 +30,7 @@
 	}
 	f.engineIdle = c.Backlog < idleBacklog
 	f.prefill = e.timing(req.Model).prefillTime(c.UncachedTokens)
-	if n := len(req.Parts); n > 0 {
+	if n := len(req.Parts); n > 0 && en.spec.EventTokens > 0 {
 		f.ownTokens = req.Parts[n-1].Tokens
 	}
 	en.running++
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -111,7 +111,7 @@
 			continue
 		}
 		engines = append(engines, balance.EngineSpec{
-			ID: e.ID, FailureDomain: e.FailureDomain, Version: e.Version, CacheTokens: svc.Engine.KVCacheTokens, Slots: e.Slots,
+			ID: e.ID, FailureDomain: e.FailureDomain, Version: e.Version, CacheTokens: svc.Engine.KVCacheTokens, Slots: e.Slots, EventTokens: max(1, svc.Engine.TokensPerEvent),
 		})
 	}
 	p.picker.SetEndpoints(plain)
