balance: constants of the choice by pace from the simulation

Cause: with paceWeight 0.8 and half an answer as what running requests still need, slow engines were left too full, also once they were measured. Change: paceWeight 1, running answers still need as many events as a whole one has on average, the uncertainty of the load is three requests.

--- a/balance/enginecost.go
+++ b/balance/enginecost.go
@@ -20,14 +20,15 @@
 	prefillWeight = 2
 	// paceWeight is the part of the time of the answer, and of the delay that the
 	// request causes to others, that counts. In the simulation (make measure, pace_*),
-	// 0.5 leaves slow engines too full and 1 has prompts read again more often.
-	paceWeight = 0.8
+	// 0.5 and 0.8 leave slow engines too full, and 1.5 sends prompts to engines that have
+	// to read them again, which delays first events.
+	paceWeight = 1
 	// overflowLoad is the part of the slots of the preferred engine from which the second
 	// engine is assumed to have the shared parts of the prompt, too.
 	overflowLoad = 0.5
 	// loadUncertainty is the number of requests by which the load of an engine is known
 	// too late.
-	loadUncertainty = 2
+	loadUncertainty = 3
 )
 
 // evaluate returns the choice of an engine and its cost in seconds. The cost is the sum
@@ -140,10 +141,12 @@
 }
 
 // causedDelay returns the time in seconds by which the request delays the answers at the
-// engine together: each event that they still need comes later by the growth of the gap.
+// engine together: each event that they still need comes later by the growth of the gap. A running
+// answer still needs as many events as a whole one has on average, since answers differ much
+// in length and the running ones are mostly the long ones.
 func (e *EngineChooser) causedDelay(en *engine, running int, req EngineRequest, gap float64) float64 {
 	growth := gap * e.elasticity(en) / float64(running+2)
-	return float64(running) * e.answerEvents(req) / 2 * growth
+	return float64(running) * e.answerEvents(req) * growth
 }
 
 // answerEvents returns the mean number of events of an answer.
