--- a/balance/enginecost.go
+++ b/balance/enginecost.go
@@ -55,7 +55,8 @@
 	uncached := total - cached
 	prefill := timing.prefillTime(uncached)
 	gap := e.expectedGap(en, running+1, now)
-	wait := backlog + e.slotWait(en, running, &queued, req, gap)
+	// The engine prefills queued prompts while it answers others, so the two waits overlap.
+	wait := max(backlog, e.slotWait(en, running, &queued, req, gap))
 	c := EngineChoice{
 		Endpoint: en.spec.ID, Reason: ReasonLoad, UncachedTokens: uncached, Backlog: backlog, TimeToFirstEvent: wait + prefill,
 	}
@@ -90,7 +91,7 @@
 }
 
 // slotWait returns the expected wait for one of the engine's slots, if all are in use.
-// The answers there end evenly spread over the time of one. Requests that are queued and
+// Each slot is free once in the time of an answer. Requests that are queued and
 // less urgent do not count. gap is the engine's gap, zero if unknown.
 func (e *EngineChooser) slotWait(en *engine, running int, queued *backlog, req EngineRequest, gap float64) time.Duration {
 	slots := en.spec.Slots
@@ -105,7 +106,16 @@
 		ahead *= queued.ahead(req.Priority).Seconds() / all.Seconds()
 	}
 	answer := e.answerEvents(req) * gap
-	return time.Duration((ahead + 1) / float64(slots+1) * answer * float64(time.Second))
+	return time.Duration((ahead + 1) / float64(slots) * answer * float64(time.Second))
+}
+
+// slotsFull reports whether all slots of the engine are in use.
+func (e *EngineChooser) slotsFull(en *engine) bool {
+	if en.spec.Slots <= 0 {
+		return false
+	}
+	running, _ := e.totalLoad(en, e.clock.Now())
+	return running >= en.spec.Slots
 }
 
 // uncertainWait returns the part in seconds by which the wait for a slot is longer on average
@@ -118,7 +128,7 @@
 	}
 	excess := float64(running+1-slots) / loadUncertainty
 	more := loadUncertainty * math.Log1p(math.Exp(-math.Abs(excess)))
-	return more / float64(slots+1) * e.answerEvents(req) * gap
+	return more / float64(slots) * e.answerEvents(req) * gap
 }
 
 // overflowOf returns the engine after the preferred one in the order of rendezvous hashing if
--- a/balance/pacefailure_test.go
+++ b/balance/pacefailure_test.go
@@ -135,3 +135,26 @@
 		}
 	})
 }
+
+// TestSlotWaitIsNotPrefillTime guards against an estimate of the prefill time that rises with
+// the wait for a slot, which made expected waits under overload more than half again too long.
+func TestSlotWaitIsNotPrefillTime(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		e := NewEngineChooser(clock, "a")
+		e.SetEngines([]EngineSpec{{ID: "e0", Slots: 2}})
+		req := EngineRequest{Model: "m", Parts: []PromptPart{{ID: "p", Tokens: 2000}}}
+		choice := EngineChoice{Endpoint: "e0", UncachedTokens: 2000}
+		running := rapid.IntRange(0, 5).Draw(rt, "running")
+		for range running {
+			e.Start(choice, req).FirstEvent()
+		}
+		f := e.Start(choice, req)
+		clock.Advance(time.Duration(rapid.IntRange(2, 20).Draw(rt, "seconds")) * time.Second)
+		before := e.PrefillTime("m", 1000)
+		f.FirstEvent()
+		if changed := e.PrefillTime("m", 1000) != before; changed != (running < 2) {
+			rt.Errorf("with %d requests at 2 slots, the prefill time changed: %v", running, changed)
+		}
+	})
+}
--- a/balance/work.go
+++ b/balance/work.go
@@ -28,7 +28,8 @@
 	if en == nil {
 		return f
 	}
-	f.engineIdle = c.Backlog < idleBacklog
+	// A wait for a slot would count as prefill time.
+	f.engineIdle = c.Backlog < idleBacklog && !e.slotsFull(en)
 	f.prefill = e.timing(req.Model).prefillTime(c.UncachedTokens)
 	if n := len(req.Parts); n > 0 && en.spec.EventTokens > 0 {
 		f.ownTokens = req.Parts[n-1].Tokens
