--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -15,6 +15,8 @@
 	// domain and those that are cold; permits counts the requests for permits of cold ones.
 	evacuated, cold *prometheus.GaugeVec
 	permits         *prometheus.CounterVec
+	slowEngines     *prometheus.GaugeVec
+	engineGap       *prometheus.GaugeVec
 	firstByte       *prometheus.HistogramVec
 	duration        *prometheus.HistogramVec
 }
@@ -49,6 +51,12 @@
 		permits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "corianderlever", Name: "relay_cold_permits_total", Help: "Requests for permits of cold endpoints by service and whether they were granted.",
 		}, []string{"service", "granted"}),
+		slowEngines: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: "corianderlever", Name: "relay_slow_engines", Help: "Engines whose events come slowly for their load, by service.",
+		}, []string{"service"}),
+		engineGap: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: "corianderlever", Name: "relay_engine_gap_seconds", Help: "Time between two events at the median and the slowest engine of a service.",
+		}, []string{"service", "engine"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: "corianderlever", Name: "relay_first_byte_seconds", Help: "Time from arrival to the first byte of an answer.", Buckets: latencyBuckets,
 		}, []string{"team", "priority"}),
@@ -56,6 +64,9 @@
 			Namespace: "corianderlever", Name: "relay_request_seconds", Help: "Time from arrival to the end of an answer.", Buckets: latencyBuckets,
 		}, []string{"team", "priority"}),
 	}
-	reg.MustRegister(m.requests, m.attempts, m.retries, m.forwards, m.lost, m.evacuated, m.cold, m.permits, m.firstByte, m.duration)
+	reg.MustRegister(
+		m.requests, m.attempts, m.retries, m.forwards, m.lost, m.evacuated, m.cold, m.permits, m.slowEngines, m.engineGap,
+		m.firstByte, m.duration,
+	)
 	return m
 }
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -40,6 +40,7 @@
 	cold    coldEndpoints
 	// allEvacuated is set while all endpoints are in evacuated failure domains.
 	allEvacuated atomic.Bool
+	slow         slowEngines
 
 	mu               sync.Mutex
 	slots            map[string]int // of each endpoint in endpointIDs
@@ -60,6 +61,7 @@
 		relay: r, service: service,
 		picker:  balance.NewPicker(r.Clock, r.Rand(), balance.DefaultConfig(r.FailureDomain)),
 		engines: balance.NewEngineChooser(r.Clock, r.FailureDomain),
+		slow:    make(slowEngines),
 		ejector: limiter.NewEjector(r.Clock),
 		budget:  limiter.NewWindowBudget(r.Clock, r.Settings().Retry),
 	}
@@ -81,6 +83,9 @@
 		return
 	}
 	p.weightsUpdatedAt = now
+	if svc.Engine != nil {
+		p.reportPaces()
+	}
 	for _, id := range p.endpointIDs {
 		p.updateWeight(id)
 	}
@@ -108,7 +113,7 @@
 			continue
 		}
 		engines = append(engines, balance.EngineSpec{
-			ID: e.ID, FailureDomain: e.FailureDomain, Version: e.Version, CacheTokens: svc.Engine.KVCacheTokens,
+			ID: e.ID, FailureDomain: e.FailureDomain, Version: e.Version, CacheTokens: svc.Engine.KVCacheTokens, Slots: e.Slots, EventTokens: max(1, svc.Engine.TokensPerEvent),
 		})
 	}
 	p.picker.SetEndpoints(plain)
@@ -132,8 +137,12 @@
 // anyVersion is the pseudo-version that matches every endpoint.
 const anyVersion = ""
 
-// forgetCache discards the cache estimate of an endpoint that has restarted.
-func (p *pool) forgetCache(id string) { p.engines.ResetCache(id) }
+// forgetCache discards what is known of the cache and the pace of an endpoint that has
+// restarted.
+func (p *pool) forgetCache(id string) {
+	p.engines.ResetCache(id)
+	p.picker.ForgetServiceTime(id)
+}
 
 // slot is one attempt in flight at one endpoint.
 type slot struct {
@@ -271,6 +280,13 @@
 	}
 }
 
+// recordEvent records an event of the answer.
+func (sl *slot) recordEvent(now time.Time) {
+	if sl.inFlight != nil {
+		sl.inFlight.Event(now)
+	}
+}
+
 // recordEventGap records the mean time between two events of a complete stream.
 func (sl *slot) recordEventGap(gap time.Duration) {
 	if sl.inFlight != nil {
