admission, relay: gate that rejects opaque requests under overload

Cause: a request that could not be answered in time waited until its deadline; only a request whose first event was expected too late was rejected.

Change: admission.Gate decides before the first attempt of a request for model engines. It rejects by expected completion (no_room_in_time), and under persistent overload by rank (rank_yields) and team (team_over_share), with a Retry-After that is spread and bounded by the time left. relay computes the load from the mean event gap, the running requests and the mean backlog. Rejections are counted by service, reason, team and priority.

A request that cannot begin before its deadline is told the whole wait, as before: TestRejectsRequestThatCannotStartInTime asks for it.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -34,7 +34,7 @@
 	}
 	defer sl.release(limiter.OutcomeIgnored)
 	j.addChoiceStep(sl)
-	if errResp := j.checkExpectedStart(sl); errResp != nil {
+	if errResp := j.checkGate(sl); errResp != nil {
 		return errResp
 	}
 	if wait := j.relay.Permits.Acquire(ctx, sl.endpoint.ID); wait > 0 {
@@ -130,20 +130,6 @@
 	return true
 }
 
-// checkExpectedStart rejects a request immediately if even the best engine is not
-// expected to start it before its deadline. The request has not run, so the caller
-// may retry it later.
-func (j *job) checkExpectedStart(sl *slot) *ErrorResponse {
-	excess := sl.choice.TimeToFirstEvent - j.remaining()
-	if sl.inFlight == nil || j.possibleRuns > 0 || excess <= 0 {
-		return nil
-	}
-	return &ErrorResponse{
-		Status: http.StatusServiceUnavailable, Reason: "no_room_in_time", RetryAfter: max(excess, shortRetryAfter),
-		Detail: "expected first event after " + sl.choice.TimeToFirstEvent.Round(time.Millisecond).String(),
-	}
-}
-
 // addChoiceStep adds the reason and the estimates behind the choice of an engine
 // to the logged steps.
 func (j *job) addChoiceStep(sl *slot) {
--- /dev/null
+++ b/relay/gate.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/corianderlever/corianderlever/admission"
+	"github.com/corianderlever/corianderlever/balance"
+)
+
+// minBusyFraction is the part of its slots that the mean engine uses when its event gap counts
+// as load. Below it, a gap above the target is the engine's own, and rejections do not
+// shorten it.
+const minBusyFraction = 1.0 / 8
+
+// load returns the load of the service's engines: 1 is the most that its callers bear. All
+// requests see the same load, whatever their routes and models are. It is the larger of the
+// mean event gap in relation to the shortest target gap of the routes, and the mean backlog
+// in relation to their longest target latency, because the least urgent wait for all.
+func (j *job) load() float64 {
+	targets, engines, load := j.table.Targets(j.pool.service), j.pool.engines, 0.0
+	if targets.Latency > 0 {
+		load = engines.MeanBacklog("", balance.PriorityLevels-1).Seconds() / targets.Latency.Seconds()
+	}
+	if targets.Gap > 0 && engines.MeanRunning() >= minBusyFraction*float64(j.service.Engine.Slots) {
+		load = max(load, j.meanEventGap().Seconds()/targets.Gap.Seconds())
+	}
+	return load
+}
+
+// meanEventGap returns the mean event gap over the models of the service that have one.
+func (j *job) meanEventGap() time.Duration {
+	sum, n := time.Duration(0), time.Duration(0)
+	for _, m := range j.service.Engine.Models {
+		if gap := j.pool.engines.EventGap(m.Name); gap > 0 {
+			sum += gap
+			n++
+		}
+	}
+	return sum / max(1, n)
+}
+
+// checkGate asks the gate of the service for admission. Only the first attempt of a caller's
+// request can be rejected because of the load, later ones only for lack of time, and requests
+// that may have run or whose answer has begun not at all.
+func (j *job) checkGate(sl *slot) *ErrorResponse {
+	if sl.inFlight == nil || j.possibleRuns > 0 || j.headerSent || j.headerSentBefore {
+		return nil
+	}
+	load := j.load()
+	d := j.pool.gate.Admit(admission.GateRequest{
+		Team: j.team, Model: j.model, Rank: j.enginePriority, Key: uint64(j.hash), Left: j.remaining(),
+		FirstEvent: sl.choice.TimeToFirstEvent, Completion: sl.choice.Completion, LengthStated: j.req.OutputHint > 0,
+		Load: load, AlreadyAdmitted: j.gateAsked || j.from != "",
+	})
+	j.gateAsked = true
+	if d.Overloaded {
+		j.addStep("overloaded", "load="+strconv.FormatFloat(load, 'f', 2, 64), "returned="+strconv.FormatBool(d.Returned))
+	}
+	if d.Admitted() {
+		return nil
+	}
+	j.relay.metrics.rejections.WithLabelValues(j.pool.service, string(d.Reason), j.team, strconv.Itoa(j.enginePriority)).Inc()
+	return &ErrorResponse{
+		Status: http.StatusServiceUnavailable, Reason: string(d.Reason), RetryAfter: d.RetryAfter,
+		Detail: "load " + strconv.FormatFloat(load, 'f', 2, 64) + ", first event expected after " + sl.choice.TimeToFirstEvent.Round(time.Millisecond).String() +
+			", last after " + sl.choice.Completion.Round(time.Millisecond).String() + ", retry after " + d.RetryAfter.Round(time.Millisecond).String(),
+	}
+}
--- a/relay/job.go
+++ b/relay/job.go
@@ -86,6 +86,8 @@
 	// that could not serve it.
 	forwards     int
 	excludeHosts []string
+	// gateAsked is set once the request has asked the gate of its service for admission.
+	gateAsked bool
 	// denials counts the endpoints that had reached their rate limits, and those whose
 	// version may not get the request.
 	denials int
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -6,13 +6,14 @@
 
 // metrics are the counters and histograms of a relay.
 type metrics struct {
-	requests  *prometheus.CounterVec
-	attempts  *prometheus.CounterVec
-	retries   *prometheus.CounterVec
-	forwards  *prometheus.CounterVec
-	lost      *prometheus.GaugeVec
-	firstByte *prometheus.HistogramVec
-	duration  *prometheus.HistogramVec
+	requests   *prometheus.CounterVec
+	attempts   *prometheus.CounterVec
+	retries    *prometheus.CounterVec
+	forwards   *prometheus.CounterVec
+	lost       *prometheus.GaugeVec
+	rejections *prometheus.CounterVec
+	firstByte  *prometheus.HistogramVec
+	duration   *prometheus.HistogramVec
 }
 
 // latencyBuckets cover the target latencies of short calls and of long streams, in
@@ -36,6 +37,9 @@
 		lost: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: "corianderlever", Name: "relay_service_lost", Help: "Whether this host cannot connect to the endpoints of a service.",
 		}, []string{"service"}),
+		rejections: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "corianderlever", Name: "relay_gate_rejections_total", Help: "Requests rejected before their first attempt by service, reason, team and engine priority.",
+		}, []string{"service", "reason", "team", "priority"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: "corianderlever", Name: "relay_first_byte_seconds", Help: "Time from arrival to the first byte of an answer.", Buckets: latencyBuckets,
 		}, []string{"team", "priority"}),
@@ -43,6 +47,6 @@
 			Namespace: "corianderlever", Name: "relay_request_seconds", Help: "Time from arrival to the end of an answer.", Buckets: latencyBuckets,
 		}, []string{"team", "priority"}),
 	}
-	reg.MustRegister(m.requests, m.attempts, m.retries, m.forwards, m.lost, m.firstByte, m.duration)
+	reg.MustRegister(m.requests, m.attempts, m.retries, m.forwards, m.lost, m.rejections, m.firstByte, m.duration)
 	return m
 }
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/corianderlever/corianderlever/admission"
 	"github.com/corianderlever/corianderlever/balance"
 	"github.com/corianderlever/corianderlever/fleet"
 	"github.com/corianderlever/corianderlever/limiter"
@@ -32,6 +33,7 @@
 	service string
 	picker  *balance.Picker
 	engines *balance.EngineChooser
+	gate    *admission.Gate
 	ejector *limiter.Ejector
 	budget  *limiter.WindowBudget
 	paths   *paths
@@ -55,6 +57,7 @@
 		relay: r, service: service,
 		picker:  balance.NewPicker(r.Clock, r.Rand(), balance.DefaultConfig(r.FailureDomain)),
 		engines: balance.NewEngineChooser(r.Clock, r.FailureDomain),
+		gate:    admission.NewGate(r.Clock, r.Rand()),
 		ejector: limiter.NewEjector(r.Clock),
 		budget:  limiter.NewWindowBudget(r.Clock, r.Settings().Retry),
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -154,6 +154,7 @@
 	hosts    map[string][]*Route // longest prefix first
 	services map[string]*Service
 	keys     map[keyHash]*Team
+	targets  map[string]Targets
 }
 
 // NewTable validates and indexes a configuration.
@@ -163,6 +164,7 @@
 		hosts:    make(map[string][]*Route),
 		services: make(map[string]*Service, len(c.Services)),
 		keys:     make(map[keyHash]*Team),
+		targets:  targetsOf(c.Routes),
 	}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
