admission: token buckets by team and rank, mean of the load; internal/measure/gate

Cause: a part of a class's own requests admitted by credit let a team that asks six times as much have 1.6 times its even share on hosts with few requests, and the most urgent rank was rejected after a sudden rise (5% of it in a burst of 2.5 times).

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -128,8 +128,8 @@
 	if !d.Overloaded {
 		return g.admit(now, r, d)
 	}
-	part := g.shares.part(now, r, admittedFraction(g.overload.load))
-	if c.take(part, d.Returned) {
+	rate := g.shares.rate(now, r, admittedFraction(g.overload.load), admittedUrgent(g.overload.load))
+	if c.take(now, g.overload.began, rate, d.Returned) {
 		return g.admit(now, r, d)
 	}
 	reason := GateRankYields
--- a/admission/gateshares.go
+++ b/admission/gateshares.go
@@ -18,6 +18,9 @@
 	maxGateClasses = 512
 	// minRankShare is the part of the admitted requests that each rank keeps if it asks.
 	minRankShare = 0.05
+	// maxCredit bounds how many requests a class may save up. It lets a team with few requests
+	// have two close together.
+	maxCredit = 4
 	// maxDebt bounds how many requests a class may get ahead of its share by returns.
 	maxDebt = 2
 )
@@ -34,19 +37,29 @@
 	// asked is the number of requests, decayed with shareWindow up to the time at.
 	asked float64
 	at    time.Time
-	// credit is the fraction of a request that the class may have admitted beyond those that
-	// were. It begins at random, so that hosts with few requests are exact on average.
-	credit float64
+	// credit is the number of requests that the class may have admitted, up to the time
+	// refilled. It begins at random, so that hosts with few requests are exact on average.
+	credit   float64
+	refilled time.Time
 }
 
 func (c *classState) askedAt(now time.Time) float64 {
 	return c.asked * math.Exp(-now.Sub(c.at).Seconds()/shareWindow.Seconds())
 }
 
-// take adds the part of one request that the class may have, and reports whether the request
-// is admitted. A request that returned is admitted before newcomers, at their cost.
-func (c *classState) take(part float64, returned bool) bool {
-	c.credit = min(c.credit+part, 1+part)
+// take adds the credit since an overload began, at a rate of requests a second, and reports
+// whether a request is admitted. A request that returned is admitted before newcomers, at
+// their cost.
+func (c *classState) take(now, began time.Time, rate float64, returned bool) bool {
+	if math.IsInf(rate, 1) {
+		c.refilled = now
+		return true
+	}
+	if c.refilled.Before(began) {
+		c.refilled = began
+	}
+	c.credit = min(maxCredit, c.credit+rate*now.Sub(c.refilled).Seconds())
+	c.refilled = now
 	if c.credit < 1 && !(returned && c.credit > 1-maxDebt) {
 		return false
 	}
@@ -109,26 +122,30 @@
 	return asked
 }
 
-// part returns the fraction of the requests of r's class that is admitted if the given
-// fraction of all requests is.
-func (s *gateShares) part(now time.Time, r GateRequest, fraction float64) float64 {
-	room := divideRanks(s.askedByRank(now), fraction)[r.Rank]
+// rate returns how many requests a second of each team of r's rank are admitted if the given
+// fraction of all requests is, and the fraction urgent if the most urgent rank needs it. It is
+// infinite if none needs to be rejected.
+func (s *gateShares) rate(now time.Time, r GateRequest, fraction, urgent float64) float64 {
+	room := divideRanks(s.askedByRank(now), fraction, urgent)[r.Rank]
 	var teams []float64
 	for _, c := range s.list {
 		if c.rank == r.Rank {
 			teams = append(teams, c.askedAt(now))
 		}
 	}
-	own := s.classes[s.classOf(r)].askedAt(now)
-	return min(1, evenLevel(teams, room)/own)
+	return evenLevel(teams, room) / shareWindow.Seconds()
 }
 
 // divideRanks divides the given fraction of the requests among the ranks: first the minimum of
-// each rank, then the most urgent ranks first.
-func divideRanks(asked [maxGateRanks]float64, fraction float64) (out [maxGateRanks]float64) {
-	total := 0.0
-	for _, n := range asked {
+// each rank, then the most urgent ranks first. The most urgent rank that asks gets up to the
+// fraction urgent of all requests.
+func divideRanks(asked [maxGateRanks]float64, fraction, urgent float64) (out [maxGateRanks]float64) {
+	total, first := 0.0, -1
+	for i, n := range asked {
 		total += n
+		if first < 0 && n >= forgottenAsked {
+			first = i
+		}
 	}
 	room := fraction * total
 	least := minRankShare * room
@@ -143,22 +160,23 @@
 		out[i] += more
 		room -= more
 	}
+	if first >= 0 {
+		out[first] = max(out[first], min(asked[first], urgent*total))
+	}
 	return out
 }
 
 // evenLevel returns the level such that room is used up if each team gets what it asks for, but
-// at most the level. If room is left, the level is the most that a team asks for.
+// at most the level; infinity if there is room for all.
 func evenLevel(asked []float64, room float64) float64 {
 	slices.Sort(asked)
-	level := 0.0
 	for i, n := range asked {
-		if even := room / float64(len(asked)-i); even < n {
+		if even := room / float64(len(asked)-i); even < n-1e-9 {
 			return even
 		}
 		room -= n
-		level = n
 	}
-	return level
+	return math.Inf(1)
 }
 
 // overShare reports whether the class of a request asks for more than its even share of its
@@ -176,8 +194,8 @@
 			teams++
 		}
 		if c.gateClass == self {
-			own = n
+			own = n - 1 // without the request itself, which is not part of an average moment
 		}
 	}
-	return moreUrgent < forgottenAsked || own*float64(teams) > rank*(1+1e-9)
+	return moreUrgent < forgottenAsked || own*float64(teams) > rank
 }
--- a/internal/cmd/measure/main.go
+++ b/internal/cmd/measure/main.go
@@ -10,6 +10,7 @@
 	"github.com/corianderlever/corianderlever/internal/measure/allowance"
 	"github.com/corianderlever/corianderlever/internal/measure/balance"
 	"github.com/corianderlever/corianderlever/internal/measure/cascade"
+	"github.com/corianderlever/corianderlever/internal/measure/gate"
 	"github.com/corianderlever/corianderlever/internal/measure/limiter"
 	"github.com/corianderlever/corianderlever/internal/measure/placement"
 	"github.com/corianderlever/corianderlever/internal/measure/rollout"
@@ -21,6 +22,7 @@
 	rollout.Run,
 	allowance.Run,
 	admission.Run,
+	gate.Run,
 	balance.Run,
 	limiter.Run,
 	placement.Run,
--- /dev/null
+++ b/internal/measure/gate/measure_test.go
@@ -0,0 +1,9 @@
+package gate
+
+import "testing"
+
+func TestTrial(t *testing.T) {
+	for _, l := range Run() {
+		t.Log(l)
+	}
+}
--- a/relay/gate.go
+++ b/relay/gate.go
@@ -15,17 +15,21 @@
 const minBusyFraction = 1.0 / 8
 
 // load returns the load of the service's engines: 1 is the most that its callers bear. All
-// requests see the same load, whatever their routes and models are. It is the larger of the
+// requests see the same load, whatever their routes and models are. It is the largest of the
 // mean event gap in relation to the shortest target gap of the routes, and the mean backlog
-// in relation to their longest target latency, because the least urgent wait for all.
+// in relation to their longest target latency, because the least urgent wait for all. If the
+// mean engine is full, the load is at least 1.
 func (j *job) load() float64 {
 	targets, engines, load := j.table.Targets(j.pool.service), j.pool.engines, 0.0
-	if targets.Latency > 0 {
-		load = engines.MeanBacklog("", balance.PriorityLevels-1).Seconds() / targets.Latency.Seconds()
+	if slots := j.service.Engine.Slots; slots > 0 {
+		load = engines.MeanRunning() / float64(slots)
 	}
-	if targets.Gap > 0 && engines.MeanRunning() >= minBusyFraction*float64(j.service.Engine.Slots) {
+	if targets.Gap > 0 && load >= minBusyFraction {
 		load = max(load, j.meanEventGap().Seconds()/targets.Gap.Seconds())
 	}
+	if targets.Latency > 0 {
+		load = max(load, engines.MeanBacklog("", balance.PriorityLevels-1).Seconds()/targets.Latency.Seconds())
+	}
 	return load
 }
 
