--- a/admission/gateshares.go
+++ b/admission/gateshares.go
@@ -137,17 +137,23 @@
 }
 
 // divideRanks divides the given fraction of the requests among the ranks: first the minimum of
-// each rank, then the most urgent ranks first. The most urgent rank that asks gets up to the
-// fraction urgent of all requests.
+// each rank, then the most urgent ranks first. If the most urgent rank that asks needs more, up
+// to the fraction urgent is divided.
 func divideRanks(asked [maxGateRanks]float64, fraction, urgent float64) (out [maxGateRanks]float64) {
-	total, first := 0.0, -1
-	for i, n := range asked {
+	total, first, others := 0.0, 0.0, 0.0
+	for _, n := range asked {
 		total += n
-		if first < 0 && n >= forgottenAsked {
-			first = i
+		switch {
+		case n < forgottenAsked:
+		case first == 0:
+			first = n
+		default:
+			others++
 		}
 	}
 	room := fraction * total
+	// The most urgent rank needs its requests beside the minimum of the others.
+	room = max(room, min(first/(1-others*minRankShare), urgent*total))
 	least := minRankShare * room
 	for i, n := range asked {
 		out[i] = min(n, least)
@@ -160,9 +166,6 @@
 		out[i] += more
 		room -= more
 	}
-	if first >= 0 {
-		out[first] = max(out[first], min(asked[first], urgent*total))
-	}
 	return out
 }
 
--- a/internal/measure/gate/sim.go
+++ b/internal/measure/gate/sim.go
@@ -178,10 +178,11 @@
 		return
 	}
 	e, first, completion := w.choose(c)
+	host, load := w.rng.IntN(w.hosts), w.loads[0]*math.Exp(0.05*w.rng.NormFloat64())
 	if w.gates != nil {
-		d := w.gates[w.rng.IntN(len(w.gates))].Admit(admission.GateRequest{
+		d := w.gates[host].Admit(admission.GateRequest{
 			Team: fmt.Sprint(c.team), Rank: c.rank * 3, Key: c.key, Left: left, FirstEvent: first, Completion: completion,
-			LengthStated: true, Load: w.loads[0] * math.Exp(0.05*w.rng.NormFloat64()),
+			LengthStated: true, Load: load,
 		})
 		if !d.Admitted() {
 			w.repeat(c, left, d.RetryAfter)
