--- a/relay/finish.go
+++ b/relay/finish.go
@@ -31,9 +31,9 @@
 // finish logs and counts the end of the request and sends the error response, if
 // there is one. It aborts the connection by a panic if that is no longer possible.
 func (j *job) finish(ctx context.Context, errResp *ErrorResponse) {
-	outcome, status, detail := outcomeAnswered, j.status, ""
+	outcome, status, detail, retryAfter := outcomeAnswered, j.status, "", time.Duration(0)
 	if errResp != nil {
-		outcome, status, detail = errResp.Reason, errResp.Status, errResp.Detail
+		outcome, status, detail, retryAfter = errResp.Reason, errResp.Status, errResp.Detail, errResp.RetryAfter
 	}
 	callerGone := ctx.Err() != nil && !drain.Stopping(ctx)
 	if errResp != nil && (callerGone || outcome == reasonCallerLeft) {
@@ -43,7 +43,7 @@
 		detail = j.explainCallerLeft(ctx, detail)
 	}
 	took := j.relay.Clock.Since(j.arrived)
-	j.log(outcome, status, detail, took)
+	j.log(outcome, status, detail, took, retryAfter)
 	j.observeDuration(outcome, took)
 	if j.from == "" {
 		j.countRequest(outcome, errResp == nil, took)
@@ -91,7 +91,7 @@
 }
 
 // log writes the request's log line with its decisions and its outcome.
-func (j *job) log(outcome string, status int, detail string, took time.Duration) {
+func (j *job) log(outcome string, status int, detail string, took, retryAfter time.Duration) {
 	age, _ := j.relay.Config.Age()
 	routeName, configVersion := "", int64(0)
 	if j.route != nil {
@@ -103,5 +103,5 @@
 	j.relay.Logger.Info("request", "request", j.req.ID, "from", j.from, "route", routeName, "team", j.team, "priority", j.priority,
 		"outcome", outcome, "status", status, "detail", detail, "steps", j.steps.String(), "runs", j.possibleRuns,
 		"tokens", j.req.PromptTokens, "first_ms", j.firstByte.Milliseconds(), "gap_ms", j.longestEventGap.Milliseconds(), "took_ms", took.Milliseconds(),
-		"left_ms", j.remaining().Milliseconds(), "config", configVersion, "config_age_ms", age.Milliseconds())
+		"left_ms", j.remaining().Milliseconds(), "load", strconv.FormatFloat(j.serviceLoad, 'f', 2, 64), "retry_after_ms", retryAfter.Milliseconds(), "config", configVersion, "config_age_ms", age.Milliseconds())
 }
--- a/relay/gate.go
+++ b/relay/gate.go
@@ -52,15 +52,15 @@
 	if sl.inFlight == nil || j.possibleRuns > 0 || j.headerSent || j.headerSentBefore {
 		return nil
 	}
-	load := j.load()
+	j.serviceLoad = j.load()
 	d := j.pool.gate.Admit(admission.GateRequest{
 		Team: j.team, Model: j.model, Rank: j.enginePriority, Key: uint64(j.hash), Left: j.remaining(),
 		FirstEvent: sl.choice.TimeToFirstEvent, Completion: sl.choice.Completion, LengthStated: j.req.OutputHint > 0,
-		Load: load, AlreadyAdmitted: j.gateAsked || j.from != "",
+		Load: j.serviceLoad, AlreadyAdmitted: j.gateAsked || j.from != "",
 	})
 	j.gateAsked = true
 	if d.Overloaded {
-		j.addStep("overloaded", "load="+strconv.FormatFloat(load, 'f', 2, 64), "returned="+strconv.FormatBool(d.Returned))
+		j.addStep("overloaded", "returned="+strconv.FormatBool(d.Returned))
 	}
 	if d.Admitted() {
 		return nil
@@ -68,7 +68,7 @@
 	j.relay.metrics.rejections.WithLabelValues(j.pool.service, string(d.Reason), j.team, strconv.Itoa(j.enginePriority)).Inc()
 	return &ErrorResponse{
 		Status: http.StatusServiceUnavailable, Reason: string(d.Reason), RetryAfter: d.RetryAfter,
-		Detail: "load " + strconv.FormatFloat(load, 'f', 2, 64) + ", first event expected after " + sl.choice.TimeToFirstEvent.Round(time.Millisecond).String() +
-			", last after " + sl.choice.Completion.Round(time.Millisecond).String() + ", retry after " + d.RetryAfter.Round(time.Millisecond).String(),
+		Detail: "first event expected after " + sl.choice.TimeToFirstEvent.Round(time.Millisecond).String() +
+			", last after " + sl.choice.Completion.Round(time.Millisecond).String(),
 	}
 }
--- a/relay/job.go
+++ b/relay/job.go
@@ -88,6 +88,8 @@
 	excludeHosts []string
 	// gateAsked is set once the request has asked the gate of its service for admission.
 	gateAsked bool
+	// serviceLoad is the load of the service that the gate was told last; 0 before.
+	serviceLoad float64
 	// denials counts the endpoints that had reached their rate limits, and those whose
 	// version may not get the request.
 	denials int
