relay: load of a service kept for 100 ms; test that the gate ends no request that has begun

Cause: the load was summed up for each request, two sums over all engines, each 105,587 ns from heartbeats of a large fleet (BenchmarkMeanBacklogLargeFleet).

Change: the load of a service is computed at most every 100 ms. A new test breaks a stream while the engines have no room; it fails without the check of possible runs.

--- a/relay/gate.go
+++ b/relay/gate.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/corianderlever/corianderlever/admission"
@@ -14,6 +15,27 @@
 // shorten it.
 const minBusyFraction = 1.0 / 8
 
+// loadInterval is the time for which a load of a service is used again. It takes about 0.2 ms to
+// sum up the engines of a large fleet from heartbeats, which is too much for each request.
+const loadInterval = 100 * time.Millisecond
+
+// serviceLoad keeps the last load of a service.
+type serviceLoad struct {
+	mu   sync.Mutex
+	at   time.Time
+	load float64
+}
+
+// get returns the load, which compute is asked for if the last one is older than loadInterval.
+func (s *serviceLoad) get(now time.Time, compute func() float64) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.at) >= loadInterval {
+		s.at, s.load = now, compute()
+	}
+	return s.load
+}
+
 // load returns the load of the service's engines: 1 is the most that its callers bear. All
 // requests see the same load, whatever their routes and models are. It is the largest of the
 // mean event gap in relation to the shortest target gap of the routes, and the mean backlog
@@ -52,7 +74,7 @@
 	if sl.inFlight == nil || j.possibleRuns > 0 || j.headerSent || j.headerSentBefore {
 		return nil
 	}
-	j.serviceLoad = j.load()
+	j.serviceLoad = j.pool.load.get(j.relay.Clock.Now(), j.load)
 	d := j.pool.gate.Admit(admission.GateRequest{
 		Team: j.team, Model: j.model, Rank: j.enginePriority, Key: uint64(j.hash), Left: j.remaining(),
 		FirstEvent: sl.choice.TimeToFirstEvent, Completion: sl.choice.Completion, LengthStated: j.req.OutputHint > 0,
--- a/relay/gate_test.go
+++ b/relay/gate_test.go
@@ -74,3 +74,26 @@
 		t.Errorf("counted %v rejections, want at least %d, and a step in the log", counted, rejected)
 	}
 }
+
+// TestOverloadEndsNoRequestThatHasBegun guards against a gate that rejects the next attempt of a
+// request which has run in part, when the engines have no room left for new ones.
+func TestOverloadEndsNoRequestThatHasBegun(t *testing.T) {
+	r := newRig(t, streamRoute(true, "small"))
+	for _, id := range []string{"e0", "e1"} {
+		r.endpoint(id, func(w http.ResponseWriter, hr *http.Request) {
+			if hr.Header.Get("X-Last-Event") != "" {
+				events(w, 4, 6, false)
+				return
+			}
+			busy := balance.EngineLoad{Running: 40, BacklogMS: []int64{60_000}}
+			r.relay.ObserveLoads("other", relay.Loads{"s": balance.EncodeLoads(map[string]balance.EngineLoad{"e0": busy, "e1": busy}, 100)})
+			events(w, 1, 3, true)
+		})
+	}
+	if _, body, err := r.call("POST", "/p/x"); err != nil || body != eventSeries(1, 6) {
+		t.Errorf("got body %q, error %v; want events 1 to 6", body, err)
+	}
+	if resp, _, err := r.call("POST", "/p/x"); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("a new request got response %v, error %v; want 503", resp, err)
+	}
+}
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -34,6 +34,7 @@
 	picker  *balance.Picker
 	engines *balance.EngineChooser
 	gate    *admission.Gate
+	load    serviceLoad
 	ejector *limiter.Ejector
 	budget  *limiter.WindowBudget
 	paths   *paths
