--- a/internal/measure/gate/measure.go
+++ b/internal/measure/gate/measure.go
@@ -101,17 +101,36 @@
 	{"return_of_all", scenario{hosts: fewHosts, demand: evenly(returnOfAll)}, false},
 }
 
+// calmP95s return the 95th percentiles of the most urgent rank in the calm load, by seed, without
+// and with the gate.
+var calmP95s = [2]func() []float64{
+	sync.OnceValue(func() []float64 { return runCalm(false) }),
+	sync.OnceValue(func() []float64 { return runCalm(true) }),
+}
+
+func runCalm(gated bool) []float64 {
+	out := make([]float64, len(seeds))
+	for i, seed := range seeds {
+		out[i] = run(calm, seed, gated).urgentP95
+	}
+	return out
+}
+
 // result holds the worst figures of one load over all seeds.
 type result struct{ served, expired, p95Ratio, evenShare float64 }
 
 func measureLoad(s scenario, gated bool) result {
 	r := result{served: math.Inf(1)}
 	var asked, served counts
-	for _, seed := range seeds {
+	calmP95 := calmP95s[0]()
+	if gated {
+		calmP95 = calmP95s[1]()
+	}
+	for i, seed := range seeds {
 		o := run(s, seed, gated)
 		r.served = min(r.served, o.served)
 		r.expired = max(r.expired, o.expired)
-		r.p95Ratio = max(r.p95Ratio, o.urgentP95/run(calm, seed, gated).urgentP95)
+		r.p95Ratio = max(r.p95Ratio, o.urgentP95/calmP95[i])
 		asked.add(&o.asked)
 		served.add(&o.answered)
 	}
--- a/relay/gate.go
+++ b/relay/gate.go
@@ -38,16 +38,18 @@
 
 // load returns the load of the service's engines: 1 is the most that its callers bear. All
 // requests see the same load, whatever their routes and models are. It is the largest of the
-// mean event gap in relation to the shortest target gap of the routes, and the mean backlog
-// in relation to their longest target latency, because the least urgent wait for all. If the
-// mean engine is full, the load is at least 1.
+// mean event gap in relation to the shortest target gap of the routes, the mean backlog in
+// relation to their longest target latency, because the least urgent wait for all, and the mean
+// number of running requests in relation to the slots. The gap counts only if it is long both
+// over complete answers and at this moment.
 func (j *job) load() float64 {
 	targets, engines, load := j.table.Targets(j.pool.service), j.pool.engines, 0.0
 	if slots := j.service.Engine.Slots; slots > 0 {
 		load = engines.MeanRunning() / float64(slots)
 	}
 	if targets.Gap > 0 && load >= minBusyFraction {
-		load = max(load, j.meanEventGap().Seconds()/targets.Gap.Seconds())
+		gap := min(j.meanEventGap(), j.pool.gaps.mean(j.relay.Clock.Now()))
+		load = max(load, gap.Seconds()/targets.Gap.Seconds())
 	}
 	if targets.Latency > 0 {
 		load = max(load, engines.MeanBacklog("", balance.PriorityLevels-1).Seconds()/targets.Latency.Seconds())
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -35,6 +35,7 @@
 	engines *balance.EngineChooser
 	gate    *admission.Gate
 	load    serviceLoad
+	gaps    liveGaps
 	ejector *limiter.Ejector
 	budget  *limiter.WindowBudget
 	paths   *paths
