--- a/balance/balance.go
+++ b/balance/balance.go
@@ -81,15 +81,18 @@
 	// CrossDomainCost is the delay that an endpoint in another failure domain
 	// counts as.
 	CrossDomainCost time.Duration
+	// LearnServiceTimes keeps a service time for each endpoint beside the mean over all.
+	LearnServiceTimes bool
 }
 
 // DefaultConfig returns the parameters for engines of usual size.
 func DefaultConfig(failureDomain string) Config {
 	return Config{
-		FailureDomain:    failureDomain,
-		BlockPrefillTime: 10 * time.Millisecond,
-		ServiceTime:      2 * time.Second,
-		CrossDomainCost:  2 * time.Millisecond,
+		FailureDomain:     failureDomain,
+		BlockPrefillTime:  10 * time.Millisecond,
+		ServiceTime:       2 * time.Second,
+		CrossDomainCost:   2 * time.Millisecond,
+		LearnServiceTimes: true,
 	}
 }
 
@@ -232,7 +235,7 @@
 	if i, ok := p.byID[endpoint]; ok {
 		now, s := p.clock.Now(), p.endpoints[i]
 		s.load.recordLocal(now, -1)
-		if took > 0 {
+		if took > 0 && p.cfg.LearnServiceTimes {
 			s.serviceTime.add(now, took.Seconds())
 		}
 	}
--- a/balance/enginecost.go
+++ b/balance/enginecost.go
@@ -19,10 +19,9 @@
 	// delays both the request and those queued behind it.
 	prefillWeight = 2
 	// paceWeight is the part of the time of the answer, and of the delay that the
-	// request causes to others, that counts. In the simulation (make measure, pace_*),
-	// 0.5 and 0.8 leave slow engines too full, and 1.5 sends prompts to engines that have
-	// to read them again, which delays first events.
-	paceWeight = 1
+	// request causes to others, that counts. A larger part sends prompts to engines that
+	// have to read their shared parts again, which stalls all streams there.
+	paceWeight = 0.1
 	// overflowLoad is the part of the slots of the preferred engine from which the second
 	// engine is assumed to have the shared parts of the prompt, too.
 	overflowLoad = 0.5
--- a/daemon/router/feed.go
+++ b/daemon/router/feed.go
@@ -153,7 +153,7 @@
 	q := updateQuery{Query: feed.Query{After: after, Pack: true, WaitMS: wait.Milliseconds()}}
 	if wait > 0 && h.sumsLoads() {
 		q.Loads = h.loads.report()
-		q.Paces = q.Loads != nil && h.loads.asksPaces()
+		q.Paces = h.opts.Settings.LearnPace && q.Loads != nil && h.loads.asksPaces()
 	}
 	var reply updateReply
 	if err := h.peers.feedClient.Call(ctx, host, methodUpdate, q, &reply); err != nil {
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -55,6 +55,8 @@
 	// ClusterKey authenticates hosts to each other.
 	ClusterKey []byte
 	Bounds     Bounds
+	// LearnPace and AdmissionGate switch on the decisions of the same names in relay.Options.
+	LearnPace, AdmissionGate bool
 }
 
 // Bounds are the limits that the deployment requires the system to keep.
@@ -197,6 +199,7 @@
 		Forwarder: h.forwarding, Self: opts.Settings.Host, HostNames: h.hostNames,
 		Config: h, Fleet: h.registry, Versions: h.rollouts, Codec: opts.Headers,
 		Client: upstream.NewClient(endpointOptions(opts)), Settings: h.relaySettings,
+		LearnPace: opts.Settings.LearnPace, AdmissionGate: opts.Settings.AdmissionGate,
 		Crashes: h.crashes, Parts: h.parts, Permits: h.permits, Buffers: h.buffers, FailureDomain: opts.Settings.FailureDomain, Clock: opts.Clock, Rand: h.newRand, Logger: opts.Logger, Registry: opts.Registry,
 	})
 	h.loads = newLoadHub(opts.Clock, h.relay.OwnLoads)
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -17,6 +17,7 @@
 	permits         *prometheus.CounterVec
 	slowEngines     *prometheus.GaugeVec
 	engineGap       *prometheus.GaugeVec
+	rejections      *prometheus.CounterVec
 	firstByte       *prometheus.HistogramVec
 	duration        *prometheus.HistogramVec
 }
@@ -57,6 +58,9 @@
 		engineGap: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: "corianderlever", Name: "relay_engine_gap_seconds", Help: "Time between two events at the median and the slowest engine of a service.",
 		}, []string{"service", "engine"}),
+		rejections: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "corianderlever", Name: "relay_gate_rejections_total", Help: "Requests rejected before their first attempt by service, reason, team and engine priority.",
+		}, []string{"service", "reason", "team", "priority"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: "corianderlever", Name: "relay_first_byte_seconds", Help: "Time from arrival to the first byte of an answer.", Buckets: latencyBuckets,
 		}, []string{"team", "priority"}),
@@ -65,7 +69,7 @@
 		}, []string{"team", "priority"}),
 	}
 	reg.MustRegister(
-		m.requests, m.attempts, m.retries, m.forwards, m.lost, m.evacuated, m.cold, m.permits, m.slowEngines, m.engineGap,
+		m.requests, m.attempts, m.retries, m.forwards, m.lost, m.evacuated, m.cold, m.permits, m.slowEngines, m.engineGap, m.rejections,
 		m.firstByte, m.duration,
 	)
 	return m
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/corianderlever/corianderlever/admission"
 	"github.com/corianderlever/corianderlever/balance"
 	"github.com/corianderlever/corianderlever/fleet"
 	"github.com/corianderlever/corianderlever/limiter"
@@ -33,6 +34,9 @@
 	service string
 	picker  *balance.Picker
 	engines *balance.EngineChooser
+	gate    *admission.Gate
+	load    serviceLoad
+	gaps    liveGaps
 	ejector *limiter.Ejector
 	budget  *limiter.WindowBudget
 	paths   *paths
@@ -59,9 +63,10 @@
 func newPool(r *Relay, service string) *pool {
 	p := &pool{
 		relay: r, service: service,
-		picker:  balance.NewPicker(r.Clock, r.Rand(), balance.DefaultConfig(r.FailureDomain)),
+		picker:  balance.NewPicker(r.Clock, r.Rand(), pickerConfig(r)),
 		engines: balance.NewEngineChooser(r.Clock, r.FailureDomain),
 		slow:    make(slowEngines),
+		gate:    admission.NewGate(r.Clock, r.Rand()),
 		ejector: limiter.NewEjector(r.Clock),
 		budget:  limiter.NewWindowBudget(r.Clock, r.Settings().Retry),
 	}
@@ -70,6 +75,13 @@
 	return p
 }
 
+// pickerConfig returns the parameters of the choice among plain endpoints.
+func pickerConfig(r *Relay) balance.Config {
+	cfg := balance.DefaultConfig(r.FailureDomain)
+	cfg.LearnServiceTimes = r.LearnPace
+	return cfg
+}
+
 // refresh applies changes in the registry and updates the weights of the endpoints,
 // which rise again after an ejection.
 func (p *pool) refresh(svc *route.Service) {
@@ -83,7 +95,7 @@
 		return
 	}
 	p.weightsUpdatedAt = now
-	if svc.Engine != nil {
+	if svc.Engine != nil && p.relay.LearnPace {
 		p.reportPaces()
 	}
 	for _, id := range p.endpointIDs {
@@ -112,9 +124,7 @@
 			})
 			continue
 		}
-		engines = append(engines, balance.EngineSpec{
-			ID: e.ID, FailureDomain: e.FailureDomain, Version: e.Version, CacheTokens: svc.Engine.KVCacheTokens, Slots: e.Slots, EventTokens: max(1, svc.Engine.TokensPerEvent),
-		})
+		engines = append(engines, p.engineSpec(e, svc.Engine))
 	}
 	p.picker.SetEndpoints(plain)
 	p.engines.SetEngines(engines)
@@ -122,6 +132,16 @@
 	p.paths.reach.SetEndpoints(p.endpointIDs)
 }
 
+// engineSpec describes an engine to the chooser. Without a number of slots and of tokens per
+// event, the chooser expects neither a wait for a slot nor a lack of memory.
+func (p *pool) engineSpec(e fleet.Endpoint, engine *route.Engine) balance.EngineSpec {
+	spec := balance.EngineSpec{ID: e.ID, FailureDomain: e.FailureDomain, Version: e.Version, CacheTokens: engine.KVCacheTokens}
+	if p.relay.LearnPace {
+		spec.Slots, spec.EventTokens = e.Slots, max(1, engine.TokensPerEvent)
+	}
+	return spec
+}
+
 // hasEngines reports whether the service has model engines.
 func (p *pool) hasEngines() bool { return p.engines.Len() > 0 }
 
@@ -282,8 +302,12 @@
 
 // recordEvent records an event of the answer.
 func (sl *slot) recordEvent(now time.Time) {
-	if sl.inFlight != nil {
+	switch {
+	case sl.inFlight == nil:
+	case sl.pool.relay.LearnPace:
 		sl.inFlight.Event(now)
+	default:
+		sl.inFlight.FirstEvent()
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -84,6 +84,11 @@
 	// Buffers bounds the bytes of answers that are buffered for all requests.
 	Buffers  *limiter.ByteBudget
 	Settings func() Settings
+	// LearnPace makes the choice of an endpoint follow the measured pace of each one.
+	LearnPace bool
+	// AdmissionGate makes a gate reject requests under overload by rank, team and time left.
+	// Without it, requests are rejected only if no engine can begin them in time.
+	AdmissionGate bool
 	// Self is the name of this host, and HostNames returns the hosts that may be alive.
 	Self          string
 	HostNames     func() []string
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -201,6 +201,7 @@
 	t.Cleanup(client.Close)
 	opts := relay.Options{
 		Config: r.config, Fleet: r.fleet, Versions: r.versions, Codec: codec{}, Client: client,
+		LearnPace: true, AdmissionGate: true,
 		Settings: func() relay.Settings {
 			return relay.Settings{MaxKeyAge: r.maxKeyAge, Retry: r.retryBudget, Hosts: 1}
 		},
