balance, relay, limiter, upstream, dispatch: faults found in the read-through

An evacuated engine comes back with a new state, but requests that were running ended in it, which gave negative counts; endpoints of gaps were kept for ever; paces of other hosts counted although LearnPace is off; a denial of an older granter was overridden; evacuated endpoints counted as cold and, in dispatch, as alternatives; the watch of an unread request could close a connection after its reuse. Change: InFlight keeps its engine; the others are checked where they arise. Result: go test ./balance ./relay ./limiter ./upstream ./admission ./control ./dispatch ./daemon/router ./internal/docscheck pass.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -140,7 +140,7 @@
 }
 
 func (g *Gate) admit(now time.Time, r GateRequest, d GateDecision) GateDecision {
-	if len(g.lastAdmitted) >= maxGateModels {
+	if _, known := g.lastAdmitted[r.Model]; !known && len(g.lastAdmitted) >= maxGateModels {
 		clear(g.lastAdmitted)
 	}
 	g.lastAdmitted[r.Model] = now
--- a/balance/enginepace.go
+++ b/balance/enginepace.go
@@ -19,14 +19,14 @@
 	// with the load is learned.
 	engineCurveTime = 20 * time.Second
 	fleetCurveTime  = 60 * time.Second
-	// speedTime is the time over which the speed of an engine is learned, and
-	// speedForgetTime that over which the speed of an engine without streams returns to
+	// slownessTime is the time over which the slowness of an engine is learned, and
+	// slownessForgetTime that over which that of an engine without streams returns to
 	// the mean, so that a slow engine is tried again.
-	speedTime       = 4 * time.Second
-	speedForgetTime = 60 * time.Second
-	// maxSpeed bounds the learned speed of an engine, maxHostSpeed what is learned from
+	slownessTime       = 4 * time.Second
+	slownessForgetTime = 60 * time.Second
+	// maxSlowness bounds the learned slowness of an engine, maxHostSlowness what is learned from
 	// one host alone, relative to the mean of all engines.
-	maxSpeed, maxHostSpeed = 4, 2
+	maxSlowness, maxHostSlowness = 4, 2
 	// curvePrior is the weight of the fleet's elasticity in that of an engine.
 	curvePrior = 1
 	// restartTime is the time after a restart in which other hosts may still report what
@@ -69,8 +69,8 @@
 	restartedAt time.Time
 
 	curve gapCurve
-	// speed is the logarithm of the gap relative to that of the fleet at the same load.
-	speed float64
+	// logSlowness is the logarithm of the gap relative to that of the fleet at the same load.
+	logSlowness float64
 }
 
 // measured reports whether the pace was measured lately.
@@ -102,7 +102,7 @@
 	if f.ended {
 		return
 	}
-	if en := e.engines[f.id]; en != nil && f.events == 0 {
+	if en := f.current(); en != nil && f.events == 0 {
 		en.pace.streams[f] = struct{}{}
 	}
 	f.events++
@@ -126,7 +126,7 @@
 
 // localPace returns what this host measures at an engine now.
 func (en *engine) localPace(now time.Time) pace {
-	p := pace{hosts: 1, tokens: en.pace.tokens}
+	p := pace{tokens: en.pace.tokens}
 	events := 0
 	total := time.Duration(0) // an integer, so that the order of the streams does not matter
 	for f := range en.pace.streams {
@@ -144,6 +144,7 @@
 	}
 	p.tokens += events * en.spec.EventTokens
 	if p.streams > 0 {
+		p.hosts = 1
 		p.gap = total.Seconds() / float64(p.streams)
 	}
 	return p
@@ -180,7 +181,7 @@
 		e.paces.peers = make(map[string]receivedPaces)
 	}
 	for _, p := range paces {
-		if p.hosts != 1 {
+		if p.hosts > 1 {
 			return ErrMalformedDigest
 		}
 	}
@@ -232,7 +233,7 @@
 		}
 		en.pace.allTokens = measured.tokens
 		if !en.pace.measured(now) {
-			en.pace.speed *= math.Exp(-dt.Seconds() / speedForgetTime.Seconds())
+			en.pace.logSlowness *= math.Exp(-dt.Seconds() / slownessForgetTime.Seconds())
 		}
 	}
 	keep := math.Exp(-dt.Seconds() / fleetCurveTime.Seconds())
@@ -262,14 +263,14 @@
 // learn takes in a measurement of an engine at a load.
 func (e *EngineChooser) learn(en *engine, m pace, load int, seconds float64, now time.Time) {
 	p, fleet := &en.pace, &e.paces
-	gap, limit := clipGap(max(m.gap, minDigestGap), e.learnedGap(en, load)), math.Log(maxSpeed)
+	gap, limit := clipGap(max(m.gap, minDigestGap), e.learnedGap(en, load)), math.Log(maxSlowness)
 	if m.hosts <= 1 {
-		limit = math.Log(maxHostSpeed)
+		limit = math.Log(maxHostSlowness)
 	}
 	p.at, p.gap, p.load, p.allStreams, p.allTokens = now, gap, load, m.streams, m.tokens
 	if mean := fleet.curve.at(load, e.fleetElasticity()); mean > 0 {
 		target := min(max(math.Log(gap/mean), -limit), limit)
-		p.speed += (1 - math.Exp(-seconds/speedTime.Seconds())) * (target - p.speed)
+		p.logSlowness += (1 - math.Exp(-seconds/slownessTime.Seconds())) * (target - p.logSlowness)
 	}
 	weight := seconds * min(float64(m.streams), 4)
 	p.curve.add(load, gap, weight, math.Exp(-seconds/engineCurveTime.Seconds()))
@@ -296,7 +297,7 @@
 // learnedGap returns the gap that is expected of an engine at a load without a recent
 // measurement, in seconds; zero if no engine was ever measured.
 func (e *EngineChooser) learnedGap(en *engine, load int) float64 {
-	gap := e.paces.curve.at(load, e.fleetElasticity()) * math.Exp(en.pace.speed)
+	gap := e.paces.curve.at(load, e.fleetElasticity()) * math.Exp(en.pace.logSlowness)
 	if gap == 0 {
 		return 0
 	}
--- a/balance/pace_test.go
+++ b/balance/pace_test.go
@@ -148,7 +148,7 @@
 		if ratio := e.expectedGap(e.order[0], 4, clock.Now()) / before; ratio > 16 {
 			rt.Errorf("reports of one host moved the gap by a factor of %v", ratio)
 		}
-		clock.Advance(10 * speedForgetTime)
+		clock.Advance(10 * slownessForgetTime)
 		e.refreshPaces(clock.Now())
 		if ratio := e.learnedGap(e.order[0], 4) / e.learnedGap(e.order[1], 4); ratio > 1.1 || ratio < 0.9 {
 			rt.Errorf("ten minutes later the engine still counts as %v of the others", ratio)
--- a/balance/pacedigest.go
+++ b/balance/pacedigest.go
@@ -108,7 +108,7 @@
 		next = binary.AppendUvarint(next, uint64(p.streams))
 		next = binary.AppendUvarint(next, uint64(p.hosts))
 		next = append(next, gapCode(p.gap))
-		next = binary.AppendUvarint(next, uint64((p.tokens+paceTokenUnit/2)/paceTokenUnit))
+		next = binary.AppendUvarint(next, uint64((max(0, p.tokens)+paceTokenUnit/2)/paceTokenUnit))
 		if len(next) > limit {
 			break
 		}
--- a/balance/paceview.go
+++ b/balance/paceview.go
@@ -28,7 +28,7 @@
 	for _, en := range e.order {
 		if p := &en.pace; p.measured(now) {
 			out = append(out, EnginePace{
-				Endpoint: en.spec.ID, Gap: time.Duration(p.gap * float64(time.Second)), Slowness: math.Exp(p.speed),
+				Endpoint: en.spec.ID, Gap: time.Duration(p.gap * float64(time.Second)), Slowness: math.Exp(p.logSlowness),
 				Requests: p.load, Streams: p.allStreams, Local: len(p.streams),
 			})
 		}
--- a/balance/work.go
+++ b/balance/work.go
@@ -5,6 +5,7 @@
 // InFlight tracks one request in flight at an engine.
 type InFlight struct {
 	chooser        *EngineChooser
+	engine         *engine // at the start; nil if it was unknown
 	id             string
 	model          string
 	priority       int
@@ -28,6 +29,7 @@
 	if en == nil {
 		return f
 	}
+	f.engine = en
 	// A wait for a slot would count as prefill time.
 	f.engineIdle = c.Backlog < idleBacklog && !e.slotsFull(en)
 	f.prefill = e.timing(req.Model).prefillTime(c.UncachedTokens)
@@ -68,16 +70,26 @@
 	if !f.prefillDone {
 		f.removeFromBacklog()
 	}
-	if en := e.engines[f.id]; en != nil && en.running > 0 {
+	if en := f.current(); en != nil && en.running > 0 {
 		en.running--
 		f.endPace(en)
 	}
 }
 
+// current returns the engine of the request, or nil if the chooser has dropped it meanwhile. An
+// engine that was left out for a while comes back with a new state, which does not count the
+// request. The caller holds the lock.
+func (f *InFlight) current() *engine {
+	if f.engine == nil || f.chooser.engines[f.id] != f.engine {
+		return nil
+	}
+	return f.engine
+}
+
 // removeFromBacklog removes the request's prefill time from the engine's backlog. The
 // caller holds the lock.
 func (f *InFlight) removeFromBacklog() {
-	if en := f.chooser.engines[f.id]; en != nil {
+	if en := f.current(); en != nil {
 		en.backlog[f.priority] = max(0, en.backlog[f.priority]-f.prefill)
 	}
 }
--- a/control/state.go
+++ b/control/state.go
@@ -24,7 +24,7 @@
 	clock    clockwork.Clock
 	log      *slog.Logger
 	table    atomic.Pointer[route.Table]
-	// listed is closed after the first listing that holds a configuration.
+	// listed is closed once a listing or later events have given a first configuration.
 	listed     chan struct{}
 	listedOnce sync.Once
 	// coldEnds holds, by key, the ends of the cold times that were passed on to other hosts.
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -62,7 +62,18 @@
 
 // triedAll reports whether every endpoint of the version has been tried.
 func (g *generation) triedAll(tried []string) bool {
-	return len(tried) >= len(g.d.Config.Current().EndpointsForVersion(g.version))
+	return len(tried) >= g.usableEndpoints()
+}
+
+// usableEndpoints returns the number of endpoints of the version that may get new work.
+func (g *generation) usableEndpoints() int {
+	snap, n := g.d.Config.Current(), 0
+	for _, name := range snap.EndpointsForVersion(g.version) {
+		if snap.GetsWork(snap.Endpoints[name]) {
+			n++
+		}
+	}
+	return n
 }
 
 // excludeCrashed adds the endpoint that crashed while running the request, if
@@ -70,7 +81,7 @@
 // that the request is the cause and not the endpoint.
 func (g *generation) excludeCrashed(tried []string) []string {
 	avoid := g.d.Crashes.Admit(g.hash).AvoidEndpoint
-	if avoid == "" || len(g.d.Config.Current().EndpointsForVersion(g.version)) < 2 {
+	if avoid == "" || g.usableEndpoints() < 2 {
 		return tried
 	}
 	return append(slices.Clone(tried), avoid)
--- a/limiter/permits.go
+++ b/limiter/permits.go
@@ -298,10 +298,13 @@
 	defer p.mu.Unlock()
 	p.learn(req.Endpoint, reply.Rate, reply.AgeMS)
 	delete(p.shares, req.Endpoint)
+	if wait := replyWait(reply); wait > 0 {
+		return wait
+	}
 	if req.Cold && !reply.Cold {
 		return p.takeColdShare(req)
 	}
-	return replyWait(reply)
+	return 0
 }
 
 func replyWait(reply PermitReply) time.Duration {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -43,6 +43,7 @@
 		return j.handleDenial(sl, wait)
 	}
 	if sl.evacuated() {
+		j.addStep(sl.endpoint.ID, j.model, "evacuated")
 		return nil // the next attempt chooses another endpoint
 	}
 	if ctx.Err() != nil {
--- a/relay/cold.go
+++ b/relay/cold.go
@@ -64,7 +64,7 @@
 		if again := readmitted[e.ID]; again.After(end) {
 			end = again
 		}
-		if rule != (coldRule{}) && now.Before(end) {
+		if rule != (coldRule{}) && now.Before(end) && !e.Evacuated && !e.Draining {
 			until[e.ID] = end
 		}
 	}
--- a/relay/gate.go
+++ b/relay/gate.go
@@ -77,8 +77,8 @@
 	return j.checkExpectedStart(sl)
 }
 
-// checkExpectedStart rejects a request immediately if even the best engine is not
-// expected to start it before its deadline. The request has not run, so the caller
+// checkExpectedStart rejects a request at once if the chosen engine is not expected to start
+// it before its deadline. The request has not run, so the caller
 // may retry it later.
 func (j *job) checkExpectedStart(sl *slot) *ErrorResponse {
 	excess := sl.choice.TimeToFirstEvent - j.remaining()
--- a/relay/loadsums.go
+++ b/relay/loadsums.go
@@ -30,6 +30,9 @@
 
 // ObservePaces records the paces of the engines that another host measures.
 func (r *Relay) ObservePaces(host string, paces Paces) {
+	if !r.LearnPace {
+		return
+	}
 	for service, digest := range paces {
 		if err := r.pool(service).engines.ObservePaces(host, digest); err != nil {
 			r.Logger.Warn("cannot decode the paces of a host", "from", host, "service", service, "error", err)
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -59,7 +59,8 @@
 			Namespace: "corianderlever", Name: "relay_engine_gap_seconds", Help: "Time between two events at the median and the slowest engine of a service.",
 		}, []string{"service", "engine"}),
 		rejections: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: "corianderlever", Name: "relay_gate_rejections_total", Help: "Requests rejected before their first attempt by service, reason, team and engine priority.",
+			Namespace: "corianderlever", Name: "relay_gate_rejections_total",
+			Help: "Requests rejected by the admission gate before an attempt was sent, by service, reason, team and engine priority.",
 		}, []string{"service", "reason", "team", "priority"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: "corianderlever", Name: "relay_first_byte_seconds", Help: "Time from arrival to the first byte of an answer.", Buckets: latencyBuckets,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -33,7 +33,8 @@
 	Age() (time.Duration, bool)
 	// Outdated reports whether a newer table may be in force on other hosts.
 	Outdated() bool
-	// Listed returns a channel that is closed once the first complete state has been applied.
+	// Listed returns a channel that is closed once a configuration has been applied for the
+	// first time, together with the endpoints that were listed with it.
 	Listed() <-chan struct{}
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -55,7 +55,9 @@
 		if n > 0 {
 			j.longestEventGap = max(j.longestEventGap, now.Sub(last))
 			pace.add(now.Sub(last))
-			j.pool.gaps.observe(sl.endpoint.ID, now.Sub(last), now)
+			if j.relay.AdmissionGate {
+				j.pool.gaps.observe(sl.endpoint.ID, now.Sub(last), now)
+			}
 		}
 		last = now
 		sl.recordEvent(now)
--- a/upstream/unread.go
+++ b/upstream/unread.go
@@ -29,6 +29,8 @@
 	raw     syscall.RawConn
 	timeout time.Duration
 	stopped chan struct{}
+	// watched is closed when watch has ended.
+	watched chan struct{}
 	silent  atomic.Bool
 }
 
@@ -48,7 +50,7 @@
 	}
 	// Older systems do not have the option. They notice a silent endpoint later.
 	_ = setTCPOption(raw, tcpRTOMaxMS, int(probeInterval.Milliseconds()))
-	g := &unreadGuard{raw: raw, timeout: time.Duration(ms) * time.Millisecond, stopped: make(chan struct{})}
+	g := &unreadGuard{raw: raw, timeout: time.Duration(ms) * time.Millisecond, stopped: make(chan struct{}), watched: make(chan struct{})}
 	go g.watch(e)
 	return g
 }
@@ -67,6 +69,7 @@
 // watch ends the exchange if the endpoint falls silent before it has acknowledged the
 // request. After that, keepalive finds a silent endpoint.
 func (g *unreadGuard) watch(e *exchange) {
+	defer close(g.watched)
 	clock := e.client.opts.Clock
 	s := silence{timeout: g.timeout}
 	for {
@@ -102,6 +105,7 @@
 		return nil
 	}
 	close(g.stopped)
+	<-g.watched // it must not close a connection that carries the next request
 	return setTCPOption(g.raw, unix.TCP_USER_TIMEOUT, int(g.timeout.Milliseconds()))
 }
 
