--- a/admission/gate.go
+++ b/admission/gate.go
@@ -33,7 +33,7 @@
 	// Left is the time until the request's deadline.
 	Left time.Duration
 	// FirstEvent and Completion are the expected times to the first and to the last event
-	// at the best engine.
+	// at the chosen engine.
 	FirstEvent, Completion time.Duration
 	// LengthStated is set if the caller has stated the length of the answer. Otherwise
 	// Completion is a rough estimate.
@@ -105,7 +105,7 @@
 	if wait := r.FirstEvent - r.Left; wait > 0 {
 		// Not bounded by the time left: a request that cannot even begin in its time finds no
 		// room in a quarter of it.
-		return g.reject(now, r, d, GateNoRoomInTime, spread(max(wait, minGateRetryAfter), g.rng))
+		return g.reject(now, r, d, GateNoRoomInTime, lengthen(max(wait, minGateRetryAfter), g.rng))
 	}
 	if late := g.lateness(now, r); late > 0 {
 		return g.reject(now, r, d, GateNoRoomInTime, retryAfter(late, r.Left, g.rng))
@@ -117,11 +117,7 @@
 	d.Returned = state == returnedInTime
 	if d.Overloaded && state == returnedEarly {
 		// An early repeat is not counted, so that it does not lower the part of the others.
-		reason := GateRankYields
-		if g.shares.overShare(now, r) {
-			reason = GateTeamOverShare
-		}
-		d.Reason, d.RetryAfter = reason, boundRetryAfter(wait, r.Left)
+		d.Reason, d.RetryAfter = g.overloadReason(now, r), boundRetryAfter(wait, r.Left)
 		return d
 	}
 	c := g.shares.ask(now, r, g.rng)
@@ -132,11 +128,15 @@
 	if c.take(now, g.overload.began, rate, d.Returned) {
 		return g.admit(now, r, d)
 	}
-	reason := GateRankYields
+	return g.reject(now, r, d, g.overloadReason(now, r), retryAfter(g.overload.recovery(r.Completion), r.Left, g.rng))
+}
+
+// overloadReason returns why a request is rejected under overload.
+func (g *Gate) overloadReason(now time.Time, r GateRequest) GateReason {
 	if g.shares.overShare(now, r) {
-		reason = GateTeamOverShare
+		return GateTeamOverShare
 	}
-	return g.reject(now, r, d, reason, retryAfter(g.overload.recovery(r.Completion), r.Left, g.rng))
+	return GateRankYields
 }
 
 func (g *Gate) admit(now time.Time, r GateRequest, d GateDecision) GateDecision {
@@ -185,14 +185,15 @@
 }
 
 // retryAfter returns the Retry-After of a request with the given time left if room is expected
-// after the time room. The minimum comes before the bound by the time left.
+// after the time room. It is at least minGateRetryAfter, even
+// if that exceeds retryLeftFraction of the time left.
 func retryAfter(room, left time.Duration, rng *rand.Rand) time.Duration {
-	// The bound applies before the spread, or all bounded requests would return together.
+	// The bound applies before the lengthening, or all bounded requests would return together.
 	base := max(minGateRetryAfter, min(room, time.Duration(retryLeftFraction/(1+retrySpread)*float64(left))))
-	return boundRetryAfter(spread(base, rng), left)
+	return boundRetryAfter(lengthen(base, rng), left)
 }
 
-// spread lengthens a Retry-After at random.
-func spread(wait time.Duration, rng *rand.Rand) time.Duration {
+// lengthen lengthens a Retry-After at random by up to retrySpread.
+func lengthen(wait time.Duration, rng *rand.Rand) time.Duration {
 	return wait + time.Duration(retrySpread*rng.Float64()*float64(wait))
 }
--- a/balance/enginecost.go
+++ b/balance/enginecost.go
@@ -30,40 +30,27 @@
 	loadUncertainty = 3
 )
 
-// evaluate returns the choice of an engine and its cost in seconds. The cost is the sum
-// of the expected wait, the prefill, the delay that it causes to the streams and to the
-// request behind it, the time of the answer at the engine's pace, the slowing down of the requests running
-// there, and locality. The preferred engine of a prompt, and the next one if that is full, is assumed to have the shared
-// parts cached: the other hosts send them there too, and if none has yet, that engine is
-// the best one to prefill them.
+// evaluate returns the choice of an engine and its cost in seconds. The preferred engine of a
+// prompt, and the next one if that is full, is assumed to have the shared parts cached: the
+// other hosts send them there too, and if none has yet, that engine is the best one to prefill
+// them.
 func (e *EngineChooser) evaluate(en *engine, req EngineRequest, keys []uint64, timing *modelTiming, preferred bool, now time.Time) (EngineChoice, float64) {
 	modelled := en.cache.cachedTokens(keys, req.Parts)
-	total, shared := 0, 0
-	for i, p := range req.Parts {
-		total += p.Tokens
-		if i < len(req.Parts)-1 {
-			shared += p.Tokens
-		}
-	}
+	total, shared := promptTokens(req.Parts)
 	cached := modelled
 	if preferred || en == e.overflow {
 		cached = max(modelled, shared)
 	}
 	running, queued := e.totalLoad(en, now)
-	backlog := queued.ahead(req.Priority)
 	uncached := total - cached
-	prefill := timing.prefillTime(uncached)
+	backlog, prefill := queued.ahead(req.Priority), timing.prefillTime(uncached)
 	gap := e.expectedGap(en, running+1, now)
 	// The engine prefills queued prompts while it answers others, so the two waits overlap.
 	wait := max(backlog, e.slotWait(en, running, &queued, req, gap))
 	c := EngineChoice{
 		Endpoint: en.spec.ID, Reason: ReasonLoad, UncachedTokens: uncached, Backlog: backlog, TimeToFirstEvent: wait + prefill,
 	}
-	if gap == 0 {
-		c.Completion = c.TimeToFirstEvent + time.Duration(req.Events)*timing.eventGap
-	} else {
-		c.Completion = c.TimeToFirstEvent + time.Duration(float64(req.Events)*gap*float64(time.Second))
-	}
+	c.Completion = c.TimeToFirstEvent + answerTime(req.Events, gap, timing)
 	switch {
 	case preferred:
 		c.Reason = ReasonPreferred
@@ -74,9 +61,8 @@
 	if gap > 0 {
 		busy := timing.busyTime(uncached).Seconds()
 		cost += busy*float64(1+en.pace.measuredStreams(now)) - prefill.Seconds()
-		cost += e.uncertainWait(en, running, req, gap)
+		cost += e.paceCost(en, running, req, gap)
 	}
-	cost += paceWeight * (float64(req.Events)*gap + e.causedDelay(en, running, req, gap))
 	if en.weight > 0 && en.weight < 1 {
 		cost /= en.weight
 	}
@@ -89,6 +75,33 @@
 	return c, cost
 }
 
+// paceCost returns the part of an engine's cost, in seconds, that follows from its pace: the
+// uncertain wait for a slot, the time of the answer, and the delay that the request causes to
+// the answers running there.
+func (e *EngineChooser) paceCost(en *engine, running int, req EngineRequest, gap float64) float64 {
+	answer := float64(req.Events) * gap
+	return e.uncertainWait(en, running, req, gap) + paceWeight*(answer+e.causedDelay(en, running, req, gap))
+}
+
+// promptTokens returns the tokens of a prompt and those of its shared parts, which are all but
+// the last one.
+func promptTokens(parts []PromptPart) (total, shared int) {
+	for _, p := range parts {
+		shared = total
+		total += p.Tokens
+	}
+	return total, shared
+}
+
+// answerTime returns the expected time from the first to the last event of an answer. gap is
+// the expected gap of the engine in seconds; zero if none was ever measured.
+func answerTime(events int, gap float64, timing *modelTiming) time.Duration {
+	if gap == 0 {
+		return time.Duration(events) * timing.eventGap
+	}
+	return time.Duration(float64(events) * gap * float64(time.Second))
+}
+
 // slotWait returns the expected wait for one of the engine's slots, if all are in use.
 // Each slot is free once in the time of an answer. Requests that are queued and
 // less urgent do not count. gap is the engine's gap, zero if unknown.
--- a/balance/enginememory.go
+++ b/balance/enginememory.go
@@ -20,8 +20,9 @@
 type pass struct{ avoided, full, others bool }
 
 var (
-	allPasses  = []pass{{}, {others: true}, {full: true}, {avoided: true, full: true, others: true}}
-	fullPasses = allPasses[2:] // the same without an engine whose memory is full
+	allPasses = []pass{{}, {others: true}, {full: true}, {avoided: true, full: true, others: true}}
+	// passesWithoutFull are the passes if no engine's memory is full.
+	passesWithoutFull = allPasses[2:]
 )
 
 // passes returns the passes of a choice. anyFull is set if the memory of an engine is full.
@@ -29,5 +30,5 @@
 	if anyFull {
 		return allPasses
 	}
-	return fullPasses
+	return passesWithoutFull
 }
--- a/ctl/change.go
+++ b/ctl/change.go
@@ -16,10 +16,17 @@
 	"github.com/corianderlever/corianderlever/resource"
 )
 
+// changeFlags returns the flags of a command about a change: the file of its resources and the
+// revision that it is based on.
+func changeFlags(name string) (fs *flag.FlagSet, file *string, expect *int64) {
+	fs = flag.NewFlagSet(name, flag.ContinueOnError)
+	file = fs.String("f", "", "YAML file of resources, or - for standard input")
+	expect = fs.Int64("expect", 0, "revision that the change is based on; 0 means the one in force")
+	return fs, file, expect
+}
+
 func (c *command) applyCommand() *ffcli.Command {
-	fs := flag.NewFlagSet("apply", flag.ContinueOnError)
-	file := fs.String("f", "", "YAML file of resources, or - for standard input")
-	expect := fs.Int64("expect", 0, "revision that the change is based on; 0 means the one in force")
+	fs, file, expect := changeFlags("apply")
 	return &ffcli.Command{
 		Name: "apply", ShortUsage: "leverctl apply -f FILE", ShortHelp: "Applies resources from a YAML file atomically.", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
--- a/ctl/check.go
+++ b/ctl/check.go
@@ -71,9 +71,7 @@
 // diffCommand prints the differences of a report, or the errors that would keep apply
 // from making them.
 func (c *command) diffCommand() *ffcli.Command {
-	fs := flag.NewFlagSet("diff", flag.ContinueOnError)
-	file := fs.String("f", "", "YAML file of resources, or - for standard input")
-	expect := fs.Int64("expect", 0, "revision that the change is based on; 0 means the one in force")
+	fs, file, expect := changeFlags("diff")
 	return &ffcli.Command{
 		Name: "diff", ShortUsage: "leverctl diff -f FILE", ShortHelp: "Shows what apply would change.", FlagSet: fs,
 		Exec: func(ctx context.Context, args []string) error {
--- a/engine/keepalive.go
+++ b/engine/keepalive.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/corianderlever/corianderlever/internal/sockstate"
 )
 
 // endpointKeepAlive ends a connection whose packets are lost about 6 s after the last one.
@@ -35,7 +37,7 @@
 		if err != nil {
 			return nil, err
 		}
-		tcp, ok := tcpConn(conn)
+		tcp, ok := sockstate.Conn(conn)
 		if !ok {
 			return conn, nil
 		}
@@ -45,16 +47,3 @@
 		return conn, nil
 	}
 }
-
-// tcpConn returns the TCP connection below a connection.
-func tcpConn(conn net.Conn) (*net.TCPConn, bool) {
-	for {
-		layer, ok := conn.(interface{ NetConn() net.Conn })
-		if !ok {
-			break
-		}
-		conn = layer.NetConn()
-	}
-	tcp, ok := conn.(*net.TCPConn)
-	return tcp, ok
-}
--- a/engine/keepalive_test.go
+++ b/engine/keepalive_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/corianderlever/corianderlever/internal/sockstate"
 )
 
 // TestLostConnectionsOfEndpointsEnd guards against an answer that waits until its deadline on a
@@ -34,7 +36,7 @@
 // keepAliveSeconds returns the time after the last packet at which the system ends a connection.
 func keepAliveSeconds(t *testing.T, conn net.Conn) int {
 	t.Helper()
-	tcp, ok := tcpConn(conn)
+	tcp, ok := sockstate.Conn(conn)
 	if !ok {
 		t.Fatalf("%T is no TCP connection", conn)
 	}
--- a/engine/response.go
+++ b/engine/response.go
@@ -6,10 +6,9 @@
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
-)
 
-// maxStatus is the highest status of a response. RFC 9110 defines none outside 100 to 599.
-const maxStatus = 599
+	"github.com/corianderlever/corianderlever/internal/finalresponse"
+)
 
 // errStatus reports a response whose status is none of a final response.
 var errStatus = errors.New("status out of range")
@@ -57,7 +56,7 @@
 	var e exchange
 	resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), e.trace())))
 	switch {
-	case err == nil && (resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus):
+	case err == nil && !finalresponse.Status(resp.StatusCode):
 		_ = resp.Body.Close()
 		return nil, lost(errors.Wrapf(errStatus, "%03d", resp.StatusCode))
 	case err == nil:
@@ -72,7 +71,7 @@
 // an orderly way. It is called before the body is read as a reply, but not for the text of an
 // error, which must not wait for the upload, nor for replies whose content shows its own end.
 func (r *response) expectOrderlyEnd() {
-	if r.conn != nil && r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
+	if r.conn != nil && finalresponse.EndsWithConnection(r.Response) {
 		r.conn.setEndsReply()
 	}
 }
--- a/internal/sockstate/sockstate.go
+++ b/internal/sockstate/sockstate.go
@@ -21,19 +21,27 @@
 	maxPause = 100 * time.Millisecond
 )
 
-// TCP returns the TCP socket below a connection and the layers on it, such as TLS.
-func TCP(c net.Conn) (syscall.RawConn, bool) {
+// Conn returns the TCP connection below a connection and the layers on it, such as TLS.
+func Conn(c net.Conn) (*net.TCPConn, bool) {
 	for {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			raw, err := tcp.SyscallConn()
-			return raw, err == nil
-		}
 		layer, ok := c.(interface{ NetConn() net.Conn })
 		if !ok {
-			return nil, false
+			break
 		}
 		c = layer.NetConn()
 	}
+	tcp, ok := c.(*net.TCPConn)
+	return tcp, ok
+}
+
+// TCP returns the socket of the TCP connection below a connection.
+func TCP(c net.Conn) (syscall.RawConn, bool) {
+	tcp, ok := Conn(c)
+	if !ok {
+		return nil, false
+	}
+	raw, err := tcp.SyscallConn()
+	return raw, err == nil
 }
 
 // Info returns the system's view of a connection.
--- a/relay/gate.go
+++ b/relay/gate.go
@@ -78,15 +78,14 @@
 }
 
 // checkExpectedStart rejects a request at once if the chosen engine is not expected to start
-// it before its deadline. The request has not run, so the caller
-// may retry it later.
+// it before its deadline. The request has not run, so the caller may retry it later.
 func (j *job) checkExpectedStart(sl *slot) *ErrorResponse {
 	excess := sl.choice.TimeToFirstEvent - j.remaining()
 	if sl.inFlight == nil || j.possibleRuns > 0 || excess <= 0 {
 		return nil
 	}
 	return &ErrorResponse{
-		Status: http.StatusServiceUnavailable, Reason: "no_room_in_time", RetryAfter: max(excess, shortRetryAfter),
+		Status: http.StatusServiceUnavailable, Reason: string(admission.GateNoRoomInTime), RetryAfter: max(excess, shortRetryAfter),
 		Detail: "expected first event after " + sl.choice.TimeToFirstEvent.Round(time.Millisecond).String(),
 	}
 }
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -85,6 +85,14 @@
 // refresh applies changes in the registry and updates the weights of the endpoints,
 // which rise again after an ejection.
 func (p *pool) refresh(svc *route.Service) {
+	if p.refreshEndpoints(svc) && svc.Engine != nil && p.relay.LearnPace {
+		p.reportPaces()
+	}
+}
+
+// refreshEndpoints does the part of refresh that needs the lock. It reports whether the weights
+// were updated.
+func (p *pool) refreshEndpoints(svc *route.Service) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	gen, now := p.relay.Fleet.Generation(), p.relay.Clock.Now()
@@ -92,15 +100,13 @@
 		p.endpointsLoaded, p.fleetGeneration, p.coldRule = true, gen, rule
 		p.setEndpoints(svc)
 	} else if now.Sub(p.weightsUpdatedAt) < weightUpdateInterval {
-		return
+		return false
 	}
 	p.weightsUpdatedAt = now
-	if svc.Engine != nil && p.relay.LearnPace {
-		p.reportPaces()
-	}
 	for _, id := range p.endpointIDs {
 		p.updateWeight(id)
 	}
+	return true
 }
 
 // updateWeight copies an endpoint's weight from the ejector to the balancers.
@@ -302,13 +308,11 @@
 
 // recordEvent records an event of the answer.
 func (sl *slot) recordEvent(now time.Time) {
-	switch {
-	case sl.inFlight == nil:
-	case sl.pool.relay.LearnPace:
+	if sl.inFlight != nil && sl.pool.relay.LearnPace {
 		sl.inFlight.Event(now)
-	default:
-		sl.inFlight.FirstEvent()
+		return
 	}
+	sl.recordFirstByte()
 }
 
 // recordEventGap records the mean time between two events of a complete stream.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/corianderlever/corianderlever/internal/finalresponse"
 )
 
 const (
@@ -24,8 +26,6 @@
 	// keepAliveMargin is subtracted from the endpoint's keep-alive timeout, so that
 	// a request does not arrive while the endpoint closes the idle connection.
 	keepAliveMargin = time.Second
-	// maxStatus is the highest status of a response. RFC 9110 defines none outside 100 to 599.
-	maxStatus = 599
 )
 
 // exchange is one request and its response on one connection.
@@ -153,7 +153,7 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrMalformed)
 	}
-	if !interim(resp.StatusCode) && (resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus) {
+	if !interim(resp.StatusCode) && !finalresponse.Status(resp.StatusCode) {
 		return nil, errors.Mark(errors.Newf("upstream: status %03d", resp.StatusCode), ErrMalformed)
 	}
 	return resp, nil
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/corianderlever/corianderlever/internal/finalresponse"
 	"github.com/corianderlever/corianderlever/internal/sockstate"
 )
 
@@ -32,7 +33,7 @@
 // EndsWithConnection reports whether the response states neither a length nor chunks, so
 // that its body cannot be told from one that was cut off between two parts.
 func (a *Response) EndsWithConnection() bool {
-	return a.ContentLength < 0 && len(a.resp.TransferEncoding) == 0
+	return finalresponse.EndsWithConnection(a.resp)
 }
 
 // Read reads the body. It returns io.EOF only after the complete body.
