--- a/review/rig2/readers.go
+++ b/review/rig2/readers.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// readersHosts is the number of hosts. One of them is cut off from the store.
-	readersHosts = 9
+	// readersHosts is the number of hosts. One of them at a time is cut off from the store, in
+	// turn those of the cutHosts that call it most.
+	readersHosts, cutHosts = 9, 3
 	// applyTime is ConfigApplyMs, contactTime is ContactMs.
 	applyTime, contactTime = 2 * time.Second, 3 * time.Second
 	// trials is the number of times that the host is cut off, trialTime how long.
@@ -26,9 +27,10 @@
 	calmStep = 70 * time.Millisecond
 )
 
-// playReaders cuts one host, that which calls the store most, off from the store, without a
+// playReaders cuts one host, of those that call the store most, off from the store, without a
 // reset, and then takes a key away. The rule CONFIG bounds the time after which all others, which
-// are in touch, must refuse the key.
+// are in touch, must refuse the key. The next cut meets the next host, since the hosts that
+// followed the one before have left it.
 func playReaders(ctx context.Context, r *run) error {
 	c, err := newCluster(ctx, r, readersHosts)
 	defer c.close()
@@ -46,12 +48,13 @@
 	}
 	byCalls := slices.Clone(c.hosts)
 	slices.SortStableFunc(byCalls, func(a, b *host) int { return int(b.gate.calls.Load() - a.gate.calls.Load()) })
-	cut, inTouch := byCalls[0], byCalls[1:]
 	for _, h := range byCalls {
 		r.note("%s has called the store %d times in %v", h.name, h.gate.calls.Load(), contactTime)
 	}
 	broken := 0
 	for n := range trials {
+		cut := byCalls[n%cutHosts]
+		inTouch := slices.DeleteFunc(slices.Clone(byCalls), func(h *host) bool { return h == cut })
 		late, err := c.revokeDuringCut(ctx, n, cut, inTouch)
 		if err != nil {
 			return err
