--- a/review/rig2/cluster.go
+++ b/review/rig2/cluster.go
@@ -109,9 +109,17 @@
 
 // newCluster starts the stand-ins of a platform and n hosts.
 func newCluster(ctx context.Context, r *run, n int) (*cluster, error) {
+	return newClusterOf(ctx, r, n, func(*platformtest.Deployment) error { return nil })
+}
+
+// newClusterOf is newCluster with a deployment that change has prepared.
+func newClusterOf(ctx context.Context, r *run, n int, change func(*platformtest.Deployment) error) (*cluster, error) {
 	const plain, engines = 3, 2
 	d, err := platformtest.NewDeployment(plain, engines)
 	c := &cluster{run: r, d: d}
+	if err == nil {
+		err = change(d)
+	}
 	if err != nil {
 		return c, err
 	}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -34,6 +34,7 @@
 // scripts are the scripts by name.
 var scripts = map[string]func(ctx context.Context, r *run) error{
 	"readers": playReaders,
+	"rolling": playRolling,
 }
 
 // run is one play of a script.
