--- a/daemon/command/settingsfile_test.go
+++ b/daemon/command/settingsfile_test.go
@@ -18,7 +18,7 @@
 
 // boundsLines are the bounds of a complete settings file.
 var boundsLines = []string{
-	"DrainMs: 2000", "GracePeriodS: 18", "RevocationStrict: false", "RevocationMs: 5000", "RetryBudgetRatio: 0.95", "RetryWindowS: 10",
+	"DrainMs: 2000", "ConfigApplyMs: 2000", "GracePeriodS: 18", "RevocationStrict: false", "RevocationMs: 5000", "RetryBudgetRatio: 0.95", "RetryWindowS: 10",
 	"RetryBudgetExtra: 52", "ExposureShare: 0.15", "ExposureTolerance: 30", "SessionTtlS: 15", "ttl_max_s: 25",
 }
 
--- a/daemon/router/edge.go
+++ b/daemon/router/edge.go
@@ -34,8 +34,7 @@
 // Outdated implements relay.ConfigSource. The table is outdated if another host has
 // a newer one, or if it was last confirmed too long ago for this host to know.
 func (h *Host) Outdated() bool {
-	age, ok := h.follower.Age()
-	return !ok || age > peerFetchAge || h.tableVersion() < h.peers.newestTable()
+	return h.follower.Stale() || h.tableVersion() < h.peers.newestTable()
 }
 
 // tableVersion returns the version of the routing table; zero before the first one.
--- a/daemon/router/feed.go
+++ b/daemon/router/feed.go
@@ -82,9 +82,11 @@
 	if h.opts.Clock.Since(h.started) < startGrace && len(settings.Seeds) > 0 {
 		return slices.Contains(settings.Seeds, settings.Peer)
 	}
-	return slices.ContainsFunc(storeReaders(h.peers.members.Members()), func(m membership.Member) bool { return m.Host == settings.Host })
+	return slices.ContainsFunc(storeReaders(h.peers.members.Members()), h.isSelf)
 }
 
+func (h *Host) isSelf(m membership.Member) bool { return m.Host == h.opts.Settings.Host }
+
 // storeReaders returns the live hosts that follow the store directly. They are in
 // different failure domains as far as possible and have the fastest links there, because
 // they forward full listings; ties are broken by name.
@@ -94,6 +96,9 @@
 	return candidates[:min(wanted, len(candidates))]
 }
 
+// feedTiming returns the timing with which a change reaches all hosts in time.
+func (h *Host) feedTiming() feed.Timing { return feed.NewTiming(h.bounds.Load().ChangeTime) }
+
 // probeInterval returns the mean time between two calls to the store by this host while
 // no host has a current state.
 func (h *Host) probeInterval() time.Duration {
@@ -101,8 +106,9 @@
 }
 
 const (
-	// maxPeerQueries bounds the hosts queried for one update.
-	maxPeerQueries = 3
+	// maxReaderQueries bounds the hosts that follow the store among those queried for one
+	// update, and maxPeerQueries all of them.
+	maxReaderQueries, maxPeerQueries = minStoreReaders, minStoreReaders + 1
 	// maxHedgedBytes bounds the data in an answer of each of these hosts. The
 	// smallest links transfer that much from each of them within the hedging delay.
 	maxHedgedBytes = 24 << 10
@@ -111,7 +117,7 @@
 // queryPeers gets the update after a revision from one of several hosts, without the
 // data if that is large.
 func (h *Host) queryPeers(ctx context.Context, after int64) (feed.Update, error) {
-	q := feed.PeerQuery{Hosts: h.feedHosts(), Clock: h.opts.Clock, Call: func(ctx context.Context, host string) (u feed.Update, err error) {
+	q := feed.PeerQuery{Hosts: h.feedHosts(), Timing: h.feedTiming(), Clock: h.opts.Clock, Call: func(ctx context.Context, host string) (u feed.Update, err error) {
 		err = h.peers.client.Call(ctx, host, methodUpdate, updateQuery{Query: feed.Query{After: after, Pack: true, MaxBytes: maxHedgedBytes}}, &u)
 		var remote *peer.RemoteError
 		if errors.As(err, &remote) {
@@ -135,7 +141,7 @@
 		}
 	}
 	for _, m := range h.localFirst(storeReaders(members)) {
-		add(m.PeerAddress, maxPeerQueries-1)
+		add(m.PeerAddress, maxReaderQueries)
 	}
 	for _, m := range h.localFirst(members) {
 		if m.State.Live() {
--- a/daemon/router/loads.go
+++ b/daemon/router/loads.go
@@ -198,7 +198,7 @@
 	}
 	h.relay.ObserveLoadSums(h.loads.total(), h.relay.OwnLoads())
 	for _, m := range storeReaders(h.peers.members.Members()) {
-		if m.Host == h.opts.Settings.Host {
+		if h.isSelf(m) {
 			continue
 		}
 		go func() {
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -65,6 +65,8 @@
 	GracePeriod time.Duration
 	// RevocationTime is the time after which a revoked key is rejected everywhere.
 	RevocationTime time.Duration
+	// ChangeTime is the time from the acknowledgement of a change until all hosts act on it.
+	ChangeTime time.Duration
 	// StrictRevocation makes RevocationTime hold also for hosts that cannot learn of
 	// the revocation: they reject all keys. Otherwise they accept the last known keys.
 	StrictRevocation bool
@@ -149,20 +151,12 @@
 	expiryGrace = 2200 * time.Millisecond
 	// settleTime is the time after an outage in which entries may vanish only
 	// because their leases expired during the outage.
-	settleTime = time.Second
-	// feedWait is the age that the state of a host that follows the store reaches while
-	// nothing changes. feedPause batches changes at such a host.
-	feedWait    = 1200 * time.Millisecond
-	feedPause   = 500 * time.Millisecond
+	settleTime  = time.Second
 	feedTimeout = time.Second
 	// peerWait is the time for which a followed host holds a call while nothing
 	// changes. peerPause bounds the calls while much changes.
-	peerWait  = 700 * time.Millisecond
-	peerPause = 100 * time.Millisecond
-	// peerFetchAge is the age of the state from which a host looks for a fresher one.
-	// The state of a host that follows another one is at most feedWait + peerWait old
-	// while both work.
-	peerFetchAge      = 2300 * time.Millisecond
+	peerWait          = 700 * time.Millisecond
+	peerPause         = 100 * time.Millisecond
 	peerFetchInterval = 300 * time.Millisecond
 	// stalenessMargin is the part of the revocation time that is reserved for
 	// forwarding a request to its endpoint.
@@ -179,10 +173,10 @@
 	h.rollouts.OnBaselineSession = h.announceSession
 	h.state = control.NewState(opts.Records, h.registry, h.rollouts, opts.Clock, opts.Logger)
 	h.follower = feed.New(feed.Options{
-		Source: opts.Store, Sink: h.state, Wait: feedWait, Pause: feedPause, CallTimeout: feedTimeout, SettleTime: settleTime,
+		Source: opts.Store, Sink: h.state, Timing: h.feedTiming, CallTimeout: feedTimeout, SettleTime: settleTime,
 		Clock: opts.Clock, Boottime: boottime.Now, Rand: h.newRand(), Logger: opts.Logger,
 		Direct: h.readsStore, QueryPeers: h.queryPeers, FetchFrom: h.fetchFrom, PeerWait: peerWait, PeerPause: peerPause,
-		PeerFetchAge: peerFetchAge, PeerFetchInterval: peerFetchInterval, ProbeInterval: h.probeInterval, Announce: h.announceState,
+		PeerFetchInterval: peerFetchInterval, ProbeInterval: h.probeInterval, Announce: h.announceState,
 	})
 	h.state.Silence = h.follower.Silence
 	h.buffers = limiter.NewHostByteBudget(opts.Settings.MemoryBytes)
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -50,11 +50,12 @@
 	member := func(name, domain string, link int, state membership.State) membership.Member {
 		return membership.Member{Host: name, FailureDomain: domain, LinkMbps: link, State: state}
 	}
-	var got []string
-	for _, m := range storeReaders([]membership.Member{
+	readers := storeReaders([]membership.Member{
 		member("a1", "a", 10, membership.Alive), member("a2", "a", 200, membership.Failed), member("a3", "a", 200, membership.Alive),
 		member("a4", "a", 10, membership.Alive), member("a5", "a", 10, membership.Alive), member("b1", "b", 10, membership.Alive), member("b2", "b", 10, membership.Suspect),
-	}) {
+	})
+	var got []string
+	for _, m := range readers {
 		got = append(got, m.Host)
 	}
 	if diff := cmp.Diff([]string{"a3", "b1", "a1"}, got); diff != "" {
@@ -62,6 +63,22 @@
 	}
 }
 
+// TestFeedKeepsToTheBoundsOfTheDeployment guards against waits of the feed that leave no time
+// for a second source of a change, as constants did where the deployment allows less than them.
+func TestFeedKeepsToTheBoundsOfTheDeployment(t *testing.T) {
+	h := &Host{}
+	for _, limit := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second, time.Minute} {
+		h.SetBounds(Bounds{ChangeTime: limit})
+		timing := h.feedTiming()
+		if timing.Wait >= timing.FreshAge || timing.FreshAge >= timing.StaleAge {
+			t.Errorf("limit %v: ages are not in order: %+v", limit, timing)
+		}
+		if worst := timing.StaleAge + maxPeerQueries*timing.Hedge; worst >= limit {
+			t.Errorf("limit %v: %v until the last host is asked: %+v", limit, worst, timing)
+		}
+	}
+}
+
 // TestLateInAStopOnlyShortRequestsAreAccepted guards against requests that a stopping host
 // accepts although they may outlast it, and that are cut without a complete answer.
 func TestLateInAStopOnlyShortRequestsAreAccepted(t *testing.T) {
--- a/feed/ask.go
+++ b/feed/ask.go
@@ -8,15 +8,6 @@
 	"github.com/jonboulle/clockwork"
 )
 
-const (
-	// hedgeDelay is the time without an answer after which the next host is queried
-	// as well.
-	hedgeDelay = 150 * time.Millisecond
-	// freshAge is the age up to which an answer is accepted without waiting for
-	// further hosts. It exceeds the age that the state of a store reader reaches.
-	freshAge = 1600 * time.Millisecond
-)
-
 // ErrNoHost reports that there is no host to query.
 var ErrNoHost = errors.New("feed: no host to query")
 
@@ -26,8 +17,9 @@
 	// Hosts are the addresses to query, in this order.
 	Hosts []string
 	// Call queries one host.
-	Call  func(ctx context.Context, host string) (Update, error)
-	Clock clockwork.Clock
+	Call   func(ctx context.Context, host string) (Update, error)
+	Timing Timing
+	Clock  clockwork.Clock
 }
 
 type reply struct {
@@ -35,8 +27,8 @@
 	err    error
 }
 
-// Fetch returns the first answer that is at most freshAge old, or else the
-// freshest one.
+// Fetch returns the first answer that is at most Timing.FreshAge old, or else the
+// freshest one until ctx ends.
 func (q PeerQuery) Fetch(ctx context.Context) (Update, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // cancels the calls that are still in flight
@@ -59,15 +51,18 @@
 		}
 		var hedge <-chan time.Time
 		if sent < len(q.Hosts) {
-			hedge = q.Clock.After(hedgeDelay)
+			hedge = q.Clock.After(q.Timing.Hedge)
 		}
 		select {
 		case <-ctx.Done():
+			if best.err == nil {
+				return best.update, nil
+			}
 			return best.update, errors.CombineErrors(best.err, ctx.Err())
 		case <-hedge:
 		case r := <-replies:
 			inFlight--
-			if r.err == nil && r.update.age() <= freshAge {
+			if r.err == nil && r.update.age() <= q.Timing.FreshAge {
 				return r.update, nil
 			}
 			best = fresher(best, r)
--- a/feed/ask_test.go
+++ b/feed/ask_test.go
@@ -17,7 +17,7 @@
 // newQuery returns a query of the hosts in order. They answer at once with updates
 // of the given ages in milliseconds; hosts without an age return an error.
 func newQuery(clock clockwork.Clock, ages map[string]int64, order ...string) feed.PeerQuery {
-	return feed.PeerQuery{Hosts: order, Clock: clock, Call: func(ctx context.Context, host string) (feed.Update, error) {
+	return feed.PeerQuery{Hosts: order, Timing: feed.NewTiming(2 * time.Second), Clock: clock, Call: func(ctx context.Context, host string) (feed.Update, error) {
 		age, ok := ages[host]
 		switch {
 		case !ok:
@@ -34,7 +34,7 @@
 // state of a host that the store no longer answers, while others have a fresh one:
 // changes then took effect after their time limit.
 func TestPeerQuerySkipsHostsWithoutStore(t *testing.T) {
-	q := newQuery(clockwork.NewRealClock(), map[string]int64{"stale": 1900, "fresh": 700}, "gone", "stale", "fresh")
+	q := newQuery(clockwork.NewRealClock(), map[string]int64{"stale": 1400, "fresh": 700}, "gone", "stale", "fresh")
 	u, err := q.Fetch(t.Context())
 	if err != nil || u.AgeMS != 700 {
 		t.Errorf("update of age %d ms, error %v; want 700 ms, of the fresh host", u.AgeMS, err)
@@ -67,7 +67,7 @@
 	if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
 		t.Fatal(err)
 	}
-	clock.Advance(200 * time.Millisecond)
+	clock.Advance(100 * time.Millisecond)
 	if age := <-got; age != 700 {
 		t.Errorf("update of age %d ms; want 700 ms, of the fresh host", age)
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -48,13 +48,9 @@
 	Sink   Sink
 	// Prefix selects the keys to follow.
 	Prefix string
-	// Wait bounds the age of the state at a host that follows the store: the store
-	// holds a call for that long while there are no changes.
-	Wait time.Duration
-	// Pause is the time before the next call after one that returned changes, so that
-	// changes in quick succession cost one call.
-	Pause time.Duration
-	// CallTimeout is the time allowed for an answer, in addition to Wait.
+	// Timing returns the waits and ages in force. They may change while the host runs.
+	Timing func() Timing
+	// CallTimeout is the time allowed for an answer, in addition to Timing.Wait.
 	CallTimeout time.Duration
 	// SettleTime is the time after an outage in which entries may be missing only
 	// because their leases expired during the outage.
@@ -76,10 +72,9 @@
 	// PeerWait is the wait of FetchFrom while a host is followed, and PeerPause the
 	// time before the next call after one that returned changes.
 	PeerWait, PeerPause time.Duration
-	// PeerFetchAge is the age of the state from which a host looks for a fresher
-	// one at the store and at other hosts, whichever it follows. PeerFetchInterval is
-	// the time between two queries to other hosts then.
-	PeerFetchAge, PeerFetchInterval time.Duration
+	// PeerFetchInterval is the time between two queries to other hosts while the state
+	// is stale.
+	PeerFetchInterval time.Duration
 	// ProbeInterval returns the mean time between two calls to the store by a host
 	// that does not follow it, while the other hosts' states are old as well. It grows
 	// with the number of hosts, so that their calls do not add up in an outage.
@@ -126,8 +121,12 @@
 	storeAnswered boottime.Instant
 	everConfirmed bool
 	ready         chan struct{}
-	// upstream is the address of the host that is followed; empty for none.
+	// confirmation is closed when confirmed rises.
+	confirmation chan struct{}
+	// upstream is the address of the host that is followed; empty for none. release ends
+	// the call to it that is in progress; nil between calls.
 	upstream string
+	release  context.CancelFunc
 	// call is the call to the store that is in progress, the zero value between calls, and
 	// silence the last time in which it did not answer in time.
 	call    storeCall
@@ -143,7 +142,8 @@
 		panic(err) // only for a size that is not positive
 	}
 	return &Follower{
-		opts: opts, ready: make(chan struct{}), wake: make(chan struct{}, 1), mirror: newMirror(), packed: packed, changed: make(chan struct{}),
+		opts: opts, ready: make(chan struct{}), wake: make(chan struct{}, 1), mirror: newMirror(), packed: packed,
+		changed: make(chan struct{}), confirmation: make(chan struct{}),
 	}
 }
 
@@ -164,15 +164,23 @@
 	return f.opts.Boottime().Sub(at), ok
 }
 
+// Stale reports whether the state is so old that a change which ought to be in force may be
+// missing.
+func (f *Follower) Stale() bool {
+	age, known := f.Age()
+	return !known || age >= f.opts.Timing().StaleAge
+}
+
 func (f *Follower) position() (revision int64, synced bool) {
 	f.stateMu.Lock()
 	defer f.stateMu.Unlock()
 	return f.revision, f.synced
 }
 
-// applyChanges applies changes up to a revision. It calls afterOutage under the
-// lock, also without changes, because detectOutage records the end of an outage.
-func (f *Follower) applyChanges(events []kv.Event, revision int64, afterOutage func() bool) {
+// applyChanges applies changes up to a revision, to a state that was current at an instant.
+// It calls afterOutage under the lock, also without changes, because detectOutage records
+// the end of an outage.
+func (f *Follower) applyChanges(events []kv.Event, revision int64, current boottime.Instant, afterOutage func() bool) {
 	f.stateMu.Lock()
 	defer f.stateMu.Unlock()
 	// A newer state may have come from another host in the meantime.
@@ -184,6 +192,7 @@
 	if outage := afterOutage(); len(events) > 0 {
 		f.opts.Sink.Apply(events, outage)
 	}
+	f.confirm(current) // before others are told of the revision, and so of the age
 	f.advance(revision)
 }
 
@@ -201,6 +210,7 @@
 func (f *Follower) list(ctx context.Context) error {
 	ctx, cancel := kv.WithTimeout(ctx, f.opts.Clock, f.opts.CallTimeout)
 	defer cancel()
+	started := f.opts.Boottime()
 	entries, revision, err := f.opts.Source.List(ctx, f.opts.Prefix)
 	if err != nil {
 		f.stateMu.Lock()
@@ -208,16 +218,18 @@
 		f.stateMu.Unlock()
 		return err
 	}
-	f.reset(entries, revision, f.detectOutage)
+	f.reset(entries, revision, started, f.detectOutage)
 	return nil
 }
 
-// reset applies a full listing unless the state is already newer.
-func (f *Follower) reset(entries []kv.Entry, revision int64, afterOutage func() bool) {
+// reset applies a full listing, which was current at an instant, unless the state is already
+// newer.
+func (f *Follower) reset(entries []kv.Entry, revision int64, current boottime.Instant, afterOutage func() bool) {
 	f.stateMu.Lock()
 	defer f.stateMu.Unlock()
 	f.synced = true
 	if revision < f.revision {
+		f.confirm(current)
 		return
 	}
 	if kv.RevisionEra(revision) > kv.RevisionEra(f.revision) && f.revision > 0 {
@@ -233,6 +245,7 @@
 		}
 	}
 	f.opts.Sink.Reset(Listing{Entries: entries, Revision: revision, AfterOutage: afterOutage() || f.inSettleTime()})
+	f.confirm(current)
 	f.advance(revision)
 }
 
@@ -263,8 +276,8 @@
 	return f.everConfirmed && f.storeAnswered != 0 && f.opts.Boottime().Sub(f.storeAnswered) <= within
 }
 
-// confirm records that the state was current at an instant. The first confirmation
-// closes ready.
+// confirm records that the state was current at an instant, and wakes the hosts that wait
+// for that. The first confirmation closes ready.
 func (f *Follower) confirm(at boottime.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -275,4 +288,13 @@
 		close(f.ready)
 	}
 	f.confirmed, f.everConfirmed = at, true
+	close(f.confirmation)
+	f.confirmation = make(chan struct{})
+}
+
+// nextConfirmation returns a channel that is closed at the next confirmation.
+func (f *Follower) nextConfirmation() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmation
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -102,11 +102,18 @@
 	boot   atomicInstant
 }
 
+// staleAfter returns a timing in which a state is stale from an age on.
+func staleAfter(age time.Duration) func() feed.Timing {
+	return func() feed.Timing {
+		return feed.Timing{Wait: time.Second, Pause: time.Second, FreshAge: age, StaleAge: age, QueryTime: age}
+	}
+}
+
 func start(t *testing.T) *fixture {
 	t.Helper()
 	r := &fixture{source: newSource(), sink: &sink{ticks: make(chan struct{}, 16)}, clock: clockwork.NewFakeClock()}
 	r.Follower = feed.New(feed.Options{
-		Source: r.source, Sink: r.sink, Wait: time.Second, Pause: time.Second, CallTimeout: time.Second, SettleTime: 3 * time.Second,
+		Source: r.source, Sink: r.sink, Timing: staleAfter(2 * time.Second), CallTimeout: time.Second, SettleTime: 3 * time.Second,
 		Clock: r.clock, Boottime: r.boot.load,
 		Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
@@ -251,7 +258,7 @@
 	f := feed.New(feed.Options{
 		Source: newSource(), Sink: s, Clock: clock, Boottime: boot.load,
 		Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		PeerFetchAge: time.Second, PeerFetchInterval: time.Second,
+		Timing: staleAfter(time.Second), PeerFetchInterval: time.Second,
 		QueryPeers: func(_ context.Context, after int64) (feed.Update, error) {
 			queried <- after
 			return <-answers, nil
@@ -295,7 +302,7 @@
 		f := feed.New(feed.Options{
 			Source: newSource(), Sink: s, Clock: clock, Boottime: boot.load,
 			Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
-			PeerFetchAge: time.Second, PeerFetchInterval: time.Second,
+			Timing: staleAfter(time.Second), PeerFetchInterval: time.Second,
 			QueryPeers: func(context.Context, int64) (feed.Update, error) { return <-answers, nil },
 		})
 		ctx, cancel := context.WithCancel(context.Background())
@@ -348,8 +355,8 @@
 	clock := clockwork.NewFakeClock()
 	f := feed.New(feed.Options{
 		Source: store, Sink: &sink{ticks: make(chan struct{}, 256)}, Clock: clock, Boottime: boot.load,
-		Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Pause: time.Second,
-		Direct: func() bool { return false }, PeerFetchAge: 2 * time.Second, PeerFetchInterval: time.Second,
+		Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Direct: func() bool { return false }, Timing: staleAfter(2 * time.Second), PeerFetchInterval: time.Second,
 		QueryPeers: func(context.Context, int64) (feed.Update, error) {
 			if queries.Add(1) > 20 {
 				return feed.Update{}, feed.ErrNoState
@@ -401,11 +408,11 @@
 	boot := &atomicInstant{}
 	store := &countingSource{}
 	clock := clockwork.NewFakeClock()
-	const peerFetchAge = 2 * time.Second
+	const staleAge = 2 * time.Second
 	f := feed.New(feed.Options{
 		Source: store, Sink: &sink{ticks: make(chan struct{}, 256)}, Clock: clock, Boottime: boot.load,
-		Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Pause: time.Second,
-		Direct: func() bool { return false }, PeerFetchAge: peerFetchAge, PeerFetchInterval: time.Hour,
+		Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Direct: func() bool { return false }, Timing: staleAfter(staleAge), PeerFetchInterval: time.Hour,
 		QueryPeers: func(ctx context.Context, _ int64) (feed.Update, error) {
 			<-ctx.Done()
 			return feed.Update{}, ctx.Err()
@@ -418,12 +425,12 @@
 		if err := clock.BlockUntilContext(ctx, 1); err != nil {
 			t.Fatal(err)
 		}
-		clock.Advance(peerFetchAge)
+		clock.Advance(staleAge)
 	}
 	<-f.Ready()
 	first, started := store.n.Load(), clock.Now()
 	for store.n.Load() == first {
-		if clock.Since(started) > 2*peerFetchAge {
+		if clock.Since(started) > 2*staleAge {
 			t.Fatalf("the store was not called within %v", clock.Since(started))
 		}
 		waitCtx, stop := context.WithTimeout(ctx, 10*time.Second)
@@ -432,8 +439,8 @@
 		if err != nil {
 			t.Fatal("the follower waits for the silent host without a time limit")
 		}
-		boot.add(peerFetchAge / 4)
-		clock.Advance(peerFetchAge / 4)
+		boot.add(staleAge / 4)
+		clock.Advance(staleAge / 4)
 	}
 }
 
@@ -481,9 +488,9 @@
 	receiver := feed.New(feed.Options{
 		Source: newSource(), Sink: received, Clock: clock, Boottime: new(atomicInstant).load,
 		Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		PeerFetchAge: time.Second, PeerFetchInterval: time.Second,
+		Timing: staleAfter(time.Second), PeerFetchInterval: time.Second,
 		QueryPeers: func(ctx context.Context, after int64) (feed.Update, error) {
-			q := feed.PeerQuery{Hosts: []string{"a", "b", "c"}, Clock: clock, Call: func(context.Context, string) (feed.Update, error) {
+			q := feed.PeerQuery{Hosts: []string{"a", "b", "c"}, Timing: feed.NewTiming(time.Second), Clock: clock, Call: func(context.Context, string) (feed.Update, error) {
 				u, err := sender.Answer(t.Context(), feed.Query{After: after, Pack: true, MaxBytes: maxBytes})
 				if len(u.Entries) > 0 {
 					t.Errorf("%d entries in an answer that should be small", len(u.Entries))
@@ -577,7 +584,7 @@
 	f := feed.New(feed.Options{
 		Source: newSource(), Sink: received, Clock: clock, Boottime: boot.load, Direct: func() bool { return false },
 		Rand: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		PeerFetchAge: 10 * time.Second, PeerFetchInterval: time.Second, PeerWait: waited,
+		Timing: staleAfter(10 * time.Second), PeerFetchInterval: time.Second, PeerWait: waited,
 		QueryPeers: func(context.Context, int64) (feed.Update, error) {
 			return feed.Update{Revision: 1, Full: true, From: "a"}, nil
 		},
--- a/feed/fleet_test.go
+++ b/feed/fleet_test.go
@@ -28,8 +28,8 @@
 	revision int64
 	changed  chan struct{}
 	calls    int
-	// rejects reports whether the calls of a host fail.
-	rejects func(host int) bool
+	// rejects reports whether the calls of a host fail, and silent whether they get no answer.
+	rejects, silent func(host int) bool
 }
 
 func (s *fleetStore) call(host int) (revision int64, changed chan struct{}, err error) {
@@ -42,6 +42,12 @@
 	return s.revision, s.changed, nil
 }
 
+func (s *fleetStore) current() (revision int64, changed chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision, s.changed
+}
+
 func (s *fleetStore) change() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -51,6 +57,20 @@
 	return s.revision
 }
 
+// isSilent reports whether the store does not answer a host.
+func (s *fleetStore) isSilent(host int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent(host)
+}
+
+// setSilent replaces the condition for calls without an answer, also for calls that wait.
+func (s *fleetStore) setSilent(silent func(host int) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
 // setRejects replaces the condition for rejection.
 func (s *fleetStore) setRejects(rejects func(host int) bool) {
 	s.mu.Lock()
@@ -87,16 +107,22 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	if revision == after {
+	if revision <= after {
 		select {
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
 		case <-time.After(wait):
-			return nil, revision, nil
 		case <-changed:
-			revision++
 		}
 	}
+	if s.isSilent(s.host) {
+		<-ctx.Done()
+	}
+	if ctx.Err() != nil {
+		return nil, 0, ctx.Err()
+	}
+	if revision, _ = s.current(); revision == after {
+		return nil, revision, nil
+	}
 	return []kv.Event{{Entry: kv.Entry{Key: "config", Revision: revision}}}, revision, nil
 }
 
@@ -108,15 +134,22 @@
 	hosts []*feed.Follower
 	// isolated is the number of the host that reaches no other host; negative for none.
 	isolated atomic.Int64
+	// silent is the number of the host whose calls to others, and theirs to it, get no answer;
+	// negative for none.
+	silent atomic.Int64
+	// calls is the number of calls between hosts.
+	calls atomic.Int64
 }
 
 func (f *fleet) cut(host int) bool { return int64(host) == f.isolated.Load() }
 
 const (
 	testReaders  = 3
+	testLimit    = 2 * time.Second
 	testWait     = 1200 * time.Millisecond
 	testPeerWait = 700 * time.Millisecond
-	testFetchAge = 2300 * time.Millisecond
+	// peerTimeout bounds a call between hosts, beyond the time for which it may wait.
+	peerTimeout = 800 * time.Millisecond
 )
 
 // discardSink ignores the state.
@@ -130,12 +163,18 @@
 // runFleet starts hosts of which the first three follow the store, and runs test in
 // virtual time once all have a state.
 func runFleet(t *testing.T, hosts int, test func(t *testing.T, f *fleet)) {
+	runFleetWithin(t, hosts, testLimit, test)
+}
+
+// runFleetWithin is runFleet with a given time in which changes are to reach all hosts.
+func runFleetWithin(t *testing.T, hosts int, limit time.Duration, test func(t *testing.T, f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{store: &fleetStore{revision: 1, changed: make(chan struct{}), rejects: func(int) bool { return false }}}
+		f := &fleet{store: &fleetStore{revision: 1, changed: make(chan struct{}), rejects: none, silent: none}}
 		f.isolated.Store(-1)
+		f.silent.Store(-1)
 		began := time.Now()
 		for i := range hosts {
-			f.hosts = append(f.hosts, feed.New(f.options(i, hosts, began)))
+			f.hosts = append(f.hosts, feed.New(f.options(i, hosts, began, limit)))
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
@@ -148,18 +187,22 @@
 		test(t, f)
 		cancel()
 		wg.Wait()
+		time.Sleep(testPeerWait + peerTimeout) // for the calls of announcements
 	})
 }
 
-func (f *fleet) options(i, hosts int, began time.Time) feed.Options {
+func none(int) bool { return false }
+
+func (f *fleet) options(i, hosts int, began time.Time, limit time.Duration) feed.Options {
+	timing := feed.NewTiming(limit)
 	rng := rand.New(rand.NewPCG(uint64(i), 1))
 	o := feed.Options{
-		Source: storeOf{f.store, i}, Sink: discardSink{}, Wait: testWait, Pause: 500 * time.Millisecond, CallTimeout: time.Second,
+		Source: storeOf{f.store, i}, Sink: discardSink{}, Timing: func() feed.Timing { return timing }, CallTimeout: time.Second,
 		SettleTime: time.Second, Clock: clockwork.NewRealClock(),
 		Boottime: func() boottime.Instant { return boottime.Instant(time.Hour + time.Since(began)) },
 		Rand:     rng, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Direct:   func() bool { return i < testReaders },
-		PeerWait: testPeerWait, PeerPause: 100 * time.Millisecond, PeerFetchAge: testFetchAge, PeerFetchInterval: 300 * time.Millisecond,
+		PeerWait: testPeerWait, PeerPause: 100 * time.Millisecond, PeerFetchInterval: 300 * time.Millisecond,
 		ProbeInterval: func() time.Duration { return time.Duration(hosts) * time.Second / 4 },
 	}
 	var mu sync.Mutex // guards order
@@ -169,9 +212,9 @@
 	}
 	o.QueryPeers = func(ctx context.Context, after int64) (feed.Update, error) {
 		mu.Lock()
-		targets := append(order.Perm(testReaders)[:2], order.IntN(hosts))
+		targets := append(order.Perm(testReaders), order.IntN(hosts))
 		mu.Unlock()
-		q := feed.PeerQuery{Clock: o.Clock, Call: func(ctx context.Context, host string) (feed.Update, error) {
+		q := feed.PeerQuery{Timing: timing, Clock: o.Clock, Call: func(ctx context.Context, host string) (feed.Update, error) {
 			return f.query(ctx, i, host, feed.Query{After: after})
 		}}
 		for _, n := range targets {
@@ -196,8 +239,15 @@
 	if err != nil || f.cut(from) || f.cut(n) {
 		return feed.Update{}, errors.New("unreachable")
 	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(q.WaitMS)*time.Millisecond+peerTimeout)
+	defer cancel()
+	f.calls.Add(1)
 	time.Sleep(networkDelay)
-	return f.hosts[n].Answer(ctx, q)
+	u, err := f.hosts[n].Answer(ctx, q)
+	if silent := f.silent.Load(); silent == int64(from) || silent == int64(n) {
+		<-ctx.Done()
+	}
+	return u, errors.CombineErrors(err, ctx.Err())
 }
 
 // oldest returns the highest age of the state of a host, and that host.
@@ -213,9 +263,19 @@
 
 // await waits until all hosts know a revision and returns how long that took.
 func (f *fleet) await(t *testing.T, revision int64, limit time.Duration) time.Duration {
+	t.Helper()
+	return f.awaitAt(t, revision, limit, func(int) bool { return true })
+}
+
+// awaitAt is await for the hosts that of selects.
+func (f *fleet) awaitAt(t *testing.T, revision int64, limit time.Duration, of func(host int) bool) time.Duration {
 	t.Helper()
 	for waited := time.Duration(0); ; waited += 10 * time.Millisecond {
+		host := -1
 		behind := slices.IndexFunc(f.hosts, func(h *feed.Follower) bool {
+			if host++; !of(host) {
+				return false
+			}
 			u, err := h.Answer(context.Background(), feed.Query{After: revision})
 			return err != nil || u.Revision < revision
 		})
@@ -240,7 +300,7 @@
 			}
 			for range 600 {
 				time.Sleep(100 * time.Millisecond)
-				if age, host := f.oldest(); age > testWait+testPeerWait+100*time.Millisecond {
+				if age, host := f.oldest(); age > testWait+100*time.Millisecond {
 					t.Fatalf("%d hosts: state of host %d is %v old", hosts, host, age)
 				}
 			}
@@ -315,8 +375,8 @@
 func TestFailingFollowIsPaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const testTime = 10 * time.Second
-		f := &fleet{store: &fleetStore{revision: 1, changed: make(chan struct{}), rejects: func(int) bool { return false }}}
-		o := f.options(testReaders, testReaders+1, time.Now())
+		f := &fleet{store: &fleetStore{revision: 1, changed: make(chan struct{}), rejects: none, silent: none}}
+		o := f.options(testReaders, testReaders+1, time.Now(), testLimit)
 		var queries atomic.Int64
 		o.QueryPeers = func(context.Context, int64) (feed.Update, error) {
 			queries.Add(1)
@@ -342,7 +402,7 @@
 
 // ExampleFollower_Answer shows how a host waits for a change at another host.
 func ExampleFollower_Answer() {
-	f := feed.New(feed.Options{Boottime: boottime.Now})
+	f := feed.New(feed.Options{Boottime: boottime.Now, Timing: func() feed.Timing { return feed.NewTiming(2 * time.Second) }})
 	_, err := f.Answer(context.Background(), feed.Query{WaitMS: 1000})
 	fmt.Println(errors.Is(err, feed.ErrNoState))
 	// Output: true
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -28,18 +28,19 @@
 	defer wg.Wait()
 	if f.opts.QueryPeers != nil {
 		if !f.direct() {
-			f.fetchFromPeer(ctx, min(f.opts.PeerFetchInterval, f.opts.PeerFetchAge))
+			f.fetchFromPeer(ctx, f.opts.PeerFetchInterval)
 		}
 		wg.Go(func() { f.fetchWhileStale(ctx) })
 	}
 	for ctx.Err() == nil {
 		var pause time.Duration
+		staleAge := f.opts.Timing().StaleAge
 		switch age, known := f.Age(); {
 		case f.direct() && !f.failing:
 			pause = f.followStore(ctx)
-		case known && age < f.opts.PeerFetchAge && f.canFollowPeer():
+		case known && age < staleAge && f.canFollowPeer():
 			f.probeAt = time.Time{}
-			pause = f.followPeer(ctx, f.opts.PeerFetchAge-age)
+			pause = f.followPeer(ctx, staleAge-age)
 			if f.direct() { // the store may be back
 				pause = f.followStore(ctx)
 			}
@@ -102,19 +103,20 @@
 // before the next call.
 func (f *Follower) followStore(ctx context.Context) time.Duration {
 	age, known := f.Age()
-	current, changed, err := f.pollStore(ctx, f.storeWait(age, known))
+	changed, err := f.pollStore(ctx, f.storeWait(age, known))
 	switch {
 	case ctx.Err() != nil:
 		return 0
 	case err != nil:
 		return f.recordFailure(err)
 	}
-	f.recordSuccess(current)
-	if f.opts.Announce != nil && (!known || age >= f.opts.PeerFetchAge) {
+	f.recordSuccess()
+	t := f.opts.Timing()
+	if f.opts.Announce != nil && (!known || age >= t.StaleAge) {
 		f.opts.Announce()
 	}
 	if changed {
-		return f.opts.Pause
+		return t.Pause
 	}
 	return 0
 }
@@ -128,16 +130,16 @@
 	if !known || f.failing {
 		return minStoreWait
 	}
-	return max(minStoreWait, f.opts.Wait-age)
+	return max(minStoreWait, f.opts.Timing().Wait-age)
 }
 
-// pollStore makes one call to the store and applies its result. It returns the instant
-// at which the state was current, and whether it has changed.
-func (f *Follower) pollStore(ctx context.Context, wait time.Duration) (current boottime.Instant, changed bool, err error) {
+// pollStore makes one call to the store and applies its result. It reports whether the
+// state has changed.
+func (f *Follower) pollStore(ctx context.Context, wait time.Duration) (changed bool, err error) {
 	started := f.opts.Boottime()
 	after, synced := f.position()
 	if !synced {
-		return started, true, f.list(ctx)
+		return true, f.list(ctx)
 	}
 	callCtx, cancel := kv.WithTimeout(ctx, f.opts.Clock, wait+f.opts.CallTimeout)
 	defer cancel()
@@ -146,20 +148,21 @@
 	f.endCall(err)
 	if errors.Is(err, kv.ErrCompacted) {
 		f.opts.Logger.Warn("store history compacted, listing again", "after", after)
-		return f.opts.Boottime(), true, f.list(ctx)
+		return true, f.list(ctx)
 	}
 	if err != nil {
 		if callCtx.Err() != nil && ctx.Err() == nil {
 			err = errors.Wrapf(err, "no answer within %v", wait+f.opts.CallTimeout)
 		}
-		return 0, false, err
+		return false, err
 	}
-	f.applyChanges(events, revision, f.detectOutage)
+	current := started
 	if len(events) == 0 && f.opts.Boottime().Sub(started) >= wait {
 		// The store held the call for the whole wait, so it made the answer after that.
-		started += boottime.Instant(wait)
+		current += boottime.Instant(wait)
 	}
-	return started, len(events) > 0, nil
+	f.applyChanges(events, revision, current, f.detectOutage)
+	return len(events) > 0, nil
 }
 
 // recordFailure logs the first of consecutive failures and returns the pause before
@@ -173,14 +176,13 @@
 	return f.retryPause/2 + time.Duration(f.opts.Rand.Int64N(int64(f.retryPause)))
 }
 
-// recordSuccess records an answer of the store and the instant at which it was current.
-func (f *Follower) recordSuccess(current boottime.Instant) {
+// recordSuccess records an answer of the store.
+func (f *Follower) recordSuccess() {
 	if f.failing {
 		f.failing, f.retryPause = false, 0
 		f.opts.Logger.Info("store available again")
 	}
 	f.opts.Sink.Tick()
-	f.confirm(current)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.storeAnswered = f.opts.Boottime()
@@ -196,27 +198,53 @@
 			return 0
 		}
 		age, _ := f.Age()
-		return min(f.opts.PeerFetchInterval, max(0, f.opts.PeerFetchAge-age))
+		return min(f.opts.PeerFetchInterval, max(0, f.opts.Timing().StaleAge-age))
 	}
 	started := f.opts.Boottime()
 	after, _ := f.position()
-	u, err := f.opts.FetchFrom(ctx, host, after, f.opts.PeerWait)
+	u, err := f.awaitUpdate(ctx, host, after)
 	if err == nil {
 		err = f.applyUpdate(u, started)
 	}
-	if err == nil && u.age() > freshAge {
-		err = errors.Newf("feed: state is %v old", u.age())
-	}
-	if err != nil {
-		f.opts.Logger.Debug("host no longer followed", "host", host, "error", err)
+	old := err == nil && u.age() > f.opts.Timing().FreshAge
+	if err != nil || old {
+		f.opts.Logger.Debug("host no longer followed", "host", host, "state_age", u.age(), "error", err)
 		f.unfollow(host)
 	}
-	if err != nil || u.Revision > after {
+	if err != nil || !old && u.Revision > after {
 		return f.opts.PeerPause
 	}
 	return 0
 }
 
+// minPeerWait is the shortest wait for a change at the host that is followed.
+const minPeerWait = 50 * time.Millisecond
+
+// peerWait returns how long the host that is followed may hold a call, so that the state is
+// still fresh when the answer comes, or this host looks for another one in time.
+func (f *Follower) peerWait() time.Duration {
+	age, _ := f.Age()
+	return max(minPeerWait, min(f.opts.PeerWait, f.opts.Timing().FreshAge-age))
+}
+
+// awaitUpdate gets the next update from the host that is followed. The call ends when another
+// one takes its place.
+func (f *Follower) awaitUpdate(ctx context.Context, host string, after int64) (Update, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.mu.Lock()
+	f.release = cancel
+	replaced := f.upstream != host
+	f.mu.Unlock()
+	if replaced {
+		return Update{}, errReplaced
+	}
+	return f.opts.FetchFrom(ctx, host, after, f.peerWait())
+}
+
+// errReplaced reports that another host is followed by now.
+var errReplaced = errors.New("feed: another host is followed by now")
+
 func (f *Follower) upstreamHost() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -232,16 +260,20 @@
 	}
 }
 
+// follow makes the follower follow a host. A call to another one that is in progress ends.
 func (f *Follower) follow(host string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.release != nil && f.upstream != host {
+		f.release()
+	}
 	f.upstream = host
 }
 
 // Announced tells the follower that a host has a current state. Without one of its own
 // the follower follows that host, and gets its state at once.
 func (f *Follower) Announced(ctx context.Context, host string) {
-	if age, known := f.Age(); known && age < freshAge {
+	if age, known := f.Age(); known && age < f.opts.Timing().FreshAge {
 		return
 	}
 	f.follow(host)
--- a/feed/silence.go
+++ b/feed/silence.go
@@ -48,7 +48,8 @@
 
 // answerInterval is the longest time between two answers of a store that answers in time.
 func (f *Follower) answerInterval() time.Duration {
-	return f.opts.Pause + f.opts.Wait + lateAnswer
+	t := f.opts.Timing()
+	return t.Pause + t.Wait + lateAnswer
 }
 
 // beginCall records the start of a call to the store.
--- a/feed/update.go
+++ b/feed/update.go
@@ -65,18 +65,21 @@
 	f.mirror.set(ev.Entry)
 }
 
-// Answer returns the update that a query asks for. It waits for a change if the query
-// asks for that.
+// Answer returns the update that a query asks for. If the query asks for that, it waits
+// until the state changes or is confirmed, so that the age of the state passes on at once,
+// too.
 func (f *Follower) Answer(ctx context.Context, q Query) (Update, error) {
 	started := f.opts.Boottime()
+	confirmed := f.nextConfirmation()
 	u, err := f.answerNow(q)
-	if err != nil || q.WaitMS <= 0 || u.Revision > q.After || u.age() > freshAge {
+	if err != nil || q.WaitMS <= 0 || u.Revision > q.After || u.age() > f.opts.Timing().FreshAge {
 		return u, err
 	}
 	select {
 	case <-ctx.Done():
 		return u, ctx.Err()
 	case <-f.changedAfter(q.After):
+	case <-confirmed:
 	case <-f.opts.Clock.After(min(time.Duration(q.WaitMS)*time.Millisecond, maxAnswerWait)):
 	}
 	waited := f.opts.Boottime().Sub(started)
@@ -149,20 +152,23 @@
 	return n
 }
 
-// fetchWhileStale fetches updates from other hosts while the state is at least
-// PeerFetchAge old.
+// fetchWhileStale fetches updates from other hosts while the state is stale, from the moment
+// on at which it becomes so.
 func (f *Follower) fetchWhileStale(ctx context.Context) {
-	ticker := f.opts.Clock.NewTicker(f.opts.PeerFetchInterval)
-	defer ticker.Stop()
+	next := f.opts.PeerFetchInterval
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.Chan():
+		case <-f.opts.Clock.After(next):
 		}
-		if age, ok := f.Age(); !ok || age >= f.opts.PeerFetchAge {
-			f.fetchFromPeer(ctx, f.opts.PeerFetchAge)
+		t := f.opts.Timing()
+		if age, known := f.Age(); known && age < t.StaleAge {
+			next = min(t.StaleAge-age, f.opts.PeerFetchInterval) // the clock may stand still for a time
+			continue
 		}
+		f.fetchFromPeer(ctx, t.QueryTime)
+		next = f.opts.PeerFetchInterval
 	}
 }
 
@@ -187,7 +193,7 @@
 		f.opts.Logger.Debug("no update from peer", "error", err, "after", after)
 		return
 	}
-	if u.age() <= freshAge {
+	if u.age() <= f.opts.Timing().FreshAge {
 		f.follow(from)
 	}
 }
@@ -212,13 +218,13 @@
 		return errors.Wrapf(errOlderState, "revision %d, have %d", u.Revision, at)
 	}
 	afterOutage := func() bool { return u.AfterOutage }
+	current := requested + boottime.Instant(u.waited()-u.age())
 	if u.Full {
-		f.reset(u.Entries, u.Revision, afterOutage)
+		f.reset(u.Entries, u.Revision, current, afterOutage)
 	} else {
-		f.applyChanges(u.Events, u.Revision, afterOutage)
+		f.applyChanges(u.Events, u.Revision, current, afterOutage)
 	}
 	f.opts.Sink.Tick()
-	f.confirm(requested + boottime.Instant(u.waited()-u.age()))
 	return nil
 }
 
