--- a/daemon/router/feed.go
+++ b/daemon/router/feed.go
@@ -82,18 +82,32 @@
 	if h.opts.Clock.Since(h.started) < startGrace && len(settings.Seeds) > 0 {
 		return slices.Contains(settings.Seeds, settings.Peer)
 	}
-	return slices.ContainsFunc(storeReaders(h.peers.members.Members()), h.isSelf)
+	readers, _ := storeReaders(h.peers.members.Members())
+	return slices.ContainsFunc(readers, h.isSelf)
 }
 
 func (h *Host) isSelf(m membership.Member) bool { return m.Host == h.opts.Settings.Host }
 
-// storeReaders returns the live hosts that follow the store directly. They are in
-// different failure domains as far as possible and have the fastest links there, because
-// they forward full listings; ties are broken by name.
-func storeReaders(members []membership.Member) []membership.Member {
+// storeReaders returns the live hosts that follow the store directly, and the others in the
+// order in which they would take their place. Readers are in different failure domains as far
+// as possible and have the fastest links there, because they forward full listings; ties are
+// broken by name.
+func storeReaders(members []membership.Member) (readers, others []membership.Member) {
 	candidates := membership.SpreadOverDomains(members)
 	wanted := max(minStoreReaders, (len(candidates)+hostsPerStoreReader-1)/hostsPerStoreReader)
-	return candidates[:min(wanted, len(candidates))]
+	wanted = min(wanted, len(candidates))
+	return candidates[:wanted], candidates[wanted:]
+}
+
+// probeRank returns how many live hosts are to call the store before this one when the readers
+// have no current state.
+func (h *Host) probeRank() int {
+	_, others := storeReaders(h.peers.members.Members())
+	rank := slices.IndexFunc(others, h.isSelf)
+	if rank < 0 {
+		return len(others) // this host is about to leave
+	}
+	return rank
 }
 
 // feedTiming returns the timing with which a change reaches all hosts in time.
@@ -140,7 +154,8 @@
 			out = append(out, address)
 		}
 	}
-	for _, m := range h.localFirst(storeReaders(members)) {
+	readers, _ := storeReaders(members)
+	for _, m := range h.localFirst(readers) {
 		add(m.PeerAddress, maxReaderQueries)
 	}
 	for _, m := range h.localFirst(members) {
--- a/daemon/router/loads.go
+++ b/daemon/router/loads.go
@@ -197,7 +197,8 @@
 		return
 	}
 	h.relay.ObserveLoadSums(h.loads.total(), h.relay.OwnLoads())
-	for _, m := range storeReaders(h.peers.members.Members()) {
+	readers, _ := storeReaders(h.peers.members.Members())
+	for _, m := range readers {
 		if h.isSelf(m) {
 			continue
 		}
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -176,7 +176,7 @@
 		Source: opts.Store, Sink: h.state, Timing: h.feedTiming, CallTimeout: feedTimeout, SettleTime: settleTime,
 		Clock: opts.Clock, Boottime: boottime.Now, Rand: h.newRand(), Logger: opts.Logger,
 		Direct: h.readsStore, QueryPeers: h.queryPeers, FetchFrom: h.fetchFrom, PeerWait: peerWait, PeerPause: peerPause,
-		PeerFetchInterval: peerFetchInterval, ProbeInterval: h.probeInterval, Announce: h.announceState,
+		PeerFetchInterval: peerFetchInterval, ProbeInterval: h.probeInterval, ProbeRank: h.probeRank, Announce: h.announceState,
 	})
 	h.state.Silence = h.follower.Silence
 	h.buffers = limiter.NewHostByteBudget(opts.Settings.MemoryBytes)
--- a/daemon/router/router_test.go
+++ b/daemon/router/router_test.go
@@ -50,17 +50,23 @@
 	member := func(name, domain string, link int, state membership.State) membership.Member {
 		return membership.Member{Host: name, FailureDomain: domain, LinkMbps: link, State: state}
 	}
-	readers := storeReaders([]membership.Member{
+	readers, others := storeReaders([]membership.Member{
 		member("a1", "a", 10, membership.Alive), member("a2", "a", 200, membership.Failed), member("a3", "a", 200, membership.Alive),
 		member("a4", "a", 10, membership.Alive), member("a5", "a", 10, membership.Alive), member("b1", "b", 10, membership.Alive), member("b2", "b", 10, membership.Suspect),
 	})
-	var got []string
-	for _, m := range readers {
-		got = append(got, m.Host)
+	names := func(members []membership.Member) []string {
+		var out []string
+		for _, m := range members {
+			out = append(out, m.Host)
+		}
+		return out
 	}
-	if diff := cmp.Diff([]string{"a3", "b1", "a1"}, got); diff != "" {
+	if diff := cmp.Diff([]string{"a3", "b1", "a1"}, names(readers)); diff != "" {
 		t.Error(diff)
 	}
+	if diff := cmp.Diff([]string{"a4", "a5"}, names(others)); diff != "" {
+		t.Errorf("hosts that would take their place: %s", diff)
+	}
 }
 
 // TestFeedKeepsToTheBoundsOfTheDeployment guards against waits of the feed that leave no time
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -79,6 +79,10 @@
 	// that does not follow it, while the other hosts' states are old as well. It grows
 	// with the number of hosts, so that their calls do not add up in an outage.
 	ProbeInterval func() time.Duration
+	// ProbeRank, if set, returns how many other hosts without a direct feed are to call the
+	// store before this one when all states are stale. The first calls of a few of them are
+	// Timing.Hedge apart.
+	ProbeRank func() int
 	// Announce, if set, is called when the store's answer gives this host a current
 	// state after an outage or a start. It tells the other hosts, which then follow
 	// this host.
--- a/feed/fleet_test.go
+++ b/feed/fleet_test.go
@@ -204,6 +204,7 @@
 		Direct:   func() bool { return i < testReaders },
 		PeerWait: testPeerWait, PeerPause: 100 * time.Millisecond, PeerFetchInterval: 300 * time.Millisecond,
 		ProbeInterval: func() time.Duration { return time.Duration(hosts) * time.Second / 4 },
+		ProbeRank:     func() int { return i - testReaders },
 	}
 	var mu sync.Mutex // guards order
 	order := rand.New(rand.NewPCG(uint64(i), 2))
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -72,8 +72,10 @@
 }
 
 // probeDue reports whether a host whose state is old, like those of the other hosts, may
-// call the store now. Hosts take turns at random, so that an outage does not multiply
-// the calls; the first one to get an answer announces it.
+// call the store now. The first ones do so in the order of their ranks, because the hosts that
+// follow the store may be the only ones cut off from it. All others, and the next calls, come
+// at random, so that an outage does not multiply them. The first host to get an answer
+// announces it.
 func (f *Follower) probeDue() bool {
 	if !f.canFollowPeer() || f.opts.ProbeInterval == nil || f.peersSilent() {
 		return true
@@ -81,7 +83,7 @@
 	interval := f.opts.ProbeInterval().Seconds()
 	now := f.opts.Clock.Now()
 	if f.probeAt.IsZero() {
-		f.probeAt = now.Add(seconds(interval * f.opts.Rand.Float64()))
+		f.probeAt = now.Add(f.firstProbeDelay(interval))
 	}
 	if now.Before(f.probeAt) {
 		return false
@@ -90,6 +92,22 @@
 	return true
 }
 
+// firstProbers is the number of hosts that call the store in the order of their ranks.
+const firstProbers = 4
+
+// firstProbeDelay returns the time for which the state of a host has been stale when the host
+// calls the store. The mean interval of such calls is given in seconds.
+func (f *Follower) firstProbeDelay(interval float64) time.Duration {
+	delay := seconds(interval * f.opts.Rand.Float64())
+	if f.opts.ProbeRank == nil {
+		return delay
+	}
+	if rank := f.opts.ProbeRank(); rank < firstProbers {
+		return min(delay, time.Duration(rank)*f.opts.Timing().Hedge)
+	}
+	return delay
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // peersSilent reports whether no other host has answered lately.
--- a/feed/silentpaths_test.go
+++ b/feed/silentpaths_test.go
@@ -25,6 +25,8 @@
 var silentPaths = []silentPath{
 	{"a reader cut off from the store", []int{1}, -1},
 	{"two readers cut off from the store", []int{0, 2}, -1},
+	{"all readers cut off from the store", []int{0, 1, 2}, -1},
+	{"all readers and the next host cut off from the store", []int{0, 1, 2, 3}, -1},
 	{"a reader paused", []int{1}, 1},
 	{"a reader cut off from the other hosts", nil, 1},
 	{"a reader cut off from the store, another one paused", []int{0, 2}, 2},
