--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -24,6 +24,9 @@
 	// Maintenance limits the faults to what an operator plans: stops, signals, and
 	// changes of settings, configuration and endpoints. No call may be lost then.
 	Maintenance bool
+	// Changes limits the faults to one or two hosts at a time, each right before a key is taken
+	// away. All other hosts must act on that in time.
+	Changes bool
 	// Dir receives settings and logs.
 	Dir string
 	// Binary is the program under test.
@@ -79,6 +82,9 @@
 	if err := s.start(ctx); err != nil {
 		return nil, err
 	}
+	if s.Changes {
+		return s.runChanges(ctx)
+	}
 	callCtx, stopCalls := context.WithCancel(ctx)
 	defer stopCalls()
 	var wg sync.WaitGroup
@@ -175,6 +181,12 @@
 const linesPerCaller = 6
 
 func (s *soak) newCallers() {
+	if s.Changes {
+		for i := range s.hosts {
+			s.callers = append(s.callers, NewCaller(fmt.Sprintf("k%d", i), s.hosts, s.Seed+uint64(i)))
+		}
+		return
+	}
 	for i := range s.Callers {
 		if !s.Maintenance {
 			s.callers = append(s.callers, NewCaller(fmt.Sprintf("c%d", i), s.hosts, s.Seed+uint64(i)))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -34,10 +34,10 @@
 // down, slow, stalled or compacted, and endpoints that fail, lose answers or cut
 // streams.
 func TestSoak(t *testing.T) {
-	runSeeds(t, false)
+	runSeeds(t, soak.Options{})
 	for seed, cause := range regressions {
 		t.Logf("regression seed %d: %s", seed, cause)
-		runSeed(context.Background(), t, build(t), seed, false)
+		runSeed(context.Background(), t, build(t), seed, soak.Options{})
 	}
 }
 
@@ -46,24 +46,32 @@
 // settings and configuration change, endpoints refuse new connections or leave, and a
 // roll-out ends.
 func TestMaintenanceLosesNoCall(t *testing.T) {
-	runSeeds(t, true)
+	runSeeds(t, soak.Options{Maintenance: true})
 	for seed, cause := range maintenanceRegressions {
 		t.Logf("regression seed %d: %s", seed, cause)
-		runSeed(context.Background(), t, build(t), seed, true)
+		runSeed(context.Background(), t, build(t), seed, soak.Options{Maintenance: true})
 	}
 }
 
+// TestUndisturbedHostsFollowChanges guards against hosts that nothing disturbs and that act on a
+// change too late, because a host from which they get changes is cut off from the store, paused
+// or killed.
+func TestUndisturbedHostsFollowChanges(t *testing.T) {
+	runSeeds(t, soak.Options{Changes: true})
+}
+
 // maxReported bounds the violations that are reported one by one.
 const maxReported = 25
 
-func runSeeds(t *testing.T, maintenance bool) {
+// runSeeds runs the seeds of the command line with the faults that opts name.
+func runSeeds(t *testing.T, opts soak.Options) {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
 	binary := build(t)
 	for i := range uint64(*seeds) {
-		runSeed(context.Background(), t, binary, *firstSeed+i, maintenance)
+		runSeed(context.Background(), t, binary, *firstSeed+i, opts)
 	}
 }
 
@@ -76,15 +84,15 @@
 	return binary
 }
 
-func runSeed(ctx context.Context, t *testing.T, binary string, seed uint64, maintenance bool) {
+func runSeed(ctx context.Context, t *testing.T, binary string, seed uint64, opts soak.Options) {
 	t.Helper()
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		t.Fatal(err)
 	}
-	violations, err := soak.Run(ctx, soak.Options{
-		Seed: seed, Duration: *duration, Hosts: *hosts, Callers: *callers, Maintenance: maintenance, Dir: dir, Binary: binary, Logf: t.Logf,
-	})
+	opts.Seed, opts.Duration, opts.Hosts, opts.Callers = seed, *duration, *hosts, *callers
+	opts.Dir, opts.Binary, opts.Logf = dir, binary, t.Logf
+	violations, err := soak.Run(ctx, opts)
 	if err != nil {
 		t.Fatalf("seed %d: %v; logs in %s", seed, err, dir)
 	}
