--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -21,6 +22,7 @@
 
 	"github.com/corianderlever/corianderlever/balance"
 	"github.com/corianderlever/corianderlever/fleet"
+	"github.com/corianderlever/corianderlever/internal/loopback"
 	"github.com/corianderlever/corianderlever/limiter"
 	"github.com/corianderlever/corianderlever/relay"
 	"github.com/corianderlever/corianderlever/rollout"
@@ -286,7 +288,7 @@
 // endpointOf adds an endpoint of the given version that runs a handler.
 func (r *rig) endpointOf(version, id string, handler http.HandlerFunc) *httptest.Server {
 	r.t.Helper()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
+	server := r.newServer(http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
 		// net/http notices a closed connection only after it has read the body.
 		_, _ = io.Copy(io.Discard, hr.Body)
 		r.mu.Lock()
@@ -302,6 +304,25 @@
 	return server
 }
 
+// newServer starts a server at a loopback address of its own, where nothing else listens once
+// the server is closed.
+func (r *rig) newServer(handler http.Handler) *httptest.Server {
+	r.t.Helper()
+	addresses, err := loopback.Addresses(1)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", addresses[0])
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	server := httptest.NewUnstartedServer(handler)
+	_ = server.Listener.Close() // nothing was accepted
+	server.Listener = ln
+	server.Start()
+	return server
+}
+
 // arrivals returns the endpoint and model of each request that reached an endpoint.
 func (r *rig) arrivals() []string {
 	r.mu.Lock()
