--- a/relay/crashpart_test.go
+++ b/relay/crashpart_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/corianderlever/corianderlever/route"
 )
@@ -89,6 +90,21 @@
 	return r.crashes, r.badArrivals
 }
 
+// contactTime is the time after the fifth crash from which few requests with the part may reach
+// engines.
+const contactTime = 3 * time.Second
+
+// awaitNotice waits until the host has logged the crash of each engine, at most for contactTime.
+// A crash that it finds when it next connects to the engine has no such line.
+func (r *crashRig) awaitNotice() {
+	for end := time.Now().Add(contactTime); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		crashes, _ := r.counts()
+		if strings.Count(r.logged(), "endpoint crashed while running a request") >= crashes {
+			return
+		}
+	}
+}
+
 // ask sends request n, whose prompt has the given parts and a part of its own. It
 // returns the status of the response.
 func (r *crashRig) ask(n int, parts string) int {
@@ -126,6 +142,7 @@
 			for n := range 30 {
 				crashed, before := r.counts()
 				r.ask(2*n, "shared "+badPart)
+				r.awaitNotice()
 				if _, arrivals := r.counts(); crashed >= 5 {
 					afterFifth += arrivals - before
 				}
