--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -151,10 +151,12 @@
 	expiryGrace = 2200 * time.Millisecond
 	// settleTime is the time after an outage in which entries may vanish only
 	// because their leases expired during the outage.
-	settleTime  = time.Second
+	settleTime = time.Second
+	// feedTimeout is the time allowed for an answer of the store beyond the time for which
+	// it may hold the call.
 	feedTimeout = time.Second
-	// peerWait is the time for which a followed host holds a call while nothing
-	// changes. peerPause bounds the calls while much changes.
+	// peerWait is the longest time for which a followed host holds a call. peerPause bounds
+	// the calls while much changes.
 	peerWait          = 700 * time.Millisecond
 	peerPause         = 100 * time.Millisecond
 	peerFetchInterval = 300 * time.Millisecond
--- a/feed/update.go
+++ b/feed/update.go
@@ -65,9 +65,9 @@
 	f.mirror.set(ev.Entry)
 }
 
-// Answer returns the update that a query asks for. If the query asks for that, it waits
-// until the state changes or is confirmed, so that the age of the state passes on at once,
-// too.
+// Answer returns the update that a query asks for. If the query allows it, Answer waits until
+// the state changes or is confirmed, so that not only changes but also the age of the state
+// reach the other host at once.
 func (f *Follower) Answer(ctx context.Context, q Query) (Update, error) {
 	started := f.opts.Boottime()
 	confirmed := f.nextConfirmation()
@@ -152,8 +152,8 @@
 	return n
 }
 
-// fetchWhileStale fetches updates from other hosts while the state is stale, from the moment
-// on at which it becomes so.
+// fetchWhileStale fetches updates from other hosts from the moment at which the state becomes
+// stale.
 func (f *Follower) fetchWhileStale(ctx context.Context) {
 	next := f.opts.PeerFetchInterval
 	for {
@@ -164,7 +164,8 @@
 		}
 		t := f.opts.Timing()
 		if age, known := f.Age(); known && age < t.StaleAge {
-			next = min(t.StaleAge-age, f.opts.PeerFetchInterval) // the clock may stand still for a time
+			// The age also grows while the host is suspended and this clock stands still.
+			next = min(t.StaleAge-age, f.opts.PeerFetchInterval)
 			continue
 		}
 		f.fetchFromPeer(ctx, t.QueryTime)
