--- a/daemon/router/peers.go
+++ b/daemon/router/peers.go
@@ -14,6 +14,7 @@
 	"github.com/corianderlever/corianderlever/internal/broadcast"
 	"github.com/corianderlever/corianderlever/internal/crashreports"
 	"github.com/corianderlever/corianderlever/internal/permitpeers"
+	"github.com/corianderlever/corianderlever/internal/retryloans"
 	"github.com/corianderlever/corianderlever/kernel"
 	"github.com/corianderlever/corianderlever/membership"
 	"github.com/corianderlever/corianderlever/peer"
@@ -97,6 +98,7 @@
 	s.reports = s.newCrashReports()
 	s.reports.Register(s.server)
 	s.server.Handle(permitpeers.Method, permitpeers.Handler(s.host.permits))
+	s.server.Handle(retryloans.Method, retryloans.Handler(s.host.relay.LendRetries))
 	s.ln, err = net.Listen("tcp", set.Peer)
 	return errors.Wrap(err, "router: listen for peers")
 }
--- a/daemon/router/permits.go
+++ b/daemon/router/permits.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 
 	"github.com/corianderlever/corianderlever/internal/permitpeers"
+	"github.com/corianderlever/corianderlever/internal/retryloans"
 	"github.com/corianderlever/corianderlever/membership"
 )
 
@@ -20,6 +21,18 @@
 	}
 }
 
+// lenders returns the other hosts, which lend retries.
+func (h *Host) lenders() *retryloans.Borrower {
+	return retryloans.New(retryloans.Options{
+		Self:    h.opts.Settings.Host,
+		Members: func() []membership.Member { return h.peers.members.Members() },
+		Call: func(ctx context.Context, address, method string, params, result any) error {
+			return h.peers.client.Call(ctx, address, method, params, result)
+		},
+		Clock: h.opts.Clock, Rand: h.newRand(), Logger: h.opts.Logger,
+	})
+}
+
 func (s *peerService) limitMarks() json.RawMessage {
 	marks, err := s.host.permits.Marks()
 	if err != nil {
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -192,7 +192,7 @@
 	h.permits = limiter.NewPermits(opts.Clock, opts.Logger, h.permitPeers())
 	h.forwarding = newForwarding(h)
 	h.relay = relay.New(relay.Options{
-		Forwarder: h.forwarding, Self: opts.Settings.Host, HostNames: h.hostNames,
+		Forwarder: h.forwarding, Lenders: h.lenders(), Self: opts.Settings.Host, HostNames: h.hostNames,
 		Config: h, Fleet: h.registry, Versions: h.rollouts, Codec: opts.Headers,
 		Client: upstream.NewClient(endpointOptions(opts)), Settings: h.relaySettings,
 		LearnPace: opts.Settings.LearnPace, AdmissionGate: opts.Settings.AdmissionGate,
--- a/limiter/window.go
+++ b/limiter/window.go
@@ -21,8 +21,8 @@
 const windowBuckets = 50
 
 // WindowBudget limits retries to a ratio of the requests in a sliding window
-// plus a fixed number. Each host keeps its own budget without coordination: the
-// retries of all hosts stay within the sum of their budgets.
+// plus a fixed number. Each host keeps its own budget: the retries of all hosts stay
+// within the sum of their budgets, also when hosts lend each other retries.
 type WindowBudget struct {
 	clock clockwork.Clock
 	start time.Time
@@ -33,6 +33,9 @@
 	current  int64
 	requests int
 	retries  int
+	// lent holds the retries that other hosts make in place of this one, borrowed those that
+	// this host makes in place of others, both in the order of their times.
+	lent, borrowed []loan
 }
 
 // NewWindowBudget returns an empty budget.
@@ -62,13 +65,14 @@
 	b.requests++
 }
 
-// TryRetry takes one retry from the budget, or returns false if none is left.
+// TryRetry takes one retry from the budget, or else a borrowed one. It returns false if none
+// is left.
 func (b *WindowBudget) TryRetry() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance()
-	if float64(b.retries+1) > b.cfg.RetryRatio*float64(b.requests)+b.cfg.ExtraRetries {
-		return false
+	if b.left() < 1 {
+		return b.takeBorrowed()
 	}
 	b.ring[b.current%int64(len(b.ring))].retries++
 	b.retries++
--- a/relay/job.go
+++ b/relay/job.go
@@ -293,12 +293,18 @@
 	case j.checkCrashGuard() != nil:
 		return j.giveUp(reasonCrashes, reason, crashRetryAfter)
 	}
-	if !j.pool.takeRetry() {
+	if !j.pool.takeRetry() && !j.borrowsRetry(ctx) {
 		return j.giveUp(reason, "retry budget exhausted", shortRetryAfter)
 	}
 	return nil
 }
 
+// borrowsRetry reports whether another host has lent a retry. Only answers in progress are worth
+// that: another request can be refused, and its caller comes back.
+func (j *job) borrowsRetry(ctx context.Context) bool {
+	return (j.headerSent || j.headerSentBefore) && j.pool.borrowRetry(ctx)
+}
+
 // maxDialFailures is the number of unreachable endpoints after which the request fails.
 func (j *job) maxDialFailures() int {
 	if j.from != "" {
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -45,6 +45,9 @@
 	// allEvacuated is set while all endpoints are in evacuated failure domains.
 	allEvacuated atomic.Bool
 	slow         slowEngines
+	// loanMu is held during a round of questions for loans. loanAt is the time of the next one.
+	loanMu sync.Mutex
+	loanAt time.Time
 
 	mu               sync.Mutex
 	slots            map[string]int // of each endpoint in endpointIDs
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -66,7 +66,7 @@
 	Hosts int
 }
 
-// Options configure a Relay. All fields but Forwarder are required.
+// Options configure a Relay. All fields but Forwarder and Lenders are required.
 type Options struct {
 	Config   ConfigSource
 	Fleet    *fleet.Registry
@@ -76,6 +76,8 @@
 	// Forwarder reaches other hosts, which serve requests while this one does not reach
 	// the endpoints; nil if there are none.
 	Forwarder Forwarder
+	// Lenders lend retries for streams in progress; nil if there are none.
+	Lenders Lenders
 	// Crashes recognises requests that crash the endpoints they run on.
 	Crashes *limiter.CrashGuard
 	// Parts recognises parts of prompts that crash endpoints.
