--- a/relay/loans_test.go
+++ b/relay/loans_test.go
@@ -68,7 +68,7 @@
 func TestStreamsInProgressUseRetriesOfOtherHosts(t *testing.T) {
 	const streams = 8
 	for name, c := range map[string]struct{ lent, complete int }{
-		"lent":          {1, streams},
+		"lent":         {1, streams},
 		"nothing left": {0, ownRetries},
 	} {
 		t.Run(name, func(t *testing.T) {
