--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os/exec"
 	"path/filepath"
 	"sync"
@@ -272,21 +273,42 @@
 	}
 }
 
-// checkRecovery adds a violation unless enough calls sent after from were answered.
+// checkRecovery adds a violation unless enough calls sent after from were answered. In a run
+// without retries, a call that its endpoint rejected and whose host says so can't be answered.
 func (s *soak) checkRecovery(from time.Time) {
-	total, answered := 0, 0
+	total, answered, full := 0, 0, 0
+	rejected := s.rejectedWithoutRetry()
 	for i := range s.history.Calls {
 		c := &s.history.Calls[i]
 		if c.Sent.Before(from) || c.Key != platformtest.ValidKey || c.Kind == Crash {
 			continue
 		}
+		if rejected[c.ID] && c.Status == http.StatusServiceUnavailable && !c.Incomplete {
+			full++
+			continue
+		}
 		total++
 		if c.Answered() {
 			answered++
 		}
 	}
-	s.log("%d calls, %d runs; after recovery %d of %d answered", len(s.history.Calls), len(s.history.Runs), answered, total)
+	s.log("%d calls, %d runs; after recovery %d of %d answered, %d rejected by full endpoints", len(s.history.Calls), len(s.history.Runs), answered, total, full)
 	if total == 0 || float64(answered) < minAnsweredShare*float64(total) {
 		s.addViolation("%d of %d calls answered %v after the last fault", answered, total, settleTime)
 	}
 }
+
+// rejectedWithoutRetry returns the ids of the calls that endpoints have rejected for want of a
+// slot, in a run in which hosts may not send them to another one.
+func (s *soak) rejectedWithoutRetry() map[string]bool {
+	out := make(map[string]bool)
+	if !s.noRetries() {
+		return out
+	}
+	for _, e := range s.allEndpoints() {
+		for _, id := range e.Rejected() {
+			out[id] = true
+		}
+	}
+	return out
+}
