--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -67,6 +67,7 @@
 // answer.
 func (j *job) send(ctx context.Context, sl *slot) (*upstream.Response, error) {
 	defer j.pool.paths.watchSilence(sl)()
+	j.addSendStep()
 	answer, err := j.relay.Client.Do(ctx, sl.endpoint.Address, j.upstreamRequest(sl))
 	if err != nil {
 		return nil, err
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -47,6 +47,8 @@
 	j.observeDuration(outcome, took)
 	if j.from == "" {
 		j.countRequest(outcome, errResp == nil, took)
+	} else if j.pool != nil {
+		j.relay.metrics.served.WithLabelValues(j.pool.service, outcome).Inc()
 	}
 	if errResp == nil {
 		return
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -94,6 +94,7 @@
 	}
 	j.forwards++
 	sent := j.relay.Clock.Now()
+	j.addSendStep()
 	answer, err := j.relay.Forwarder.Forward(ctx, host, Forwarded{
 		Request: j.req, TimeLeft: j.remaining(), Exclude: j.failedEndpoints(), Unreached: slices.Concat(j.avoid, j.unreached), Delivered: j.delivered, Runs: j.possibleRuns,
 		ModelIndex: j.modelIndex, Version: j.firstVersion, LastEvent: j.lastEvent, HeaderSent: j.headerSent,
--- a/relay/job.go
+++ b/relay/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -326,6 +327,14 @@
 	}
 }
 
+// addSendStep adds the time at which a request is sent again after it may have run, so that logs
+// tell whether the run before had ended.
+func (j *job) addSendStep() {
+	if j.possibleRuns > 0 {
+		j.addStep("sent_again_ms=" + strconv.FormatInt(j.relay.Clock.Since(j.arrived).Milliseconds(), 10))
+	}
+}
+
 // excludeEndpoint releases the slot and excludes its endpoint from further attempts
 // of this request.
 func (j *job) excludeEndpoint(sl *slot, outcome limiter.Outcome) {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -10,7 +10,9 @@
 	attempts *prometheus.CounterVec
 	retries  *prometheus.CounterVec
 	forwards *prometheus.CounterVec
-	lost     *prometheus.GaugeVec
+	// served counts the requests of other hosts.
+	served *prometheus.CounterVec
+	lost   *prometheus.GaugeVec
 	// evacuated and cold count the endpoints of a service that are in an evacuated failure
 	// domain and those that are cold; permits counts the requests for permits of cold ones.
 	evacuated, cold *prometheus.GaugeVec
@@ -40,6 +42,9 @@
 		forwards: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "corianderlever", Name: "relay_forwards_total", Help: "Requests forwarded to other hosts by service and their outcome.",
 		}, []string{"service", "outcome"}),
+		served: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "corianderlever", Name: "relay_forwards_served_total", Help: "Requests served for other hosts by service and outcome.",
+		}, []string{"service", "outcome"}),
 		lost: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: "corianderlever", Name: "relay_service_lost", Help: "Whether this host cannot connect to the endpoints of a service.",
 		}, []string{"service"}),
@@ -70,7 +75,7 @@
 		}, []string{"team", "priority"}),
 	}
 	reg.MustRegister(
-		m.requests, m.attempts, m.retries, m.forwards, m.lost, m.evacuated, m.cold, m.permits, m.slowEngines, m.engineGap, m.rejections,
+		m.requests, m.attempts, m.retries, m.forwards, m.served, m.lost, m.evacuated, m.cold, m.permits, m.slowEngines, m.engineGap, m.rejections,
 		m.firstByte, m.duration,
 	)
 	return m
--- a/relay/serveforwarded.go
+++ b/relay/serveforwarded.go
@@ -18,6 +18,7 @@
 		firstVersion: f.Version, modelIndex: f.ModelIndex, headerSentBefore: f.HeaderSent,
 		acceptedTeam: f.Team, acceptedPriority: f.Priority,
 	}
+	r.Logger.Info("forwarded request began", "request", f.Request.ID, "from", from, "left_ms", f.TimeLeft.Milliseconds(), "runs", f.Runs, "last_event", f.LastEvent)
 	errResp := j.run(ctx)
 	j.finish(ctx, errResp)
 }
