--- a/daemon/command/hostcommand.go
+++ b/daemon/command/hostcommand.go
@@ -37,15 +37,19 @@
 			if len(args) != 0 {
 				return errors.Wrap(ErrUsage, "corianderlever host takes no arguments")
 			}
-			return RunHost(ctx, out, os.Getenv(platform.SettingsVariable), nil, reloads)
+			return RunHost(ctx, out, os.Getenv(platform.SettingsVariable), Dialers{}, reloads)
 		},
 	}
 }
 
+// Dialers open the connections of a host to endpoints and to other hosts; nil for TCP.
+type Dialers struct {
+	Endpoint, Host upstream.DialFunc
+}
+
 // RunHost runs a host on the users' platform with the settings file at path until ctx ends,
-// and logs to out. dial opens connections to endpoints; nil for TCP. A signal on reloads
-// makes it read the settings at once.
-func RunHost(ctx context.Context, out io.Writer, path string, dial upstream.DialFunc, reloads <-chan os.Signal) error {
+// and logs to out. A signal on reloads makes it read the settings at once.
+func RunHost(ctx context.Context, out io.Writer, path string, dial Dialers, reloads <-chan os.Signal) error {
 	if path == "" {
 		return errors.Wrapf(ErrUsage, "%s is not set", platform.SettingsVariable)
 	}
@@ -67,7 +71,8 @@
 	store := platform.NewStore(settings.StoreAddress)
 	defer store.Close()
 	h, err := router.New(router.Options{
-		Settings: settings.Router(), Store: store, Records: platform.Records{}, Headers: platform.Headers{}, DialEndpoint: dial,
+		Settings: settings.Router(), Store: store, Records: platform.Records{}, Headers: platform.Headers{},
+		DialEndpoint: dial.Endpoint, DialHost: dial.Host,
 		NewEdge: func(h *router.Host, r *relay.Relay) router.Handlers { return platform.NewEdge(h, r, log) },
 		Logger:  log,
 	})
--- a/daemon/router/forward.go
+++ b/daemon/router/forward.go
@@ -30,7 +30,7 @@
 	set := h.opts.Settings
 	return &forwarding{
 		host:   h,
-		client: forward.NewClient(forward.ClientOptions{Key: set.ClusterKey, Self: set.Host, Clock: h.opts.Clock}),
+		client: forward.NewClient(forward.ClientOptions{Key: set.ClusterKey, Self: set.Host, Dial: h.opts.DialHost, Clock: h.opts.Clock}),
 		hosts:  forward.NewHosts(h.opts.Clock, h.newRand()),
 	}
 }
--- a/daemon/router/peers.go
+++ b/daemon/router/peers.go
@@ -68,6 +68,7 @@
 	}
 	clientOptions := peer.ClientOptions{
 		Key: set.ClusterKey, Self: set.Host, Clock: o.Clock, Logger: o.Logger, CallTimeout: peerCallTimeout, DialTimeout: peerCallTimeout,
+		Dial: s.dial(),
 	}
 	if s.client, err = peer.NewClient(clientOptions); err != nil {
 		return err
@@ -116,6 +117,15 @@
 	return errors.CombineErrors(s.run.Stop(ctx), errors.CombineErrors(s.client.Close(), s.feedClient.Close()))
 }
 
+// dial returns what opens connections to other hosts; nil for the default.
+func (s *peerService) dial() func(ctx context.Context, addr string) (net.Conn, error) {
+	dialHost := s.host.opts.DialHost
+	if dialHost == nil {
+		return nil
+	}
+	return func(ctx context.Context, addr string) (net.Conn, error) { return dialHost(ctx, "tcp", addr) }
+}
+
 func (s *peerService) memberChanged(membership.Member) { s.host.countHosts(s.members.Count()) }
 
 // countHosts takes over the numbers of live hosts and of hosts that may be alive.
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -104,6 +104,8 @@
 	NewEdge func(h *Host, r *relay.Relay) Handlers
 	// DialEndpoint opens connections to endpoints; it defaults to TCP.
 	DialEndpoint upstream.DialFunc
+	// DialHost opens connections to other hosts; it defaults to TCP with probes.
+	DialHost upstream.DialFunc
 	// Clock, Rand, Logger and Registry are optional.
 	Clock    clockwork.Clock
 	Rand     *rand.Rand
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -41,8 +41,11 @@
 // ClientOptions configure a Client. Key and Self are required.
 type ClientOptions struct {
 	// Key is the shared cluster key, and Self the name of this host.
-	Key   []byte
-	Self  string
+	Key  []byte
+	Self string
+	// Dial opens connections, on which the client authenticates itself; it defaults to TCP with
+	// probes.
+	Dial  upstream.DialFunc
 	Clock clockwork.Clock
 }
 
@@ -53,9 +56,11 @@
 
 // NewClient returns a client without connections.
 func NewClient(opts ClientOptions) *Client {
-	tcp := upstream.TCPDialer(net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}, userTimeout)
+	if opts.Dial == nil {
+		opts.Dial = upstream.TCPDialer(net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}, userTimeout)
+	}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		raw, err := tcp(ctx, network, address)
+		raw, err := opts.Dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/cmd/soakhost/main.go
+++ b/internal/cmd/soakhost/main.go
@@ -16,7 +16,7 @@
 	ctx := signals.Context()
 	link := &platformtest.Link{}
 	go link.FollowFile(ctx, os.Getenv(platformtest.LinkVariable))
-	if err := command.RunHost(ctx, os.Stdout, os.Getenv(platform.SettingsVariable), link.Dial, signals.Reloads()); err != nil {
+	if err := command.RunHost(ctx, os.Stdout, os.Getenv(platform.SettingsVariable), command.Dialers{Endpoint: link.Dial}, signals.Reloads()); err != nil {
 		fmt.Fprintln(os.Stderr, "soakhost:", err)
 		os.Exit(1)
 	}
