--- a/internal/cmd/soakhost/main.go
+++ b/internal/cmd/soakhost/main.go
@@ -1,5 +1,5 @@
 // Command soakhost runs a host on the users' platform, like corianderlever host, for the fault
-// soak, which cuts its links to the endpoints through a file.
+// soak, which cuts its links to the endpoints and its paths to other hosts through files.
 package main
 
 import (
@@ -14,9 +14,10 @@
 
 func main() {
 	ctx := signals.Context()
-	link := &platformtest.Link{}
+	link, paths := &platformtest.Link{}, &platformtest.Paths{}
 	go link.FollowFile(ctx, os.Getenv(platformtest.LinkVariable))
-	if err := command.RunHost(ctx, os.Stdout, os.Getenv(platform.SettingsVariable), command.Dialers{Endpoint: link.Dial}, signals.Reloads()); err != nil {
+	go paths.FollowFile(ctx, os.Getenv(platformtest.PathsVariable))
+	if err := command.RunHost(ctx, os.Stdout, os.Getenv(platform.SettingsVariable), command.Dialers{Endpoint: link.Dial, Host: paths.Dial}, signals.Reloads()); err != nil {
 		fmt.Fprintln(os.Stderr, "soakhost:", err)
 		os.Exit(1)
 	}
