--- a/daemon/router/forward.go
+++ b/daemon/router/forward.go
@@ -9,7 +9,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/corianderlever/corianderlever/forward"
+	"github.com/corianderlever/corianderlever/internal/boottime"
 	"github.com/corianderlever/corianderlever/internal/drain"
+	"github.com/corianderlever/corianderlever/internal/runlease"
 	"github.com/corianderlever/corianderlever/limiter"
 	"github.com/corianderlever/corianderlever/membership"
 	"github.com/corianderlever/corianderlever/relay"
@@ -22,6 +24,10 @@
 	host   *Host
 	client *forward.Client
 	hosts  *forward.Hosts
+	// grantor grants leases on the requests that this host forwards, and holder keeps those on
+	// the requests that it serves for others.
+	grantor *runlease.Grantor
+	holder  *runlease.Holder
 }
 
 var _ relay.Forwarder = (*forwarding)(nil)
@@ -29,7 +35,11 @@
 func newForwarding(h *Host) *forwarding {
 	set := h.opts.Settings
 	return &forwarding{
-		host:   h,
+		host:    h,
+		grantor: runlease.NewGrantor(h.callHost, h.opts.Clock, h.opts.Logger),
+		holder: runlease.NewHolder(runlease.HolderOptions{
+			Call: h.callHost, Clock: h.opts.Clock, Boottime: boottime.Now, Logger: h.opts.Logger,
+		}),
 		client: forward.NewClient(forward.ClientOptions{Key: set.ClusterKey, Self: set.Host, Dial: h.opts.DialHost, Clock: h.opts.Clock}),
 		hosts:  forward.NewHosts(h.opts.Clock, h.newRand()),
 	}
@@ -57,6 +67,18 @@
 	return f.client.Do(ctx, member.ForwardAddress, message, body)
 }
 
+// Lease implements relay.Forwarder.
+func (f *forwarding) Lease(host, request string) relay.RunLease { return f.grantor.Open(host, request) }
+
+// callHost calls a method of the host of the given name.
+func (h *Host) callHost(ctx context.Context, host, method string, params, result any) error {
+	member, known := h.peers.members.Member(host)
+	if !known {
+		return errors.Newf("router: host %q is not known", host)
+	}
+	return h.peers.client.Call(ctx, member.PeerAddress, method, params, result)
+}
+
 // Refused implements relay.Forwarder.
 func (f *forwarding) Refused(host, service string) { f.hosts.Refused(host, service) }
 
@@ -89,7 +111,29 @@
 		return
 	}
 	message.Request.Body = req.Body
-	h.relay.ServeForwarded(r.Context(), w, req.From, message)
+	if message.Lease == "" {
+		h.relay.ServeForwarded(r.Context(), w, req.From, message)
+		return
+	}
+	f.serveUnderLease(w, r, req.From, message)
+}
+
+// serveUnderLease serves a request while the host that has forwarded it grants a lease on it.
+func (f *forwarding) serveUnderLease(w http.ResponseWriter, r *http.Request, from string, message relay.Forwarded) {
+	lease, err := f.holder.Acquire(r.Context(), from, message.Lease)
+	if err != nil {
+		f.host.opts.Logger.Info("no lease on a forwarded request", "from", from, "request", message.Request.ID, "error", err)
+		relay.RejectForwarded(w, relay.ReasonNoLease)
+		return
+	}
+	defer lease.Release()
+	defer context.AfterFunc(lease.Context(), func() {
+		if errors.Is(context.Cause(lease.Context()), runlease.ErrEnded) {
+			// A write to a host that has vanished may block for as long as its connection is open.
+			_ = http.NewResponseController(w).SetWriteDeadline(time.Unix(1, 0))
+		}
+	})()
+	f.host.relay.ServeForwarded(lease.Context(), w, from, message)
 }
 
 // maxForwardMessageBytes bounds what a host says about a forwarded request. It has room for
--- a/daemon/router/peers.go
+++ b/daemon/router/peers.go
@@ -15,6 +15,7 @@
 	"github.com/corianderlever/corianderlever/internal/crashreports"
 	"github.com/corianderlever/corianderlever/internal/permitpeers"
 	"github.com/corianderlever/corianderlever/internal/retryloans"
+	"github.com/corianderlever/corianderlever/internal/runlease"
 	"github.com/corianderlever/corianderlever/kernel"
 	"github.com/corianderlever/corianderlever/membership"
 	"github.com/corianderlever/corianderlever/peer"
@@ -100,6 +101,8 @@
 	s.reports.Register(s.server)
 	s.server.Handle(permitpeers.Method, permitpeers.Handler(s.host.permits))
 	s.server.Handle(retryloans.Method, retryloans.Handler(s.host.relay.LendRetries))
+	s.server.Handle(runlease.MethodRenew, s.host.forwarding.grantor.HandleRenew)
+	s.server.Handle(runlease.MethodRevoke, s.host.forwarding.holder.HandleRevoke)
 	s.ln, err = net.Listen("tcp", set.Peer)
 	return errors.Wrap(err, "router: listen for peers")
 }
@@ -109,6 +112,7 @@
 	s.run.Start(servicePeers, func(ctx context.Context) error { return s.server.Serve(ctx, s.ln) })
 	s.run.Start("membership", s.members.Run)
 	s.run.Start("crash reports", s.reports.Run)
+	s.run.Start("run leases", s.host.forwarding.holder.Run)
 	return nil
 }
 
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -6,13 +6,18 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/corianderlever/corianderlever/internal/drain"
+	"github.com/corianderlever/corianderlever/internal/runlease"
 )
 
 // Reasons of error responses to requests whose contexts have ended.
 const (
 	reasonCallerLeft = "caller_left"
 	reasonDeadline   = "deadline"
+	// reasonLeaseEnded is that of another host's request on which this one has lost its lease.
+	reasonLeaseEnded = "lease_ended"
 	// ReasonHostStopping is that of a request which was cut at the end of a stop.
 	ReasonHostStopping = "host_stopping"
 )
@@ -24,6 +29,8 @@
 		return reasonDeadline
 	case drain.Stopping(ctx):
 		return ReasonHostStopping
+	case errors.Is(context.Cause(ctx), runlease.ErrEnded):
+		return reasonLeaseEnded
 	}
 	return reasonCallerLeft
 }
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -39,6 +39,9 @@
 	// for an answer that has begun, also if the key has been revoked since.
 	Team     string `json:"team,omitempty"`
 	Priority int    `json:"priority,omitempty"`
+	// Lease is the name of the lease under which the host may work on the request; empty for
+	// none.
+	Lease string `json:"lease,omitempty"`
 }
 
 // Forwarder reaches the hosts that may serve requests in place of this one.
@@ -51,6 +54,19 @@
 	Forward(ctx context.Context, host string, f Forwarded, body []byte) (*upstream.Response, error)
 	// Refused records that a host could not serve a request of a service.
 	Refused(host, service string)
+	// Lease returns a lease under which a host may work on a request.
+	Lease(host, request string) RunLease
+}
+
+// RunLease allows a host to work on a request that is forwarded to it.
+type RunLease interface {
+	// ID returns the name of the lease.
+	ID() string
+	// Close ends the lease without waiting for the host.
+	Close()
+	// Revoke ends the lease and waits until the host works on the request no more. It returns
+	// the cause of ctx if that ends before.
+	Revoke(ctx context.Context) error
 }
 
 // Headers of a host's answer to a forwarded request, in addition to those of the answer
@@ -93,18 +109,55 @@
 		return false, nil
 	}
 	j.forwards++
-	sent := j.relay.Clock.Now()
+	f := &forwarding{host: host, sent: j.relay.Clock.Now()}
+	if j.isStream() {
+		f.lease = j.relay.Forwarder.Lease(host, j.req.ID)
+		defer f.lease.Close()
+	}
 	j.addSendStep()
 	answer, err := j.relay.Forwarder.Forward(ctx, host, Forwarded{
 		Request: j.req, TimeLeft: j.remaining(), Exclude: j.failedEndpoints(), Unreached: slices.Concat(j.avoid, j.unreached), Delivered: j.delivered, Runs: j.possibleRuns,
 		ModelIndex: j.modelIndex, Version: j.firstVersion, LastEvent: j.lastEvent, HeaderSent: j.headerSent,
-		Team: j.team, Priority: j.priority,
+		Team: j.team, Priority: j.priority, Lease: f.leaseID(),
 	}, j.req.Body)
 	if err != nil {
-		return true, j.handleForwardError(ctx, host, err)
+		return true, j.handleForwardError(ctx, f, err)
 	}
 	defer answer.Close()
-	return true, j.handleForwardedAnswer(ctx, host, sent, answer)
+	return true, j.handleForwardedAnswer(ctx, f, answer)
+}
+
+// forwarding is a request under way at another host.
+type forwarding struct {
+	host string
+	sent time.Time
+	// lease allows the host to work on a stream; nil for other requests, which are not sent
+	// again or may run at several endpoints at once.
+	lease RunLease
+}
+
+func (f *forwarding) leaseID() string {
+	if f.lease == nil {
+		return ""
+	}
+	return f.lease.ID()
+}
+
+// checkForwardRetry returns nil if another attempt may be made after a host was lost that may
+// still work on the request, once it does not.
+func (j *job) checkForwardRetry(ctx context.Context, f *forwarding, reason string) *ErrorResponse {
+	errResp := j.checkRetry(ctx, reason)
+	if errResp != nil || f.lease == nil {
+		return errResp
+	}
+	started := j.relay.Clock.Now()
+	if err := f.lease.Revoke(ctx); err != nil {
+		return j.giveUp(endReason(ctx), reason, shortRetryAfter)
+	}
+	waited := j.relay.Clock.Since(started)
+	j.addStep("lease_ended_ms=" + strconv.FormatInt(waited.Milliseconds(), 10))
+	j.relay.metrics.leaseWait.WithLabelValues(j.pool.service).Observe(waited.Seconds())
+	return nil
 }
 
 // failedEndpoints returns the endpoints that failed or rejected the request itself.
@@ -113,10 +166,10 @@
 }
 
 // handleForwardError handles a host that has not answered.
-func (j *job) handleForwardError(ctx context.Context, host string, err error) *ErrorResponse {
+func (j *job) handleForwardError(ctx context.Context, f *forwarding, err error) *ErrorResponse {
 	var failed *upstream.Error
 	sent := !errors.As(err, &failed) || failed.MaybeSent
-	j.addStep("host", host, "failed")
+	j.addStep("host", f.host, "failed")
 	j.countForward("failed")
 	if sent {
 		j.delivered++
@@ -125,9 +178,9 @@
 	if ctx.Err() != nil {
 		return j.giveUp(endReason(ctx), err.Error(), shortRetryAfter)
 	}
-	j.relay.Logger.Warn("request not forwarded", "request", j.req.ID, "host", host, "sent", sent, "error", err)
-	j.excludeHost(host)
-	return j.checkRetry(ctx, "answer_lost")
+	j.relay.Logger.Warn("request not forwarded", "request", j.req.ID, "host", f.host, "sent", sent, "error", err)
+	j.excludeHost(f.host)
+	return j.checkForwardRetry(ctx, f, "answer_lost")
 }
 
 func (j *job) excludeHost(host string) {
@@ -167,35 +220,35 @@
 }
 
 // handleForwardedAnswer passes the answer of a host on to the caller.
-func (j *job) handleForwardedAnswer(ctx context.Context, host string, sent time.Time, answer *upstream.Response) *ErrorResponse {
+func (j *job) handleForwardedAnswer(ctx context.Context, f *forwarding, answer *upstream.Response) *ErrorResponse {
 	res, err := takeForwardResult(answer.Header)
 	if err != nil {
-		return j.handleForwardError(ctx, host, err)
+		return j.handleForwardError(ctx, f, err)
 	}
 	j.possibleRuns += res.runs
 	j.delivered += res.delivered
-	j.addStep("host", host, res.outcome, strconv.Itoa(answer.Status))
+	j.addStep("host", f.host, res.outcome, strconv.Itoa(answer.Status))
 	j.countForward(res.outcome)
 	if res.outcome != outcomeAnswered {
-		return j.handleForwardRefusal(ctx, host, answer, res)
+		return j.handleForwardRefusal(ctx, f.host, answer, res)
 	}
 	reply := j.relay.Codec.Decode(answer.Header)
 	if e, ok := j.relay.Fleet.Endpoint(res.endpoint); ok {
-		j.observeAnswer(e, sent, answer, reply)
+		j.observeAnswer(e, f.sent, answer, reply)
 	}
 	if !reply.Signed || reply.ID != "" && reply.ID != j.req.ID || answer.Header.Get("Content-Encoding") != "" {
-		return j.handleLostForward(ctx, host, "unsigned_answer", strconv.Itoa(answer.Status))
+		return j.handleLostForward(ctx, f, "unsigned_answer", strconv.Itoa(answer.Status))
 	}
 	if j.isStream() && answer.Status == http.StatusOK {
 		j.confidence = reply.Confidence
-		return j.forwardHostStream(ctx, host, answer)
+		return j.forwardHostStream(ctx, f, answer)
 	}
 	if j.headerSent {
-		return j.handleLostForward(ctx, host, "stream_not_resumed", strconv.Itoa(answer.Status))
+		return j.handleLostForward(ctx, f, "stream_not_resumed", strconv.Itoa(answer.Status))
 	}
 	buffer, err := j.relay.Buffers.Read(answer, maxBodyBytes, answer.ContentLength)
 	if err != nil {
-		return j.handleLostForward(ctx, host, "answer_cut", err.Error())
+		return j.handleLostForward(ctx, f, "answer_cut", err.Error())
 	}
 	defer buffer.Release()
 	j.writeAnswer(answer, buffer.Data)
@@ -237,7 +290,7 @@
 
 // reasonsOfHost are the reasons of error responses that lie with the host that gives them.
 var reasonsOfHost = []string{
-	reasonUnreachable, ReasonStopping, ReasonBuffersFull, ReasonMalformed, reasonFull, "endpoint_unreachable", "no_configuration", "no_service", "outdated_configuration",
+	reasonUnreachable, ReasonStopping, ReasonBuffersFull, ReasonMalformed, reasonFull, ReasonNoLease, "endpoint_unreachable", "no_configuration", "no_service", "outdated_configuration",
 	"stale_configuration",
 }
 
@@ -255,27 +308,29 @@
 	ReasonStopping = "stopping"
 	// ReasonBuffersFull is that of a host whose buffers are full.
 	ReasonBuffersFull = "buffers_full"
+	// ReasonNoLease is that of a host that gets no lease on the request.
+	ReasonNoLease = "no_lease"
 	// ReasonMalformed is that of a host that cannot decode the request.
 	ReasonMalformed = "malformed_forward"
 )
 
 // handleLostForward handles an answer of a host that is incomplete or cannot be used.
-func (j *job) handleLostForward(ctx context.Context, host, reason, detail string) *ErrorResponse {
-	j.addStep("host", host, reason)
-	j.relay.Logger.Warn("answer incomplete or invalid", "request", j.req.ID, "host", host, "reason", reason, "detail", detail)
+func (j *job) handleLostForward(ctx context.Context, f *forwarding, reason, detail string) *ErrorResponse {
+	j.addStep("host", f.host, reason)
+	j.relay.Logger.Warn("answer incomplete or invalid", "request", j.req.ID, "host", f.host, "reason", reason, "detail", detail)
 	if ctx.Err() != nil {
 		return j.giveUp(endReason(ctx), reason, shortRetryAfter)
 	}
 	if j.headerSent && !j.route.Resumable {
 		return j.giveUp(reason, detail, 0)
 	}
-	j.excludeHost(host)
-	return j.checkRetry(ctx, reason)
+	j.excludeHost(f.host)
+	return j.checkForwardRetry(ctx, f, reason)
 }
 
 // forwardHostStream passes the events of a stream that another host forwards on to the
 // caller.
-func (j *job) forwardHostStream(ctx context.Context, host string, answer *upstream.Response) *ErrorResponse {
+func (j *job) forwardHostStream(ctx context.Context, f *forwarding, answer *upstream.Response) *ErrorResponse {
 	events := newEventReader(answer, j.relay.Buffers)
 	defer events.close()
 	for n := 0; ; n++ {
@@ -286,7 +341,7 @@
 			return nil
 		}
 		if err != nil {
-			return j.handleLostForward(ctx, host, "stream_cut", "after "+strconv.Itoa(n)+" events: "+err.Error())
+			return j.handleLostForward(ctx, f, "stream_cut", "after "+strconv.Itoa(n)+" events: "+err.Error())
 		}
 		if errResp := j.sendEvent(answer, ev); errResp != nil {
 			return errResp
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -33,6 +33,9 @@
 	cut    atomic.Bool
 	client *forward.Client
 
+	// lease, if set, returns the lease on a stream that is forwarded to a host.
+	lease func(host string) relay.RunLease
+
 	mu    sync.Mutex
 	hosts []string // addresses
 	asked []string
@@ -58,6 +61,22 @@
 
 func (*hostLinks) Refused(string, string) {}
 
+func (l *hostLinks) Lease(host, _ string) relay.RunLease {
+	if l.lease != nil {
+		return l.lease(host)
+	}
+	return noLease{}
+}
+
+// noLease is a lease that hosts do not ask for.
+type noLease struct{}
+
+func (noLease) ID() string { return "" }
+
+func (noLease) Close() {}
+
+func (noLease) Revoke(context.Context) error { return nil }
+
 func (l *hostLinks) forwards() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- /dev/null
+++ b/relay/lease_test.go
@@ -0,0 +1,96 @@
+package relay_test
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/corianderlever/corianderlever/relay"
+	"github.com/corianderlever/corianderlever/route"
+)
+
+// heldLease is a lease whose holder works on until released is closed.
+type heldLease struct {
+	revoked  chan struct{}
+	released chan struct{}
+	closed   atomic.Bool
+}
+
+func (*heldLease) ID() string { return "lease" }
+
+func (l *heldLease) Close() { l.closed.Store(true) }
+
+func (l *heldLease) Revoke(ctx context.Context) error {
+	close(l.revoked)
+	select {
+	case <-l.released:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// TestStreamIsNotSentAgainWhileAHostHoldsIt guards against a stream that goes on at another host
+// or endpoint while the host that was lost may still work on it.
+func TestStreamIsNotSentAgainWhileAHostHoldsIt(t *testing.T) {
+	cut := func(w http.ResponseWriter, _ *http.Request) {
+		for name, value := range map[string]string{"Forward-Outcome": "answered", "Forward-Delivered": "1", "Forward-Runs": "1"} {
+			w.Header().Set(name, value)
+		}
+		events(w, 1, 3, true)
+	}
+	for name, dies := range map[string]http.HandlerFunc{"before its answer": dropConnection, "in the middle of its answer": cut} {
+		origin, links := newCutRig(t, streamRoute(true))
+		helper := newRig(t, streamRoute(true))
+		helper.endpoint("e", func(w http.ResponseWriter, r *http.Request) {
+			first := 1
+			if r.Header.Get("X-Last-Event") != "" {
+				first = 4
+			}
+			events(w, first, 5, false)
+		})
+		shareEndpoints(origin, helper)
+		links.hosts = []string{helper.listen(dies), helper.listen(nil)}
+		lost := &heldLease{revoked: make(chan struct{}), released: make(chan struct{})}
+		links.lease = func(host string) relay.RunLease {
+			if host == links.hosts[0] {
+				return lost
+			}
+			return noLease{}
+		}
+		done := make(chan error)
+		go func() {
+			_, _, err := origin.call("POST", "/p/x")
+			done <- err
+		}()
+		<-lost.revoked
+		if n := links.forwards(); n != 1 {
+			t.Errorf("%s: sent to %d hosts before the first one has ended its work", name, n)
+		}
+		close(lost.released)
+		if err := <-done; err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		if n := links.forwards(); n != 2 || !lost.closed.Load() {
+			t.Errorf("%s: sent to %d hosts, want 2; lease closed %t", name, n, lost.closed.Load())
+		}
+	}
+}
+
+// TestPlainRequestsWaitForNoLease guards against a lookup that waits for a lost host, although it
+// may run twice, and against a message of a lease for each call.
+func TestPlainRequestsWaitForNoLease(t *testing.T) {
+	origin, links := newCutRig(t, plainRoute(route.Idempotent, 3))
+	helper := newRig(t, plainRoute(route.Idempotent, 3))
+	helper.endpoint("e", func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, "found") })
+	shareEndpoints(origin, helper)
+	links.hosts = []string{helper.listen(dropConnection), helper.listen(nil)}
+	links.lease = func(string) relay.RunLease {
+		t.Error("a lease on a plain request")
+		return noLease{}
+	}
+	if _, body, err := origin.call("GET", "/p/x"); err != nil || body != "found" {
+		t.Errorf("got %q, error %v", body, err)
+	}
+}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -12,7 +12,9 @@
 	forwards *prometheus.CounterVec
 	// served counts the requests of other hosts.
 	served *prometheus.CounterVec
-	lost   *prometheus.GaugeVec
+	// leaseWait is the time until another host works on a request no more.
+	leaseWait *prometheus.HistogramVec
+	lost      *prometheus.GaugeVec
 	// evacuated and cold count the endpoints of a service that are in an evacuated failure
 	// domain and those that are cold; permits counts the requests for permits of cold ones.
 	evacuated, cold *prometheus.GaugeVec
@@ -45,6 +47,10 @@
 		served: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "corianderlever", Name: "relay_forwards_served_total", Help: "Requests served for other hosts by service and outcome.",
 		}, []string{"service", "outcome"}),
+		leaseWait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: "corianderlever", Name: "relay_lease_wait_seconds", Buckets: latencyBuckets,
+			Help: "Wait for a lost host to work on a stream no more, before the stream is sent again, by service.",
+		}, []string{"service"}),
 		lost: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: "corianderlever", Name: "relay_service_lost", Help: "Whether this host cannot connect to the endpoints of a service.",
 		}, []string{"service"}),
@@ -75,7 +81,7 @@
 		}, []string{"team", "priority"}),
 	}
 	reg.MustRegister(
-		m.requests, m.attempts, m.retries, m.forwards, m.served, m.lost, m.evacuated, m.cold, m.permits, m.slowEngines, m.engineGap, m.rejections,
+		m.requests, m.attempts, m.retries, m.forwards, m.served, m.leaseWait, m.lost, m.evacuated, m.cold, m.permits, m.slowEngines, m.engineGap, m.rejections,
 		m.firstByte, m.duration,
 	)
 	return m
