--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -30,11 +30,13 @@
 
 // exchange is one request and its response on one connection.
 type exchange struct {
-	client     *Client
-	conn       *conn
-	addr       string
-	reused     bool
-	stopCancel func() bool
+	client *Client
+	conn   *conn
+	addr   string
+	reused bool
+	// othersAnswered is set once a response to another request has been read.
+	othersAnswered bool
+	stopCancel     func() bool
 	// sent is closed when the write of the request has succeeded or failed.
 	sent    chan struct{}
 	written int
@@ -95,6 +97,7 @@
 		if own || err != nil {
 			return resp, err
 		}
+		e.othersAnswered = true
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, discardLeft))
 		discardLeft -= n
 		if err != nil || discardLeft == 0 || resp.Close {
@@ -130,8 +133,8 @@
 	case MatchOther:
 		return false, nil
 	}
-	if e.reused {
-		return false, errors.Mark(errors.New("upstream: response on a reused connection does not name its request"), ErrMalformed)
+	if e.reused || e.othersAnswered {
+		return false, errors.Mark(errors.New("upstream: response on a connection of other requests does not name its request"), ErrMalformed)
 	}
 	return true, nil
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -75,7 +75,7 @@
 	// one is read.
 	MatchOther
 	// MatchUnknown responses do not name their request. They are taken only from a
-	// connection that has carried no other request.
+	// connection that has carried no other request and no response to one.
 	MatchUnknown
 )
 
