--- a/relay/answer.go
+++ b/relay/answer.go
@@ -38,6 +38,10 @@
 	if !reply.Signed || answer.Header.Get("Content-Encoding") != "" {
 		return j.handleBrokenAnswer(ctx, sl, "unsigned_answer", strconv.Itoa(answer.Status))
 	}
+	if !j.route.Retryable() && promisesNotRun(answer.Status) {
+		sl.run.Discard()
+		return j.handleBrokenAnswer(ctx, sl, "unstated_rejection", strconv.Itoa(answer.Status))
+	}
 	if answer.Status >= http.StatusInternalServerError {
 		sl.run.Discard()
 		return j.handleServerError(ctx, sl, answer)
@@ -51,6 +55,16 @@
 	return j.forwardBody(ctx, sl, answer, limiter.OutcomeOK)
 }
 
+// promisesNotRun reports whether a caller takes a status as the promise that its request has not
+// run and never will. An endpoint may use such a status without making that promise.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // observeAnswer records what an endpoint says in its answers about the requests that it
 // takes: its rate limit, that it is leaving, or that it wants none for some time.
 func (j *job) observeAnswer(e fleet.Endpoint, sent time.Time, answer *upstream.Response, reply Reply) {
