--- a/lease/lease.go
+++ b/lease/lease.go
@@ -134,8 +134,8 @@
 }
 
 // Guard runs fn if the role is held. If the lease lapses while fn runs, it returns
-// ErrLeaseLapsed joined with fn's error. The context of fn is cancelled when the
-// candidate detects the loss of the role. fn must pass the fencing token on to
+// ErrLeaseLapsed joined with fn's error. The context of fn is cancelled when the token
+// lapses or the candidate detects the loss of the role. fn must pass the fencing token on to
 // resources that check it. Before acting on other resources, the caller must wait,
 // counted from Token().AcquiredAt, until orders of an earlier holder can no longer
 // arrive.
@@ -149,6 +149,7 @@
 	defer cancel()
 	stop := context.AfterFunc(t.ctx, cancel)
 	defer stop()
+	go c.cancelWhenLapsed(ctx, t, cancel)
 	err := fn(ctx, t.token.Fencing)
 	if c.validTerm() != t {
 		return errors.Join(ErrLeaseLapsed, err)
@@ -156,6 +157,26 @@
 	return err
 }
 
+// cancelWhenLapsed cancels an action of a term once its token lapses without a renewal. It
+// returns when ctx ends.
+func (c *Candidate) cancelWhenLapsed(ctx context.Context, t *term, cancel context.CancelFunc) {
+	for left := c.validFor(t); left > 0; left = c.validFor(t) {
+		select {
+		case <-c.clock.After(left):
+		case <-ctx.Done():
+			return
+		}
+	}
+	cancel()
+}
+
+// validFor returns the time until the token of a term lapses.
+func (c *Candidate) validFor(t *term) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.clock.Until(t.token.ValidUntil)
+}
+
 // beginAction registers an action with the valid term and returns the term, or nil
 // if there is none.
 func (c *Candidate) beginAction() *term {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -243,6 +243,36 @@
 	}
 }
 
+// TestActionEndsWithItsToken guards against an action that goes on after its token has lapsed,
+// until the next renewal fails, while another host already holds the role.
+func TestActionEndsWithItsToken(t *testing.T) {
+	const limit = 10 * time.Second // for the action to notice
+	sim := newSimulation(2)
+	a, b := sim.candidates[0], sim.candidates[1]
+	a.step(bg)
+	a.kv.Inject(memkv.Outage, memkv.Always)
+	err := a.Guard(bg, func(ctx context.Context, _ int64) error {
+		sim.advance(DefaultTTL - DefaultMargin - time.Second)
+		a.step(bg) // fails while the token is valid
+		if ctx.Err() != nil {
+			t.Error("action cancelled while its token is valid")
+		}
+		sim.advance(DefaultMargin + time.Second)
+		if b.step(bg); b.currentTerm() == nil {
+			t.Error("the other host does not hold the role")
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(limit):
+			t.Error("the action of the first host goes on")
+		}
+		return nil
+	})
+	if !errors.Is(err, ErrLeaseLapsed) {
+		t.Errorf("Guard returned %v, want ErrLeaseLapsed", err)
+	}
+}
+
 // sleepClock reports each time that Run starts to wait.
 type sleepClock struct {
 	*clockwork.FakeClock
