--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -137,7 +137,7 @@
 			before(w, hr)
 		}
 		f.Request.Body = req.Body
-		r.relay.ServeForwarded(hr.Context(), w, req.From, f)
+		r.serveForwarded(w, hr, req.From, f)
 	}
 }
 
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -23,6 +23,7 @@
 	"github.com/corianderlever/corianderlever/balance"
 	"github.com/corianderlever/corianderlever/fleet"
 	"github.com/corianderlever/corianderlever/internal/loopback"
+	"github.com/corianderlever/corianderlever/internal/runlease"
 	"github.com/corianderlever/corianderlever/limiter"
 	"github.com/corianderlever/corianderlever/relay"
 	"github.com/corianderlever/corianderlever/rollout"
@@ -172,7 +173,9 @@
 	log         *syncWriter
 	retryBudget limiter.WindowConfig
 	maxKeyAge   time.Duration
-	key         string // that call sends
+	// holder keeps the leases on the requests of other hosts; nil if they need none.
+	holder *runlease.Holder
+	key    string // that call sends
 
 	mu       sync.Mutex
 	received []string // endpoint and model of each request that arrived
