--- a/relay/lease_test.go
+++ b/relay/lease_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/corianderlever/corianderlever/relay"
 	"github.com/corianderlever/corianderlever/route"
@@ -149,3 +152,46 @@
 		}
 	}
 }
+
+// TestSlowCallerKeepsTheLeaseOfItsStream guards against a stream that is cut because its caller
+// reads slowly, so that events wait at both hosts for longer than a lease lasts.
+func TestSlowCallerKeepsTheLeaseOfItsStream(t *testing.T) {
+	const (
+		eventCount = 64
+		eventBytes = 512 << 10
+		unreadTime = 3 * time.Second // longer than a lease, shorter than the timeout of the route
+	)
+	origin, links := newCutRig(t, streamRoute(true))
+	helper := newRig(t, streamRoute(true))
+	var runs, sent atomic.Int64
+	helper.endpoint("e", func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		w.Header().Set("X-Signature", "signed")
+		for i := range eventCount {
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, strings.Repeat("x", eventBytes)); err != nil {
+				return
+			}
+			sent.Add(1)
+		}
+	})
+	shareEndpoints(origin, helper)
+	leases := links.grantLeases(t, func(context.Context, string, string, any, any) error { return errPathCut })
+	helper.holdLeases(askAt(leases))
+	links.hosts = []string{helper.listen(nil)}
+	req, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, origin.server.URL+"/p/x", strings.NewReader("question"))
+	req.Header.Set("X-Id", "attempt-1")
+	req.Header.Set("X-Key", origin.key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	<-time.After(unreadTime) // the caller reads nothing
+	if n := sent.Load(); n == eventCount {
+		t.Fatalf("all %d events are sent, so nothing waits for the caller", n)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || strings.Count(string(body), "id: ") != eventCount || runs.Load() != 1 {
+		t.Errorf("%d events in %d runs, error %v; want %d in one", strings.Count(string(body), "id: "), runs.Load(), err, eventCount)
+	}
+}
