--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -111,13 +111,19 @@
 // listen lets a rig serve the requests that other hosts forward, after what before does.
 func (r *rig) listen(before http.HandlerFunc) string {
 	r.t.Helper()
+	return listenForwarded(r.t, r.forwardedHandler(before))
+}
+
+// listenForwarded serves the requests that other hosts forward and returns the address.
+func listenForwarded(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		r.t.Fatal(err)
+		t.Fatal(err)
 	}
-	server := &http.Server{ConnContext: forward.ConnContext, ReadHeaderTimeout: time.Minute, Handler: r.forwardedHandler(before)}
+	server := &http.Server{ConnContext: forward.ConnContext, ReadHeaderTimeout: time.Minute, Handler: handler}
 	go func() { _ = server.Serve(forward.Listener(ln, clusterKey)) }() // ends with Close
-	r.t.Cleanup(func() { _ = server.Close() })
+	t.Cleanup(func() { _ = server.Close() })
 	return ln.Addr().String()
 }
 
--- a/relay/hostclaims_test.go
+++ b/relay/hostclaims_test.go
@@ -1,7 +1,6 @@
 package relay_test
 
 import (
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -61,7 +60,7 @@
 			_, _ = w.Write([]byte("id: 1\ndata: unsigned\n\n"))
 		}
 		var second atomic.Int64
-		links.hosts = []string{listenForwarded(rt, standIn), listenForwarded(rt, func(w http.ResponseWriter, _ *http.Request) {
+		links.hosts = []string{listenForwarded(origin.t, standIn), listenForwarded(origin.t, func(w http.ResponseWriter, _ *http.Request) {
 			second.Add(1)
 			w.Header().Set("Forward-Outcome", "answered")
 			w.Header().Set("Forward-Runs", "1")
@@ -85,15 +84,3 @@
 		}
 	})
 }
-
-// listenForwarded serves the requests that other hosts forward.
-func listenForwarded(rt *rapid.T, handler http.HandlerFunc) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		rt.Fatal(err)
-	}
-	server := &http.Server{ConnContext: forward.ConnContext, ReadHeaderTimeout: time.Minute, Handler: handler}
-	go func() { _ = server.Serve(forward.Listener(ln, clusterKey)) }() // ends with Close
-	rt.Cleanup(func() { _ = server.Close() })
-	return ln.Addr().String()
-}
--- a/relay/runs_test.go
+++ b/relay/runs_test.go
@@ -21,48 +21,46 @@
 	"github.com/corianderlever/corianderlever/upstream"
 )
 
-// endpointActs are what an endpoint may do with a request. stop ends the context of the request at
-// the host. All but those of notRun may have run the request.
-var endpointActs = map[string]func(stop func()) http.HandlerFunc{
-	"rejects":       func(func()) http.HandlerFunc { return reject },
-	"stop, rejects": func(stop func()) http.HandlerFunc { return after(stop, reject) },
-	"drops":         func(func()) http.HandlerFunc { return dropConnection },
-	"fails":         func(func()) http.HandlerFunc { return failing },
-	"cuts":          func(func()) http.HandlerFunc { return truncated },
-	"encodes":       func(func()) http.HandlerFunc { return encoded },
-	"unsigned":      func(func()) http.HandlerFunc { return func(http.ResponseWriter, *http.Request) {} },
-	"claims too much": func(func()) http.HandlerFunc {
-		return func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusServiceUnavailable, "") }
-	},
-	"long answer": func(func()) http.HandlerFunc {
-		return func(w http.ResponseWriter, _ *http.Request) {
-			answer(w, http.StatusOK, string(make([]byte, 4*smallBudget)))
-		}
-	},
-	"stop, hangs": func(stop func()) http.HandlerFunc {
-		return after(stop, func(_ http.ResponseWriter, hr *http.Request) { <-hr.Context().Done() })
-	},
-	"header, stop, hangs": func(stop func()) http.HandlerFunc {
-		return func(w http.ResponseWriter, hr *http.Request) {
-			w.Header().Set("Content-Length", "10")
-			answer(w, http.StatusOK, "x")
-			w.(http.Flusher).Flush()
-			stop()
-			<-hr.Context().Done()
-		}
-	},
-	"serves": func(func()) http.HandlerFunc {
-		return func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, "id: 1\ndata: x\n\n") }
-	},
-}
-
-// notRun are the acts of endpoints that do not run the request.
-var notRun = map[string]bool{"rejects": true, "stop, rejects": true}
+// endpointActs are what an endpoint may do with a request; those of notRun do not run it. The host
+// ends the context of the request at "stop".
+var (
+	endpointActs = []string{
+		"rejects", "stop, rejects", "drops", "fails", "cuts", "encodes", "unsigned", "full", "long answer", "stop, hangs", "header, stop, hangs", "serves", "refuses",
+	}
+	notRun = map[string]bool{"rejects": true, "stop, rejects": true}
+)
 
-func after(first func(), then http.HandlerFunc) http.HandlerFunc {
-	return func(w http.ResponseWriter, hr *http.Request) {
-		first()
-		then(w, hr)
+// perform does what an endpoint may do.
+func perform(act string, stop func(), w http.ResponseWriter, hr *http.Request) {
+	switch act {
+	case "stop, rejects":
+		stop()
+		reject(w, hr)
+	case "drops":
+		dropConnection(w, hr)
+	case "fails":
+		failing(w, hr)
+	case "cuts":
+		truncated(w, hr)
+	case "encodes":
+		encoded(w, hr)
+	case "full":
+		answer(w, http.StatusServiceUnavailable, "")
+	case "long answer":
+		answer(w, http.StatusOK, string(make([]byte, 4*smallBudget)))
+	case "stop, hangs":
+		stop()
+		<-hr.Context().Done()
+	case "header, stop, hangs":
+		w.Header().Set("Content-Length", "10")
+		answer(w, http.StatusOK, "x")
+		w.(http.Flusher).Flush()
+		stop()
+		<-hr.Context().Done()
+	case "serves":
+		answer(w, http.StatusOK, "id: 1\ndata: x\n\n")
+	case "rejects":
+		reject(w, hr)
 	}
 }
 
@@ -77,9 +75,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		kind := rapid.SampledFrom([]route.Kind{route.NonIdempotent, route.Stream, route.Idempotent}).Draw(rt, "kind")
 		from := rapid.SampledFrom([]string{"", "origin"}).Draw(rt, "from")
-		acts := rapid.SliceOfN(rapid.SampledFrom([]string{
-			"rejects", "stop, rejects", "drops", "fails", "cuts", "encodes", "unsigned", "claims too much", "long answer", "stop, hangs", "header, stop, hangs", "serves", "refuses",
-		}), 1, 3).Draw(rt, "endpoints")
+		acts := rapid.SliceOfN(rapid.SampledFrom(endpointActs), 1, 3).Draw(rt, "endpoints")
 		cause := rapid.SampledFrom([]error{drain.ErrStopping, context.Canceled}).Draw(rt, "cause of the end")
 		stopAtDial := rapid.IntRange(-2, 3).Draw(rt, "connection at which the context ends") // none if below 1
 		ctx, cancel := context.WithCancelCause(t.Context())
@@ -102,15 +98,11 @@
 		var ran atomic.Int64
 		var servers []*httptest.Server
 		for i, act := range acts {
-			handler := reject
-			if endpointActs[act] != nil {
-				handler = endpointActs[act](stop)
-			}
 			server := r.endpoint(fmt.Sprint("e", i), func(w http.ResponseWriter, hr *http.Request) {
 				if !notRun[act] {
 					ran.Add(1)
 				}
-				handler(w, hr)
+				perform(act, stop, w, hr)
 			})
 			if act == "refuses" {
 				server.Close()
