--- a/engine/client.go
+++ b/engine/client.go
@@ -249,8 +249,8 @@
 		return nil, notRun(err)
 	}
 	// Without GetBody the transport cannot retry the request by itself. It would
-	// otherwise retry requests with an Idempotency-Key.
-	req.GetBody = nil
+	// otherwise retry requests with an Idempotency-Key, and those without a body.
+	req.Body, req.GetBody = io.NopCloser(bytes.NewReader(body)), nil
 	req.Header.Set("Content-Type", "application/json")
 	if deadline, ok := ctx.Deadline(); ok {
 		req.Header.Set(HeaderDeadlineMS, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
