--- a/relay/forward.go
+++ b/relay/forward.go
@@ -220,7 +220,7 @@
 	for _, name := range []string{headerOutcome, headerDetail, headerEndpoint, headerUnreached, headerDelivered, headerRuns} {
 		h.Del(name)
 	}
-	if err != nil || runsErr != nil || res.outcome == "" || res.runs < 0 || res.delivered < 0 {
+	if err != nil || runsErr != nil || res.outcome == "" || res.runs < 0 || res.delivered < 0 || res.outcome == outcomeAnswered && res.runs == 0 {
 		return res, errForwardHeader
 	}
 	return res, nil
@@ -246,6 +246,9 @@
 	if !reply.Signed || reply.ID != "" && reply.ID != j.req.ID || answer.Header.Get("Content-Encoding") != "" {
 		return j.handleLostForward(ctx, f, "unsigned_answer", strconv.Itoa(answer.Status))
 	}
+	if !j.route.Retryable() && promisesNotRun(answer.Status) {
+		return j.handleLostForward(ctx, f, "unstated_rejection", strconv.Itoa(answer.Status)) // of a host of an earlier release
+	}
 	if j.isStream() && answer.Status == http.StatusOK {
 		j.confidence = reply.Confidence
 		return j.forwardHostStream(ctx, f, answer)
--- a/relay/hostclaims_test.go
+++ b/relay/hostclaims_test.go
@@ -27,10 +27,7 @@
 		status := rapid.SampledFrom([]int{200, 400, 401, 404, 408, 421, 429, 500, 502, 503, 504}).Draw(rt, "status")
 		end := rapid.SampledFrom([]string{"whole", "before the receipt", "before the header", "before the body", "body not read"}).Draw(rt, "end")
 		kind := rapid.SampledFrom([]route.Kind{route.NonIdempotent, route.Stream}).Draw(rt, "kind")
-		large := rapid.Bool().Draw(rt, "large")
-		if outcome == "answered" && runs == "0" {
-			return // no host says so
-		}
+		large, signed := rapid.Bool().Draw(rt, "large"), rapid.Bool().Draw(rt, "signed")
 		rr := route.Route{Name: "r", Prefix: "/p/", Kind: kind, MaxAttempts: 2, Timeout: 10 * time.Second}
 		origin, links := newCutRig(t, rr)
 		origin.endpoint("e", reject)
@@ -53,6 +50,9 @@
 					w.Header().Set(name, value)
 				}
 			}
+			if signed {
+				w.Header().Set("X-Signature", "signed")
+			}
 			if end == "before the body" {
 				w.Header().Set("Content-Length", "100")
 			}
@@ -75,7 +75,7 @@
 		if err != nil {
 			rt.Fatal(err)
 		}
-		stated := runs == "0" && outcome != "" && (delivered == "0" || delivered == "1") && end != "before the receipt" && end != "before the header"
+		stated := runs == "0" && outcome != "" && outcome != "answered" && (delivered == "0" || delivered == "1") && end != "before the receipt" && end != "before the header"
 		if second.Load() > 0 && !stated {
 			rt.Fatal("the request was sent to a second host")
 		}
