--- a/internal/runlease/grantor.go
+++ b/internal/runlease/grantor.go
@@ -41,10 +41,6 @@
 	opened time.Time
 	// until is the end of the lease by the count of the grantor; zero if none was granted.
 	until time.Time
-	// expiry ends the grant if the lease is not renewed; nil before the first one.
-	expiry clockwork.Timer
-	// ended is closed when the grant has ended by expiry.
-	ended chan struct{}
 }
 
 // Open lets a holder ask for a lease on a request.
@@ -53,7 +49,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.last = max(g.last+1, now.UnixNano())
-	gr := &Grant{grantor: g, holder: holder, id: request + "/" + strconv.FormatInt(g.last, 36), opened: now, ended: make(chan struct{})}
+	gr := &Grant{grantor: g, holder: holder, id: request + "/" + strconv.FormatInt(g.last, 36), opened: now}
 	g.grants[gr.id] = gr
 	return gr
 }
@@ -67,47 +63,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.grants, gr.id)
-	if gr.expiry != nil {
-		gr.expiry.Stop()
-	}
-}
-
-// Context returns a child of ctx for what is done with the holder. It ends with ErrEnded as its
-// cause if the holder has not renewed the lease, and so works on the request no more.
-func (gr *Grant) Context(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	go func() {
-		select {
-		case <-gr.ended:
-			cancel(ErrEnded)
-		case <-ctx.Done():
-		}
-	}()
-	return ctx, func() { cancel(nil) }
-}
-
-// grant grants the lease for another ttl. The caller holds the lock of the grantor.
-func (gr *Grant) grant() {
-	g := gr.grantor
-	gr.until = g.clock.Now().Add(ttl)
-	if gr.expiry == nil {
-		gr.expiry = g.clock.AfterFunc(ttl+margin, gr.expire)
-		return
-	}
-	gr.expiry.Reset(ttl + margin)
-}
-
-// expire ends the grant unless the lease has just been renewed.
-func (gr *Grant) expire() {
-	g := gr.grantor
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.grants[gr.id] == nil || g.clock.Now().Before(gr.until.Add(margin)) {
-		return
-	}
-	delete(g.grants, gr.id)
-	close(gr.ended)
-	g.logger.Info("lease of a run ended", "lease", gr.id, "holder", gr.holder, "how", "not renewed", "waited_ms", 0)
 }
 
 // Revoke closes the grant and waits until the holder works on the request no more: until it says
@@ -163,9 +118,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	reply := renewed{Granted: []string{}, TTL: ttl}
+	until := g.clock.Now().Add(ttl)
 	for _, id := range req.Leases {
 		if gr := g.grants[id]; gr != nil && gr.holder == from {
-			gr.grant()
+			gr.until = until
 			reply.Granted = append(reply.Granted, id)
 		}
 	}
--- a/internal/runlease/runlease_test.go
+++ b/internal/runlease/runlease_test.go
@@ -226,35 +226,6 @@
 	})
 }
 
-// TestHolderThatIsGoneIsNoticed guards against a host that waits without end for one that does not
-// renew its lease, and against one that gives up a host that does.
-func TestHolderThatIsGoneIsNoticed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := newPair(t.Context())
-		grant := p.grantor.Open(helper, "request")
-		ctx, cancel := grant.Context(t.Context())
-		defer cancel()
-		l, err := p.holder.Acquire(t.Context(), origin, grant.ID())
-		if err != nil {
-			t.Fatal(err)
-		}
-		time.Sleep(time.Minute)
-		if ctx.Err() != nil {
-			t.Fatal("a host that renews its lease is given up")
-		}
-		p.setPath(cut)
-		time.Sleep(ttl + margin)
-		synctest.Wait()
-		if !errors.Is(context.Cause(ctx), ErrEnded) || l.Context().Err() == nil {
-			t.Errorf("cause %v, want ErrEnded; holder %v", context.Cause(ctx), l.Context().Err())
-		}
-		l.Release()
-		if before := time.Now(); grant.Revoke(t.Context()) != nil || time.Since(before) > 0 {
-			t.Error("a wait for a lease that has ended")
-		}
-	})
-}
-
 // TestSuspendedHolderHasNoLease guards against a host that was suspended with its timers and goes
 // on with a request whose lease has ended meanwhile.
 func TestSuspendedHolderHasNoLease(t *testing.T) {
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -62,9 +62,6 @@
 type RunLease interface {
 	// ID returns the name of the lease.
 	ID() string
-	// Context returns a child of ctx that ends when the host works on the request no more, as
-	// far as the lease tells.
-	Context(ctx context.Context) (context.Context, context.CancelFunc)
 	// Close ends the lease without waiting for the host.
 	Close()
 	// Revoke ends the lease and waits until the host works on the request no more. It returns
@@ -113,16 +110,12 @@
 	}
 	j.forwards++
 	f := &forwarding{host: host, sent: j.relay.Clock.Now()}
-	leaseCtx := ctx
 	if j.isStream() {
 		f.lease = j.relay.Forwarder.Lease(host, j.req.ID)
 		defer f.lease.Close()
-		var cancel context.CancelFunc
-		leaseCtx, cancel = f.lease.Context(ctx)
-		defer cancel()
 	}
 	j.addSendStep()
-	answer, err := j.relay.Forwarder.Forward(leaseCtx, host, Forwarded{
+	answer, err := j.relay.Forwarder.Forward(ctx, host, Forwarded{
 		Request: j.req, TimeLeft: j.remaining(), Exclude: j.failedEndpoints(), Unreached: slices.Concat(j.avoid, j.unreached), Delivered: j.delivered, Runs: j.possibleRuns,
 		ModelIndex: j.modelIndex, Version: j.firstVersion, LastEvent: j.lastEvent, HeaderSent: j.headerSent,
 		Team: j.team, Priority: j.priority, Lease: f.leaseID(),
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -73,10 +73,6 @@
 
 func (noLease) ID() string { return "" }
 
-func (noLease) Context(ctx context.Context) (context.Context, context.CancelFunc) {
-	return context.WithCancel(ctx)
-}
-
 func (noLease) Close() {}
 
 func (noLease) Revoke(context.Context) error { return nil }
--- a/relay/lease_test.go
+++ b/relay/lease_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -17,7 +16,6 @@
 
 // heldLease is a lease whose holder works on until released is closed.
 type heldLease struct {
-	noLease
 	revoked  chan struct{}
 	released chan struct{}
 	closed   atomic.Bool
@@ -101,58 +99,6 @@
 	}
 }
 
-// endedLease is a lease that its holder does not renew.
-type endedLease struct {
-	noLease
-	ended chan struct{}
-}
-
-func (l *endedLease) Context(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	go func() {
-		<-l.ended
-		cancel()
-	}()
-	return ctx, cancel
-}
-
-// TestStreamDoesNotWaitForAHostWithoutALease guards against a stream that waits until its deadline
-// for a host that is gone, because something between the two keeps their connection alive.
-func TestStreamDoesNotWaitForAHostWithoutALease(t *testing.T) {
-	for name, sent := range map[string]int{"before its answer": 0, "in the middle of its answer": 3} {
-		origin, links := newCutRig(t, streamRoute(true))
-		helper := newRig(t, streamRoute(true))
-		helper.endpoint("e", func(w http.ResponseWriter, r *http.Request) {
-			last, _ := strconv.Atoi(r.Header.Get("X-Last-Event")) // none: from the first one on
-			events(w, last+1, 5, false)
-		})
-		shareEndpoints(origin, helper)
-		lost := &endedLease{ended: make(chan struct{})}
-		silent := func(w http.ResponseWriter, r *http.Request) {
-			if sent > 0 {
-				for name, value := range map[string]string{"Forward-Outcome": "answered", "Forward-Delivered": "1", "Forward-Runs": "1"} {
-					w.Header().Set(name, value)
-				}
-				events(w, 1, sent, false)
-				_ = http.NewResponseController(w).Flush()
-			}
-			close(lost.ended)
-			<-r.Context().Done()
-			panic(http.ErrAbortHandler)
-		}
-		links.hosts = []string{helper.listen(silent), helper.listen(nil)}
-		links.lease = func(host string) relay.RunLease {
-			if host == links.hosts[0] {
-				return lost
-			}
-			return noLease{}
-		}
-		if _, body, err := origin.call("POST", "/p/x"); err != nil || strings.Count(body, "id: ") != 5 {
-			t.Errorf("%s: got %q, error %v, want five events", name, body, err)
-		}
-	}
-}
-
 // TestSlowCallerKeepsTheLeaseOfItsStream guards against a stream that is cut because its caller
 // reads slowly, so that events wait at both hosts for longer than a lease lasts.
 func TestSlowCallerKeepsTheLeaseOfItsStream(t *testing.T) {
