--- a/daemon/router/forward.go
+++ b/daemon/router/forward.go
@@ -85,55 +85,68 @@
 // serve answers the requests that other hosts forward.
 func (f *forwarding) serve(w http.ResponseWriter, r *http.Request) {
 	h := f.host
+	arrived := h.opts.Clock.Now()
 	defer drain.InterruptRead(w, r)()
 	req, err := forward.Read(w, r, h.buffers, h.MaxBodyBytes()+maxForwardMessageBytes)
 	defer req.Release()
-	if errors.Is(err, limiter.ErrBufferFull) {
-		relay.RejectForwarded(w, relay.ReasonBuffersFull)
+	message, reason := f.decode(r, req, err)
+	if reason != "" {
+		relay.RejectForwarded(w, reason)
 		return
 	}
-	if err != nil && drain.Stopping(r.Context()) {
-		relay.RejectForwarded(w, relay.ReasonStopping)
-		return
+	ctx := r.Context()
+	if message.Lease != "" {
+		lease, err := f.holder.Acquire(ctx, req.From, message.Lease)
+		if err != nil {
+			h.opts.Logger.Info("no lease on a forwarded request", "from", req.From, "request", message.Request.ID, "error", err)
+			relay.RejectForwarded(w, relay.ReasonNoLease)
+			return
+		}
+		defer lease.Release()
+		defer interruptWrite(w, lease)()
+		ctx = lease.Context()
 	}
-	var message relay.Forwarded
+	message.TimeLeft -= h.opts.Clock.Since(arrived)
+	h.relay.ServeForwarded(ctx, w, req.From, message)
+}
+
+// decode returns the message of a request, which was read with readErr, or the reason for which
+// this host rejects the request.
+func (f *forwarding) decode(r *http.Request, req forward.Request, readErr error) (message relay.Forwarded, reason string) {
+	h := f.host
+	switch {
+	case errors.Is(readErr, limiter.ErrBufferFull):
+		return message, relay.ReasonBuffersFull
+	case readErr != nil && drain.Stopping(r.Context()):
+		return message, relay.ReasonStopping
+	}
+	err := readErr
 	if err == nil {
 		err = json.Unmarshal(req.Message, &message)
 	}
 	if err != nil || message.Request == nil {
 		h.opts.Logger.Warn("forwarded request refused", "from", req.From, "remote", r.RemoteAddr, "error", err)
-		relay.RejectForwarded(w, relay.ReasonMalformed)
-		return
+		return message, relay.ReasonMalformed
 	}
 	message.Request.Timeout = max(time.Millisecond, message.TimeLeft)
-	if !h.Accepting(message.Request) {
-		relay.RejectForwarded(w, relay.ReasonStopping)
-		return
-	}
 	message.Request.Body = req.Body
-	if message.Lease == "" {
-		h.relay.ServeForwarded(r.Context(), w, req.From, message)
-		return
+	if !h.Accepting(message.Request) {
+		return message, relay.ReasonStopping
 	}
-	f.serveUnderLease(w, r, req.From, message)
+	return message, ""
 }
 
-// serveUnderLease serves a request while the host that has forwarded it grants a lease on it.
-func (f *forwarding) serveUnderLease(w http.ResponseWriter, r *http.Request, from string, message relay.Forwarded) {
-	lease, err := f.holder.Acquire(r.Context(), from, message.Lease)
-	if err != nil {
-		f.host.opts.Logger.Info("no lease on a forwarded request", "from", from, "request", message.Request.ID, "error", err)
-		relay.RejectForwarded(w, relay.ReasonNoLease)
-		return
-	}
-	defer lease.Release()
-	defer context.AfterFunc(lease.Context(), func() {
+// interruptWrite makes writes of an answer fail once the lease on its request is lost, until the
+// returned function is called. A write to a host that has vanished may block for as long as its
+// connection is open.
+func interruptWrite(w http.ResponseWriter, lease *runlease.Lease) (done func()) {
+	stop := context.AfterFunc(lease.Context(), func() {
 		if errors.Is(context.Cause(lease.Context()), runlease.ErrEnded) {
-			// A write to a host that has vanished may block for as long as its connection is open.
+			// If it fails, the connection is closed, and the write fails as well.
 			_ = http.NewResponseController(w).SetWriteDeadline(time.Unix(1, 0))
 		}
-	})()
-	f.host.relay.ServeForwarded(lease.Context(), w, from, message)
+	})
+	return func() { stop() }
 }
 
 // maxForwardMessageBytes bounds what a host says about a forwarded request. It has room for
