--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,8 @@
 # Runs the fault soak test with SEEDS consecutive seeds starting at SEED. Faults
 # are injected into HOSTS processes for TIME with each seed, under the load of
 # CALLERS. SOAK=TestMaintenanceLosesNoCall limits the faults to planned changes,
-# SOAK=TestUndisturbedHostsFollowChanges to a few hosts while a key is taken away.
+# SOAK=TestUndisturbedHostsFollowChanges to a few hosts while a key is taken away, and
+# SOAK=TestStreamsRunAtOneEndpoint to silent paths between hosts.
 SEED ?= 1
 SEEDS ?= 1
 TIME ?= 10s
--- a/internal/cmd/soakhost/main.go
+++ b/internal/cmd/soakhost/main.go
@@ -14,7 +14,7 @@
 
 func main() {
 	ctx := signals.Context()
-	link, paths := &platformtest.Link{}, &platformtest.Paths{}
+	link, paths := &platformtest.Link{Source: os.Getenv(platformtest.SourceVariable)}, &platformtest.Paths{}
 	go link.FollowFile(ctx, os.Getenv(platformtest.LinkVariable))
 	go paths.FollowFile(ctx, os.Getenv(platformtest.PathsVariable))
 	if err := command.RunHost(ctx, os.Stdout, os.Getenv(platform.SettingsVariable), command.Dialers{Endpoint: link.Dial, Host: paths.Dial}, signals.Reloads()); err != nil {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -35,6 +35,8 @@
 	// Helpers are the names of the hosts that served a call for its host, by the id of the
 	// call. It is empty in a run with retries: they go on with what a helper leaves at its end.
 	Helpers map[string][]string
+	// Disturbances are those of the hosts, by the IP address from which they send runs.
+	Disturbances map[string]Disturbances
 	// Events is the number of events in a complete stream.
 	Events int
 	// Revoked is the time at which the store acknowledged the revocation of a key.
@@ -69,7 +71,7 @@
 			violations = append(violations, fmt.Sprintf("%s ran %v after its key was revoked", c.ID, ran[0].At.Sub(h.Revoked)))
 		}
 	}
-	return violations
+	return append(violations, h.checkOverlaps(runs)...)
 }
 
 // reportsNotRun reports whether the status states that the request did not run.
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -178,9 +178,7 @@
 	first, n := pick(len(s.hosts)), 1+pick(2*len(s.hosts)+1)%len(s.hosts)
 	set := func(state platformtest.LinkState) {
 		for i := range n {
-			if err := s.hosts[(first+i)%len(s.hosts)].SetLink(state); err != nil {
-				s.addViolation("link not changed: %v", err)
-			}
+			s.setLink(s.hosts[(first+i)%len(s.hosts)], state)
 		}
 	}
 	s.log("%d hosts from %s on lose their links", n, s.hosts[first].Name)
@@ -210,6 +208,7 @@
 	wg.Go(func() { s.injectMore(ctx, signalFaults, 4) })
 	wg.Go(func() { s.injectMore(ctx, endlessFaults, 5) })
 	wg.Go(func() { s.injectMore(ctx, refusalFaults, 9) })
+	wg.Go(func() { s.injectMore(ctx, pathFaults, pathStream) })
 	revokeAt := time.Now().Add(s.Duration / 2)
 	end := time.Now().Add(s.Duration)
 	for time.Now().Before(end) && ctx.Err() == nil {
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -7,12 +7,14 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/corianderlever/corianderlever/internal/logwait"
+	"github.com/corianderlever/corianderlever/internal/loopback"
 	"github.com/corianderlever/corianderlever/platform"
 	"github.com/corianderlever/corianderlever/platform/platformtest"
 )
@@ -26,14 +28,18 @@
 	// Settings is the settings file.
 	Settings *SettingsFile
 
-	// link is the file with the state of the host's links to the endpoints.
-	binary, log, link string
+	// link is the file with the state of the host's links to the endpoints, paths that with its
+	// silent paths to other hosts. source is the IP address of its connections to endpoints.
+	binary, log, link, paths, source string
 	// onExit is called when the process ends and nobody has ended it.
 	onExit func(err error)
 
 	// control is held by whoever stops, kills, pauses or starts the process.
 	control sync.Mutex
 
+	// down and links record the disturbances of its process and of its links.
+	down, links spans
+
 	mu    sync.Mutex
 	proc  *process
 	stops []Stop
@@ -66,9 +72,14 @@
 	if err != nil {
 		return nil, err
 	}
+	source, err := loopback.Addresses(1)
+	if err != nil {
+		return nil, err
+	}
 	h := &Host{Name: fmt.Sprint("host-", i), Addresses: a, Store: proxy, binary: binary, onExit: func(error) {}}
 	h.log = filepath.Join(dir, h.Name+".log")
-	h.link = filepath.Join(dir, h.Name+".link")
+	h.link, h.paths = filepath.Join(dir, h.Name+".link"), filepath.Join(dir, h.Name+".paths")
+	h.source, _, _ = strings.Cut(source[0], ":")
 	content := platformtest.Settings(h.Name, fmt.Sprint("domain-", i%3), a, seeds(i), proxy.Address())
 	h.Settings = &SettingsFile{path: filepath.Join(dir, h.Name+".yaml"), content: content}
 	return h, h.Settings.Restore()
@@ -87,12 +98,14 @@
 		return err
 	}
 	cmd := exec.Command(h.binary)
-	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+h.Settings.path, platformtest.LinkVariable+"="+h.link)
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+h.Settings.path, platformtest.LinkVariable+"="+h.link,
+		platformtest.PathsVariable+"="+h.paths, platformtest.SourceVariable+"="+h.source)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		_ = out.Close() // nothing was written
 		return err
 	}
+	h.down.end()
 	p := &process{cmd: cmd, ready: make(chan struct{}), done: make(chan struct{})}
 	go h.awaitEnd(p)
 	go func() {
@@ -148,9 +161,19 @@
 
 // SetLink changes the state of the host's links to the endpoints.
 func (h *Host) SetLink(state platformtest.LinkState) error {
+	if state == platformtest.LinkUp || state == platformtest.LinkNoNew {
+		defer h.links.end()
+	} else {
+		h.links.begin()
+	}
 	return os.WriteFile(h.link, []byte(strconv.Itoa(int(state))), 0o600)
 }
 
+// Disturbances returns the disturbances of the host so far.
+func (h *Host) Disturbances() Disturbances {
+	return Disturbances{Host: h.Name, Down: h.down.all(), Unlinked: h.links.all()}
+}
+
 // signal sends a signal to the process. A process that has ended already needs none.
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
@@ -169,13 +192,18 @@
 }
 
 // Kill sends SIGKILL to the process and waits for its exit. The caller holds control.
-func (h *Host) Kill() { h.current().kill() }
+func (h *Host) Kill() {
+	h.down.begin()
+	h.current().kill()
+}
 
 // Pause suspends the process for d or until ctx is done.
 func (h *Host) Pause(ctx context.Context, d time.Duration) {
 	h.control.Lock()
 	defer h.control.Unlock()
 	p := h.current()
+	h.down.begin()
+	defer h.down.end()
 	p.signal(syscall.SIGSTOP)
 	wait(ctx, d)
 	p.signal(syscall.SIGCONT)
@@ -194,6 +222,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
+	h.down.begin()
 	stopStart := time.Now()
 	h.mu.Lock()
 	n := len(h.stops)
--- a/internal/soak/line.go
+++ b/internal/soak/line.go
@@ -19,6 +19,8 @@
 	// short excludes streams; paused makes all calls streams with pauses.
 	short  bool
 	paused bool
+	// only is the address of the only host that the line uses; empty for any.
+	only   string
 	host   string
 	conn   net.Conn
 	reader *bufio.Reader
@@ -78,6 +80,9 @@
 	if l.paused {
 		call.Kind, call.Timeout = Stream, longCallTimeout
 		call.Work = platformtest.Work{Delay: ms(5, 200), Events: pausedEvents, EventInterval: ms(1100, 2500)}
+		if l.only != "" {
+			call.Work.Events, call.Work.EventInterval = helpedEvents, ms(1100, 1600)
+		}
 		return call
 	}
 	kinds := 10
@@ -106,16 +111,21 @@
 }
 
 // longEvents is the number of events of a stream on a line; shortInterval is the time
-// between those of a short one. pausedEvents is the number of events of a stream with pauses.
+// between those of a short one. pausedEvents is the number of events of a stream with pauses, and
+// helpedEvents that to the only host of a line.
 const (
 	pausedEvents  = 4
+	helpedEvents  = 8
 	longEvents    = 40
 	shortInterval = 5 * time.Millisecond
 )
 
 // connect opens the connection to one of the resolved addresses.
 func (l *line) connect(ctx context.Context) bool {
-	if l.host = l.address(ctx); l.host == "" {
+	if l.host = l.only; l.host == "" {
+		l.host = l.address(ctx)
+	}
+	if l.host == "" {
 		return false
 	}
 	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", l.host)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,9 @@
 	// Changes limits the faults to one or two hosts at a time, each right before a key is taken
 	// away. All other hosts must act on that in time.
 	Changes bool
+	// Paths limits the faults to silent paths between hosts, which meet streams that one host
+	// serves for another.
+	Paths bool
 	// Dir receives settings and logs.
 	Dir string
 	// Binary is the program under test.
@@ -55,8 +59,10 @@
 	hosts     []*Host
 	callers   []*Caller
 	lines     []*line
-	// pausedLines send streams with pauses while faults go on.
+	// pausedLines send streams with pauses, which take seconds, while faults go on.
 	pausedLines []*line
+	// helpedLines send such streams to hosts for which others have to serve.
+	helpedLines []*line
 	history     History
 	mu          sync.Mutex
 	violations  []string
@@ -104,12 +110,15 @@
 	for _, l := range s.pausedLines {
 		wg.Go(func() { l.Run(pressCtx) })
 	}
-	if s.Maintenance {
+	switch {
+	case s.Maintenance:
 		s.maintain(ctx)
-		stopPress()
-	} else {
+	case s.Paths:
+		s.injectMore(ctx, pathFaults, pathStream)
+	default:
 		s.injectFaults(ctx)
 	}
+	stopPress()
 	wait(ctx, settleTime)
 	recovered := time.Now()
 	wait(ctx, recoveredTime)
@@ -134,9 +143,9 @@
 		return err
 	}
 	s.history.Events = s.d.Engines[0].Events
+	s.d.StreamTimeout = longCallTimeout
+	s.d.Configure(platformtest.ValidKey, platformtest.RevokedKey)
 	if s.Maintenance {
-		s.d.StreamTimeout = longCallTimeout
-		s.d.Configure(platformtest.ValidKey, platformtest.RevokedKey)
 		for range engineEndpoints {
 			s.d.AddSpare(platformtest.TargetVersion)
 		}
@@ -189,6 +198,9 @@
 		return
 	}
 	for i := range s.Callers {
+		l := newLine(fmt.Sprintf("p%d", i), s.hosts, s.Seed+uint64(s.Callers*linesPerCaller+i))
+		l.paused = true
+		s.pausedLines = append(s.pausedLines, l)
 		if !s.Maintenance {
 			s.callers = append(s.callers, NewCaller(fmt.Sprintf("c%d", i), s.hosts, s.Seed+uint64(i)))
 			continue
@@ -198,9 +210,6 @@
 			l.short = k == 0
 			s.lines = append(s.lines, l)
 		}
-		l := newLine(fmt.Sprintf("p%d", i), s.hosts, s.Seed+uint64(s.Callers*linesPerCaller+i))
-		l.paused = true
-		s.pausedLines = append(s.pausedLines, l)
 	}
 }
 
@@ -240,14 +249,16 @@
 }
 
 func (s *soak) collectHistory() {
+	s.history.Disturbances = make(map[string]Disturbances)
 	for _, c := range s.callers {
 		s.history.Calls = append(s.history.Calls, c.Calls()...)
 	}
-	for _, l := range append(s.lines, s.pausedLines...) {
+	for _, l := range slices.Concat(s.lines, s.pausedLines, s.helpedLines) {
 		s.history.Calls = append(s.history.Calls, l.Calls()...)
 	}
 	for _, h := range s.hosts {
 		s.history.Stops = append(s.history.Stops, h.Stops()...)
+		s.history.Disturbances[h.source] = h.Disturbances()
 	}
 	if s.noRetries() {
 		s.collectHelpers()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -60,6 +60,13 @@
 	runSeeds(t, soak.Options{Changes: true})
 }
 
+// TestStreamsRunAtOneEndpoint guards against a stream that goes on at another endpoint while the
+// one before still works on it, because the path between two hosts is silent and one serves for
+// the other.
+func TestStreamsRunAtOneEndpoint(t *testing.T) {
+	runSeeds(t, soak.Options{Paths: true})
+}
+
 // maxReported bounds the violations that are reported one by one.
 const maxReported = 25
 
