--- a/internal/runlease/holder.go
+++ b/internal/runlease/holder.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
@@ -145,7 +146,11 @@
 	}
 	l.end(ErrEnded)
 	h := l.holder
-	h.opts.Logger.Warn("lease lost", "lease", l.key.id, "grantor", l.key.grantor, "why", why, "renewed_ms", h.opts.Boottime().Sub(l.asked).Milliseconds())
+	renewed := time.Duration(0)
+	if l.until > 0 {
+		renewed = h.opts.Boottime().Sub(l.asked)
+	}
+	h.opts.Logger.Warn("lease lost", "lease", l.key.id, "grantor", l.key.grantor, "why", why, "renewed_ms", renewed.Milliseconds())
 }
 
 // HandleRevoke answers MethodRevoke, when the host works on the request no more.
