--- a/internal/runlease/runlease_test.go
+++ b/internal/runlease/runlease_test.go
@@ -361,3 +361,28 @@
 		})
 	}
 }
+
+// TestReleasedLeaseIsForgotten guards against a holder that goes on asking for leases whose work
+// has ended, and keeps them in memory.
+func TestReleasedLeaseIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var calls atomic.Int64
+		p := newPair(t.Context())
+		p.setPath(func() leg {
+			calls.Add(1)
+			return whole()
+		})
+		l, err := p.holder.Acquire(t.Context(), origin, p.grantor.Open(helper, "request").ID())
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(ttl)
+		l.Release()
+		time.Sleep(checkInterval)
+		before := calls.Load()
+		time.Sleep(time.Minute)
+		if n := calls.Load(); n != before || before < 2 || len(p.holder.leases) > 0 || len(p.holder.asked) > 0 {
+			t.Errorf("%d calls, then %d; %d leases and %d grantors are kept", before, n-before, len(p.holder.leases), len(p.holder.asked))
+		}
+	})
+}
