--- a/internal/runlease/runlease_test.go
+++ b/internal/runlease/runlease_test.go
@@ -381,6 +381,8 @@
 		time.Sleep(checkInterval)
 		before := calls.Load()
 		time.Sleep(time.Minute)
+		p.holder.mu.Lock()
+		defer p.holder.mu.Unlock()
 		if n := calls.Load(); n != before || before < 2 || len(p.holder.leases) > 0 || len(p.holder.asked) > 0 {
 			t.Errorf("%d calls, then %d; %d leases and %d grantors are kept", before, n-before, len(p.holder.leases), len(p.holder.asked))
 		}
