--- a/internal/runlease/holder.go
+++ b/internal/runlease/holder.go
@@ -106,13 +106,17 @@
 	return true
 }
 
-// check returns an error unless a lease that was asked for is granted and has not ended.
+// check returns an error unless a lease that was asked for is granted and has not ended. The first
+// lease of a grantor sets the time from which Run renews them.
 func (h *Holder) check(l *Lease) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.opts.Boottime() >= l.until || l.ctx.Err() != nil {
 		return errors.Wrapf(ErrDenied, "by %s", l.key.grantor)
 	}
+	if _, ok := h.asked[l.key.grantor]; !ok {
+		h.asked[l.key.grantor] = l.asked
+	}
 	return nil
 }
 
--- a/internal/runlease/runlease_test.go
+++ b/internal/runlease/runlease_test.go
@@ -320,14 +320,16 @@
 func TestLeaseCountsFromTheQuestion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPair(t.Context())
-		p.setPath(func() leg { return leg{answer: callTimeout - time.Millisecond, reached: true, answered: true} })
+		p.setPath(func() leg {
+			p.path = cut // of the renewals
+			return leg{answer: callTimeout - time.Millisecond, reached: true, answered: true}
+		})
 		asked := time.Now()
 		l, err := p.holder.Acquire(t.Context(), origin, p.grantor.Open(helper, "request").ID())
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer l.Release()
-		p.setPath(cut)
 		<-l.Context().Done()
 		if took := time.Since(asked); took > ttl+checkInterval {
 			t.Errorf("the lease has lasted %v, want %v", took, ttl)
