--- a/daemon/router/forward.go
+++ b/daemon/router/forward.go
@@ -108,6 +108,9 @@
 	}
 	message.TimeLeft -= h.opts.Clock.Since(arrived)
 	h.relay.ServeForwarded(ctx, w, req.From, message)
+	if leaseLost(ctx) {
+		panic(http.ErrAbortHandler) // the connection has a deadline for writes
+	}
 }
 
 // decode returns the message of a request, which was read with readErr, or the reason for which
@@ -136,12 +139,15 @@
 	return message, ""
 }
 
+// leaseLost reports whether the lease of a request was lost whose context this is.
+func leaseLost(ctx context.Context) bool { return errors.Is(context.Cause(ctx), runlease.ErrEnded) }
+
 // interruptWrite makes writes of an answer fail once the lease on its request is lost, until the
 // returned function is called. A write to a host that has vanished may block for as long as its
 // connection is open.
 func interruptWrite(w http.ResponseWriter, lease *runlease.Lease) (done func()) {
 	stop := context.AfterFunc(lease.Context(), func() {
-		if errors.Is(context.Cause(lease.Context()), runlease.ErrEnded) {
+		if leaseLost(lease.Context()) {
 			// If it fails, the connection is closed, and the write fails as well.
 			_ = http.NewResponseController(w).SetWriteDeadline(time.Unix(1, 0))
 		}
--- a/internal/runlease/runlease.go
+++ b/internal/runlease/runlease.go
@@ -36,10 +36,10 @@
 	// askTimeout is the time after which a holder that knows leases has asked for one. A host of
 	// an earlier release asks for none.
 	askTimeout = 1200 * time.Millisecond
-	// unleasedTime is the time after which a host of an earlier release ends its work on a request
-	// for a host that finds their connection lost: the probes of its own connection begin and end
-	// a second later.
-	unleasedTime = 1500 * time.Millisecond
+	// unleasedTime is the time after which a host of an earlier release, if it has sent nothing
+	// meanwhile, ends its work on a request for a host that finds their connection lost. The
+	// probes of its own connection end two seconds later.
+	unleasedTime = 2500 * time.Millisecond
 )
 
 // ErrEnded is the cause with which the context of a request ends whose lease was revoked or has
