--- a/engine/client.go
+++ b/engine/client.go
@@ -317,14 +317,33 @@
 	return out, err
 }
 
+// Cancel ends an attempt, over a new connection, and returns once the endpoint has confirmed it.
+// The context bounds the wait. An error leaves open whether the endpoint works on: it is
+// ErrNotEnded if the endpoint says no, and one for which NoSuchCall is true if it has no such call.
+func (c *Client) Cancel(ctx context.Context, addr, attempt string) error {
+	var reply CancelReply
+	if err := c.fetch(ctx, http.MethodDelete, c.scheme+"://"+addr+"/v1/attempts/"+attempt, &reply); err != nil {
+		return err
+	}
+	if reply.Attempt != attempt || !reply.Ended {
+		return errors.Wrapf(ErrNotEnded, "%q, ended %t", reply.Attempt, reply.Ended)
+	}
+	return nil
+}
+
 func (c *Client) get(ctx context.Context, url string, into any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	return c.fetch(ctx, http.MethodGet, url, into)
+}
+
+// fetch sends a request without a body over a new connection and decodes the reply.
+func (c *Client) fetch(ctx context.Context, method, url string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, method, url, nil)
 	if err != nil {
 		return errors.Wrap(err, "engine: build request")
 	}
 	resp, err := do(c.probe, req)
 	if err != nil {
-		return errors.Wrap(err, "engine: get")
+		return errors.Wrapf(err, "engine: %s", method)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -33,6 +34,9 @@
 	ErrOrderRejected = errors.New("engine: order rejected")
 )
 
+// ErrNotEnded reports a reply to Cancel that does not say that the attempt has ended.
+var ErrNotEnded = errors.New("engine: attempt not ended")
+
 // GenerateRequest is the body of POST /v1/generate.
 type GenerateRequest struct {
 	// Attempt identifies this attempt; every event of the answer contains it.
@@ -100,6 +104,16 @@
 	Sent uint64 `json:"sent"`
 }
 
+// CancelReply is the response to DELETE /v1/attempts/{attempt}. The endpoint sends it once the
+// attempt has ended, also to a call for an attempt that it does not know, and starts an attempt
+// of that name no more: its request may still be on the way. It rejects that one as not run.
+type CancelReply struct {
+	// Attempt is the attempt of the call.
+	Attempt string `json:"attempt"`
+	// Ended is false if the endpoint cannot end the attempt and works on it.
+	Ended bool `json:"ended"`
+}
+
 // OrderKind is the kind of an order to an engine.
 type OrderKind string
 
@@ -147,6 +161,12 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// NoSuchCall reports whether an endpoint has answered that it has no such call.
+func NoSuchCall(err error) bool {
+	var failed *Error
+	return errors.As(err, &failed) && (failed.Status == http.StatusNotFound || failed.Status == http.StatusMethodNotAllowed)
+}
+
 // TurnedAway reports whether an endpoint that is reachable has refused a request or its
 // connection. It may still serve its other connections.
 func TurnedAway(err error) bool {
--- a/engine/fakeengine/fakeengine.go
+++ b/engine/fakeengine/fakeengine.go
@@ -47,8 +47,12 @@
 // CrashMarker in a prompt makes the engine that runs it crash.
 const CrashMarker = "<crash-engine>"
 
-// maxRequestBytes bounds request bodies.
-const maxRequestBytes = 16 << 20
+const (
+	// maxRequestBytes bounds request bodies.
+	maxRequestBytes = 16 << 20
+	// maxCancelled is the number of cancelled attempts that an endpoint remembers.
+	maxCancelled = 1024
+)
 
 // Run is one request that the endpoint started to run.
 type Run struct {
@@ -62,14 +66,6 @@
 	Started time.Time
 }
 
-// attemptState is the state of an attempt that a probe can read. While the
-// attempt is queued, the steps of the whole engine count as its progress.
-type attemptState struct {
-	running      bool
-	stepsAtStart uint64
-	sent         uint64
-}
-
 // Endpoint is a fake endpoint.
 type Endpoint struct {
 	opts  Options
@@ -83,12 +79,14 @@
 	addr     string
 	runs     []Run
 	attempts map[string]*attemptState
-	steps    uint64
-	waiting  int
-	versions []string
-	role     string
-	fencing  int64
-	quality  map[string]float64
+	// cancelled holds the last attempts that were cancelled.
+	cancelled *lru.Cache[string, struct{}]
+	steps     uint64
+	waiting   int
+	versions  []string
+	role      string
+	fencing   int64
+	quality   map[string]float64
 	// tokenDelay is the time between two tokens.
 	tokenDelay time.Duration
 	crashes    int
@@ -123,6 +121,9 @@
 		panic(err) // the size is at least 1
 	}
 	e.cache = cache
+	if e.cancelled, err = lru.New[string, struct{}](maxCancelled); err != nil {
+		panic(err) // the size is at least 1
+	}
 	return e
 }
 
@@ -261,6 +262,7 @@
 	mux.HandleFunc("POST /v1/orders", e.order)
 	mux.HandleFunc("GET /v1/load", e.load)
 	mux.HandleFunc("GET /v1/attempts/{id}", e.attempt)
+	mux.HandleFunc("DELETE /v1/attempts/{id}", e.cancel)
 	mux.HandleFunc("GET /v1/cache/events", e.cacheEvents)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if attempt := r.Header.Get(engine.HeaderAttemptID); attempt != "" {
@@ -289,20 +291,18 @@
 	_ = json.NewEncoder(w).Encode(v) // the caller sees a truncated reply
 }
 
-// acquireSlot registers the attempt and waits for a free slot. It returns false
-// if ctx ends first.
-func (e *Endpoint) acquireSlot(ctx context.Context, attempt string) bool {
-	e.mu.Lock()
-	e.attempts[attempt] = &attemptState{}
-	e.mu.Unlock()
+// acquireSlot waits for a free slot. It returns false if ctx ends first or the attempt is
+// cancelled.
+func (e *Endpoint) acquireSlot(ctx context.Context, st *attemptState) bool {
 	e.addWaiting(1)
 	defer e.addWaiting(-1)
 	select {
 	case e.slots <- struct{}{}:
 		return true
 	case <-ctx.Done():
-		return false
+	case <-st.cancelled:
 	}
+	return false
 }
 
 func (e *Endpoint) addWaiting(n int) {
@@ -323,18 +323,24 @@
 		return
 	}
 	attempt := r.Header.Get(engine.HeaderAttemptID)
-	defer e.endAttempt(attempt)
-	if !e.acquireSlot(r.Context(), attempt) {
+	st := e.beginAttempt(attempt)
+	if st == nil {
+		reject(w, http.StatusConflict, "attempt cancelled")
 		return
 	}
+	defer e.endAttempt(attempt, st)
+	if !e.acquireSlot(r.Context(), st) {
+		panic(http.ErrAbortHandler)
+	}
 	defer func() { <-e.slots }()
 	key := r.Header.Get(api.HeaderIdempotencyKey)
 	stalled := e.startRun(Run{Attempt: attempt, Service: service, Operation: operation, Key: key, Body: fmt.Sprint(body)})
 	select {
 	case <-time.After(e.opts.CallDelay):
+	case <-st.cancelled:
+		panic(http.ErrAbortHandler)
 	case <-stalled:
-		<-r.Context().Done()
-		return
+		st.abort(r.Context())
 	}
 	writeJSON(w, map[string]any{"service": service, "operation": operation, "number": len(e.Runs()), "request": body})
 }
@@ -347,21 +353,6 @@
 	})
 }
 
-func (e *Endpoint) attempt(w http.ResponseWriter, r *http.Request) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	st, ok := e.attempts[r.PathValue("id")]
-	if !ok {
-		writeJSON(w, engine.AttemptStatus{})
-		return
-	}
-	progress := e.steps
-	if st.running {
-		progress = st.stepsAtStart + st.sent
-	}
-	writeJSON(w, engine.AttemptStatus{Running: true, Progress: progress, Sent: st.sent})
-}
-
 func (e *Endpoint) cacheEvents(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.Atoi(r.URL.Query().Get("after"))
 	e.mu.Lock()
--- a/engine/fakeengine/generate.go
+++ b/engine/fakeengine/generate.go
@@ -1,6 +1,7 @@
 package fakeengine
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -24,10 +25,15 @@
 		reject(w, http.StatusNotFound, "version not loaded")
 		return
 	}
-	defer e.endAttempt(req.Attempt)
-	if !e.acquireSlot(r.Context(), req.Attempt) {
+	st := e.beginAttempt(req.Attempt)
+	if st == nil {
+		reject(w, http.StatusConflict, "attempt cancelled")
 		return
 	}
+	defer e.endAttempt(req.Attempt, st)
+	if !e.acquireSlot(r.Context(), st) {
+		panic(http.ErrAbortHandler)
+	}
 	defer func() { <-e.slots }()
 	prompt := promptOf(req.Messages)
 	stalled := e.startRun(Run{Attempt: req.Attempt, Version: req.Version, Body: prompt})
@@ -35,10 +41,10 @@
 		e.crash()
 		return
 	}
-	e.stream(w, r, req, prompt, stalled)
+	e.stream(r.Context(), w, req, prompt, st, stalled)
 }
 
-func (e *Endpoint) stream(w http.ResponseWriter, r *http.Request, req engine.GenerateRequest, prompt string, stalled <-chan struct{}) {
+func (e *Endpoint) stream(ctx context.Context, w http.ResponseWriter, req engine.GenerateRequest, prompt string, st *attemptState, stalled <-chan struct{}) {
 	cached := e.updateCache(prompt)
 	w.Header().Set("Content-Type", "text/event-stream")
 	words := e.answer(req, prompt)
@@ -46,14 +52,16 @@
 	for i := req.ResumeFrom; i <= len(words); i++ {
 		select {
 		case <-time.After(e.nextDelay()):
-		case <-r.Context().Done():
-			return
+		case <-ctx.Done():
+			panic(http.ErrAbortHandler)
+		case <-st.cancelled:
+			panic(http.ErrAbortHandler)
 		}
 		if isClosed(stalled) {
 			// The engine continues as if its tokens were delivered.
 			e.recordStep(req.Attempt)
 			if i == len(words) {
-				<-r.Context().Done()
+				st.abort(ctx)
 			}
 			continue
 		}
@@ -164,12 +172,6 @@
 	}
 }
 
-func (e *Endpoint) endAttempt(attempt string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	delete(e.attempts, attempt)
-}
-
 // crash closes all connections, as the crash of an engine process does, and
 // listens again immediately.
 func (e *Endpoint) crash() {
