--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -206,6 +206,9 @@
 	g.d.Pool.observeAttempt(ctx, sl.endpoint, err)
 	crashed := failed != nil && failed.Lost && ctx.Err() == nil && g.d.checkForCrash(ctx, sl)
 	g.d.endProbation(ctx, g.hash, sl.endpoint, crashed)
+	if mayRunOn(err) {
+		g.d.cancelAttempt(ctx, sl)
+	}
 	sl.release(outcome, firstToken)
 	g.d.metrics.attempts.WithLabelValues(result).Inc()
 	if err == nil {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -38,6 +38,7 @@
 	Generate(ctx context.Context, addr string, req engine.GenerateRequest, onToken func(engine.Event) error) (engine.Final, error)
 	Call(ctx context.Context, addr, service, operation, attempt, key string, body []byte) (engine.Reply, error)
 	Probe(ctx context.Context, addr, attempt string) (engine.AttemptStatus, error)
+	Cancel(ctx context.Context, addr, attempt string) error
 }
 
 // ChatRequest is one request for a generated answer.
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -246,6 +246,7 @@
 // attemptOnce makes one attempt and returns the endpoint that it used; empty if no
 // endpoint was available.
 func (c *call) attemptOnce(ctx context.Context, tried []string) (engine.Reply, string, error) {
+	requestCtx := ctx // without the timeout of the attempt
 	if c.op.Timeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, c.op.Timeout.AsDuration())
@@ -266,7 +267,11 @@
 	c.trace.add("endpoint", "%s, attempt %s", sl.endpoint, sl.attempt)
 	started := c.d.Clock.Now()
 	reply, err := c.d.Engines.Call(ctx, sl.addr, c.req.Service, c.req.Operation, sl.attempt, c.req.Key, c.req.Body)
-	c.recordOutcome(ctx, sl, err, c.d.Clock.Since(started))
+	took := c.d.Clock.Since(started)
+	if c.op.Idempotent && mayRunOn(err) {
+		c.d.cancelAttempt(requestCtx, sl)
+	}
+	c.recordOutcome(ctx, sl, err, took)
 	return reply, sl.endpoint, err
 }
 
