--- a/limiter/bytes.go
+++ b/limiter/bytes.go
@@ -48,11 +48,15 @@
 
 // Reserve takes n bytes from the budget, and reports whether there was room.
 func (b *ByteBudget) Reserve(n int64) bool {
-	if b.used.Add(n) <= b.limit {
-		return true
+	for {
+		used := b.used.Load()
+		if used+n > b.limit {
+			return false
+		}
+		if b.used.CompareAndSwap(used, used+n) {
+			return true
+		}
 	}
-	b.used.Add(-n)
-	return false
 }
 
 // Release returns n bytes to the budget.
--- a/limiter/bytes_test.go
+++ b/limiter/bytes_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"sync"
 	"testing"
 	"testing/iotest"
 
@@ -66,3 +67,33 @@
 		}
 	})
 }
+
+// TestRejectedReservationsTakeNoRoom guards against reservations that have no room, and for a moment
+// exceed the budget or take the room of others that have.
+func TestRejectedReservationsTakeNoRoom(t *testing.T) {
+	const total, rounds, rejecting = 100, 100_000, 2
+	b := limiter.NewByteBudget(total)
+	var wg sync.WaitGroup
+	for range rejecting {
+		wg.Go(func() {
+			for range rounds {
+				if b.Reserve(total + 1) {
+					t.Error("more than the budget was reserved")
+				}
+			}
+		})
+	}
+	missed, most := 0, int64(0)
+	for range rounds {
+		if b.Reserve(total) {
+			b.Release(total)
+		} else {
+			missed++
+		}
+		most = max(most, b.Used())
+	}
+	wg.Wait()
+	if missed > 0 || most > total {
+		t.Errorf("%d reservations that have room were rejected, at most %d of %d bytes in use", missed, most, total)
+	}
+}
