--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -254,6 +254,7 @@
 	}
 	hashes, first := sl.takeCrashed()
 	if first {
+		d.Pool.pauseCrashed(sl.endpoint)
 		d.Logger.WarnContext(ctx, "endpoint crashed", "endpoint", sl.endpoint, "running", len(hashes))
 		d.Crashes.RecordCrash(sl.endpoint, hashes)
 		d.Parts.RecordCrash(endpointHash(sl.endpoint))
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -21,6 +21,10 @@
 // relative to its declared concurrency.
 const maxLimitFactor = 2
 
+// crashPause is the time for which an endpoint that has crashed is chosen only if no other
+// has a free slot. It may accept connections while it goes down, and cuts them then.
+const crashPause = time.Second
+
 // EndpointPool chooses among the endpoints that this host uses and holds its
 // estimates of their load and health. It is safe for concurrent use.
 type EndpointPool struct {
@@ -48,6 +52,8 @@
 	loadedVersions []string
 	// leaving is set if the engine reports that it is draining.
 	leaving bool
+	// pausedUntil is when the pause after the last crash ends; zero if there was none.
+	pausedUntil time.Time
 	// running holds the attempts in flight by attempt id.
 	running map[string]*runningAttempt
 }
@@ -132,12 +138,34 @@
 	ep.picker.SetEndpoints(list)
 	ep.ejector.SetEndpoints(names)
 	for _, name := range names {
-		ep.picker.SetWeight(name, ep.ejector.Weight(name))
+		ep.setWeight(name)
 	}
 	ep.onCapacity(float64(capacity))
 	ep.notify()
 }
 
+// setWeight passes the share of its normal work that an endpoint may get to the picker.
+func (ep *EndpointPool) setWeight(name string) {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	weight := ep.ejector.Weight(name)
+	if st := ep.endpoints[name]; st != nil && ep.clock.Now().Before(st.pausedUntil) {
+		weight = 0
+	}
+	ep.picker.SetWeight(name, weight)
+}
+
+// pauseCrashed makes an endpoint that has crashed the last choice for crashPause.
+func (ep *EndpointPool) pauseCrashed(name string) {
+	ep.mu.Lock()
+	if st := ep.endpoints[name]; st != nil {
+		st.pausedUntil = ep.clock.Now().Add(crashPause)
+	}
+	ep.mu.Unlock()
+	ep.setWeight(name)
+	ep.clock.AfterFunc(crashPause, func() { ep.setWeight(name) })
+}
+
 // versions returns the versions that the endpoint can serve: the declared versions
 // that the engine has loaded, all declared ones before its first report, or the
 // pseudo-version of a plain service.
@@ -303,7 +331,7 @@
 	sl.state.limit.Release(firstToken, outcome)
 	sl.pool.picker.Finished(sl.endpoint, took)
 	sl.pool.ejector.Report(sl.endpoint, outcome)
-	sl.pool.picker.SetWeight(sl.endpoint, sl.pool.ejector.Weight(sl.endpoint))
+	sl.pool.setWeight(sl.endpoint)
 	sl.pool.mu.Lock()
 	delete(sl.state.running, sl.attempt)
 	sl.pool.mu.Unlock()
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -65,6 +65,12 @@
 }
 
 func newRig(t *testing.T, engines int) *rig {
+	t.Helper()
+	return newRigAt(t, engines, clockwork.NewRealClock())
+}
+
+// newRigAt returns a rig whose host takes the time from a clock.
+func newRigAt(t *testing.T, engines int, clock clockwork.Clock) *rig {
 	t.Helper()
 	endpoints, err := demo.StartEndpoints(engines)
 	if err != nil {
@@ -75,7 +81,6 @@
 	if r.resources, err = demo.Resources(endpoints); err != nil {
 		t.Fatal(err)
 	}
-	clock := clockwork.NewRealClock()
 	rng := func() *rand.Rand { return rand.New(rand.NewPCG(testSeed, testSeed)) }
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
 	signer, err := session.NewSigner(clock, time.Hour, []session.Key{{ID: "k", Secret: []byte(strings.Repeat("s", session.MinKeyBytes))}})
