--- a/internal/runlease/holder.go
+++ b/internal/runlease/holder.go
@@ -150,11 +150,11 @@
 	}
 	l.end(ErrEnded)
 	h := l.holder
-	renewed := time.Duration(0)
+	sinceRenewal := time.Duration(0)
 	if l.until > 0 {
-		renewed = h.opts.Boottime().Sub(l.asked)
+		sinceRenewal = h.opts.Boottime().Sub(l.asked)
 	}
-	h.opts.Logger.Warn("lease lost", "lease", l.key.id, "grantor", l.key.grantor, "why", why, "renewed_ms", renewed.Milliseconds())
+	h.opts.Logger.Warn("lease lost", "lease", l.key.id, "grantor", l.key.grantor, "why", why, "renewed_ms", sinceRenewal.Milliseconds())
 }
 
 // HandleRevoke answers MethodRevoke, when the host works on the request no more.
