--- a/relay/lateread_test.go
+++ b/relay/lateread_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -101,6 +102,19 @@
 	}
 }
 
+// stopped reports whether all threads of the process are stopped. A signal takes its time on a busy
+// machine, and the process receives requests until then.
+func (h *helperProcess) stopped() bool {
+	stats, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", h.cmd.Process.Pid))
+	for _, path := range stats {
+		stat, err := os.ReadFile(path)
+		if _, state, _ := strings.Cut(string(stat), ") "); err != nil || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return len(stats) > 0
+}
+
 // run is a run of a stream at an endpoint.
 type run struct {
 	id         string
@@ -238,6 +252,8 @@
 	release()
 	l.calls.Wait()
 	l.await("the helper has logged them", func() bool { return l.helper.ended.Load() == lateRequests })
+	// A host logs a request after it has put its connection back.
+	l.await("the host has logged them", func() bool { return strings.Count(origin.logged(), "msg=request ") == lateRequests })
 	return l
 }
 
@@ -265,7 +281,7 @@
 	const limit = 20 * time.Second
 	for end := time.Now().Add(limit); !done(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
-			l.t.Fatalf("not within %v: %s", limit, what)
+			l.t.Fatalf("not within %v: %s\n%s", limit, what, l.origin.logged())
 		}
 	}
 }
@@ -277,6 +293,7 @@
 	l.t.Cleanup(l.first.reset())
 	release := l.second.reset()
 	l.helper.signal(l.t, syscall.SIGSTOP)
+	l.await("the helper is stopped", l.helper.stopped)
 	l.send()
 	l.await("requests run for the third host", func() bool { return len(l.second.copy()) == lateRequests })
 	l.helper.signal(l.t, syscall.SIGCONT)
